Lay down the workspace, the model library and its checks

Cause: nothing existed; every other library needs one vocabulary first. Conclusion: the libraries can be built side by side against the model.

--- /dev/null
+++ b/packages/bench/src/corianderwall/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demo and the measurements."""
--- /dev/null
+++ b/packages/ctl/src/corianderwall/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' client and the remote procedure call schema."""
--- /dev/null
+++ b/packages/distribution/src/corianderwall/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Propagation of configuration snapshots between nodes."""
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 server and client flows with back pressure."""
--- /dev/null
+++ b/packages/links/src/corianderwall/links/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated message links between nodes."""
--- /dev/null
+++ b/packages/membership/src/corianderwall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and endpoint announcements between nodes."""
--- /dev/null
+++ b/packages/model/src/corianderwall/model/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration snapshots, changes, deltas and the error catalogue."""
--- /dev/null
+++ b/packages/model/src/corianderwall/model/codec.py
@@ -0,0 +1,28 @@
+"""Canonical encoding and digests of snapshots, so that equal snapshots have equal bytes."""
+
+import msgspec
+import xxhash
+
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import Snapshot
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+_decoder = msgspec.json.Decoder(Snapshot)
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the canonical JSON of `snapshot`."""
+    return _encoder.encode(snapshot)
+
+
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Return the snapshot in `data`, or raise `DAMAGED_UPDATE`."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CorianderwallError(ErrorCode.DAMAGED_UPDATE, f"not a snapshot: {error}") from error
+
+
+def compute_digest(snapshot: Snapshot) -> str:
+    """Return the digest of the canonical bytes: 32 hexadecimal digits."""
+    return xxhash.xxh3_128_hexdigest(encode_snapshot(snapshot))
--- /dev/null
+++ b/packages/model/src/corianderwall/model/delta.py
@@ -0,0 +1,102 @@
+"""Differences between two snapshots, bound to the digests of both."""
+
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+from corianderwall.model.codec import compute_digest
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import Move, Route, Service, Snapshot, Subscriber
+
+Item = TypeVar("Item", Service, Route, Subscriber, Move)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Removal:
+    """The names that the newer snapshot lacks."""
+
+    services: tuple[str, ...] = ()
+    routes: tuple[str, ...] = ()
+    subscribers: tuple[str, ...] = ()
+    moves: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Delta:
+    """What turns the snapshot with `base_digest` into the one with `result_digest`.
+
+    `changed` holds only the resources that are new or differ, under the newer version.
+    """
+
+    base_version: int
+    base_digest: str
+    result_digest: str
+    changed: Snapshot
+    removed: Removal
+
+
+def compute_delta(base: Snapshot, result: Snapshot) -> Delta:
+    """Return the delta that leads from `base` to `result`."""
+    return Delta(
+        base_version=base.version,
+        base_digest=compute_digest(base),
+        result_digest=compute_digest(result),
+        changed=Snapshot(
+            version=result.version,
+            services=_find_changed(base.services, result.services),
+            routes=_find_changed(base.routes, result.routes),
+            subscribers=_find_changed(base.subscribers, result.subscribers),
+            moves=_find_changed(base.moves, result.moves),
+        ),
+        removed=Removal(
+            services=_find_removed(base.services, result.services),
+            routes=_find_removed(base.routes, result.routes),
+            subscribers=_find_removed(base.subscribers, result.subscribers),
+            moves=_find_removed(base.moves, result.moves),
+        ),
+    )
+
+
+def apply_delta(base: Snapshot, delta: Delta) -> Snapshot:
+    """Return the newer snapshot, or raise `DAMAGED_UPDATE` and change nothing."""
+    if compute_digest(base) != delta.base_digest:
+        raise CorianderwallError(
+            ErrorCode.DAMAGED_UPDATE, f"the delta has another base than version {base.version}"
+        )
+    changed, removed = delta.changed, delta.removed
+    result = replace(
+        base,
+        version=changed.version,
+        services=_merge(base.services, changed.services, removed.services),
+        routes=_merge(base.routes, changed.routes, removed.routes),
+        subscribers=_merge(base.subscribers, changed.subscribers, removed.subscribers),
+        moves=_merge(base.moves, changed.moves, removed.moves),
+    )
+    if compute_digest(result) != delta.result_digest:
+        raise CorianderwallError(
+            ErrorCode.DAMAGED_UPDATE, f"the delta does not lead to version {changed.version}"
+        )
+    return result
+
+
+def _read_key(item: Service | Route | Subscriber | Move) -> str:
+    return item.id if isinstance(item, Move) else item.name
+
+
+def _find_changed(base: tuple[Item, ...], result: tuple[Item, ...]) -> tuple[Item, ...]:
+    known = set(base)
+    return tuple(item for item in result if item not in known)
+
+
+def _find_removed(base: tuple[Item, ...], result: tuple[Item, ...]) -> tuple[str, ...]:
+    kept = {_read_key(item) for item in result}
+    return tuple(_read_key(item) for item in base if _read_key(item) not in kept)
+
+
+def _merge(
+    base: tuple[Item, ...], changed: tuple[Item, ...], removed: tuple[str, ...]
+) -> tuple[Item, ...]:
+    items = {_read_key(item): item for item in base}
+    items.update({_read_key(item): item for item in changed})
+    for name in removed:
+        items.pop(name, None)
+    return tuple(items[name] for name in sorted(items))
--- /dev/null
+++ b/packages/model/src/corianderwall/model/validation.py
@@ -0,0 +1,137 @@
+"""Checks that a snapshot is coherent, made when it is accepted and again when it is applied."""
+
+import re
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import (
+    PERMILLE,
+    Move,
+    MovePolicy,
+    MoveState,
+    Route,
+    Service,
+    Snapshot,
+    Subscriber,
+)
+
+NAME = re.compile(r"[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?")
+MAX_TIMEOUT_MS = 3_600_000
+MAX_SUBSCRIBER_SHARE = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One reason why a snapshot is not coherent."""
+
+    code: ErrorCode
+    sentence: str
+
+
+def find_problems(snapshot: Snapshot) -> list[Problem]:
+    """Return every problem of `snapshot`, an empty list if it is coherent."""
+    return list(_check_snapshot(snapshot))
+
+
+def require_valid(snapshot: Snapshot) -> None:
+    """Raise an error with the code of the first problem and the sentences of all."""
+    problems = find_problems(snapshot)
+    if problems:
+        sentence = "; ".join(problem.sentence for problem in problems)
+        raise CorianderwallError(problems[0].code, sentence)
+
+
+def _check_snapshot(snapshot: Snapshot) -> Iterator[Problem]:
+    yield from _check_names("service", [service.name for service in snapshot.services])
+    yield from _check_names("route", [route.name for route in snapshot.routes])
+    yield from _check_names("subscriber", [each.name for each in snapshot.subscribers])
+    yield from _check_names("move", [move.id for move in snapshot.moves])
+    services = {service.name: service for service in snapshot.services}
+    for service in snapshot.services:
+        yield from _check_service(service)
+    for route in snapshot.routes:
+        yield from _check_route(route, services)
+    for subscriber in snapshot.subscribers:
+        yield from _check_subscriber(subscriber)
+    for move in snapshot.moves:
+        yield from _check_move(move, services)
+
+
+def _invalid(sentence: str) -> Problem:
+    return Problem(ErrorCode.INVALID_ARGUMENT, sentence)
+
+
+def _dangling(sentence: str) -> Problem:
+    return Problem(ErrorCode.DANGLING_REFERENCE, sentence)
+
+
+def _check_names(kind: str, names: list[str]) -> Iterator[Problem]:
+    if names != sorted(set(names)):
+        yield _invalid(f"{kind} names are not unique and sorted")
+    yield from _check_words(kind, names)
+
+
+def _check_words(kind: str, words: Iterable[str]) -> Iterator[Problem]:
+    for word in words:
+        if NAME.fullmatch(word) is None:
+            yield _invalid(f"{kind} name {word!r} does not match {NAME.pattern}")
+
+
+def _check_service(service: Service) -> Iterator[Problem]:
+    yield from _check_names(f"version of {service.name!r}", list(service.versions))
+    for share in service.split:
+        if share.version not in service.versions:
+            yield _dangling(f"service {service.name!r} splits to no version {share.version!r}")
+        if share.permille <= 0:
+            yield _invalid(f"service {service.name!r} has a share that is not positive")
+    if len({share.version for share in service.split}) != len(service.split):
+        yield _invalid(f"service {service.name!r} names a version twice in its split")
+    if sum(share.permille for share in service.split) != PERMILLE:
+        yield _invalid(f"the split of service {service.name!r} does not sum to {PERMILLE}")
+
+
+def _check_route(route: Route, services: dict[str, Service]) -> Iterator[Problem]:
+    service = services.get(route.service)
+    if service is None:
+        yield _dangling(f"route {route.name!r} points at no service {route.service!r}")
+    elif route.pinned_version and route.pinned_version not in service.versions:
+        yield _dangling(f"route {route.name!r} points at no version {route.pinned_version!r}")
+    if not route.path_prefix.startswith("/"):
+        yield _invalid(f"route {route.name!r} has a path prefix that does not start with /")
+    if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
+        yield _invalid(f"route {route.name!r} has a timeout out of range")
+    for match in route.headers:
+        if match.name != match.name.lower():
+            yield _invalid(f"route {route.name!r} matches a header not in lower case")
+
+
+def _check_subscriber(subscriber: Subscriber) -> Iterator[Problem]:
+    if not 0 < subscriber.share <= MAX_SUBSCRIBER_SHARE:
+        yield _invalid(f"subscriber {subscriber.name!r} has a share out of range")
+
+
+def _check_move(move: Move, services: dict[str, Service]) -> Iterator[Problem]:
+    service = services.get(move.service)
+    if service is None:
+        yield _dangling(f"move {move.id!r} points at no service {move.service!r}")
+        return
+    if move.state is MoveState.RUNNING:
+        for version in (move.from_version, move.to_version):
+            if version not in service.versions:
+                yield _dangling(f"move {move.id!r} points at no version {version!r}")
+    if move.deadline_unix_ms <= move.started_unix_ms:
+        yield _invalid(f"move {move.id!r} has its deadline before its start")
+    if not 0 <= move.share_permille <= PERMILLE:
+        yield _invalid(f"move {move.id!r} has a share out of range")
+    yield from _check_policy(move.id, move.policy)
+
+
+def _check_policy(move_id: str, policy: MovePolicy) -> Iterator[Problem]:
+    steps = policy.steps_permille
+    if not steps or list(steps) != sorted(set(steps)) or steps[0] <= 0 or steps[-1] != PERMILLE:
+        yield _invalid(f"move {move_id!r} has steps that do not rise to {PERMILLE}")
+    if policy.min_calls_per_step <= 0:
+        yield _invalid(f"move {move_id!r} asks for no calls in a step")
+    if not 0 <= policy.caution <= 1:
+        yield _invalid(f"move {move_id!r} has a caution out of range")
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Plans, evidence and control of moves between upstream versions."""
--- /dev/null
+++ b/packages/node/src/corianderwall/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs beside each upstream host."""
--- /dev/null
+++ b/packages/standins/src/corianderwall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for upstreams."""
--- /dev/null
+++ b/packages/store/src/corianderwall/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client for the platform's object API, with leases and the head object."""
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, endpoint choice, fair shares, limits and retries."""
