--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/balancer.py
@@ -0,0 +1,132 @@
+"""Choice of the endpoint that takes a call."""
+
+from collections.abc import Set
+from random import Random
+
+from corianderwall.model.endpoint import Endpoint, Locality
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.traffic.endpoint_pool import EndpointPool
+from corianderwall.traffic.endpoint_stat import EndpointStat
+
+MAX_REFUSAL_S = 5.0
+"""Longest time for which a refusal keeps an endpoint from being preferred."""
+MIN_REFUSAL_S = 0.05
+
+
+class Balancer:
+    """The announced endpoints by service and version, as seen from the node at `locality`."""
+
+    def __init__(self, locality: Locality, random: Random) -> None:
+        self._locality = locality
+        self._random = random
+        self._stats: dict[str, EndpointStat] = {}
+        self._pools: dict[tuple[str, str], EndpointPool] = {}
+
+    def upsert(self, endpoint: Endpoint, now: float, unix_ms: int) -> None:
+        """Take an announcement; one that is older than the last is ignored."""
+        known = self._stats.get(endpoint.name)
+        if known is not None and endpoint.incarnation < known.endpoint.incarnation:
+            return
+        if known is not None and _is_same_instance(known.endpoint, endpoint):
+            known.endpoint = endpoint
+            self._place(known)
+            return
+        self.remove(endpoint.name)
+        age_s = max(0.0, (unix_ms - endpoint.started_unix_ms) / 1000)
+        tier = self._find_tier(endpoint.locality)
+        stat = EndpointStat(endpoint, tier=tier, ramp_start=now - age_s)
+        self._stats[endpoint.name] = stat
+        self._find_pool(endpoint).join(stat)
+        self._place(stat)
+
+    def remove(self, name: str) -> None:
+        """Forget an endpoint that has left."""
+        stat = self._stats.pop(name, None)
+        if stat is None:
+            return
+        pool = self._find_pool(stat.endpoint)
+        pool.leave(stat)
+        if not pool.size:
+            del self._pools[stat.endpoint.service, stat.endpoint.version]
+
+    def set_suspected(self, name: str, *, suspected: bool) -> None:
+        """Stop or resume giving calls to an endpoint whose node is suspected dead."""
+        stat = self._stats.get(name)
+        if stat is not None:
+            stat.suspected = suspected
+            self._place(stat)
+
+    def set_leased(self, name: str, *, leased: bool) -> None:
+        """Note whether a free connection lease of the endpoint is held here."""
+        stat = self._stats.get(name)
+        if stat is not None:
+            stat.leased = leased
+
+    def report_load(self, name: str, running: int, now: float) -> None:
+        """Take the number of running calls that the endpoint or its node reports."""
+        stat = self._stats.get(name)
+        if stat is not None:
+            stat.report_load(running, now)
+
+    def choose(
+        self, service: str, version: str, now: float, exclude: Set[str] = frozenset()
+    ) -> Endpoint | None:
+        """Return the endpoint for a call, None if no endpoint outside `exclude` takes work."""
+        pool = self._pools.get((service, version))
+        if pool is None:
+            return None
+        stat = pool.choose(now, exclude)
+        return None if stat is None else stat.endpoint
+
+    def start(self, name: str) -> int:
+        """Note that an attempt begins; return the attempts now outstanding, this one included."""
+        stat = self._stats.get(name)
+        if stat is None:
+            return 0
+        stat.outstanding += 1
+        return stat.outstanding
+
+    def finish(self, outcome: AttemptOutcome, now: float, retry_after_s: float = 0.0) -> None:
+        """Note the outcome of an attempt that `start` has begun."""
+        stat = self._stats.get(outcome.endpoint)
+        if stat is None:
+            return
+        stat.outstanding = max(0, stat.outstanding - 1)
+        if outcome.cancelled:
+            return
+        if outcome.refused:
+            pause_s = min(MAX_REFUSAL_S, max(MIN_REFUSAL_S, retry_after_s))
+            stat.refused_until = now + pause_s
+            return
+        self._find_pool(stat.endpoint).observe(stat, outcome, now)
+
+    def list_endpoints(self, service: str, version: str) -> tuple[Endpoint, ...]:
+        """Return the announced endpoints, also those that take no work."""
+        pool = self._pools.get((service, version))
+        return () if pool is None else tuple(stat.endpoint for stat in pool.members)
+
+    def _find_pool(self, endpoint: Endpoint) -> EndpointPool:
+        key = (endpoint.service, endpoint.version)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = EndpointPool(self._random)
+        return pool
+
+    def _place(self, stat: EndpointStat) -> None:
+        self._find_pool(stat.endpoint).place(stat)
+
+    def _find_tier(self, locality: Locality) -> int:
+        if locality.region != self._locality.region:
+            return 2
+        return 0 if locality.zone == self._locality.zone else 1
+
+
+def _is_same_instance(known: Endpoint, announced: Endpoint) -> bool:
+    """Return whether the announcement updates a known instance and does not replace it."""
+    return (
+        known.started_unix_ms == announced.started_unix_ms
+        and known.address == announced.address
+        and known.service == announced.service
+        and known.version == announced.version
+        and known.locality == announced.locality
+    )
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
@@ -0,0 +1,152 @@
+"""The endpoints of one service and version, by distance, and the choice among them."""
+
+from collections.abc import Iterator, Set
+from itertools import chain
+from random import Random
+
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.traffic.endpoint_stat import EndpointStat
+from corianderwall.traffic.outliers import OutlierGuard, start_probing
+
+TIER_COSTS = (1.0, 1.25, 4.0)
+"""Factors on the cost of an endpoint in the own zone, the own region, another region."""
+SPILL_LOAD = 0.8
+"""Calls per slot above which farther endpoints are weighed too."""
+DETOUR_COST = 1.5
+"""Factor on the cost of an endpoint whose calls need a second hop."""
+DRAWS = 4
+"""Draws for one candidate before every endpoint is looked at."""
+GROUP_LATENCY_GAIN = 0.02
+
+
+class EndpointPool:
+    """Chooses among endpoints by the power of two choices; updates take constant time."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._guard = OutlierGuard(random)
+        self._members: dict[str, EndpointStat] = {}
+        self._tiers: tuple[list[EndpointStat], ...] = tuple([] for _ in TIER_COSTS)
+        self._latency_s = 0.0
+
+    @property
+    def size(self) -> int:
+        """The number of announced endpoints."""
+        return len(self._members)
+
+    @property
+    def members(self) -> Iterator[EndpointStat]:
+        """The announced endpoints, also those that take no work."""
+        return iter(self._members.values())
+
+    def join(self, stat: EndpointStat) -> None:
+        """Add an endpoint; `place` makes it eligible."""
+        self._members[stat.endpoint.name] = stat
+
+    def leave(self, stat: EndpointStat) -> None:
+        """Remove an endpoint."""
+        self._unlist(stat)
+        self._members.pop(stat.endpoint.name, None)
+        self._guard.forget(stat.endpoint.name)
+
+    def place(self, stat: EndpointStat) -> None:
+        """List or unlist the endpoint according to its state."""
+        eligible = stat.accepts_work and not self._guard.is_ejected(stat.endpoint.name)
+        if not eligible:
+            self._unlist(stat)
+        elif stat.index < 0:
+            tier = self._tiers[stat.tier]
+            stat.index = len(tier)
+            tier.append(stat)
+
+    def observe(self, stat: EndpointStat, outcome: AttemptOutcome, now: float) -> None:
+        """Learn from the outcome of an attempt; the endpoint may be ejected by it."""
+        stat.observe(outcome, now)
+        if not outcome.is_failure:
+            self._guard.note_success(stat)
+            gain = GROUP_LATENCY_GAIN if self._latency_s else 1.0
+            self._latency_s += gain * (outcome.latency_s - self._latency_s)
+        if self._guard.judge(stat, self.size, now):
+            self.place(stat)
+
+    def choose(self, now: float, exclude: Set[str]) -> EndpointStat | None:
+        """Return the endpoint for one call, None if there is none."""
+        self._readmit(now)
+        best: EndpointStat | None = None
+        best_cost = float("inf")
+        for tier, tier_cost in zip(self._tiers, TIER_COSTS, strict=True):
+            stat = self._choose_in_tier(tier, now, exclude)
+            if stat is None:
+                continue
+            cost = self._estimate_cost(stat, now) * tier_cost
+            if cost < best_cost:
+                best, best_cost = stat, cost
+            if best_cost < SPILL_LOAD:
+                return best
+        return best or self._choose_least_bad(now, exclude)
+
+    def _choose_in_tier(
+        self, tier: list[EndpointStat], now: float, exclude: Set[str]
+    ) -> EndpointStat | None:
+        first = self._draw(tier, now, exclude, None)
+        if first is None:
+            return self._scan(tier, now, exclude)
+        second = self._draw(tier, now, exclude, first) if len(tier) > 1 else None
+        if second is None or self._estimate_cost(first, now) <= self._estimate_cost(second, now):
+            return first
+        return second
+
+    def _draw(
+        self, tier: list[EndpointStat], now: float, exclude: Set[str], other: EndpointStat | None
+    ) -> EndpointStat | None:
+        random = self._random.random
+        for _ in range(DRAWS if tier else 0):
+            stat = tier[int(random() * len(tier))]
+            if stat is other or not _is_willing(stat, now, exclude):
+                continue
+            ramp = stat.estimate_ramp(now)
+            if ramp >= 1.0 or random() < ramp:
+                return stat
+        return None
+
+    def _scan(self, tier: list[EndpointStat], now: float, exclude: Set[str]) -> EndpointStat | None:
+        willing = [stat for stat in tier if _is_willing(stat, now, exclude)]
+        return min(willing, key=lambda stat: self._estimate_cost(stat, now), default=None)
+
+    def _choose_least_bad(self, now: float, exclude: Set[str]) -> EndpointStat | None:
+        """Return the endpoint whose refusal ends first, an ejected one only for want of others."""
+        listed = chain.from_iterable(self._tiers)
+        accepting = (stat for stat in self._members.values() if stat.accepts_work)
+        for candidates in (listed, accepting):
+            left = (stat for stat in candidates if stat.endpoint.name not in exclude)
+            best = min(left, key=lambda stat: (stat.refused_until, stat.outstanding), default=None)
+            if best is not None:
+                return best
+        return None
+
+    def _estimate_cost(self, stat: EndpointStat, now: float) -> float:
+        cost = stat.estimate_cost(self._latency_s, now)
+        return cost if stat.leased else cost * DETOUR_COST
+
+    def _readmit(self, now: float) -> None:
+        for name in self._guard.pop_due(now):
+            stat = self._members.get(name)
+            if stat is not None:
+                start_probing(stat)
+                self.place(stat)
+
+    def _unlist(self, stat: EndpointStat) -> None:
+        if stat.index < 0:
+            return
+        tier = self._tiers[stat.tier]
+        last = tier.pop()
+        if last is not stat:
+            tier[stat.index] = last
+            last.index = stat.index
+        stat.index = -1
+
+
+def _is_willing(stat: EndpointStat, now: float, exclude: Set[str]) -> bool:
+    if stat.endpoint.name in exclude or stat.refused_until > now:
+        return False
+    return not (stat.probing and stat.outstanding)
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/outliers.py
@@ -0,0 +1,87 @@
+"""Ejection of endpoints that fail, capped, and the probes that bring them back."""
+
+import heapq
+from random import Random
+
+from corianderwall.traffic.endpoint_stat import EndpointStat
+
+CONSECUTIVE_FAILURES = 5
+MIN_SAMPLES = 20
+FAILURE_RATE = 0.5
+MAX_EJECTED_SHARE = 0.5
+EJECTION_S = 5.0
+MAX_EJECTION_S = 60.0
+PROBE_SUCCESSES = 3
+
+
+class OutlierGuard:
+    """The ejected endpoints of one group; at most `MAX_EJECTED_SHARE` of it at a time."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._heap: list[tuple[float, str]] = []
+        self._until: dict[str, float] = {}
+
+    def is_ejected(self, name: str) -> bool:
+        """Return whether the endpoint is out."""
+        return name in self._until
+
+    def count_ejected(self) -> int:
+        """Return how many endpoints are out."""
+        return len(self._until)
+
+    def judge(self, stat: EndpointStat, group_size: int, now: float) -> bool:
+        """Return whether `stat` is ejected by its last outcome."""
+        if self.is_ejected(stat.endpoint.name) or not _is_outlier(stat):
+            return False
+        if len(self._until) + 1 > group_size * MAX_EJECTED_SHARE:
+            return False
+        self._eject(stat, now)
+        return True
+
+    def note_success(self, stat: EndpointStat) -> None:
+        """Count a success of an endpoint that is probed; enough of them end the probing."""
+        if not stat.probing:
+            return
+        stat.probe_successes += 1
+        if stat.probe_successes >= PROBE_SUCCESSES:
+            stat.probing = False
+            stat.ejections = 0
+
+    def pop_due(self, now: float) -> list[str]:
+        """Return the names whose ejection has ended; they are to be probed."""
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            until, name = heapq.heappop(self._heap)
+            if self._until.get(name) == until:
+                del self._until[name]
+                due.append(name)
+        return due
+
+    def forget(self, name: str) -> None:
+        """Drop an endpoint that has left."""
+        self._until.pop(name, None)
+
+    def _eject(self, stat: EndpointStat, now: float) -> None:
+        stat.ejections += 1
+        length_s = min(MAX_EJECTION_S, EJECTION_S * 2 ** (stat.ejections - 1))
+        until = now + length_s * self._random.uniform(0.8, 1.2)
+        self._until[stat.endpoint.name] = until
+        heapq.heappush(self._heap, (until, stat.endpoint.name))
+
+
+def start_probing(stat: EndpointStat) -> None:
+    """Let the endpoint back for single calls, with a clean record."""
+    stat.probing = True
+    stat.probe_successes = 0
+    stat.consecutive_failures = 0
+    stat.failure_rate = 0.0
+    stat.samples = 0
+
+
+def _is_outlier(stat: EndpointStat) -> bool:
+    if stat.probing:
+        return stat.consecutive_failures > 0
+    if stat.consecutive_failures >= CONSECUTIVE_FAILURES:
+        return True
+    return stat.samples >= MIN_SAMPLES and stat.failure_rate > FAILURE_RATE
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/routing.py
@@ -0,0 +1,194 @@
+"""Routes of one snapshot, compiled once and matched for every call."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from random import Random
+
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import Route, Service, Snapshot
+from corianderwall.traffic.paths import normalise_path
+from corianderwall.traffic.splits import VersionSplit
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """What of a call decides its route; the names of `headers` are in lower case."""
+
+    host: str
+    path: str
+    method: str
+    headers: Mapping[str, str]
+    subscriber: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RouteChoice:
+    """Where a call goes; `timeout_ms` is the configured limit from which a deadline follows."""
+
+    route: str
+    service: str
+    version: str
+    idempotent: bool
+    timeout_ms: int
+
+
+class MatchReason(enum.StrEnum):
+    """Why a route takes a call or not."""
+
+    CHOSEN = "chosen"
+    SHADOWED = "shadowed by a route that comes first"
+    HOST = "another host"
+    PATH = "another path"
+    METHOD = "another method"
+    HEADER = "a header is absent or has another value"
+
+
+@dataclass(frozen=True, slots=True)
+class MatchRow:
+    """The judgement on one route, in the order of precedence."""
+
+    route: str
+    reason: MatchReason
+
+
+class _CompiledRoute:
+    """One route with all that a match needs."""
+
+    __slots__ = ("_headers", "_methods", "_split", "idempotent", "prefix", "route")
+
+    def __init__(self, route: Route, service: Service) -> None:
+        self.route = route
+        self.prefix = _strip_prefix(route.path_prefix)
+        self.idempotent = route.idempotent
+        self._methods = frozenset(method.upper() for method in route.methods)
+        self._headers = tuple((match.name, match.value) for match in route.headers)
+        self._split = VersionSplit.compile(service, pinned_version=route.pinned_version)
+
+    def find_mismatch(self, request: CallRequest) -> MatchReason | None:
+        """Return why the method or the headers do not match, None if they do."""
+        if self._methods and request.method not in self._methods:
+            return MatchReason.METHOD
+        for name, value in self._headers:
+            if request.headers.get(name) != value:
+                return MatchReason.HEADER
+        return None
+
+    def choose(self, request: CallRequest, random: Random) -> RouteChoice:
+        """Return the choice with a version drawn, or hashed from the sticky header."""
+        route = self.route
+        sticky = request.headers.get(route.sticky_header, "") if route.sticky_header else ""
+        version = self._split.hash_version(sticky) if sticky else self._split.draw_version(random)
+        idempotent = self.idempotent
+        if idempotent is None:
+            idempotent = request.method in IDEMPOTENT_METHODS
+        return RouteChoice(route.name, route.service, version, idempotent, route.timeout_ms)
+
+
+_PrefixMap = dict[str, tuple[_CompiledRoute, ...]]
+_NO_ROUTES: tuple[_CompiledRoute, ...] = ()
+
+
+class RouteTable:
+    """The routes of one snapshot by host and path prefix.
+
+    Precedence: a named host before any host, the longer path prefix, more header matches,
+    named methods before any, and at last the route's name.
+    """
+
+    def __init__(self, version: int, ordered: tuple[_CompiledRoute, ...]) -> None:
+        self.version = version
+        self._ordered = ordered
+        self._hosts: dict[str, _PrefixMap] = {}
+        for compiled in ordered:
+            prefixes = self._hosts.setdefault(compiled.route.host.lower(), {})
+            prefixes[compiled.prefix] = (*prefixes.get(compiled.prefix, ()), compiled)
+        self._any_host = self._hosts.get("", {})
+        self._depth = max((compiled.prefix.count("/") for compiled in ordered), default=0)
+
+    @classmethod
+    def compile(cls, snapshot: Snapshot) -> "RouteTable":
+        """Return the table of `snapshot`, or raise `DANGLING_REFERENCE`."""
+        services = {service.name: service for service in snapshot.services}
+        compiled = []
+        for route in snapshot.routes:
+            if route.service not in services:
+                sentence = f"route {route.name!r} points at no service {route.service!r}"
+                raise CorianderwallError(ErrorCode.DANGLING_REFERENCE, sentence)
+            compiled.append(_CompiledRoute(route, services[route.service]))
+        return cls(snapshot.version, tuple(sorted(compiled, key=_rank_route)))
+
+    def match(self, request: CallRequest, random: Random) -> RouteChoice:
+        """Return where the call goes, or raise `NO_ROUTE` or `MALFORMED_REQUEST`."""
+        path = normalise_path(request.path)
+        found = self._find(_normalise_host(request.host), path, request)
+        if found is None:
+            sentence = f"no route for {request.method} {request.host}{path}"
+            raise CorianderwallError(ErrorCode.NO_ROUTE, sentence)
+        return found.choose(request, random)
+
+    def explain(self, request: CallRequest) -> tuple[MatchRow, ...]:
+        """Return the judgement on every route, in the order of precedence."""
+        path = normalise_path(request.path)
+        host = _normalise_host(request.host)
+        rows = []
+        chosen = False
+        for compiled in self._ordered:
+            reason = _judge(compiled, host, path, request)
+            if reason is MatchReason.CHOSEN and chosen:
+                reason = MatchReason.SHADOWED
+            chosen = chosen or reason is MatchReason.CHOSEN
+            rows.append(MatchRow(compiled.route.name, reason))
+        return tuple(rows)
+
+    def _find(self, host: str, path: str, request: CallRequest) -> _CompiledRoute | None:
+        prefixes = self._list_prefixes(path)
+        named = self._hosts.get(host)
+        if named is not None and host:
+            found = _find_first(named, prefixes, request)
+            if found is not None:
+                return found
+        return _find_first(self._any_host, prefixes, request)
+
+    def _list_prefixes(self, path: str) -> list[str]:
+        segments = path.split("/", self._depth + 1)[: self._depth + 1]
+        prefixes = ["/".join(segments[:end]) for end in range(len(segments), 0, -1)]
+        return prefixes
+
+
+def _find_first(
+    routes: Mapping[str, tuple[_CompiledRoute, ...]], prefixes: list[str], request: CallRequest
+) -> _CompiledRoute | None:
+    for prefix in prefixes:
+        for compiled in routes.get(prefix, _NO_ROUTES):
+            if compiled.find_mismatch(request) is None:
+                return compiled
+    return None
+
+
+def _judge(compiled: _CompiledRoute, host: str, path: str, request: CallRequest) -> MatchReason:
+    if compiled.route.host and compiled.route.host.lower() != host:
+        return MatchReason.HOST
+    if path != compiled.prefix and not path.startswith(compiled.prefix + "/"):
+        return MatchReason.PATH
+    return compiled.find_mismatch(request) or MatchReason.CHOSEN
+
+
+def _rank_route(compiled: _CompiledRoute) -> tuple[bool, int, int, bool, str]:
+    route = compiled.route
+    depth = compiled.prefix.count("/")
+    return (not route.host, -depth, -len(route.headers), not route.methods, route.name)
+
+
+def _strip_prefix(prefix: str) -> str:
+    """Return the prefix without its last slash, so that it ends at a segment's end."""
+    return prefix.rstrip("/")
+
+
+def _normalise_host(host: str) -> str:
+    """Return the host in lower case, without port and final dot."""
+    if host.startswith("["):
+        return host.partition("]")[0].lower() + "]"
+    return host.partition(":")[0].rstrip(".").lower()
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/splits.py
@@ -0,0 +1,63 @@
+"""The split of a service's calls among its versions, drawn or hashed."""
+
+import math
+from bisect import bisect_right
+from itertools import accumulate
+from random import Random
+
+import xxhash
+
+from corianderwall.model.resource import PERMILLE, Service
+
+HASH_BITS = 53
+"""Bits of a hash that a float holds exactly."""
+
+
+class VersionSplit:
+    """The weights of the versions that receive calls.
+
+    Hashed choices use weighted rendezvous hashing: when weights change, only values move that
+    go to a version whose part of the whole has grown.
+    """
+
+    __slots__ = ("_bounds", "_seeds", "_versions", "_weights")
+
+    def __init__(self, service: str, versions: tuple[str, ...], weights: tuple[int, ...]) -> None:
+        self._versions = versions
+        self._weights = weights
+        self._bounds = list(accumulate(weights))
+        self._seeds = tuple(
+            xxhash.xxh3_64_intdigest(f"{service}/{name}".encode()) for name in versions
+        )
+
+    @classmethod
+    def compile(cls, service: Service, *, pinned_version: str = "") -> "VersionSplit":
+        """Return the split of `service`, all to `pinned_version` if it is given."""
+        if pinned_version:
+            return cls(service.name, (pinned_version,), (PERMILLE,))
+        shares = sorted(service.split, key=lambda share: share.version)
+        versions = tuple(share.version for share in shares)
+        return cls(service.name, versions, tuple(share.permille for share in shares))
+
+    def draw_version(self, random: Random) -> str:
+        """Return a version at random by weight."""
+        if len(self._versions) == 1:
+            return self._versions[0]
+        point = random.random() * self._bounds[-1]
+        return self._versions[bisect_right(self._bounds, point)]
+
+    def hash_version(self, value: str) -> str:
+        """Return the version of all calls that carry `value`."""
+        if len(self._versions) == 1:
+            return self._versions[0]
+        scores = (
+            weight / -math.log(_hash_unit(value, seed))
+            for weight, seed in zip(self._weights, self._seeds, strict=True)
+        )
+        return max(zip(scores, self._versions, strict=True))[1]
+
+
+def _hash_unit(value: str, seed: int) -> float:
+    """Return the hash as a number above 0 and below 1."""
+    digest = xxhash.xxh3_64_intdigest(value.encode(), seed) >> (64 - HASH_BITS)
+    return max(1, digest) / (1 << HASH_BITS)
