--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/admission.py
@@ -0,0 +1,268 @@
+"""Admission of calls at the owner of an endpoint: run now, wait in fair order, or be refused."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import sqrt
+from random import Random
+
+from corianderwall.model.errors import ErrorCode
+from corianderwall.traffic.fairqueue import FairQueue, WaitingCall
+from corianderwall.traffic.lease_issuer import EndpointUsage
+from corianderwall.traffic.limits import AdaptiveLimit
+from corianderwall.traffic.shares import ShareMeter, SubscriberShares
+
+MAX_WAIT_S = 1.0
+"""Longest expected wait with which a call is queued."""
+MAX_WAITING = 256
+"""Calls of one subscriber that wait at one endpoint."""
+LOAD_LIFE_S = 1.0
+"""Age at which a reported load counts nothing."""
+TARGET_USE = 0.9
+"""Part of the limit that the shares divide."""
+RELEASE_USE = 0.7
+"""Part of the limit below which an endpoint stops being saturated."""
+RELEASE_AFTER_S = 1.0
+HEADROOM_DEVIATIONS = 2.0
+"""Slots kept free of lent share, in standard deviations of the load within shares."""
+MIN_LENT_PART = 0.5
+"""Part of the unused share that is lent whatever the headroom."""
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 5.0
+MAX_NAMED_OVER_SHARE = 32
+"""Subscribers that one notice names; with more of them the endpoint counts as saturated."""
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The call runs now; `finish` or `cancel` must follow."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The call waits; it is admitted or refused later, at `give_up_at` at the latest."""
+
+    ticket: int
+    give_up_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The call was not run and will not be; `retry_after_s` is an estimate with jitter."""
+
+    ticket: int
+    code: ErrorCode
+    retry_after_s: float
+
+
+Decision = Admitted | Queued | Refused
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointPressure:
+    """Which calls must come through the owner."""
+
+    saturated: bool
+    over_share: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _RunningCall:
+    """A call that the owner runs at the endpoint."""
+
+    flow: str
+    is_lent: bool
+    charged_s: float
+
+
+class Admission:
+    """Decides about the calls at one endpoint; the calls on leases are known by reports.
+
+    Flows within their share come first, up to the limit. Flows over it share what is left, less
+    a headroom for the fluctuation of the others.
+    """
+
+    def __init__(
+        self, *, slots: int, ceiling: int, shares: SubscriberShares, now: float, random: Random
+    ) -> None:
+        self._limit = AdaptiveLimit(slots=slots, ceiling=ceiling, now=now)
+        self._shares = shares
+        self._random = random
+        self._meter = ShareMeter()
+        self._within = FairQueue()
+        self._lent = FairQueue()
+        self._running: dict[int, _RunningCall] = {}
+        self._lent_running = 0
+        self._lent_cap = self._limit.value
+        self._over: frozenset[str] = frozenset()
+        self._saturated = False
+        self._calm_since = now
+        self._reported_direct = 0
+        self._reported_at = float("-inf")
+        self._last_ticket = 0
+
+    @property
+    def limit(self) -> int:
+        """The calls that may run at the endpoint at once, those on leases included."""
+        return self._limit.value
+
+    @property
+    def running(self) -> int:
+        """The calls that run through the owner."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """The calls in the queue."""
+        return len(self._within) + len(self._lent)
+
+    def set_shares(self, shares: SubscriberShares) -> None:
+        """Use the shares of a new snapshot from now on."""
+        self._shares = shares
+
+    def offer(self, subscriber: str, deadline: float, now: float) -> Decision:
+        """Decide about a call that must end by `deadline`."""
+        flow = self._shares.find_flow(subscriber)
+        self._meter.add_arrival(flow, now)
+        self._last_ticket += 1
+        call = self._make_waiting(flow, deadline, now)
+        if call.give_up_at <= now:
+            return self._refuse(call, ErrorCode.DEADLINE_EXCEEDED)
+        is_lent = flow in self._over
+        queue = self._lent if is_lent else self._within
+        if not queue and self._has_room(now, is_lent=is_lent):
+            return self._start(call, is_lent=is_lent)
+        is_full = queue.count_waiting(flow) >= MAX_WAITING
+        if is_full or self._estimate_wait(queue, flow) > call.give_up_at - now:
+            return self._refuse(call, ErrorCode.OVERLOADED)
+        queue.push(call)
+        return Queued(call.ticket, call.give_up_at)
+
+    def finish(self, ticket: int, latency_s: float, now: float, *, refused: bool) -> list[Admitted]:
+        """Note the end of a running call; return the calls that start in its place."""
+        call = self._running.pop(ticket, None)
+        if call is None:
+            return []
+        self._lent_running -= call.is_lent
+        if refused:
+            self._limit.refuse(now)
+        else:
+            running = len(self._running) + 1 + self._estimate_direct(now)
+            self._limit.observe(latency_s, running, now)
+            self._meter.learn_service(call.flow, latency_s, now)
+            queue = self._lent if call.is_lent else self._within
+            queue.charge(call.flow, latency_s - call.charged_s)
+        return self.admit(now)
+
+    def cancel(self, ticket: int, now: float) -> list[Admitted]:
+        """Drop a call that its caller left; return the calls that start in its place."""
+        if self._within.remove(ticket) or self._lent.remove(ticket):
+            return []
+        call = self._running.pop(ticket, None)
+        if call is None:
+            return []
+        self._lent_running -= call.is_lent
+        return self.admit(now)
+
+    def expire(self, now: float) -> list[Refused]:
+        """Return the waiting calls that are given up; due at `read_next_expiry`."""
+        given_up = self._within.pop_given_up(now) + self._lent.pop_given_up(now)
+        return [self._refuse(call, ErrorCode.OVERLOADED) for call in given_up]
+
+    def read_next_expiry(self) -> float | None:
+        """Return when `expire` is due, None if no call waits."""
+        instants = (self._within.read_next_give_up(), self._lent.read_next_give_up())
+        return min((instant for instant in instants if instant is not None), default=None)
+
+    def admit(self, now: float) -> list[Admitted]:
+        """Return the waiting calls that start now; also due when a report shows less load."""
+        admitted: list[Admitted] = []
+        for queue, is_lent in ((self._within, False), (self._lent, True)):
+            while queue and self._has_room(now, is_lent=is_lent):
+                call = queue.pop(self._shares, self._meter.mean_service_s)
+                if call is None:
+                    break
+                admitted.append(self._start(call, is_lent=is_lent))
+        return admitted
+
+    def report_load(self, running: int, now: float) -> None:
+        """Take the number of calls that run at the endpoint, as it reports them itself."""
+        self._reported_direct = max(0, running - len(self._running))
+        self._reported_at = now
+
+    def report_usage(self, report: EndpointUsage, now: float) -> None:
+        """Take what a holder's direct calls used; what must come here anyway is left out."""
+        busy_s: dict[str, float] = {}
+        for usage in () if self._saturated else report.usage:
+            flow = self._shares.find_flow(usage.subscriber)
+            if flow not in self._over:
+                busy_s[flow] = busy_s.get(flow, 0.0) + usage.busy_ms / 1000
+        self._meter.report_direct(report.node, busy_s, now)
+
+    def assess(self, now: float) -> EndpointPressure:
+        """Weigh demands against the limit; to be called every tenth of a second or so."""
+        limit = self._limit.value
+        demands = self._meter.measure_demands(now)
+        self._over = self._meter.find_over_share(demands, self._shares, limit * TARGET_USE)
+        within = sum(rate for flow, rate in demands.items() if flow not in self._over)
+        self._lent_cap = _compute_lent_cap(limit, within)
+        self._judge_saturation(within, now)
+        named = tuple(sorted(self._over))
+        if len(named) > MAX_NAMED_OVER_SHARE:
+            return EndpointPressure(saturated=True, over_share=())
+        return EndpointPressure(self._saturated, named)
+
+    def _judge_saturation(self, within: float, now: float) -> None:
+        limit = self._limit.value
+        if within >= limit * TARGET_USE:
+            self._saturated = True
+        if within >= limit * RELEASE_USE:
+            self._calm_since = now
+        if now - self._calm_since >= RELEASE_AFTER_S:
+            self._saturated = False
+
+    def _make_waiting(self, flow: str, deadline: float, now: float) -> WaitingCall:
+        latest_start = deadline - self._meter.expect_service_s(flow)
+        give_up_at = min(latest_start, now + MAX_WAIT_S)
+        return WaitingCall(self._last_ticket, flow, deadline, give_up_at)
+
+    def _has_room(self, now: float, *, is_lent: bool) -> bool:
+        if is_lent and self._lent_running >= self._lent_cap:
+            return False
+        return len(self._running) + self._estimate_direct(now) < self._limit.value
+
+    def _estimate_direct(self, now: float) -> int:
+        is_fresh = now - self._reported_at < LOAD_LIFE_S
+        return self._reported_direct if is_fresh else 0
+
+    def _start(self, call: WaitingCall, *, is_lent: bool) -> Admitted:
+        charged_s = self._meter.mean_service_s
+        self._running[call.ticket] = _RunningCall(call.flow, is_lent, charged_s)
+        self._lent_running += is_lent
+        return Admitted(call.ticket)
+
+    def _refuse(self, call: WaitingCall, code: ErrorCode) -> Refused:
+        queue = self._lent if call.flow in self._over else self._within
+        wait_s = self._estimate_wait(queue, call.flow) * self._random.uniform(1.0, 1.5)
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return Refused(call.ticket, code, retry_after_s)
+
+    def _estimate_wait(self, queue: FairQueue, flow: str) -> float:
+        """Return how long a new call of `flow` would wait."""
+        places = self._lent_cap if queue is self._lent else self._limit.value
+        part = self._find_part(queue.list_backlogged(), flow)
+        work_s = (queue.count_waiting(flow) + 1) * self._meter.expect_service_s(flow)
+        return work_s / (places * part)
+
+    def _find_part(self, backlogged: Iterable[str], flow: str) -> float:
+        own = self._shares.read_share(flow)
+        others = sum(self._shares.read_share(name) for name in backlogged if name != flow)
+        return own / (own + others)
+
+
+def _compute_lent_cap(limit: int, within: float) -> int:
+    """Return how many calls over their share may run at once."""
+    unused = max(0.0, limit - within)
+    kept = HEADROOM_DEVIATIONS * sqrt(within)
+    return max(1, int(max(unused - kept, unused * MIN_LENT_PART)))
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/apportion.py
@@ -0,0 +1,56 @@
+"""Division of a capacity among weighted demands by the max-min rule."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import inf, isinf
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """One party's demand, in the unit of the capacity; `held` breaks ties in its favour."""
+
+    name: str
+    demand: float
+    weight: float
+    held: int = 0
+
+
+def find_level(claims: Sequence[Claim], capacity: float) -> float:
+    """Return the level at which the sum of `min(demand, level * weight)` meets `capacity`.
+
+    It is infinite if all demands fit.
+    """
+    left = capacity
+    weight = sum(claim.weight for claim in claims)
+    for claim in sorted(claims, key=lambda claim: claim.demand / claim.weight):
+        level = left / weight
+        if claim.demand / claim.weight > level:
+            return max(0.0, level)
+        left -= claim.demand
+        weight -= claim.weight
+    return inf
+
+
+def apportion_whole(claims: Sequence[Claim], capacity: int) -> dict[str, int]:
+    """Return whole numbers by claim that sum to `capacity` at most, and to the demands at most.
+
+    What the rounding leaves goes to the claims with the greatest rest, then to holders.
+    """
+    level = find_level(claims, capacity)
+    if isinf(level):
+        return {claim.name: int(claim.demand) for claim in claims}
+    exact = {claim.name: min(claim.demand, level * claim.weight) for claim in claims}
+    counts = {name: int(share) for name, share in exact.items()}
+    left = capacity - sum(counts.values())
+
+    def rank(claim: Claim) -> tuple[bool, float, str]:
+        holds_rest = claim.held > counts[claim.name]
+        return (not holds_rest, counts[claim.name] - exact[claim.name], claim.name)
+
+    for claim in sorted(claims, key=rank):
+        if left <= 0:
+            break
+        if counts[claim.name] < int(claim.demand):
+            counts[claim.name] += 1
+            left -= 1
+    return counts
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/fairqueue.py
@@ -0,0 +1,143 @@
+"""A weighted fair queue of calls by subscriber, each call bounded by its deadline."""
+
+import heapq
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingCall:
+    """A call that waits until `give_up_at`; `ticket` is unique in its queue."""
+
+    ticket: int
+    flow: str
+    deadline: float
+    give_up_at: float
+
+
+class ShareLookup(Protocol):
+    """Tells the weight of a flow."""
+
+    def read_share(self, flow: str) -> float:
+        """Return the weight, above 0."""
+
+
+class _Flow:
+    """The calls of one subscriber; the tag is in seconds of work per unit of share."""
+
+    __slots__ = ("calls", "debt_s", "finish_tag", "waiting")
+
+    def __init__(self) -> None:
+        self.calls: deque[WaitingCall] = deque()
+        self.finish_tag = 0.0
+        self.debt_s = 0.0
+        self.waiting = 0
+
+
+class FairQueue:
+    """Orders calls by start-time fair queueing; each operation takes logarithmic time.
+
+    A flow that does not wait saves up no share: its next call is tagged with the present.
+    """
+
+    def __init__(self) -> None:
+        self._flows: dict[str, _Flow] = {}
+        self._heap: list[tuple[float, str]] = []
+        self._give_up: list[tuple[float, int]] = []
+        self._waiting: dict[int, WaitingCall] = {}
+        self._virtual_time = 0.0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def count_waiting(self, flow_name: str) -> int:
+        """Return the waiting calls of one flow."""
+        flow = self._flows.get(flow_name)
+        return 0 if flow is None else flow.waiting
+
+    def list_backlogged(self) -> Iterator[str]:
+        """Return the flows that have waiting calls."""
+        return (name for name, flow in self._flows.items() if flow.waiting)
+
+    def push(self, call: WaitingCall) -> None:
+        """Append a call to its flow."""
+        flow = self._flows.get(call.flow)
+        if flow is None:
+            flow = self._flows[call.flow] = _Flow()
+        flow.calls.append(call)
+        flow.waiting += 1
+        self._waiting[call.ticket] = call
+        heapq.heappush(self._give_up, (call.give_up_at, call.ticket))
+        if len(flow.calls) == 1:
+            self._list(call.flow, flow)
+
+    def pop(self, shares: ShareLookup, cost_s: float) -> WaitingCall | None:
+        """Return the next call, None if none waits; its flow is charged `cost_s` of work."""
+        while self._heap:
+            tag, name = heapq.heappop(self._heap)
+            flow = self._flows[name]
+            call = self._take_head(flow)
+            if call is None:
+                continue
+            self._virtual_time = max(self._virtual_time, tag)
+            flow.finish_tag = tag + (cost_s + flow.debt_s) / shares.read_share(name)
+            flow.debt_s = 0.0
+            self._skip_gone(flow)
+            if flow.calls:
+                self._list(name, flow)
+            return call
+        self._end_busy_period()
+        return None
+
+    def charge(self, flow_name: str, seconds: float) -> None:
+        """Charge a flow for work beyond, or below, what was charged when its call left."""
+        flow = self._flows.get(flow_name)
+        if flow is not None:
+            flow.debt_s += seconds
+
+    def remove(self, ticket: int) -> bool:
+        """Take a call out of the queue; return whether it was waiting."""
+        call = self._waiting.pop(ticket, None)
+        if call is None:
+            return False
+        self._flows[call.flow].waiting -= 1
+        return True
+
+    def pop_given_up(self, now: float) -> list[WaitingCall]:
+        """Take out the calls that have waited as long as they may, and return them."""
+        given_up = []
+        while self._give_up and self._give_up[0][0] <= now:
+            call = self._waiting.get(heapq.heappop(self._give_up)[1])
+            if call is not None:
+                self.remove(call.ticket)
+                given_up.append(call)
+        return given_up
+
+    def read_next_give_up(self) -> float | None:
+        """Return when the next waiting call is given up, None if none waits."""
+        while self._give_up and self._give_up[0][1] not in self._waiting:
+            heapq.heappop(self._give_up)
+        return self._give_up[0][0] if self._give_up else None
+
+    def _list(self, name: str, flow: _Flow) -> None:
+        tag = max(self._virtual_time, flow.finish_tag)
+        heapq.heappush(self._heap, (tag, name))
+
+    def _take_head(self, flow: _Flow) -> WaitingCall | None:
+        self._skip_gone(flow)
+        if not flow.calls:
+            return None
+        call = flow.calls.popleft()
+        flow.waiting -= 1
+        del self._waiting[call.ticket]
+        return call
+
+    def _skip_gone(self, flow: _Flow) -> None:
+        while flow.calls and flow.calls[0].ticket not in self._waiting:
+            flow.calls.popleft()
+
+    def _end_busy_period(self) -> None:
+        self._flows.clear()
+        self._virtual_time = 0.0
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/held_lease.py
@@ -0,0 +1,133 @@
+"""The leases that a node holds of one endpoint, and the calls that run on them."""
+
+from math import ceil
+
+from corianderwall.traffic.messages import EndpointGrant, LeaseDemand, Pressure, SubscriberUsage
+
+DEMAND_MARGIN = 1.25
+"""Leases wanted per call of the highest concurrency seen lately."""
+TERM_GUARD = 0.02
+"""Part of the term given up, so that clocks which run unevenly do no harm."""
+
+
+class HeldLease:
+    """One endpoint as its holder sees it; instants are of the holder's clock.
+
+    Only grants to requests after `serial` are taken: of earlier ones nothing is known.
+    """
+
+    __slots__ = (
+        "_last_peak",
+        "_over_share",
+        "_peak",
+        "_usage",
+        "active",
+        "applied_serial",
+        "call_s",
+        "count",
+        "deadline",
+        "endpoint",
+        "has_left",
+        "idle_since",
+        "in_use",
+        "owner",
+        "pressure",
+        "reported_wanted",
+    )
+
+    def __init__(self, endpoint: str, owner: str, serial: int, now: float) -> None:
+        self.endpoint = endpoint
+        self.owner = owner
+        self.count = 0
+        self.deadline = float("-inf")
+        self.call_s = 0.0
+        self.applied_serial = serial
+        self.reported_wanted = 0
+        self.pressure = Pressure(-1, -1)
+        self.active = 0
+        self.in_use = 0
+        self.has_left = False
+        self.idle_since = now
+        self._over_share: frozenset[str] = frozenset()
+        self._peak = 0
+        self._last_peak = 0
+        self._usage: dict[str, list[int]] = {}
+
+    @property
+    def wanted(self) -> int:
+        """The number of leases that the recent calls ask for."""
+        return ceil(max(self._peak, self._last_peak) * DEMAND_MARGIN)
+
+    @property
+    def is_short(self) -> bool:
+        """Return whether the calls ask for more leases than the owner was last told."""
+        return self.wanted > max(self.count, self.reported_wanted)
+
+    def is_idle(self, since: float) -> bool:
+        """Return whether no call has run after the instant `since`."""
+        return not self.active and self.idle_since <= since
+
+    def read_limit(self, now: float) -> int:
+        """Return how many connections may be open; running calls above it may end."""
+        return self.count if now < self.deadline else 0
+
+    def allows(self, subscriber: str, call_deadline: float, now: float) -> bool:
+        """Return whether a call may go to the endpoint directly."""
+        if self.in_use >= self.count or now >= self.deadline:
+            return False
+        if call_deadline > now + self.call_s or self.pressure.saturated:
+            return False
+        return subscriber not in self._over_share
+
+    def begin(self, *, direct: bool) -> None:
+        """Count a call that starts, through the owner or not."""
+        self.active += 1
+        self._peak = max(self._peak, self.active)
+        self.in_use += direct
+
+    def end(self, subscriber: str, busy_s: float, now: float, *, direct: bool) -> None:
+        """Count a call that ended after `busy_s`."""
+        self.active -= 1
+        self.idle_since = now
+        if not direct:
+            return
+        self.in_use -= 1
+        usage = self._usage.setdefault(subscriber, [0, 0])
+        usage[0] += 1
+        usage[1] += round(busy_s * 1000)
+
+    def apply(self, grant: EndpointGrant, serial: int, sent_at: float) -> bool:
+        """Put a grant in force, its term counted from the request; return whether it is less."""
+        self.take_pressure(grant.pressure)
+        if serial <= self.applied_serial:
+            return False
+        is_less = grant.count < self.count
+        self.applied_serial = serial
+        self.count = grant.count
+        self.call_s = grant.call_ms / 1000 * (1 - TERM_GUARD)
+        self.deadline = sent_at + grant.term_ms / 1000 * (1 - TERM_GUARD)
+        return is_less
+
+    def surrender(self, serial: int) -> None:
+        """Use no grant from before the request `serial` any more; running calls may end."""
+        self.count = 0
+        self.deadline = float("-inf")
+        self.applied_serial = max(self.applied_serial, serial)
+
+    def take_pressure(self, pressure: Pressure) -> None:
+        """Take the owner's pressure if it is newer than the known one."""
+        known = (self.pressure.session, self.pressure.sequence)
+        if (pressure.session, pressure.sequence) > known:
+            self.pressure = pressure
+            self._over_share = frozenset(pressure.over_share)
+
+    def report(self) -> LeaseDemand:
+        """Return the demand of the period that ends, and begin the next."""
+        usage = tuple(
+            SubscriberUsage(name, calls, busy_ms) for name, (calls, busy_ms) in self._usage.items()
+        )
+        demand = LeaseDemand(self.endpoint, self.wanted, self.applied_serial, self.in_use, usage)
+        self.reported_wanted = demand.wanted
+        self._usage = {}
+        self._last_peak, self._peak = self._peak, self.active
+        return demand
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/lease_holder.py
@@ -0,0 +1,177 @@
+"""The entry node's side of connection leases: may a call go to the endpoint directly?"""
+
+from dataclasses import dataclass, field
+
+from corianderwall.model.endpoint import Endpoint
+from corianderwall.model.message import Outgoing
+from corianderwall.traffic.held_lease import HeldLease
+from corianderwall.traffic.messages import LeaseGrant, LeaseNotice, LeaseRequest
+
+RENEWAL_S = 4.0
+"""Time between two requests to one owner while the leases suffice."""
+EARLY_RENEWAL_S = 0.25
+"""Shortest time between two requests to one owner."""
+IDLE_S = 15.0
+"""Time without calls after which an endpoint's leases are given back."""
+REMEMBERED_REQUESTS = 16
+"""Requests to one owner whose answers are still taken."""
+
+
+@dataclass(frozen=True, slots=True)
+class Passage:
+    """How a call travels; every passage is to be released when the call ends.
+
+    If `direct`, this node calls the endpoint itself on one of at most `read_limit`
+    connections; otherwise it hands the call to `owner`.
+    """
+
+    endpoint: str
+    owner: str
+    subscriber: str
+    direct: bool
+    began_at: float
+
+
+@dataclass(slots=True)
+class _OwnerState:
+    """The requests to one owner, and the endpoints beside it."""
+
+    endpoints: set[str] = field(default_factory=set)
+    sent: dict[int, float] = field(default_factory=dict)
+    next_request: float = float("-inf")
+    earliest_request: float = float("-inf")
+
+    def note_sent(self, serial: int, now: float) -> None:
+        """Remember when a request left."""
+        self.sent[serial] = now
+        while len(self.sent) > REMEMBERED_REQUESTS:
+            del self.sent[next(iter(self.sent))]
+        self.next_request = now + RENEWAL_S
+        self.earliest_request = now + EARLY_RENEWAL_S
+
+    def hasten(self) -> None:
+        """Let the next request go as soon as the rate of requests allows."""
+        self.next_request = min(self.next_request, self.earliest_request)
+
+
+class LeaseHolder:
+    """The leases of one node; endpoints are taken up by the first call to them."""
+
+    def __init__(self, node: str, session: int, zone: str) -> None:
+        self._node = node
+        self._session = session
+        self._zone = zone
+        self._serial = 0
+        self._leases: dict[str, HeldLease] = {}
+        self._owners: dict[str, _OwnerState] = {}
+
+    def acquire(
+        self, endpoint: Endpoint, subscriber: str, call_deadline: float, now: float
+    ) -> Passage:
+        """Return the way of a call that starts now and ends by `call_deadline`."""
+        lease = self._leases.get(endpoint.name)
+        if lease is not None and lease.owner != endpoint.node and lease.active:
+            return Passage(endpoint.name, endpoint.node, subscriber, False, now)
+        if lease is None or lease.owner != endpoint.node:
+            lease = self._take_up(endpoint, lease, now)
+        lease.has_left = False
+        direct = lease.allows(subscriber, call_deadline, now)
+        lease.begin(direct=direct)
+        if not direct and lease.is_short:
+            self._owners[lease.owner].hasten()
+        return Passage(endpoint.name, lease.owner, subscriber, direct, now)
+
+    def release(self, passage: Passage, now: float) -> None:
+        """Count the end of a call."""
+        lease = self._leases.get(passage.endpoint)
+        if lease is None or lease.owner != passage.owner:
+            return
+        busy_s = now - passage.began_at
+        lease.end(passage.subscriber, busy_s, now, direct=passage.direct)
+        if lease.has_left and not lease.active:
+            self._drop(lease)
+
+    def read_limit(self, endpoint: str, now: float) -> int:
+        """Return how many connections to the endpoint may be open.
+
+        Idle connections above it must be closed at once; running calls may end.
+        """
+        lease = self._leases.get(endpoint)
+        return 0 if lease is None else lease.read_limit(now)
+
+    def has_free_lease(self, endpoint: str, now: float) -> bool:
+        """Return whether a call could go directly, if its subscriber is within its share."""
+        lease = self._leases.get(endpoint)
+        return lease is not None and lease.allows("", now, now)
+
+    def collect_requests(self, now: float) -> list[Outgoing]:
+        """Return the requests that are due; to be called every `EARLY_RENEWAL_S` at least."""
+        due = [name for name, owner in self._owners.items() if owner.next_request <= now]
+        return [self._make_request(name, now) for name in due]
+
+    def receive_grant(self, grant: LeaseGrant) -> None:
+        """Put the grants in force that answer a request of this session."""
+        owner = self._owners.get(grant.owner)
+        if owner is None or grant.session != self._session:
+            return
+        sent_at = owner.sent.get(grant.serial)
+        if sent_at is None:
+            return
+        for each in grant.grants:
+            lease = self._leases.get(each.endpoint)
+            if lease is None or lease.owner != grant.owner or lease.has_left:
+                continue
+            if lease.apply(each, grant.serial, sent_at):
+                owner.hasten()
+
+    def receive_notice(self, notice: LeaseNotice) -> None:
+        """Take the pressure on an endpoint from its owner."""
+        lease = self._leases.get(notice.endpoint)
+        if lease is not None and lease.owner == notice.owner:
+            lease.take_pressure(notice.pressure)
+
+    def forget(self, endpoint: str) -> None:
+        """Use no lease of an endpoint that has left; running calls may end."""
+        lease = self._leases.get(endpoint)
+        if lease is None:
+            return
+        lease.surrender(self._serial)
+        lease.has_left = True
+        if not lease.active:
+            self._drop(lease)
+
+    def _take_up(self, endpoint: Endpoint, known: HeldLease | None, now: float) -> HeldLease:
+        if known is not None:
+            self._drop(known)
+        lease = HeldLease(endpoint.name, endpoint.node, self._serial, now)
+        self._leases[endpoint.name] = lease
+        owner = self._owners.setdefault(endpoint.node, _OwnerState())
+        owner.endpoints.add(endpoint.name)
+        owner.hasten()
+        return lease
+
+    def _drop(self, lease: HeldLease) -> None:
+        del self._leases[lease.endpoint]
+        owner = self._owners[lease.owner]
+        owner.endpoints.discard(lease.endpoint)
+        if not owner.endpoints:
+            del self._owners[lease.owner]
+
+    def _make_request(self, name: str, now: float) -> Outgoing:
+        owner = self._owners[name]
+        self._serial += 1
+        leases = [self._leases[endpoint] for endpoint in sorted(owner.endpoints)]
+        idle = [lease for lease in leases if lease.is_idle(now - IDLE_S)]
+        for lease in idle:
+            lease.surrender(self._serial)
+        request = LeaseRequest(
+            node=self._node,
+            session=self._session,
+            zone=self._zone,
+            serial=self._serial,
+            demands=tuple(lease.report() for lease in leases),
+        )
+        owner.note_sent(self._serial, now)
+        for lease in idle:
+            self._drop(lease)
+        return Outgoing(name, request)
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/limits.py
@@ -0,0 +1,79 @@
+"""The adaptive limit on the calls that run at one endpoint."""
+
+WINDOW_S = 0.25
+MIN_WINDOW_SAMPLES = 10
+SLOWDOWN = 1.3
+"""Mean latency of a window, relative to the baseline, from which the limit falls."""
+REFUSAL_FACTOR = 0.85
+SLOWDOWN_FACTOR = 0.95
+BASELINE_DRIFT = 1.005
+"""Growth of the baseline per window, so that a service that grew slower is learnt."""
+
+
+class AdaptiveLimit:
+    """Grows by one while calls are fast and the limit is in use, falls when they are not.
+
+    It starts at `slots` and stays within 1 and `ceiling`; a refusal by the endpoint lowers it
+    at once, at most once in a window.
+    """
+
+    __slots__ = (
+        "_baseline_s",
+        "_count",
+        "_limit",
+        "_refused",
+        "_sum_s",
+        "_used",
+        "_window_end",
+        "ceiling",
+    )
+
+    def __init__(self, *, slots: int, ceiling: int, now: float) -> None:
+        self.ceiling = max(1, ceiling)
+        self._limit = float(min(self.ceiling, max(1, slots)))
+        self._baseline_s = 0.0
+        self._used = False
+        self._refused = False
+        self._start_window(now)
+
+    @property
+    def value(self) -> int:
+        """The calls that may run at once."""
+        return int(self._limit)
+
+    def observe(self, latency_s: float, running: int, now: float) -> None:
+        """Take the latency of a call that ended while `running` calls ran."""
+        self._sum_s += latency_s
+        self._count += 1
+        self._used = self._used or running >= self.value
+        if now >= self._window_end and self._count >= MIN_WINDOW_SAMPLES:
+            self._close_window(now)
+
+    def refuse(self, now: float) -> None:
+        """Take a refusal by the endpoint."""
+        if now >= self._window_end:
+            self._start_window(now)
+        if not self._refused:
+            self._refused = True
+            self._set(self._limit * REFUSAL_FACTOR)
+
+    def _close_window(self, now: float) -> None:
+        mean_s = self._sum_s / self._count
+        if not self._baseline_s or mean_s < self._baseline_s:
+            self._baseline_s = mean_s
+        if mean_s > self._baseline_s * SLOWDOWN:
+            self._set(self._limit * SLOWDOWN_FACTOR)
+        elif self._used and not self._refused:
+            self._set(self._limit + 1)
+        self._baseline_s *= BASELINE_DRIFT
+        self._start_window(now)
+
+    def _set(self, limit: float) -> None:
+        self._limit = min(float(self.ceiling), max(1.0, limit))
+
+    def _start_window(self, now: float) -> None:
+        self._window_end = now + WINDOW_S
+        self._sum_s = 0.0
+        self._count = 0
+        self._used = False
+        self._refused = False
--- a/packages/traffic/src/corianderwall/traffic/messages.py
+++ b/packages/traffic/src/corianderwall/traffic/messages.py
@@ -6,7 +6,7 @@
 
 
 class SubscriberUsage(msgspec.Struct, frozen=True, array_like=True):
-    """What one subscriber used of an endpoint by direct calls since the last report."""
+    """What one subscriber used of an endpoint by direct calls since the last request."""
 
     subscriber: str
     calls: int
@@ -21,7 +21,6 @@
     """
 
     endpoint: str
-    incarnation: int
     wanted: int
     applied_serial: int
     in_use: int
@@ -29,7 +28,7 @@
 
 
 class LeaseRequest(PeerMessage, frozen=True, kw_only=True, tag="lease-request"):
-    """Asks one owner for leases, or renews them; `session` changes with each start of `node`."""
+    """Asks one owner for leases, or renews them; `session` grows with each start of `node`."""
 
     node: str
     session: int
@@ -38,21 +37,30 @@
     demands: tuple[LeaseDemand, ...]
 
 
+class Pressure(msgspec.Struct, frozen=True, array_like=True):
+    """Which calls of an endpoint must go through its owner.
+
+    All of them while `saturated`, those of the subscribers `over_share` always. `session` is
+    that of the owner; within one session the higher `sequence` is the newer state.
+    """
+
+    session: int
+    sequence: int
+    saturated: bool = False
+    over_share: tuple[str, ...] = ()
+
+
 class EndpointGrant(msgspec.Struct, frozen=True, array_like=True):
     """The leases of one endpoint: `count` calls at once until `term_ms` after the request.
 
-    A call on a lease ends at most `call_ms` after it began. While `saturated`, all calls go
-    through the owner; the calls of `over_share` always do. `sequence` orders this state.
+    A call on a lease must end at most `call_ms` after it began.
     """
 
     endpoint: str
-    incarnation: int
     count: int
     term_ms: int
     call_ms: int
-    sequence: int
-    saturated: bool = False
-    over_share: tuple[str, ...] = ()
+    pressure: Pressure
 
 
 class LeaseGrant(PeerMessage, frozen=True, kw_only=True, tag="lease-grant"):
@@ -65,16 +73,11 @@
 
 
 class LeaseNotice(PeerMessage, frozen=True, kw_only=True, tag="lease-notice"):
-    """Tells holders at once that an endpoint's saturation has changed; it may be lost.
-
-    `sequence` orders the notices and grants of one incarnation of the endpoint.
-    """
+    """Tells holders at once that the pressure on an endpoint has changed; it may be lost."""
 
+    owner: str
     endpoint: str
-    incarnation: int
-    sequence: int
-    saturated: bool
-    over_share: tuple[str, ...] = ()
+    pressure: Pressure
 
 
 MESSAGES: tuple[type[PeerMessage], ...] = (LeaseRequest, LeaseGrant, LeaseNotice)
--- a/packages/traffic/src/corianderwall/traffic/paths.py
+++ b/packages/traffic/src/corianderwall/traffic/paths.py
@@ -46,7 +46,7 @@
     if digits is None:
         raise _malformed("it has a broken escape")
     character = chr(int(digits, 16))
-    if character in FORBIDDEN_ESCAPES or FORBIDDEN.match(character) and character != " ":
+    if character in FORBIDDEN_ESCAPES or (character != " " and FORBIDDEN.match(character)):
         raise _malformed("it escapes a separator or a control character")
     return character if character in UNRESERVED else match.group(0).upper()
 
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/retries.py
@@ -0,0 +1,126 @@
+"""Whether and when a failed attempt is made again, within a budget that bounds amplification."""
+
+import enum
+from dataclasses import dataclass
+from random import Random
+
+from corianderwall.model.verdict import Verdict, allows_retry
+
+RETRY_PART = 0.1
+"""Retries that the budget allows per call."""
+BURST = 10.0
+"""Retries that may be made before any call has filled the budget."""
+MAX_ATTEMPTS = 3
+BASE_BACKOFF_S = 0.01
+MAX_BACKOFF_S = 0.5
+MIN_ATTEMPT_S = 0.005
+"""Least time that must be left for another attempt."""
+
+
+class RetryBudget:
+    """A token bucket: each call adds `RETRY_PART` of a token, each retry takes one."""
+
+    __slots__ = ("_tokens",)
+
+    def __init__(self) -> None:
+        self._tokens = BURST
+
+    def add_call(self) -> None:
+        """Count one call that is not itself a retry."""
+        self._tokens = min(BURST, self._tokens + RETRY_PART)
+
+    def take(self) -> bool:
+        """Take a token; return whether there was one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class RetryReason(enum.StrEnum):
+    """Why a failed attempt is made again or not."""
+
+    RETRIED = "retried"
+    MAY_HAVE_RUN = "it may have run and is not idempotent"
+    RAN = "it ran"
+    DEEPER = "a deeper layer has already retried it"
+    ATTEMPTS = "too many attempts"
+    DEADLINE = "too little time is left"
+    BUDGET = "the budget is spent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FailedAttempt:
+    """One attempt that failed, `attempt` counted from 1.
+
+    `is_final` tells that the answer carries the mark of a layer below that saw the failure
+    itself and has decided against a further attempt; it must not be retried here.
+    """
+
+    service: str
+    verdict: Verdict
+    idempotent: bool
+    attempt: int
+    deadline: float
+    retry_after_s: float = 0.0
+    is_final: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """`start_at` is when the next attempt may start; meaningless unless `is_retried`."""
+
+    reason: RetryReason
+    start_at: float = 0.0
+
+    @property
+    def is_retried(self) -> bool:
+        """Return whether another attempt is made."""
+        return self.reason is RetryReason.RETRIED
+
+
+class RetryPolicy:
+    """The retry budgets of one node, one for each service."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def add_call(self, service: str) -> None:
+        """Count the first attempt of a call."""
+        self._find_budget(service).add_call()
+
+    def decide(self, failed: FailedAttempt, now: float) -> RetryDecision:
+        """Decide about another attempt; a positive decision takes a token of the budget."""
+        objection = _find_objection(failed)
+        if objection is not None:
+            return RetryDecision(objection)
+        start_at = now + self._draw_backoff(failed)
+        if start_at + MIN_ATTEMPT_S > failed.deadline:
+            return RetryDecision(RetryReason.DEADLINE)
+        if not self._find_budget(failed.service).take():
+            return RetryDecision(RetryReason.BUDGET)
+        return RetryDecision(RetryReason.RETRIED, start_at)
+
+    def _find_budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget()
+        return budget
+
+    def _draw_backoff(self, failed: FailedAttempt) -> float:
+        """Return seconds drawn with full jitter, after what the refusal asked for."""
+        ceiling_s = min(MAX_BACKOFF_S, BASE_BACKOFF_S * 2 ** (failed.attempt - 1))
+        return failed.retry_after_s + self._random.uniform(0.0, ceiling_s)
+
+
+def _find_objection(failed: FailedAttempt) -> RetryReason | None:
+    if failed.is_final:
+        return RetryReason.DEEPER
+    if failed.verdict is Verdict.RAN:
+        return RetryReason.RAN
+    if not allows_retry(failed.verdict, idempotent=failed.idempotent):
+        return RetryReason.MAY_HAVE_RUN
+    if failed.attempt >= MAX_ATTEMPTS:
+        return RetryReason.ATTEMPTS
+    return None
--- a/packages/traffic/src/corianderwall/traffic/splits.py
+++ b/packages/traffic/src/corianderwall/traffic/splits.py
@@ -16,8 +16,8 @@
 class VersionSplit:
     """The weights of the versions that receive calls.
 
-    Hashed choices use weighted rendezvous hashing: when weights change, only values move that
-    go to a version whose part of the whole has grown.
+    Hashed choices use weighted rendezvous hashing: when weights change, a value moves only from a
+    version that has shrunk or to one that has grown.
     """
 
     __slots__ = ("_bounds", "_seeds", "_versions", "_weights")
