Test leases against lost, doubled and crossed messages

Cause: no check held the connection budget. Change: a state machine of three holders, one owner and a faulty network; a node that leaves an endpoint tells the owner at once; early requests only when demand grows by a quarter.

--- a/packages/traffic/src/corianderwall/traffic/held_lease.py
+++ b/packages/traffic/src/corianderwall/traffic/held_lease.py
@@ -6,6 +6,8 @@
 
 DEMAND_MARGIN = 1.25
 """Leases wanted per call of the highest concurrency seen lately."""
+EARLY_GROWTH = 1.25
+"""Growth of the wanted leases that is reported before the renewal is due."""
 TERM_GUARD = 0.02
 """Part of the term given up, so that clocks which run unevenly do no harm."""
 
@@ -56,12 +58,14 @@
     @property
     def wanted(self) -> int:
         """The number of leases that the recent calls ask for."""
+        if self.has_left:
+            return 0
         return ceil(max(self._peak, self._last_peak) * DEMAND_MARGIN)
 
     @property
     def is_short(self) -> bool:
-        """Return whether the calls ask for more leases than the owner was last told."""
-        return self.wanted > max(self.count, self.reported_wanted)
+        """Return whether the calls ask for far more leases than the owner was last told."""
+        return self.wanted > max(self.count, self.reported_wanted * EARLY_GROWTH)
 
     def is_idle(self, since: float) -> bool:
         """Return whether no call has run after the instant `since`."""
@@ -71,13 +75,15 @@
         """Return how many connections may be open; running calls above it may end."""
         return self.count if now < self.deadline else 0
 
-    def allows(self, subscriber: str, call_deadline: float, now: float) -> bool:
+    def has_free(self, now: float) -> bool:
+        """Return whether a lease is in force and no call runs on it."""
+        return self.in_use < self.count and now < self.deadline and not self.pressure.saturated
+
+    def allows(self, flow: str, call_deadline: float, now: float) -> bool:
         """Return whether a call may go to the endpoint directly."""
-        if self.in_use >= self.count or now >= self.deadline:
-            return False
-        if call_deadline > now + self.call_s or self.pressure.saturated:
+        if not self.has_free(now) or call_deadline > now + self.call_s:
             return False
-        return subscriber not in self._over_share
+        return flow not in self._over_share
 
     def begin(self, *, direct: bool) -> None:
         """Count a call that starts, through the owner or not."""
@@ -85,14 +91,14 @@
         self._peak = max(self._peak, self.active)
         self.in_use += direct
 
-    def end(self, subscriber: str, busy_s: float, now: float, *, direct: bool) -> None:
+    def end(self, flow: str, busy_s: float, now: float, *, direct: bool) -> None:
         """Count a call that ended after `busy_s`."""
         self.active -= 1
         self.idle_since = now
         if not direct:
             return
         self.in_use -= 1
-        usage = self._usage.setdefault(subscriber, [0, 0])
+        usage = self._usage.setdefault(flow, [0, 0])
         usage[0] += 1
         usage[1] += round(busy_s * 1000)
 
--- a/packages/traffic/src/corianderwall/traffic/lease_holder.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_holder.py
@@ -22,12 +22,13 @@
     """How a call travels; every passage is to be released when the call ends.
 
     If `direct`, this node calls the endpoint itself on one of at most `read_limit`
-    connections; otherwise it hands the call to `owner`.
+    connections; otherwise it hands the call to `owner`. `flow` is the subscriber's name, or
+    that of the flow of unknown subscribers.
     """
 
     endpoint: str
     owner: str
-    subscriber: str
+    flow: str
     direct: bool
     began_at: float
 
@@ -65,21 +66,19 @@
         self._leases: dict[str, HeldLease] = {}
         self._owners: dict[str, _OwnerState] = {}
 
-    def acquire(
-        self, endpoint: Endpoint, subscriber: str, call_deadline: float, now: float
-    ) -> Passage:
+    def acquire(self, endpoint: Endpoint, flow: str, call_deadline: float, now: float) -> Passage:
         """Return the way of a call that starts now and ends by `call_deadline`."""
         lease = self._leases.get(endpoint.name)
         if lease is not None and lease.owner != endpoint.node and lease.active:
-            return Passage(endpoint.name, endpoint.node, subscriber, False, now)
+            return Passage(endpoint.name, endpoint.node, flow, False, now)
         if lease is None or lease.owner != endpoint.node:
             lease = self._take_up(endpoint, lease, now)
         lease.has_left = False
-        direct = lease.allows(subscriber, call_deadline, now)
+        direct = lease.allows(flow, call_deadline, now)
         lease.begin(direct=direct)
         if not direct and lease.is_short:
             self._owners[lease.owner].hasten()
-        return Passage(endpoint.name, lease.owner, subscriber, direct, now)
+        return Passage(endpoint.name, lease.owner, flow, direct, now)
 
     def release(self, passage: Passage, now: float) -> None:
         """Count the end of a call."""
@@ -87,9 +86,9 @@
         if lease is None or lease.owner != passage.owner:
             return
         busy_s = now - passage.began_at
-        lease.end(passage.subscriber, busy_s, now, direct=passage.direct)
-        if lease.has_left and not lease.active:
-            self._drop(lease)
+        lease.end(passage.flow, busy_s, now, direct=passage.direct)
+        if lease.has_left and not lease.in_use:
+            self._owners[lease.owner].hasten()
 
     def read_limit(self, endpoint: str, now: float) -> int:
         """Return how many connections to the endpoint may be open.
@@ -100,9 +99,9 @@
         return 0 if lease is None else lease.read_limit(now)
 
     def has_free_lease(self, endpoint: str, now: float) -> bool:
-        """Return whether a call could go directly, if its subscriber is within its share."""
+        """Return whether a call of a subscriber within its share could go directly."""
         lease = self._leases.get(endpoint)
-        return lease is not None and lease.allows("", now, now)
+        return lease is not None and lease.has_free(now)
 
     def collect_requests(self, now: float) -> list[Outgoing]:
         """Return the requests that are due; to be called every `EARLY_RENEWAL_S` at least."""
@@ -131,14 +130,15 @@
             lease.take_pressure(notice.pressure)
 
     def forget(self, endpoint: str) -> None:
-        """Use no lease of an endpoint that has left; running calls may end."""
+        """Use no lease of an endpoint that leaves; running calls may end.
+
+        The owner is told with the next request, and again when the last call has ended.
+        """
         lease = self._leases.get(endpoint)
-        if lease is None:
-            return
-        lease.surrender(self._serial)
-        lease.has_left = True
-        if not lease.active:
-            self._drop(lease)
+        if lease is not None:
+            lease.has_left = True
+            lease.surrender(self._serial)
+            self._owners[lease.owner].hasten()
 
     def _take_up(self, endpoint: Endpoint, known: HeldLease | None, now: float) -> HeldLease:
         if known is not None:
@@ -161,8 +161,8 @@
         owner = self._owners[name]
         self._serial += 1
         leases = [self._leases[endpoint] for endpoint in sorted(owner.endpoints)]
-        idle = [lease for lease in leases if lease.is_idle(now - IDLE_S)]
-        for lease in idle:
+        given_back = [lease for lease in leases if lease.has_left or lease.is_idle(now - IDLE_S)]
+        for lease in given_back:
             lease.surrender(self._serial)
         request = LeaseRequest(
             node=self._node,
@@ -172,6 +172,7 @@
             demands=tuple(lease.report() for lease in leases),
         )
         owner.note_sent(self._serial, now)
-        for lease in idle:
-            self._drop(lease)
+        for lease in given_back:
+            if not lease.active:
+                self._drop(lease)
         return Outgoing(name, request)
--- a/packages/traffic/src/corianderwall/traffic/limits.py
+++ b/packages/traffic/src/corianderwall/traffic/limits.py
@@ -1,4 +1,6 @@
-"""The adaptive limit on the calls that run at one endpoint."""
+"""The limits of one endpoint: its connections, and the calls that run there at once."""
+
+from dataclasses import dataclass
 
 WINDOW_S = 0.25
 MIN_WINDOW_SAMPLES = 10
@@ -10,6 +12,25 @@
 """Growth of the baseline per window, so that a service that grew slower is learnt."""
 
 
+OWN_CONNECTIONS_PER_SLOT = 2
+OWN_CONNECTIONS_DIVISOR = 8
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionBudget:
+    """How the connections of an endpoint are divided: `own` to its owner, `leased` to others."""
+
+    own: int
+    leased: int
+
+
+def divide_connections(slots: int, connections: int) -> ConnectionBudget:
+    """Return the division that always lets the owner fill the endpoint's slots alone."""
+    wished = max(slots * OWN_CONNECTIONS_PER_SLOT, connections // OWN_CONNECTIONS_DIVISOR)
+    own = min(connections, max(1, wished))
+    return ConnectionBudget(own, connections - own)
+
+
 class AdaptiveLimit:
     """Grows by one while calls are fast and the limit is in use, falls when they are not.
 
--- /dev/null
+++ b/packages/traffic/tests/test_leases.py
@@ -0,0 +1,275 @@
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from corianderwall.model.endpoint import Address, Endpoint, Locality
+from corianderwall.model.message import PeerMessage
+from corianderwall.traffic.lease_holder import LeaseHolder, Passage
+from corianderwall.traffic.lease_issuer import LeaseIssuer, LeasePolicy
+from corianderwall.traffic.messages import LeaseGrant, LeaseNotice, LeaseRequest
+
+BUDGET = 5
+POLICY = LeasePolicy()
+SETTLED_S = POLICY.term_s + POLICY.call_s
+ENDPOINT = Endpoint(
+    name="e",
+    service="gazeti",
+    version="v1",
+    node="owner",
+    locality=Locality(region="r", zone="z"),
+    address=Address(host="127.0.0.1", port=1),
+    slots=6,
+    connections=110,
+)
+
+
+def make_issuer(session: int, now: float) -> LeaseIssuer:
+    issuer = LeaseIssuer("owner", session, "z", now)
+    issuer.set_budget("e", BUDGET)
+    return issuer
+
+
+class Link:
+    """One holder and an issuer that talk without loss."""
+
+    def __init__(self, *, zone: str = "z", issuer: LeaseIssuer | None = None) -> None:
+        self.issuer = issuer or make_issuer(1, -SETTLED_S)
+        self.holder = LeaseHolder(f"holder-{zone}", 1, zone)
+
+    def exchange(self, now: float) -> int:
+        requests = self.holder.collect_requests(now)
+        for outgoing in requests:
+            assert isinstance(outgoing.message, LeaseRequest)
+            answer = self.issuer.receive(outgoing.message, now)
+            if answer is not None:
+                assert isinstance(answer.outgoing.message, LeaseGrant)
+                self.holder.receive_grant(answer.outgoing.message)
+        return len(requests)
+
+    def acquire(self, now: float, *, flow: str = "a", timeout_s: float = 1) -> Passage:
+        return self.holder.acquire(ENDPOINT, flow, now + timeout_s, now)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three holders whose clocks differ, one owner, a network that loses, doubles and delays."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.offsets = [0.0, 1000.0, -500.0]
+        self.sessions = [1, 1, 1]
+        self.owner_session = 1
+        self.issuer = make_issuer(1, -SETTLED_S)
+        self.holders = [LeaseHolder(f"h{index}", 1, "zy"[index % 2]) for index in range(3)]
+        self.network: list[tuple[int, PeerMessage]] = []
+        self.calls: list[tuple[int, Passage, float]] = []
+
+    def read_clock(self, index: int) -> float:
+        return self.now + self.offsets[index]
+
+    @rule(seconds=st.sampled_from([0.1, 0.3, 1.0, 4.0, 11.0, 30.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for call in [call for call in self.calls if call[2] <= self.now]:
+            self.end_call(call)
+
+    @rule(index=st.integers(0, 2), timeout_s=st.sampled_from([0.5, 5.0, 14.0, 19.0, 40.0]))
+    def start_call(self, index: int, timeout_s: float) -> None:
+        clock = self.read_clock(index)
+        passage = self.holders[index].acquire(ENDPOINT, "a", clock + timeout_s, clock)
+        self.calls.append((index, passage, self.now + timeout_s))
+
+    @rule(pick=st.integers(0, 99))
+    def finish_call(self, pick: int) -> None:
+        if self.calls:
+            self.end_call(self.calls[pick % len(self.calls)])
+
+    def end_call(self, call: tuple[int, Passage, float]) -> None:
+        self.calls.remove(call)
+        self.holders[call[0]].release(call[1], self.read_clock(call[0]))
+
+    @rule(index=st.integers(0, 2))
+    def send_requests(self, index: int) -> None:
+        for outgoing in self.holders[index].collect_requests(self.read_clock(index)):
+            self.network.append((index, outgoing.message))
+
+    @rule(pick=st.integers(0, 99), is_doubled=st.booleans())
+    def deliver(self, pick: int, is_doubled: bool) -> None:
+        if not self.network:
+            return
+        index, message = self.network[pick % len(self.network)]
+        if not is_doubled:
+            self.network.remove((index, message))
+        if isinstance(message, LeaseGrant):
+            self.holders[index].receive_grant(message)
+        elif isinstance(message, LeaseRequest):
+            answer = self.issuer.receive(message, self.now)
+            if answer is not None:
+                self.network.append((index, answer.outgoing.message))
+
+    @rule(index=st.integers(0, 2))
+    def exchange(self, index: int) -> None:
+        for outgoing in self.holders[index].collect_requests(self.read_clock(index)):
+            assert isinstance(outgoing.message, LeaseRequest)
+            answer = self.issuer.receive(outgoing.message, self.now)
+            if answer is not None:
+                assert isinstance(answer.outgoing.message, LeaseGrant)
+                self.holders[index].receive_grant(answer.outgoing.message)
+
+    @rule(pick=st.integers(0, 99))
+    def lose(self, pick: int) -> None:
+        if self.network:
+            del self.network[pick % len(self.network)]
+
+    @rule(index=st.integers(0, 2))
+    def restart_holder(self, index: int) -> None:
+        self.sessions[index] += 1
+        zone = "zy"[index % 2]
+        self.holders[index] = LeaseHolder(f"h{index}", self.sessions[index], zone)
+        self.calls = [call for call in self.calls if call[0] != index]
+
+    @rule(index=st.integers(0, 2))
+    def forget_endpoint(self, index: int) -> None:
+        self.holders[index].forget("e")
+
+    @rule()
+    def restart_owner(self) -> None:
+        self.owner_session += 1
+        self.issuer = make_issuer(self.owner_session, self.now)
+
+    @rule()
+    def expire_accounts(self) -> None:
+        self.issuer.expire(self.now)
+
+    @invariant()
+    def the_connection_budget_is_kept(self) -> None:
+        direct = [passage for _, passage, _ in self.calls if passage.direct]
+        assert len(direct) <= BUDGET
+
+    @invariant()
+    def the_owner_counts_every_direct_call(self) -> None:
+        direct = [passage for _, passage, _ in self.calls if passage.direct]
+        charge = self.issuer.count_charge("e", self.now)
+        assert charge <= BUDGET
+        if self.owner_session == 1:
+            assert len(direct) <= charge
+
+
+LeaseMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=400, stateful_step_count=60, deadline=None
+)
+test_leases_hold_the_budget_through_any_faults = LeaseMachine.TestCase
+
+
+def test_a_call_without_a_lease_goes_through_the_owner() -> None:
+    link = Link()
+    assert not link.acquire(0).direct
+    link.exchange(0)
+    assert link.acquire(0.1).direct
+
+
+def test_no_call_starts_on_a_lease_after_its_deadline() -> None:
+    link = Link()
+    link.holder.release(link.acquire(0), 0)
+    link.exchange(0)
+    last = POLICY.term_s * 0.98
+    assert link.acquire(last - 0.01).direct
+    assert not link.acquire(last + 0.01).direct
+    assert link.holder.read_limit("e", last + 0.01) == 0
+
+
+def test_a_call_that_may_outlive_the_lease_goes_through_the_owner() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    assert not link.acquire(0.1, timeout_s=POLICY.call_s + 1).direct
+
+
+def test_pressure_sends_calls_through_the_owner_also_when_the_notice_is_lost() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    notices = link.issuer.set_pressure("e", saturated=False, over_share=("heavy",), now=1)
+    assert link.acquire(1, flow="heavy").direct
+    assert link.exchange(4.1) == 1
+    assert not link.acquire(4.2, flow="heavy").direct
+    link.issuer.set_pressure("e", saturated=False, over_share=(), now=5)
+    link.exchange(8.3)
+    assert isinstance(notices[0].message, LeaseNotice)
+    link.holder.receive_notice(notices[0].message)
+    assert link.acquire(8.4, flow="heavy").direct
+
+
+def test_saturation_sends_all_calls_through_the_owner() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    (notice,) = link.issuer.set_pressure("e", saturated=True, over_share=(), now=1)
+    assert isinstance(notice.message, LeaseNotice)
+    link.holder.receive_notice(notice.message)
+    assert not link.acquire(1.1).direct
+
+
+def test_the_owner_zone_is_served_first() -> None:
+    near = Link()
+    far = Link(zone="y", issuer=near.issuer)
+    for link in (near, far):
+        for _ in range(8):
+            link.acquire(0)
+    for step in range(8):
+        for link in (near, far):
+            link.exchange(step * 4.1)
+    now = 30.0
+    assert near.holder.read_limit("e", now) + far.holder.read_limit("e", now) == BUDGET
+    assert near.holder.read_limit("e", now) > far.holder.read_limit("e", now)
+
+
+def test_leases_of_an_idle_endpoint_are_given_back() -> None:
+    link = Link()
+    link.holder.release(link.acquire(0), 0.1)
+    for step in range(6):
+        link.exchange(step * 4.1)
+    assert link.issuer.count_charge("e", 20.6) == 0
+
+
+def test_a_node_that_leaves_an_endpoint_tells_the_owner_at_once() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    running = link.acquire(0.1)
+    link.holder.forget("e")
+    link.exchange(0.3)
+    assert link.issuer.count_charge("e", 0.3) == 1
+    link.holder.release(running, 0.6)
+    link.exchange(0.6)
+    assert link.issuer.count_charge("e", 0.6) == 0
+
+
+def test_usage_is_reported_once() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    link.holder.release(link.acquire(0.1), 0.4)
+    (outgoing,) = link.holder.collect_requests(4.1)
+    assert isinstance(outgoing.message, LeaseRequest)
+    first = link.issuer.receive(outgoing.message, 4.1)
+    assert first is not None
+    assert [(use.calls, use.busy_ms) for use in first.reports[0].usage] == [(1, 300)]
+    assert link.issuer.receive(outgoing.message, 4.2) is None
+
+
+def test_requests_stay_rare_while_an_endpoint_is_short_of_leases() -> None:
+    link = Link()
+    random = Random(5)
+    running: list[Passage] = []
+    sent = 0
+    for step in range(4_000):
+        now = step / 100
+        if random.random() < 0.5 or not running:
+            running.append(link.acquire(now))
+        else:
+            link.holder.release(running.pop(0), now)
+        sent += link.exchange(now)
+    assert sent <= 40 / 4 * 3
