--- a/packages/traffic/tests/test_leases.py
+++ b/packages/traffic/tests/test_leases.py
@@ -1,5 +1,7 @@
+from dataclasses import replace
 from random import Random
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -75,11 +77,16 @@
         for call in [call for call in self.calls if call[2] <= self.now]:
             self.end_call(call)
 
-    @rule(index=st.integers(0, 2), timeout_s=st.sampled_from([0.5, 5.0, 14.0, 19.0, 40.0]))
-    def start_call(self, index: int, timeout_s: float) -> None:
+    @rule(
+        index=st.integers(0, 2),
+        count=st.integers(1, 5),
+        timeout_s=st.sampled_from([0.5, 5.0, 14.0, 19.0, 40.0]),
+    )
+    def start_calls(self, index: int, count: int, timeout_s: float) -> None:
         clock = self.read_clock(index)
-        passage = self.holders[index].acquire(ENDPOINT, "a", clock + timeout_s, clock)
-        self.calls.append((index, passage, self.now + timeout_s))
+        for _ in range(count):
+            passage = self.holders[index].acquire(ENDPOINT, "a", clock + timeout_s, clock)
+            self.calls.append((index, passage, self.now + timeout_s))
 
     @rule(pick=st.integers(0, 99))
     def finish_call(self, pick: int) -> None:
@@ -158,11 +165,50 @@
 
 
 LeaseMachine.TestCase.settings = settings(
-    derandomize=True, max_examples=400, stateful_step_count=60, deadline=None
+    derandomize=True, max_examples=100, stateful_step_count=60, deadline=None
 )
 test_leases_hold_the_budget_through_any_faults = LeaseMachine.TestCase
 
 
+def run_random_step(machine: LeaseMachine, random: Random) -> None:
+    index = random.randrange(3)
+    pick = random.randrange(99)
+    event = random.random()
+    if event < 0.2:
+        machine.start_calls(index, random.randint(1, 5), random.choice([0.5, 5.0, 14.0, 19.0]))
+    elif event < 0.35:
+        machine.finish_call(pick)
+    elif event < 0.5:
+        machine.send_requests(index)
+    elif event < 0.75:
+        machine.deliver(pick, random.random() < 0.2)
+    elif event < 0.78:
+        machine.lose(pick)
+    elif event < 0.96:
+        machine.pass_time(random.choice([0.05, 0.3, 0.3, 1.0, 4.0]))
+    elif event < 0.98:
+        machine.forget_endpoint(index)
+    elif event < 0.985:
+        machine.expire_accounts()
+    elif event < 0.987:
+        machine.restart_holder(index)
+    elif event < 0.989:
+        machine.restart_owner()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_leases_hold_the_budget_in_long_runs(seed: int) -> None:
+    random = Random(seed)
+    machine = LeaseMachine()
+    direct = 0
+    for _ in range(2_000):
+        run_random_step(machine, random)
+        machine.the_connection_budget_is_kept()
+        machine.the_owner_counts_every_direct_call()
+        direct += any(passage.direct for _, passage, _ in machine.calls)
+    assert direct > 200
+
+
 def test_a_call_without_a_lease_goes_through_the_owner() -> None:
     link = Link()
     assert not link.acquire(0).direct
@@ -273,3 +319,44 @@
             link.holder.release(running.pop(0), now)
         sent += link.exchange(now)
     assert sent <= 40 / 4 * 3
+
+
+def test_a_grant_overtaken_by_a_newer_one_is_ignored() -> None:
+    link = Link()
+    rival = Link(zone="y", issuer=link.issuer)
+    link.acquire(0)
+    late = answer_requests(link, 0)
+    link.holder.receive_grant(late)
+    before = link.holder.read_limit("e", 0.1)
+    for _ in range(40):
+        rival.acquire(1)
+    rival.exchange(1)
+    newer = answer_requests(link, 4.1)
+    link.holder.receive_grant(newer)
+    after = link.holder.read_limit("e", 4.2)
+    link.holder.receive_grant(late)
+    assert link.holder.read_limit("e", 4.2) == after < before
+
+
+def test_a_grant_from_before_the_endpoint_left_is_ignored() -> None:
+    link = Link()
+    link.issuer.set_budget("other", BUDGET)
+    link.holder.acquire(replace(ENDPOINT, name="other"), "a", 1, 0)
+    first = link.acquire(0)
+    late = answer_requests(link, 0)
+    link.holder.receive_grant(late)
+    assert link.holder.read_limit("e", 0.1) > 0
+    link.holder.release(first, 0.1)
+    link.holder.forget("e")
+    link.exchange(0.3)
+    assert not link.acquire(0.4).direct
+    link.holder.receive_grant(late)
+    assert not link.acquire(0.5).direct
+
+
+def answer_requests(link: Link, now: float) -> LeaseGrant:
+    (request,) = link.holder.collect_requests(now)
+    assert isinstance(request.message, LeaseRequest)
+    answer = link.issuer.receive(request.message, now)
+    assert answer is not None and isinstance(answer.outgoing.message, LeaseGrant)
+    return answer.outgoing.message
