--- a/packages/traffic/tests/test_leases.py
+++ b/packages/traffic/tests/test_leases.py
@@ -1,3 +1,4 @@
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
@@ -173,27 +174,22 @@
 def run_random_step(machine: LeaseMachine, random: Random) -> None:
     index = random.randrange(3)
     pick = random.randrange(99)
-    event = random.random()
-    if event < 0.2:
-        machine.start_calls(index, random.randint(1, 5), random.choice([0.5, 5.0, 14.0, 19.0]))
-    elif event < 0.35:
-        machine.finish_call(pick)
-    elif event < 0.5:
-        machine.send_requests(index)
-    elif event < 0.75:
-        machine.deliver(pick, random.random() < 0.2)
-    elif event < 0.78:
-        machine.lose(pick)
-    elif event < 0.96:
-        machine.pass_time(random.choice([0.05, 0.3, 0.3, 1.0, 4.0]))
-    elif event < 0.98:
-        machine.forget_endpoint(index)
-    elif event < 0.985:
-        machine.expire_accounts()
-    elif event < 0.987:
-        machine.restart_holder(index)
-    elif event < 0.989:
-        machine.restart_owner()
+    timeout_s = random.choice([0.5, 5.0, 14.0, 19.0])
+    seconds = random.choice([0.05, 0.3, 0.3, 1.0, 4.0])
+    events: list[tuple[int, Callable[[], None]]] = [
+        (200, lambda: machine.start_calls(index, random.randint(1, 5), timeout_s)),
+        (150, lambda: machine.finish_call(pick)),
+        (150, lambda: machine.send_requests(index)),
+        (250, lambda: machine.deliver(pick, random.random() < 0.2)),
+        (30, lambda: machine.lose(pick)),
+        (180, lambda: machine.pass_time(seconds)),
+        (20, lambda: machine.forget_endpoint(index)),
+        (5, machine.expire_accounts),
+        (2, lambda: machine.restart_holder(index)),
+        (2, machine.restart_owner),
+    ]
+    (event,) = random.choices([each for _, each in events], [weight for weight, _ in events])
+    event()
 
 
 @pytest.mark.parametrize("seed", range(20))
