Keep light subscribers' latency under a heavy one

Change: refusals by an owner and waits on account of a subscriber's own share no longer count against the endpoint; direct use is integrated and smoothed; bursts saturate an endpoint at once.

--- a/packages/traffic/src/corianderwall/traffic/admission.py
+++ b/packages/traffic/src/corianderwall/traffic/admission.py
@@ -21,6 +21,8 @@
 """Part of the limit that the shares divide."""
 RELEASE_USE = 0.7
 """Part of the limit below which an endpoint stops being saturated."""
+BURST_LOAD = 3
+"""Direct calls, relative to the limit, from which an endpoint is saturated at once."""
 RELEASE_AFTER_S = 1.0
 HEADROOM_DEVIATIONS = 2.0
 """Slots kept free of lent share, in standard deviations of the load within shares."""
@@ -49,11 +51,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The call was not run and will not be; `retry_after_s` is an estimate with jitter."""
+    """The call was not run and will not be; `retry_after_s` is an estimate with jitter.
+
+    `over_share` tells that the subscriber asks for too much, not that the endpoint is full: the
+    refusal is final and says nothing about the endpoint.
+    """
 
     ticket: int
     code: ErrorCode
     retry_after_s: float
+    over_share: bool
 
 
 Decision = Admitted | Queued | Refused
@@ -201,7 +208,7 @@
         self._meter.report_direct(report.node, busy_s, now)
 
     def assess(self, now: float) -> EndpointPressure:
-        """Weigh demands against the limit; to be called every tenth of a second or so."""
+        """Weigh demands against the limit; to be called every 20 ms while calls run."""
         limit = self._limit.value
         demands = self._meter.measure_demands(now)
         self._over = self._meter.find_over_share(demands, self._shares, limit * TARGET_USE)
@@ -215,9 +222,10 @@
 
     def _judge_saturation(self, within: float, now: float) -> None:
         limit = self._limit.value
-        if within >= limit * TARGET_USE:
+        is_burst = self._estimate_direct(now) >= limit * BURST_LOAD
+        if is_burst or within >= limit * TARGET_USE:
             self._saturated = True
-        if within >= limit * RELEASE_USE:
+        if is_burst or within >= limit * RELEASE_USE:
             self._calm_since = now
         if now - self._calm_since >= RELEASE_AFTER_S:
             self._saturated = False
@@ -243,10 +251,11 @@
         return Admitted(call.ticket)
 
     def _refuse(self, call: WaitingCall, code: ErrorCode) -> Refused:
-        queue = self._lent if call.flow in self._over else self._within
+        over_share = call.flow in self._over
+        queue = self._lent if over_share else self._within
         wait_s = self._estimate_wait(queue, call.flow) * self._random.uniform(1.0, 1.5)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        return Refused(call.ticket, code, retry_after_s)
+        return Refused(call.ticket, code, retry_after_s, over_share)
 
     def _estimate_wait(self, queue: FairQueue, flow: str) -> float:
         """Return how long a new call of `flow` would wait."""
--- a/packages/traffic/src/corianderwall/traffic/balancer.py
+++ b/packages/traffic/src/corianderwall/traffic/balancer.py
@@ -8,7 +8,7 @@
 from corianderwall.traffic.endpoint_pool import EndpointPool
 from corianderwall.traffic.endpoint_stat import EndpointStat
 
-MAX_REFUSAL_S = 5.0
+MAX_REFUSAL_S = 0.25
 """Longest time for which a refusal keeps an endpoint from being preferred."""
 MIN_REFUSAL_S = 0.05
 
@@ -86,17 +86,27 @@
         stat.outstanding += 1
         return stat.outstanding
 
-    def finish(self, outcome: AttemptOutcome, now: float, retry_after_s: float = 0.0) -> None:
-        """Note the outcome of an attempt that `start` has begun."""
+    def finish(
+        self,
+        outcome: AttemptOutcome,
+        now: float,
+        *,
+        retry_after_s: float = 0.0,
+        is_by_owner: bool = False,
+    ) -> None:
+        """Note the outcome of an attempt that `start` has begun.
+
+        A refusal by the owner's admission concerns one subscriber and not the endpoint.
+        """
         stat = self._stats.get(outcome.endpoint)
         if stat is None:
             return
         stat.outstanding = max(0, stat.outstanding - 1)
-        if outcome.cancelled:
+        if outcome.cancelled or is_by_owner:
             return
         if outcome.refused:
             pause_s = min(MAX_REFUSAL_S, max(MIN_REFUSAL_S, retry_after_s))
-            stat.refused_until = now + pause_s
+            stat.refused_until = now + pause_s * self._random.uniform(0.5, 1.0)
             return
         self._find_pool(stat.endpoint).observe(stat, outcome, now)
 
--- a/packages/traffic/src/corianderwall/traffic/held_lease.py
+++ b/packages/traffic/src/corianderwall/traffic/held_lease.py
@@ -22,7 +22,7 @@
         "_last_peak",
         "_over_share",
         "_peak",
-        "_usage",
+        "_uses",
         "active",
         "applied_serial",
         "call_s",
@@ -53,7 +53,7 @@
         self._over_share: frozenset[str] = frozenset()
         self._peak = 0
         self._last_peak = 0
-        self._usage: dict[str, list[int]] = {}
+        self._uses: dict[str, _DirectUse] = {}
 
     @property
     def wanted(self) -> int:
@@ -79,28 +79,29 @@
         """Return whether a lease is in force and no call runs on it."""
         return self.in_use < self.count and now < self.deadline and not self.pressure.saturated
 
-    def allows(self, flow: str, call_deadline: float, now: float) -> bool:
-        """Return whether a call may go to the endpoint directly."""
-        if not self.has_free(now) or call_deadline > now + self.call_s:
-            return False
-        return flow not in self._over_share
+    def allows(self, call_deadline: float, now: float) -> bool:
+        """Return whether a call of a flow within its share may go to the endpoint directly."""
+        return self.has_free(now) and call_deadline <= now + self.call_s
+
+    def is_over_share(self, flow: str) -> bool:
+        """Return whether the owner counts the flow as over its share."""
+        return flow in self._over_share
 
-    def begin(self, *, direct: bool) -> None:
+    def begin(self, flow: str, now: float, *, direct: bool) -> None:
         """Count a call that starts, through the owner or not."""
         self.active += 1
         self._peak = max(self._peak, self.active)
-        self.in_use += direct
+        if direct:
+            self.in_use += 1
+            self._find_use(flow, now).change(1, now)
 
-    def end(self, flow: str, busy_s: float, now: float, *, direct: bool) -> None:
-        """Count a call that ended after `busy_s`."""
+    def end(self, flow: str, now: float, *, direct: bool) -> None:
+        """Count a call that ended."""
         self.active -= 1
         self.idle_since = now
-        if not direct:
-            return
-        self.in_use -= 1
-        usage = self._usage.setdefault(flow, [0, 0])
-        usage[0] += 1
-        usage[1] += round(busy_s * 1000)
+        if direct:
+            self.in_use -= 1
+            self._find_use(flow, now).change(-1, now)
 
     def apply(self, grant: EndpointGrant, serial: int, sent_at: float) -> bool:
         """Put a grant in force, its term counted from the request; return whether it is less."""
@@ -127,13 +128,44 @@
             self.pressure = pressure
             self._over_share = frozenset(pressure.over_share)
 
-    def report(self) -> LeaseDemand:
+    def report(self, now: float) -> LeaseDemand:
         """Return the demand of the period that ends, and begin the next."""
-        usage = tuple(
-            SubscriberUsage(name, calls, busy_ms) for name, (calls, busy_ms) in self._usage.items()
-        )
+        usage = tuple(use.report(flow, now) for flow, use in self._uses.items())
+        self._uses = {flow: use for flow, use in self._uses.items() if use.running}
         demand = LeaseDemand(self.endpoint, self.wanted, self.applied_serial, self.in_use, usage)
         self.reported_wanted = demand.wanted
-        self._usage = {}
         self._last_peak, self._peak = self._peak, self.active
         return demand
+
+    def _find_use(self, flow: str, now: float) -> "_DirectUse":
+        use = self._uses.get(flow)
+        if use is None:
+            use = self._uses[flow] = _DirectUse(now)
+        return use
+
+
+class _DirectUse:
+    """The direct calls of one flow since the last report, running ones included."""
+
+    __slots__ = ("_busy_s", "_calls", "_changed_at", "running")
+
+    def __init__(self, now: float) -> None:
+        self.running = 0
+        self._calls = 0
+        self._busy_s = 0.0
+        self._changed_at = now
+
+    def change(self, step: int, now: float) -> None:
+        """Count one call more or less."""
+        self._busy_s += self.running * (now - self._changed_at)
+        self._changed_at = now
+        self.running += step
+        self._calls += step > 0
+
+    def report(self, flow: str, now: float) -> SubscriberUsage:
+        """Return the use so far and begin anew."""
+        self.change(0, now)
+        usage = SubscriberUsage(flow, self._calls, round(self._busy_s * 1000))
+        self._calls = 0
+        self._busy_s = 0.0
+        return usage
--- a/packages/traffic/src/corianderwall/traffic/lease_holder.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_holder.py
@@ -9,7 +9,7 @@
 
 RENEWAL_S = 4.0
 """Time between two requests to one owner while the leases suffice."""
-EARLY_RENEWAL_S = 0.25
+EARLY_RENEWAL_S = 0.1
 """Shortest time between two requests to one owner."""
 IDLE_S = 15.0
 """Time without calls after which an endpoint's leases are given back."""
@@ -23,14 +23,15 @@
 
     If `direct`, this node calls the endpoint itself on one of at most `read_limit`
     connections; otherwise it hands the call to `owner`. `flow` is the subscriber's name, or
-    that of the flow of unknown subscribers.
+    that of the flow of unknown subscribers. A call of a flow over its share may wait on account
+    of that flow only, so it must not count as the endpoint's load.
     """
 
     endpoint: str
     owner: str
     flow: str
     direct: bool
-    began_at: float
+    is_over_share: bool = False
 
 
 @dataclass(slots=True)
@@ -70,23 +71,23 @@
         """Return the way of a call that starts now and ends by `call_deadline`."""
         lease = self._leases.get(endpoint.name)
         if lease is not None and lease.owner != endpoint.node and lease.active:
-            return Passage(endpoint.name, endpoint.node, flow, False, now)
+            return Passage(endpoint.name, endpoint.node, flow, False)
         if lease is None or lease.owner != endpoint.node:
             lease = self._take_up(endpoint, lease, now)
         lease.has_left = False
-        direct = lease.allows(flow, call_deadline, now)
-        lease.begin(direct=direct)
-        if not direct and lease.is_short:
+        is_over_share = lease.is_over_share(flow)
+        direct = not is_over_share and lease.allows(call_deadline, now)
+        lease.begin(flow, now, direct=direct)
+        if lease.is_short:
             self._owners[lease.owner].hasten()
-        return Passage(endpoint.name, lease.owner, flow, direct, now)
+        return Passage(endpoint.name, lease.owner, flow, direct, is_over_share)
 
     def release(self, passage: Passage, now: float) -> None:
         """Count the end of a call."""
         lease = self._leases.get(passage.endpoint)
         if lease is None or lease.owner != passage.owner:
             return
-        busy_s = now - passage.began_at
-        lease.end(passage.flow, busy_s, now, direct=passage.direct)
+        lease.end(passage.flow, now, direct=passage.direct)
         if lease.has_left and not lease.in_use:
             self._owners[lease.owner].hasten()
 
@@ -169,7 +170,7 @@
             session=self._session,
             zone=self._zone,
             serial=self._serial,
-            demands=tuple(lease.report() for lease in leases),
+            demands=tuple(lease.report(now) for lease in leases),
         )
         owner.note_sent(self._serial, now)
         for lease in given_back:
--- a/packages/traffic/src/corianderwall/traffic/limits.py
+++ b/packages/traffic/src/corianderwall/traffic/limits.py
@@ -2,18 +2,16 @@
 
 from dataclasses import dataclass
 
+OWN_CONNECTIONS_PER_SLOT = 2
+OWN_CONNECTIONS_DIVISOR = 8
 WINDOW_S = 0.25
-MIN_WINDOW_SAMPLES = 10
-SLOWDOWN = 1.3
+MIN_WINDOW_SAMPLES = 50
+BASELINE_GAIN = 0.05
+"""Part of a window's mean that enters the baseline."""
+SLOWDOWN = 1.5
 """Mean latency of a window, relative to the baseline, from which the limit falls."""
 REFUSAL_FACTOR = 0.85
-SLOWDOWN_FACTOR = 0.95
-BASELINE_DRIFT = 1.005
-"""Growth of the baseline per window, so that a service that grew slower is learnt."""
-
-
-OWN_CONNECTIONS_PER_SLOT = 2
-OWN_CONNECTIONS_DIVISOR = 8
+MIN_FACTOR = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +30,7 @@
 
 
 class AdaptiveLimit:
-    """Grows by one while calls are fast and the limit is in use, falls when they are not.
+    """Falls when calls grow slower or are refused, and grows by one while it is in use.
 
     It starts at `slots` and stays within 1 and `ceiling`; a refusal by the endpoint lowers it
     at once, at most once in a window.
@@ -72,21 +70,22 @@
 
     def refuse(self, now: float) -> None:
         """Take a refusal by the endpoint."""
-        if now >= self._window_end:
-            self._start_window(now)
         if not self._refused:
             self._refused = True
             self._set(self._limit * REFUSAL_FACTOR)
+        elif now >= self._window_end:
+            self._start_window(now)
 
     def _close_window(self, now: float) -> None:
         mean_s = self._sum_s / self._count
-        if not self._baseline_s or mean_s < self._baseline_s:
+        if not self._baseline_s:
             self._baseline_s = mean_s
         if mean_s > self._baseline_s * SLOWDOWN:
-            self._set(self._limit * SLOWDOWN_FACTOR)
+            factor = self._baseline_s * SLOWDOWN / mean_s
+            self._set(self._limit * max(MIN_FACTOR, factor))
         elif self._used and not self._refused:
             self._set(self._limit + 1)
-        self._baseline_s *= BASELINE_DRIFT
+        self._baseline_s += BASELINE_GAIN * (mean_s - self._baseline_s)
         self._start_window(now)
 
     def _set(self, limit: float) -> None:
--- a/packages/traffic/src/corianderwall/traffic/shares.py
+++ b/packages/traffic/src/corianderwall/traffic/shares.py
@@ -15,10 +15,10 @@
 TOLERANCE = 1.1
 """Use, relative to the level of fair shares, from which a subscriber is over its share."""
 RETURN_TOLERANCE = 0.9
-MIN_PERIOD_S = 0.25
+MIN_PERIOD_S = 0.1
 MAX_PERIOD_S = 5.0
 """Bounds of the time that one report of direct use is taken to cover."""
-NEGLIGIBLE = 0.01
+NEGLIGIBLE = 0.002
 """Mean running calls below which a use is forgotten."""
 
 
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _DirectReport:
-    """The mean running calls of one holder's flows over its last period."""
+    """The mean running calls of one holder's flows, smoothed over `MEMORY_S`."""
 
     rates: Mapping[str, float]
     at: float
@@ -84,10 +84,15 @@
     def report_direct(self, node: str, busy_s: Mapping[str, float], now: float) -> None:
         """Take the seconds that one holder's flows used by direct calls since its last report."""
         known = self._reports.get(node)
-        period_s = MAX_PERIOD_S if known is None else now - known.at
-        period_s = min(MAX_PERIOD_S, max(MIN_PERIOD_S, period_s))
-        rates = {flow: seconds / period_s for flow, seconds in busy_s.items()}
-        self._reports[node] = _DirectReport(rates, now)
+        if known is None:
+            known = _DirectReport({}, now - MAX_PERIOD_S)
+        period_s = min(MAX_PERIOD_S, max(MIN_PERIOD_S, now - known.at))
+        gain = 1.0 - exp(-period_s / MEMORY_S)
+        rates = {flow: rate * (1.0 - gain) for flow, rate in known.rates.items()}
+        for flow, seconds in busy_s.items():
+            rates[flow] = rates.get(flow, 0.0) + gain * seconds / period_s
+        kept = {flow: rate for flow, rate in rates.items() if rate >= NEGLIGIBLE}
+        self._reports[node] = _DirectReport(kept, now)
 
     def learn_service(self, flow: str, busy_s: float, now: float) -> None:
         """Learn how long the calls of a flow run."""
