Move a flow's waiting calls when it goes over its share

Cause: calls queued before the mark kept the others waiting at the onset. Change: marked flows move to the queue of lent share at once, and a guaranteed share is never over.

--- a/packages/traffic/src/corianderwall/traffic/admission.py
+++ b/packages/traffic/src/corianderwall/traffic/admission.py
@@ -17,8 +17,8 @@
 """Calls of one subscriber that wait at one endpoint."""
 LOAD_LIFE_S = 1.0
 """Age at which a reported load counts nothing."""
-TARGET_USE = 0.9
-"""Part of the limit that the shares divide."""
+SATURATED_USE = 0.9
+"""Part of the limit from which an endpoint is saturated by demands within their shares."""
 RELEASE_USE = 0.7
 """Part of the limit below which an endpoint stops being saturated."""
 BURST_LOAD = 3
@@ -211,7 +211,7 @@
         """Weigh demands against the limit; to be called every 20 ms while calls run."""
         limit = self._limit.value
         demands = self._meter.measure_demands(now)
-        self._over = self._meter.find_over_share(demands, self._shares, limit * TARGET_USE)
+        self._set_over_share(self._meter.find_over_share(demands, self._shares, limit))
         within = sum(rate for flow, rate in demands.items() if flow not in self._over)
         self._lent_cap = _compute_lent_cap(limit, within)
         self._judge_saturation(within, now)
@@ -220,10 +220,20 @@
             return EndpointPressure(saturated=True, over_share=())
         return EndpointPressure(self._saturated, named)
 
+    def _set_over_share(self, over: frozenset[str]) -> None:
+        """Move the waiting calls of the flows that have gone over their share, or come back."""
+        for flow in over - self._over:
+            for call in self._within.remove_flow(flow):
+                self._lent.push(call)
+        for flow in self._over - over:
+            for call in self._lent.remove_flow(flow):
+                self._within.push(call)
+        self._over = over
+
     def _judge_saturation(self, within: float, now: float) -> None:
         limit = self._limit.value
         is_burst = self._estimate_direct(now) >= limit * BURST_LOAD
-        if is_burst or within >= limit * TARGET_USE:
+        if is_burst or within >= limit * SATURATED_USE:
             self._saturated = True
         if is_burst or within >= limit * RELEASE_USE:
             self._calm_since = now
--- a/packages/traffic/src/corianderwall/traffic/fairqueue.py
+++ b/packages/traffic/src/corianderwall/traffic/fairqueue.py
@@ -105,6 +105,16 @@
         self._flows[call.flow].waiting -= 1
         return True
 
+    def remove_flow(self, flow_name: str) -> list[WaitingCall]:
+        """Take out the waiting calls of one flow, in their order."""
+        flow = self._flows.get(flow_name)
+        if flow is None:
+            return []
+        calls = [call for call in flow.calls if call.ticket in self._waiting]
+        for call in calls:
+            self.remove(call.ticket)
+        return calls
+
     def pop_given_up(self, now: float) -> list[WaitingCall]:
         """Take out the calls that have waited as long as they may, and return them."""
         given_up = []
--- a/packages/traffic/src/corianderwall/traffic/shares.py
+++ b/packages/traffic/src/corianderwall/traffic/shares.py
@@ -15,6 +15,8 @@
 TOLERANCE = 1.1
 """Use, relative to the level of fair shares, from which a subscriber is over its share."""
 RETURN_TOLERANCE = 0.9
+SHARED_USE = 0.7
+"""Part of the limit that is lent beyond shares, so that queues at the endpoint stay short."""
 MIN_PERIOD_S = 0.1
 MAX_PERIOD_S = 5.0
 """Bounds of the time that one report of direct use is taken to cover."""
@@ -123,11 +125,16 @@
         return demands
 
     def find_over_share(
-        self, demands: Mapping[str, float], shares: SubscriberShares, capacity: float
+        self, demands: Mapping[str, float], shares: SubscriberShares, limit: float
     ) -> frozenset[str]:
-        """Return the flows whose demand exceeds the level at which fair shares fill `capacity`."""
+        """Return the flows whose demand exceeds both their share of `limit` and what is lent.
+
+        Lent is what max-min fair shares of `SHARED_USE` of the limit leave to them.
+        """
         claims = [Claim(flow, rate, shares.read_share(flow)) for flow, rate in demands.items()]
-        level = find_level(claims, capacity)
+        weight = sum(claim.weight for claim in claims)
+        level = find_level(claims, limit * SHARED_USE)
+        level = max(level, limit / weight if weight else level)
         self._over = frozenset(
             claim.name
             for claim in claims
