--- a/packages/bench/src/corianderwall/bench/traffic_model.py
+++ b/packages/bench/src/corianderwall/bench/traffic_model.py
@@ -12,7 +12,8 @@
 from corianderwall.model.outcome import AttemptOutcome
 from corianderwall.model.resource import Snapshot, Subscriber
 from corianderwall.model.verdict import Verdict
-from corianderwall.traffic.admission import Admission, Admitted, Queued, Refused
+from corianderwall.traffic.admission import Admission
+from corianderwall.traffic.decisions import Admitted, Queued, Refused
 from corianderwall.traffic.lease_holder import LeaseHolder, Passage
 from corianderwall.traffic.lease_issuer import LeaseIssuer
 from corianderwall.traffic.limits import divide_connections
--- a/packages/traffic/src/corianderwall/traffic/admission.py
+++ b/packages/traffic/src/corianderwall/traffic/admission.py
@@ -1,14 +1,16 @@
 """Admission of calls at the owner of an endpoint: run now, wait in fair order, or be refused."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from math import sqrt
 from random import Random
 
 from corianderwall.model.errors import ErrorCode
+from corianderwall.traffic.decisions import Admitted, Decision, EndpointPressure, Queued, Refused
 from corianderwall.traffic.fairqueue import FairQueue, WaitingCall
 from corianderwall.traffic.lease_issuer import EndpointUsage
 from corianderwall.traffic.limits import AdaptiveLimit
+from corianderwall.traffic.sharequeue import ShareQueue
 from corianderwall.traffic.shares import ShareMeter, SubscriberShares
 
 MAX_WAIT_S = 1.0
@@ -24,7 +26,7 @@
 BURST_LOAD = 3
 """Direct calls, relative to the limit, from which an endpoint is saturated at once."""
 RELEASE_AFTER_S = 1.0
-HEADROOM_DEVIATIONS = 2.0
+HEADROOM_DEVIATIONS = 1.0
 """Slots kept free of lent share, in standard deviations of the load within shares."""
 MIN_LENT_PART = 0.5
 """Part of the unused share that is lent whatever the headroom."""
@@ -34,46 +36,6 @@
 """Subscribers that one notice names; with more of them the endpoint counts as saturated."""
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """The call runs now; `finish` or `cancel` must follow."""
-
-    ticket: int
-
-
-@dataclass(frozen=True, slots=True)
-class Queued:
-    """The call waits; it is admitted or refused later, at `give_up_at` at the latest."""
-
-    ticket: int
-    give_up_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The call was not run and will not be; `retry_after_s` is an estimate with jitter.
-
-    `over_share` tells that the subscriber asks for too much, not that the endpoint is full: the
-    refusal is final and says nothing about the endpoint.
-    """
-
-    ticket: int
-    code: ErrorCode
-    retry_after_s: float
-    over_share: bool
-
-
-Decision = Admitted | Queued | Refused
-
-
-@dataclass(frozen=True, slots=True)
-class EndpointPressure:
-    """Which calls must come through the owner."""
-
-    saturated: bool
-    over_share: tuple[str, ...]
-
-
 @dataclass(slots=True)
 class _RunningCall:
     """A call that the owner runs at the endpoint."""
@@ -94,15 +56,12 @@
         self, *, slots: int, ceiling: int, shares: SubscriberShares, now: float, random: Random
     ) -> None:
         self._limit = AdaptiveLimit(slots=slots, ceiling=ceiling, now=now)
-        self._shares = shares
+        self._queue = ShareQueue(shares)
         self._random = random
         self._meter = ShareMeter()
-        self._within = FairQueue()
-        self._lent = FairQueue()
         self._running: dict[int, _RunningCall] = {}
         self._lent_running = 0
         self._lent_cap = self._limit.value
-        self._over: frozenset[str] = frozenset()
         self._saturated = False
         self._calm_since = now
         self._reported_direct = 0
@@ -122,72 +81,68 @@
     @property
     def waiting(self) -> int:
         """The calls in the queue."""
-        return len(self._within) + len(self._lent)
+        return self._queue.count_waiting()
 
     def set_shares(self, shares: SubscriberShares) -> None:
         """Use the shares of a new snapshot from now on."""
-        self._shares = shares
+        self._queue.shares = shares
 
     def offer(self, subscriber: str, deadline: float, now: float) -> Decision:
         """Decide about a call that must end by `deadline`."""
-        flow = self._shares.find_flow(subscriber)
+        flow = self._queue.shares.find_flow(subscriber)
         self._meter.add_arrival(flow, now)
         self._last_ticket += 1
         call = self._make_waiting(flow, deadline, now)
         if call.give_up_at <= now:
             return self._refuse(call, ErrorCode.DEADLINE_EXCEEDED)
-        is_lent = flow in self._over
-        queue = self._lent if is_lent else self._within
+        is_lent = self._queue.classify(flow)
+        queue = self._queue.find_class(is_lent=is_lent)
         if not queue and self._has_room(now, is_lent=is_lent):
+            if not is_lent:
+                self._queue.hold(flow)
             return self._start(call, is_lent=is_lent)
         is_full = queue.count_waiting(flow) >= MAX_WAITING
         if is_full or self._estimate_wait(queue, flow) > call.give_up_at - now:
             return self._refuse(call, ErrorCode.OVERLOADED)
-        queue.push(call)
+        self._queue.push(call, is_lent=is_lent)
         return Queued(call.ticket, call.give_up_at)
 
     def finish(self, ticket: int, latency_s: float, now: float, *, refused: bool) -> list[Admitted]:
         """Note the end of a running call; return the calls that start in its place."""
-        call = self._running.pop(ticket, None)
+        call = self._leave(ticket)
         if call is None:
             return []
-        self._lent_running -= call.is_lent
         if refused:
             self._limit.refuse(now)
         else:
             running = len(self._running) + 1 + self._estimate_direct(now)
             self._limit.observe(latency_s, running, now)
             self._meter.learn_service(call.flow, latency_s, now)
-            queue = self._lent if call.is_lent else self._within
+            queue = self._queue.find_class(is_lent=call.is_lent)
             queue.charge(call.flow, latency_s - call.charged_s)
         return self.admit(now)
 
     def cancel(self, ticket: int, now: float) -> list[Admitted]:
         """Drop a call that its caller left; return the calls that start in its place."""
-        if self._within.remove(ticket) or self._lent.remove(ticket):
-            return []
-        call = self._running.pop(ticket, None)
-        if call is None:
-            return []
-        self._lent_running -= call.is_lent
+        if not self._queue.remove(ticket):
+            self._leave(ticket)
         return self.admit(now)
 
     def expire(self, now: float) -> list[Refused]:
         """Return the waiting calls that are given up; due at `read_next_expiry`."""
-        given_up = self._within.pop_given_up(now) + self._lent.pop_given_up(now)
+        given_up = self._queue.pop_given_up(now)
         return [self._refuse(call, ErrorCode.OVERLOADED) for call in given_up]
 
     def read_next_expiry(self) -> float | None:
         """Return when `expire` is due, None if no call waits."""
-        instants = (self._within.read_next_give_up(), self._lent.read_next_give_up())
-        return min((instant for instant in instants if instant is not None), default=None)
+        return self._queue.read_next_give_up()
 
     def admit(self, now: float) -> list[Admitted]:
         """Return the waiting calls that start now; also due when a report shows less load."""
         admitted: list[Admitted] = []
-        for queue, is_lent in ((self._within, False), (self._lent, True)):
-            while queue and self._has_room(now, is_lent=is_lent):
-                call = queue.pop(self._shares, self._meter.mean_service_s)
+        for is_lent in (False, True):
+            while self._has_room(now, is_lent=is_lent):
+                call = self._queue.pop(self._meter.mean_service_s, is_lent=is_lent)
                 if call is None:
                     break
                 admitted.append(self._start(call, is_lent=is_lent))
@@ -202,8 +157,8 @@
         """Take what a holder's direct calls used; what must come here anyway is left out."""
         busy_s: dict[str, float] = {}
         for usage in () if self._saturated else report.usage:
-            flow = self._shares.find_flow(usage.subscriber)
-            if flow not in self._over:
+            flow = self._queue.shares.find_flow(usage.subscriber)
+            if flow not in self._queue.over:
                 busy_s[flow] = busy_s.get(flow, 0.0) + usage.busy_ms / 1000
         self._meter.report_direct(report.node, busy_s, now)
 
@@ -211,25 +166,17 @@
         """Weigh demands against the limit; to be called every 20 ms while calls run."""
         limit = self._limit.value
         demands = self._meter.measure_demands(now)
-        self._set_over_share(self._meter.find_over_share(demands, self._shares, limit))
-        within = sum(rate for flow, rate in demands.items() if flow not in self._over)
+        shares = self._queue.shares
+        over = self._meter.find_over_share(demands, shares, limit)
+        self._queue.set_over_share(over, _count_places(over, demands, shares, limit))
+        within = sum(rate for flow, rate in demands.items() if flow not in over)
         self._lent_cap = _compute_lent_cap(limit, within)
         self._judge_saturation(within, now)
-        named = tuple(sorted(self._over))
+        named = tuple(sorted(over))
         if len(named) > MAX_NAMED_OVER_SHARE:
             return EndpointPressure(saturated=True, over_share=())
         return EndpointPressure(self._saturated, named)
 
-    def _set_over_share(self, over: frozenset[str]) -> None:
-        """Move the waiting calls of the flows that have gone over their share, or come back."""
-        for flow in over - self._over:
-            for call in self._within.remove_flow(flow):
-                self._lent.push(call)
-        for flow in self._over - over:
-            for call in self._lent.remove_flow(flow):
-                self._within.push(call)
-        self._over = over
-
     def _judge_saturation(self, within: float, now: float) -> None:
         limit = self._limit.value
         is_burst = self._estimate_direct(now) >= limit * BURST_LOAD
@@ -260,26 +207,45 @@
         self._lent_running += is_lent
         return Admitted(call.ticket)
 
+    def _leave(self, ticket: int) -> _RunningCall | None:
+        call = self._running.pop(ticket, None)
+        if call is None:
+            return None
+        if call.is_lent:
+            self._lent_running -= 1
+        else:
+            self._queue.release(call.flow)
+        return call
+
     def _refuse(self, call: WaitingCall, code: ErrorCode) -> Refused:
-        over_share = call.flow in self._over
-        queue = self._lent if over_share else self._within
+        over_share = self._queue.classify(call.flow)
+        queue = self._queue.find_class(is_lent=over_share)
         wait_s = self._estimate_wait(queue, call.flow) * self._random.uniform(1.0, 1.5)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
         return Refused(call.ticket, code, retry_after_s, over_share)
 
     def _estimate_wait(self, queue: FairQueue, flow: str) -> float:
         """Return how long a new call of `flow` would wait."""
-        places = self._lent_cap if queue is self._lent else self._limit.value
+        is_lent = queue is self._queue.find_class(is_lent=True)
+        places = self._lent_cap if is_lent else self._limit.value
         part = self._find_part(queue.list_backlogged(), flow)
         work_s = (queue.count_waiting(flow) + 1) * self._meter.expect_service_s(flow)
         return work_s / (places * part)
 
     def _find_part(self, backlogged: Iterable[str], flow: str) -> float:
-        own = self._shares.read_share(flow)
-        others = sum(self._shares.read_share(name) for name in backlogged if name != flow)
+        own = self._queue.shares.read_share(flow)
+        others = sum(self._queue.shares.read_share(name) for name in backlogged if name != flow)
         return own / (own + others)
 
 
+def _count_places(
+    over: Iterable[str], demands: Mapping[str, float], shares: SubscriberShares, limit: int
+) -> dict[str, int]:
+    """Return the calls that fill the share of each flow in `over`, among those that ask."""
+    weight = sum(shares.read_share(flow) for flow in demands)
+    return {flow: max(1, int(limit * shares.read_share(flow) / weight)) for flow in over}
+
+
 def _compute_lent_cap(limit: int, within: float) -> int:
     """Return how many calls over their share may run at once."""
     unused = max(0.0, limit - within)
--- a/packages/traffic/src/corianderwall/traffic/fairqueue.py
+++ b/packages/traffic/src/corianderwall/traffic/fairqueue.py
@@ -27,12 +27,13 @@
 class _Flow:
     """The calls of one subscriber; the tag is in seconds of work per unit of share."""
 
-    __slots__ = ("calls", "debt_s", "finish_tag", "waiting")
+    __slots__ = ("calls", "debt_s", "finish_tag", "is_listed", "waiting")
 
     def __init__(self) -> None:
         self.calls: deque[WaitingCall] = deque()
         self.finish_tag = 0.0
         self.debt_s = 0.0
+        self.is_listed = False
         self.waiting = 0
 
 
@@ -70,14 +71,14 @@
         flow.waiting += 1
         self._waiting[call.ticket] = call
         heapq.heappush(self._give_up, (call.give_up_at, call.ticket))
-        if len(flow.calls) == 1:
-            self._list(call.flow, flow)
+        self._list(call.flow, flow)
 
     def pop(self, shares: ShareLookup, cost_s: float) -> WaitingCall | None:
         """Return the next call, None if none waits; its flow is charged `cost_s` of work."""
         while self._heap:
             tag, name = heapq.heappop(self._heap)
             flow = self._flows[name]
+            flow.is_listed = False
             call = self._take_head(flow)
             if call is None:
                 continue
@@ -97,13 +98,17 @@
         if flow is not None:
             flow.debt_s += seconds
 
-    def remove(self, ticket: int) -> bool:
-        """Take a call out of the queue; return whether it was waiting."""
+    def pop_flow(self, flow_name: str) -> WaitingCall | None:
+        """Return the first call of one flow, None if it has none; the flow pays nothing."""
+        flow = self._flows.get(flow_name)
+        return None if flow is None else self._take_head(flow)
+
+    def remove(self, ticket: int) -> WaitingCall | None:
+        """Take a call out of the queue and return it, None if it was not waiting."""
         call = self._waiting.pop(ticket, None)
-        if call is None:
-            return False
-        self._flows[call.flow].waiting -= 1
-        return True
+        if call is not None:
+            self._flows[call.flow].waiting -= 1
+        return call
 
     def remove_flow(self, flow_name: str) -> list[WaitingCall]:
         """Take out the waiting calls of one flow, in their order."""
@@ -132,6 +137,9 @@
         return self._give_up[0][0] if self._give_up else None
 
     def _list(self, name: str, flow: _Flow) -> None:
+        if flow.is_listed:
+            return
+        flow.is_listed = True
         tag = max(self._virtual_time, flow.finish_tag)
         heapq.heappush(self._heap, (tag, name))
 
--- a/packages/traffic/src/corianderwall/traffic/shares.py
+++ b/packages/traffic/src/corianderwall/traffic/shares.py
@@ -9,7 +9,7 @@
 
 UNKNOWN = ""
 """The flow of all subscribers that the snapshot lacks; it has the share 1."""
-MEMORY_S = 1.0
+MEMORY_S = 0.5
 """Time in which a past use loses all but 1/e of its weight."""
 SERVICE_GAIN = 0.1
 TOLERANCE = 1.1
--- /dev/null
+++ b/packages/traffic/tests/test_admission.py
@@ -0,0 +1,164 @@
+from random import Random
+
+import pytest
+
+from corianderwall.model.errors import ErrorCode
+from corianderwall.model.resource import Snapshot, Subscriber
+from corianderwall.traffic.admission import MAX_WAIT_S, Admission
+from corianderwall.traffic.decisions import Admitted, Queued, Refused
+from corianderwall.traffic.lease_issuer import EndpointUsage
+from corianderwall.traffic.messages import SubscriberUsage
+from corianderwall.traffic.shares import SubscriberShares
+
+SLOTS = 4
+SERVICE_S = 0.1
+NAMES = ("a", "b", "c", "heavy")
+SHARES = SubscriberShares(Snapshot(subscribers=tuple(Subscriber(name=name) for name in NAMES)))
+
+
+@pytest.fixture
+def admission() -> Admission:
+    return Admission(slots=SLOTS, ceiling=SLOTS, shares=SHARES, now=0.0, random=Random(3))
+
+
+def teach_service_time(admission: Admission) -> None:
+    for name in NAMES:
+        run_call(admission, name, 0.0)
+
+
+def run_call(admission: Admission, name: str, now: float) -> None:
+    decision = admission.offer(name, now + 9, now)
+    assert isinstance(decision, Admitted)
+    admission.finish(decision.ticket, SERVICE_S, now, refused=False)
+
+
+def offer_many(admission: Admission, name: str, count: int, now: float) -> list[object]:
+    return [admission.offer(name, now + 9, now) for _ in range(count)]
+
+
+def test_calls_run_up_to_the_limit_and_then_wait(admission: Admission) -> None:
+    decisions = offer_many(admission, "a", SLOTS + 1, 0.0)
+    assert all(isinstance(each, Admitted) for each in decisions[:SLOTS])
+    assert isinstance(decisions[-1], Queued)
+    first = decisions[0]
+    assert isinstance(first, Admitted)
+    assert admission.finish(first.ticket, SERVICE_S, 0.1, refused=False) == [
+        Admitted(decisions[-1].ticket)
+    ]
+
+
+def test_direct_calls_take_room(admission: Admission) -> None:
+    admission.report_load(SLOTS, 0.0)
+    assert isinstance(admission.offer("a", 9.0, 0.1), Queued)
+    admission.report_load(0, 0.2)
+    assert len(admission.admit(0.2)) == 1
+
+
+def test_a_stale_load_report_does_not_block_for_ever(admission: Admission) -> None:
+    admission.report_load(SLOTS, 0.0)
+    assert isinstance(admission.offer("a", 9.0, 2.0), Admitted)
+
+
+def test_a_call_that_cannot_end_in_time_is_refused_before_work(admission: Admission) -> None:
+    teach_service_time(admission)
+    decision = admission.offer("a", 1.0 + SERVICE_S / 2, 1.0)
+    assert isinstance(decision, Refused)
+    assert decision.code is ErrorCode.DEADLINE_EXCEEDED
+
+
+def test_the_queue_is_bounded_by_the_expected_wait(admission: Admission) -> None:
+    teach_service_time(admission)
+    decisions = offer_many(admission, "a", 500, 1.0)
+    queued = [each for each in decisions if isinstance(each, Queued)]
+    assert len(queued) <= MAX_WAIT_S / SERVICE_S * SLOTS
+    last = decisions[-1]
+    assert isinstance(last, Refused) and last.code is ErrorCode.OVERLOADED
+    assert last.retry_after_s > 0
+
+
+def test_a_given_up_call_is_refused_at_once_and_never_admitted(admission: Admission) -> None:
+    teach_service_time(admission)
+    running = offer_many(admission, "a", SLOTS, 1.0)
+    waiting = admission.offer("b", 1.5, 1.0)
+    assert isinstance(waiting, Queued)
+    assert admission.read_next_expiry() == pytest.approx(1.5 - SERVICE_S)
+    assert [each.ticket for each in admission.expire(waiting.give_up_at)] == [waiting.ticket]
+    first = running[0]
+    assert isinstance(first, Admitted)
+    assert admission.finish(first.ticket, SERVICE_S, 1.5, refused=False) == []
+    assert admission.read_next_expiry() is None
+
+
+def test_a_cancelled_call_leaves_the_queue_or_its_slot(admission: Admission) -> None:
+    running = offer_many(admission, "a", SLOTS, 1.0)
+    waiting = offer_many(admission, "b", 2, 1.0)
+    assert isinstance(waiting[0], Queued) and isinstance(waiting[1], Queued)
+    assert admission.cancel(waiting[0].ticket, 1.1) == []
+    first = running[0]
+    assert isinstance(first, Admitted)
+    assert admission.cancel(first.ticket, 1.2) == [Admitted(waiting[1].ticket)]
+
+
+def test_a_refusing_endpoint_lowers_the_limit(admission: Admission) -> None:
+    for step in range(20):
+        decision = admission.offer("a", 99.0, float(step))
+        assert isinstance(decision, Admitted)
+        admission.finish(decision.ticket, SERVICE_S, step + 0.5, refused=True)
+    assert admission.limit == 1
+
+
+def test_a_flood_marks_its_subscriber_and_spares_the_others(admission: Admission) -> None:
+    teach_service_time(admission)
+    for step in range(100):
+        now = 1.0 + step / 100
+        offer_many(admission, "heavy", 10, now)
+        admission.assess(now)
+    pressure = admission.assess(2.0)
+    assert pressure.over_share == ("heavy",)
+    waiting = admission.offer("a", 9.0, 2.0)
+    assert isinstance(waiting, Queued) and admission.waiting > 10
+    admitted = [
+        each
+        for ticket in range(1, waiting.ticket)
+        for each in admission.finish(ticket, SERVICE_S, 2.0, refused=False)
+    ]
+    assert admitted[0] == Admitted(waiting.ticket)
+
+
+def test_a_subscriber_over_its_share_keeps_its_share(admission: Admission) -> None:
+    teach_service_time(admission)
+    report = EndpointUsage("e", "n1", tuple(SubscriberUsage(n, 9, 1_000) for n in NAMES[:3]), 3)
+    for step in range(100):
+        now = 1.0 + step / 10
+        admission.report_usage(report, now)
+        offer_many(admission, "heavy", 10, now)
+        admission.expire(now)
+        admission.assess(now)
+    assert "heavy" in admission.assess(11.0).over_share
+    assert admission.running >= 1
+
+
+def test_saturation_is_told_and_ends(admission: Admission) -> None:
+    teach_service_time(admission)
+    usage = tuple(SubscriberUsage(name, 9, 1_900) for name in NAMES)
+    for step in range(1, 5):
+        admission.report_usage(EndpointUsage("e", "n1", usage, 9), step * 2.0)
+    assert admission.assess(8.0).saturated
+    for step in range(100):
+        pressure = admission.assess(20.0 + step / 10)
+    assert not pressure.saturated
+
+
+def test_a_burst_of_direct_calls_saturates_at_once(admission: Admission) -> None:
+    admission.report_load(SLOTS * 3, 1.0)
+    assert admission.assess(1.0).saturated
+
+
+def test_unknown_subscribers_share_one_share(admission: Admission) -> None:
+    teach_service_time(admission)
+    for step in range(100):
+        now = 1.0 + step / 100
+        for index in range(10):
+            admission.offer(f"stranger{index}", now + 9, now)
+        admission.assess(now)
+    assert admission.assess(2.0).over_share == ("",)
