--- a/packages/bench/src/corianderwall/bench/traffic_model.py
+++ b/packages/bench/src/corianderwall/bench/traffic_model.py
@@ -98,6 +98,7 @@
         self.slowness = 1.0
         self.failure_rate = 0.0
         self.refuses = False
+        self.sheds = True
         self.reported_load: int | None = None
         self.served: dict[str, int] = {}
         self._clock = clock
@@ -118,7 +119,8 @@
 
     def begin(self, call: Call, done: Done) -> None:
         """Run a call, queue it, or refuse it before any work."""
-        if self.refuses or self.load >= self.endpoint.slots * SHED_FACTOR:
+        is_full = self.sheds and self.load >= self.endpoint.slots * SHED_FACTOR
+        if self.refuses or is_full:
             done(Answer(Verdict.NOT_RUN, UNAVAILABLE))
         elif self._running < self.endpoint.slots:
             self._run(call, done)
