--- a/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
@@ -8,14 +8,14 @@
 from corianderwall.traffic.endpoint_stat import EndpointStat
 from corianderwall.traffic.outliers import OutlierGuard, start_probing
 
-TIER_COSTS = (1.0, 1.25, 4.0)
+TIER_COSTS = (1.0, 1.25, 12.0)
 """Factors on the cost of an endpoint in the own zone, the own region, another region."""
 SPILL_LOAD = 0.8
-"""Calls per slot above which farther endpoints are weighed too."""
+"""Calls per slot, weighted by slowness, above which farther endpoints are weighed too."""
 DETOUR_COST = 1.5
 """Factor on the cost of an endpoint whose calls need a second hop."""
 DRAWS = 4
-"""Draws for one candidate before every endpoint is looked at."""
+"""Draws of two candidates before every endpoint is looked at."""
 GROUP_LATENCY_GAIN = 0.02
 
 
@@ -81,33 +81,34 @@
             cost = self._estimate_cost(stat, now) * tier_cost
             if cost < best_cost:
                 best, best_cost = stat, cost
-            if best_cost < SPILL_LOAD:
+            if stat.estimate_cost(self._latency_s, now) < SPILL_LOAD:
                 return best
         return best or self._choose_least_bad(now, exclude)
 
     def _choose_in_tier(
         self, tier: list[EndpointStat], now: float, exclude: Set[str]
     ) -> EndpointStat | None:
-        first = self._draw(tier, now, exclude, None)
-        if first is None:
-            return self._scan(tier, now, exclude)
-        second = self._draw(tier, now, exclude, first) if len(tier) > 1 else None
-        if second is None or self._estimate_cost(first, now) <= self._estimate_cost(second, now):
-            return first
-        return second
-
-    def _draw(
-        self, tier: list[EndpointStat], now: float, exclude: Set[str], other: EndpointStat | None
-    ) -> EndpointStat | None:
-        random = self._random.random
         for _ in range(DRAWS if tier else 0):
-            stat = tier[int(random() * len(tier))]
-            if stat is other or not _is_willing(stat, now, exclude):
-                continue
-            ramp = stat.estimate_ramp(now)
-            if ramp >= 1.0 or random() < ramp:
-                return stat
-        return None
+            pair = self._draw_pair(tier)
+            accepting = [stat for stat in pair if self._accepts(stat, now, exclude)]
+            if len(accepting) == 1:
+                return accepting[0]
+            if accepting:
+                return min(accepting, key=lambda stat: self._estimate_cost(stat, now))
+        return self._scan(tier, now, exclude)
+
+    def _draw_pair(self, tier: list[EndpointStat]) -> tuple[EndpointStat, EndpointStat]:
+        """Return two endpoints, different ones if there are two."""
+        size = len(tier)
+        first = int(self._random.random() * size)
+        step = 1 + int(self._random.random() * (size - 1)) if size > 1 else 0
+        return tier[first], tier[(first + step) % size]
+
+    def _accepts(self, stat: EndpointStat, now: float, exclude: Set[str]) -> bool:
+        if not _is_willing(stat, now, exclude):
+            return False
+        ramp = stat.estimate_ramp(now)
+        return ramp >= 1.0 or self._random.random() < ramp
 
     def _scan(self, tier: list[EndpointStat], now: float, exclude: Set[str]) -> EndpointStat | None:
         willing = [stat for stat in tier if _is_willing(stat, now, exclude)]
