Count the charges of leases incrementally

Cause: a lease request cost the owner 222 us with 100 holders, 0.5% of a core at 25 requests a second. Change: the charge of one account is brought up to date by its own request, all of them twice a second.

--- a/packages/traffic/src/corianderwall/traffic/lease_account.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_account.py
@@ -19,13 +19,23 @@
     Until the holder reports that a newer grant is in force, the largest counts.
     """
 
-    __slots__ = ("_grants", "in_use", "is_local", "last_serial", "node", "settled_at", "wanted")
+    __slots__ = (
+        "_grants",
+        "counted",
+        "in_use",
+        "is_local",
+        "last_serial",
+        "node",
+        "settled_at",
+        "wanted",
+    )
 
     def __init__(self, node: str, *, is_local: bool) -> None:
         self.node = node
         self.is_local = is_local
         self.wanted = 0
         self.in_use = 0
+        self.counted = 0
         self.last_serial = -1
         self.settled_at = float("-inf")
         self._grants: deque[GrantRecord] = deque()
@@ -44,6 +54,12 @@
         granted = max((grant.count for grant in self._grants), default=0)
         return max(granted, self.in_use)
 
+    def recount(self, now: float) -> int:
+        """Bring `counted` up to date and return its change; time alone only lowers it."""
+        change = self.count_charge(now) - self.counted
+        self.counted += change
+        return change
+
     def confirm(self, applied_serial: int, in_use: int) -> None:
         """Drop the grants that the holder has replaced; its running calls still count."""
         while self._grants and self._grants[0].serial < applied_serial:
--- a/packages/traffic/src/corianderwall/traffic/lease_issuer.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_issuer.py
@@ -1,6 +1,5 @@
 """The owner's side of connection leases: no more calls than connections, over all nodes."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from corianderwall.model.message import Outgoing
@@ -18,7 +17,7 @@
 
 LOCAL_WEIGHT = 3.0
 """Weight of a demand from the owner's zone against one from elsewhere."""
-REAPPORTION_S = 0.25
+REAPPORTION_S = 0.5
 """Shortest time between two divisions of one endpoint's budget."""
 
 
@@ -50,13 +49,17 @@
 
 @dataclass(slots=True)
 class _LeasedEndpoint:
-    """The budget of one endpoint and the accounts of its holders."""
+    """The budget of one endpoint and the accounts of its holders.
+
+    `charged` sums what the accounts were last counted at, which is never too little.
+    """
 
     budget: int
     pressure: Pressure
     accounts: dict[tuple[str, int], LeaseAccount] = field(default_factory=dict)
     targets: dict[str, int] = field(default_factory=dict)
     next_division: float = float("-inf")
+    charged: int = 0
 
 
 class LeaseIssuer:
@@ -88,7 +91,9 @@
     def count_charge(self, endpoint: str, now: float) -> int:
         """Return the most connections that holders may have in use."""
         leased = self._endpoints.get(endpoint)
-        return 0 if leased is None else _sum_charges(leased.accounts.values(), now)
+        if leased is None:
+            return 0
+        return sum(account.count_charge(now) for account in leased.accounts.values())
 
     def set_pressure(
         self, endpoint: str, *, saturated: bool, over_share: tuple[str, ...], now: float
@@ -137,7 +142,7 @@
         for leased in self._endpoints.values():
             settled = [key for key, account in leased.accounts.items() if _is_settled(account, now)]
             for key in settled:
-                del leased.accounts[key]
+                leased.charged -= leased.accounts.pop(key).counted
 
     def _answer(
         self, request: LeaseRequest, demand: LeaseDemand, now: float
@@ -154,6 +159,7 @@
         count = self._decide_count(leased, account, now)
         policy = self._policy
         account.grant(request.serial, count, now + policy.term_s + policy.call_s)
+        leased.charged += account.recount(now)
         return EndpointGrant(
             endpoint=demand.endpoint,
             count=count,
@@ -176,12 +182,13 @@
             return 0
         if now >= leased.next_division:
             self._divide(leased, now)
-        charges = _sum_charges(leased.accounts.values(), now)
-        free = leased.budget - (charges - account.count_charge(now))
+        leased.charged += account.recount(now)
+        free = leased.budget - (leased.charged - account.counted)
         return max(0, min(account.wanted, leased.targets.get(account.node, 0), free))
 
     def _divide(self, leased: _LeasedEndpoint, now: float) -> None:
         claims = [_make_claim(account) for account in _list_newest(leased.accounts).values()]
+        leased.charged += sum(account.recount(now) for account in leased.accounts.values())
         leased.targets = apportion_whole(claims, leased.budget)
         leased.next_division = now + REAPPORTION_S
 
@@ -198,7 +205,3 @@
 
 def _is_settled(account: LeaseAccount, now: float) -> bool:
     return account.settled_at <= now
-
-
-def _sum_charges(accounts: Iterable[LeaseAccount], now: float) -> int:
-    return sum(account.count_charge(now) for account in accounts)
