--- a/packages/traffic/src/corianderwall/traffic/lease_issuer.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_issuer.py
@@ -14,6 +14,7 @@
     Pressure,
     SubscriberUsage,
 )
+from corianderwall.traffic.notices import NoticeBudget
 
 LOCAL_WEIGHT = 3.0
 """Weight of a demand from the owner's zone against one from elsewhere."""
@@ -60,6 +61,8 @@
     targets: dict[str, int] = field(default_factory=dict)
     next_division: float = float("-inf")
     charged: int = 0
+    told_sequence: int = 0
+    notices: NoticeBudget = field(default_factory=NoticeBudget)
 
 
 class LeaseIssuer:
@@ -98,21 +101,20 @@
     def set_pressure(
         self, endpoint: str, *, saturated: bool, over_share: tuple[str, ...], now: float
     ) -> list[Outgoing]:
-        """Change which calls come through the owner; return the notices to the holders."""
+        """Change which calls come through the owner; return the notices to the holders.
+
+        To be called often: a change that had to wait for its notices is told by a later call.
+        """
         leased = self._endpoints.get(endpoint)
         if leased is None:
             return []
         known = leased.pressure
-        if (known.saturated, known.over_share) == (saturated, over_share):
-            return []
-        leased.pressure = Pressure(self._session, known.sequence + 1, saturated, over_share)
-        return self.repeat_notices(endpoint, now)
-
-    def repeat_notices(self, endpoint: str, now: float) -> list[Outgoing]:
-        """Return notices of the present pressure to every holder that may have leases."""
-        leased = self._endpoints.get(endpoint)
-        if leased is None:
+        if (known.saturated, known.over_share) != (saturated, over_share):
+            leased.pressure = Pressure(self._session, known.sequence + 1, saturated, over_share)
+        is_told = leased.told_sequence == leased.pressure.sequence
+        if is_told or not leased.notices.take(now):
             return []
+        leased.told_sequence = leased.pressure.sequence
         notice = LeaseNotice(owner=self._node, endpoint=endpoint, pressure=leased.pressure)
         holders = {account.node for account in leased.accounts.values() if account.current}
         return [Outgoing(holder, notice) for holder in sorted(holders)]
--- a/packages/traffic/tests/test_leases.py
+++ b/packages/traffic/tests/test_leases.py
@@ -356,3 +356,16 @@
     answer = link.issuer.receive(request.message, now)
     assert answer is not None and isinstance(answer.outgoing.message, LeaseGrant)
     return answer.outgoing.message
+
+
+def test_a_flapping_state_costs_few_notices_and_still_arrives() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    told = 0
+    for step in range(1_000):
+        now = 1 + step / 100
+        told += len(link.issuer.set_pressure("e", saturated=bool(step % 2), over_share=(), now=now))
+    assert told <= 4 + 10 / 4 + 1
+    late = link.issuer.set_pressure("e", saturated=False, over_share=(), now=20)
+    assert [outgoing.message for outgoing in late]
