--- a/packages/traffic/src/corianderwall/traffic/admission.py
+++ b/packages/traffic/src/corianderwall/traffic/admission.py
@@ -26,7 +26,7 @@
 BURST_LOAD = 3
 """Direct calls, relative to the limit, from which an endpoint is saturated at once."""
 RELEASE_AFTER_S = 1.0
-HEADROOM_DEVIATIONS = 1.0
+HEADROOM_DEVIATIONS = 1.5
 """Slots kept free of lent share, in standard deviations of the load within shares."""
 MIN_LENT_PART = 0.5
 """Part of the unused share that is lent whatever the headroom."""
--- a/packages/traffic/src/corianderwall/traffic/shares.py
+++ b/packages/traffic/src/corianderwall/traffic/shares.py
@@ -12,9 +12,9 @@
 MEMORY_S = 0.5
 """Time in which a past use loses all but 1/e of its weight."""
 SERVICE_GAIN = 0.1
-TOLERANCE = 1.1
+TOLERANCE = 1.2
 """Use, relative to the level of fair shares, from which a subscriber is over its share."""
-RETURN_TOLERANCE = 0.9
+RETURN_TOLERANCE = 0.6
 SHARED_USE = 0.7
 """Part of the limit that is lent beyond shares, so that queues at the endpoint stay short."""
 MIN_PERIOD_S = 0.1
