Smooth reported loads and find slow endpoints by route

Cause: nodes that followed the latest load reports moved in herds: p50 20.4 ms without a fault against 15.6 ms of random choice; refusing endpoints failed 2.3% of calls; an endpoint that reported no load gave a p99 of 298 ms. Change: reports smoothed over 2 s, slowness measured against the mean of the same route and ejected from three times it, refusals rest an endpoint for doubling times.

--- a/packages/traffic/src/corianderwall/traffic/balancer.py
+++ b/packages/traffic/src/corianderwall/traffic/balancer.py
@@ -8,10 +8,6 @@
 from corianderwall.traffic.endpoint_pool import EndpointPool
 from corianderwall.traffic.endpoint_stat import EndpointStat
 
-MAX_REFUSAL_S = 0.25
-"""Longest time for which a refusal keeps an endpoint from being preferred."""
-MIN_REFUSAL_S = 0.05
-
 
 class Balancer:
     """The announced endpoints by service and version, as seen from the node at `locality`."""
@@ -105,8 +101,7 @@
         if outcome.cancelled or is_by_owner:
             return
         if outcome.refused:
-            pause_s = min(MAX_REFUSAL_S, max(MIN_REFUSAL_S, retry_after_s))
-            stat.refused_until = now + pause_s * self._random.uniform(0.5, 1.0)
+            stat.refuse(retry_after_s, self._random.uniform(0.5, 1.0), now)
             return
         self._find_pool(stat.endpoint).observe(stat, outcome, now)
 
--- a/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
@@ -16,7 +16,7 @@
 """Factor on the cost of an endpoint whose calls need a second hop."""
 DRAWS = 4
 """Draws of two candidates before every endpoint is looked at."""
-GROUP_LATENCY_GAIN = 0.02
+ROUTE_LATENCY_GAIN = 0.02
 
 
 class EndpointPool:
@@ -27,7 +27,7 @@
         self._guard = OutlierGuard(random)
         self._members: dict[str, EndpointStat] = {}
         self._tiers: tuple[list[EndpointStat], ...] = tuple([] for _ in TIER_COSTS)
-        self._latency_s = 0.0
+        self._route_latency_s: dict[str, float] = {}
 
     @property
     def size(self) -> int:
@@ -61,11 +61,10 @@
 
     def observe(self, stat: EndpointStat, outcome: AttemptOutcome, now: float) -> None:
         """Learn from the outcome of an attempt; the endpoint may be ejected by it."""
-        stat.observe(outcome, now)
+        ratio = self._compare_with_route(outcome)
+        stat.observe(failed=outcome.is_failure, ratio=ratio, now=now)
         if not outcome.is_failure:
             self._guard.note_success(stat)
-            gain = GROUP_LATENCY_GAIN if self._latency_s else 1.0
-            self._latency_s += gain * (outcome.latency_s - self._latency_s)
         if self._guard.judge(stat, self.size, now):
             self.place(stat)
 
@@ -81,10 +80,18 @@
             cost = self._estimate_cost(stat, now) * tier_cost
             if cost < best_cost:
                 best, best_cost = stat, cost
-            if stat.estimate_cost(self._latency_s, now) < SPILL_LOAD:
+            if stat.estimate_cost(now) < SPILL_LOAD:
                 return best
         return best or self._choose_least_bad(now, exclude)
 
+    def _compare_with_route(self, outcome: AttemptOutcome) -> float:
+        """Return the latency relative to the mean of the route, which learns from successes."""
+        mean_s = self._route_latency_s.get(outcome.route, outcome.latency_s)
+        if not outcome.is_failure:
+            change_s = ROUTE_LATENCY_GAIN * (outcome.latency_s - mean_s)
+            self._route_latency_s[outcome.route] = mean_s + change_s
+        return outcome.latency_s / mean_s if mean_s > 0 else 1.0
+
     def _choose_in_tier(
         self, tier: list[EndpointStat], now: float, exclude: Set[str]
     ) -> EndpointStat | None:
@@ -126,7 +133,7 @@
         return None
 
     def _estimate_cost(self, stat: EndpointStat, now: float) -> float:
-        cost = stat.estimate_cost(self._latency_s, now)
+        cost = stat.estimate_cost(now)
         return cost if stat.leased else cost * DETOUR_COST
 
     def _readmit(self, now: float) -> None:
--- a/packages/traffic/src/corianderwall/traffic/endpoint_stat.py
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_stat.py
@@ -1,20 +1,27 @@
 """What this node knows of one endpoint: reports, corrected by what it sees itself."""
 
+from math import exp
+
 from corianderwall.model.endpoint import Endpoint, EndpointState
-from corianderwall.model.outcome import AttemptOutcome
 
+REPORT_MEMORY_S = 2.0
+"""Time in which a past report loses all but 1/e of its weight."""
 REPORT_LIFE_S = 3.0
 """Age at which a reported load counts nothing."""
 RAMP_S = 10.0
 """Time from an endpoint's start to its full part of the calls."""
 RAMP_FLOOR = 0.1
-LATENCY_GAIN = 0.1
+SLOWNESS_GAIN = 0.1
 FAILURE_GAIN = 0.1
 FAILURE_COST = 9.0
 FORGET_S = 10.0
-"""Time without a sample after which an observed latency counts nothing."""
-MIN_LATENCY_RATIO = 0.5
-MAX_LATENCY_RATIO = 8.0
+"""Time without a sample after which an observed slowness counts nothing."""
+MIN_SLOWNESS = 0.5
+MAX_SAMPLE_RATIO = 20.0
+MIN_REFUSAL_S = 0.05
+MAX_REFUSAL_S = 2.0
+"""Bounds of the time for which refusals keep an endpoint from being preferred."""
+MAX_REFUSAL_DOUBLINGS = 6
 
 
 class EndpointStat:
@@ -23,6 +30,7 @@
     __slots__ = (
         "_other_running",
         "_ramp_start",
+        "_refusals",
         "_report_time",
         "_sample_time",
         "consecutive_failures",
@@ -30,13 +38,13 @@
         "endpoint",
         "failure_rate",
         "index",
-        "latency_s",
         "leased",
         "outstanding",
         "probe_successes",
         "probing",
         "refused_until",
         "samples",
+        "slowness",
         "suspected",
         "tier",
     )
@@ -46,7 +54,8 @@
         self.tier = tier
         self.index = -1
         self.outstanding = 0
-        self.latency_s = 0.0
+        self.slowness = 1.0
+        self._refusals = 0
         self.failure_rate = 0.0
         self.samples = 0
         self.consecutive_failures = 0
@@ -58,7 +67,7 @@
         self.suspected = False
         self._ramp_start = ramp_start
         self._report_time = float("-inf")
-        self._other_running = 0
+        self._other_running = 0.0
         self._sample_time = float("-inf")
 
     @property
@@ -67,18 +76,32 @@
         return self.endpoint.state is EndpointState.READY and not self.suspected
 
     def report_load(self, running: int, now: float) -> None:
-        """Take a reported number of running calls; what this node runs itself is taken out."""
+        """Take a reported number of running calls; what this node runs itself is taken out.
+
+        Reports are smoothed: nodes that all follow the latest ones move in herds.
+        """
+        others = max(0, running - self.outstanding)
+        age_s = now - self._report_time
+        gain = 1.0 if age_s > REPORT_LIFE_S else 1.0 - exp(-age_s / REPORT_MEMORY_S)
+        self._other_running += gain * (others - self._other_running)
         self._report_time = now
-        self._other_running = max(0, running - self.outstanding)
 
-    def observe(self, outcome: AttemptOutcome, now: float) -> None:
-        """Take the outcome of one attempt that ran, or should have."""
-        failed = outcome.is_failure
+    def observe(self, *, failed: bool, ratio: float, now: float) -> None:
+        """Take one attempt; `ratio` compares its latency with the mean of its route."""
         self.failure_rate += FAILURE_GAIN * (failed - self.failure_rate)
         self.samples += 1
         self.consecutive_failures = self.consecutive_failures + 1 if failed else 0
-        if not failed or outcome.latency_s > self.latency_s:
-            self._observe_latency(outcome.latency_s, now)
+        if not failed:
+            self._refusals = 0
+        if not failed or ratio > self.slowness:
+            self._sample_time = now
+            self.slowness += SLOWNESS_GAIN * (min(ratio, MAX_SAMPLE_RATIO) - self.slowness)
+
+    def refuse(self, retry_after_s: float, jitter: float, now: float) -> None:
+        """Rest the endpoint, twice as long with each refusal since its last success."""
+        pause_s = MIN_REFUSAL_S * 2**self._refusals
+        self._refusals = min(MAX_REFUSAL_DOUBLINGS, self._refusals + 1)
+        self.refused_until = now + min(MAX_REFUSAL_S, max(pause_s, retry_after_s)) * jitter
 
     def estimate_ramp(self, now: float) -> float:
         """Return the part of its calls that a starting endpoint receives, up to 1."""
@@ -91,18 +114,8 @@
         others = self._other_running * freshness if freshness > 0 else 0.0
         return (self.outstanding + others + 1.0) / self.endpoint.slots
 
-    def estimate_cost(self, group_latency_s: float, now: float) -> float:
-        """Return the load weighted by slowness and failures against the group's latency."""
+    def estimate_cost(self, now: float) -> float:
+        """Return the load weighted by failures and by slowness against the group."""
         cost = self.estimate_load(now) * (1.0 + FAILURE_COST * self.failure_rate)
-        if not self.latency_s or not group_latency_s:
-            return cost
-        ratio = self.latency_s / group_latency_s
-        ratio = min(MAX_LATENCY_RATIO, max(MIN_LATENCY_RATIO, ratio))
         trust = max(0.0, 1.0 - (now - self._sample_time) / FORGET_S)
-        return cost * (1.0 + (ratio - 1.0) * trust)
-
-    def _observe_latency(self, latency_s: float, now: float) -> None:
-        self._sample_time = now
-        if not self.latency_s:
-            self.latency_s = latency_s
-        self.latency_s += LATENCY_GAIN * (latency_s - self.latency_s)
+        return cost * (1.0 + (max(MIN_SLOWNESS, self.slowness) - 1.0) * trust)
--- a/packages/traffic/src/corianderwall/traffic/outliers.py
+++ b/packages/traffic/src/corianderwall/traffic/outliers.py
@@ -1,4 +1,4 @@
-"""Ejection of endpoints that fail, capped, and the probes that bring them back."""
+"""Ejection of endpoints that fail or are slow, capped, and the probes that bring them back."""
 
 import heapq
 from random import Random
@@ -8,6 +8,8 @@
 CONSECUTIVE_FAILURES = 5
 MIN_SAMPLES = 20
 FAILURE_RATE = 0.5
+SLOWNESS = 3.0
+"""Latency relative to the group's from which an endpoint is an outlier."""
 MAX_EJECTED_SHARE = 0.5
 EJECTION_S = 5.0
 MAX_EJECTION_S = 60.0
@@ -76,6 +78,7 @@
     stat.probe_successes = 0
     stat.consecutive_failures = 0
     stat.failure_rate = 0.0
+    stat.slowness = 1.0
     stat.samples = 0
 
 
@@ -84,4 +87,6 @@
         return stat.consecutive_failures > 0
     if stat.consecutive_failures >= CONSECUTIVE_FAILURES:
         return True
-    return stat.samples >= MIN_SAMPLES and stat.failure_rate > FAILURE_RATE
+    if stat.samples < MIN_SAMPLES:
+        return False
+    return stat.failure_rate > FAILURE_RATE or stat.slowness > SLOWNESS
