--- a/packages/traffic/tests/test_admission.py
+++ b/packages/traffic/tests/test_admission.py
@@ -125,17 +125,19 @@
     assert admitted[0] == Admitted(waiting.ticket)
 
 
-def test_a_subscriber_over_its_share_keeps_its_share(admission: Admission) -> None:
+def test_a_subscriber_over_its_share_gets_its_share_and_what_is_lent(admission: Admission) -> None:
     teach_service_time(admission)
-    report = EndpointUsage("e", "n1", tuple(SubscriberUsage(n, 9, 1_000) for n in NAMES[:3]), 3)
+    report = EndpointUsage("e", "n1", tuple(SubscriberUsage(n, 9, 1_600) for n in NAMES[:3]), 3)
+    for step in range(10):
+        admission.report_usage(report, 1.0 + step * 2)
     for step in range(100):
-        now = 1.0 + step / 10
-        admission.report_usage(report, now)
-        offer_many(admission, "heavy", 10, now)
-        admission.expire(now)
-        admission.assess(now)
-    assert "heavy" in admission.assess(11.0).over_share
-    assert admission.running >= 1
+        offer_many(admission, "heavy", 10, 19.0 + step / 50)
+        admission.assess(19.0 + step / 50)
+    assert admission.assess(21.0).over_share == ("heavy",)
+    for ticket in range(len(NAMES) + 1, len(NAMES) + SLOTS + 1):
+        admission.finish(ticket, SERVICE_S, 21.0, refused=False)
+    assert admission.running == 2, "one place of its own share and one that is lent"
+    assert isinstance(admission.offer("a", 30.0, 21.0), Admitted)
 
 
 def test_saturation_is_told_and_ends(admission: Admission) -> None:
--- a/packages/traffic/tests/test_balancer.py
+++ b/packages/traffic/tests/test_balancer.py
@@ -125,6 +125,37 @@
     assert failed < 2_000 * 0.02
 
 
+def test_an_endpoint_that_fails_now_and_then_gets_fewer_calls() -> None:
+    balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
+    chosen: Counter[str] = Counter()
+    running: list[str] = []
+    ended: Counter[str] = Counter()
+    for step in range(3_000):
+        name = choose(balancer, step / 100)
+        chosen[name] += 1
+        balancer.start(name)
+        running.append(name)
+        if len(running) > 6:
+            done = running.pop(0)
+            ended[done] += 1
+            status = 500 if done == "a" and not ended["a"] % 3 else 200
+            balancer.finish(make_outcome(done, status=status), step / 100)
+    assert 0 < chosen["a"] < chosen["b"] / 2
+
+
+def test_a_slow_endpoint_is_ejected_and_a_slow_route_is_not() -> None:
+    balancer = make_balancer(*map(make_endpoint, "abcd"))
+    chosen: Counter[str] = Counter()
+    for step in range(2_000):
+        name = choose(balancer, step / 100)
+        chosen[name] += 1
+        slow_route = replace(make_outcome(name, latency_s=5.0), route="archive")
+        usual = make_outcome(name, latency_s=0.2 if name == "a" else 0.01)
+        run_call(balancer, usual if step % 2 else slow_route, step / 100)
+    assert chosen["a"] < 2_000 * 0.15
+    assert min(chosen[name] for name in "bcd") > 2_000 * 0.2
+
+
 def test_an_ejected_endpoint_is_probed_back_one_call_at_a_time() -> None:
     balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
     fail_times(balancer, "a", 5, 1.0)
@@ -132,7 +163,11 @@
     names = {choose(balancer, 8.0) for _ in range(50)}
     assert names == {"a", "b"}
     balancer.start("a")
+    for _ in range(5):
+        balancer.start("b")
     assert {choose(balancer, 8.0) for _ in range(50)} == {"b"}
+    for _ in range(5):
+        balancer.finish(make_outcome("b"), 8.0)
     balancer.finish(make_outcome("a", status=500), 8.1)
     assert {choose(balancer, 14.0) for _ in range(50)} == {"b"}, "the second time is longer"
     assert {choose(balancer, 21.0) for _ in range(50)} == {"a", "b"}
--- a/packages/traffic/tests/test_routing.py
+++ b/packages/traffic/tests/test_routing.py
@@ -92,6 +92,23 @@
     }
 
 
+def test_explain_agrees_with_the_match() -> None:
+    table = build_table(
+        Route(name="a-all", service="gazeti"),
+        Route(name="b-deep", service="gazeti", path_prefix="/a/b"),
+        Route(name="c-header", service="gazeti", headers=(HeaderMatch(name="x", value="1"),)),
+        Route(name="d-host", service="gazeti", host="h", path_prefix="/a"),
+    )
+    for request in (
+        ask("/a/b"),
+        ask("/a/b", host="other"),
+        ask("/", headers={"x": "1"}),
+        ask("/a/b", host="other", headers={"x": "1"}),
+    ):
+        chosen = [row.route for row in table.explain(request) if row.reason is MatchReason.CHOSEN]
+        assert chosen == [match_route(table, request)]
+
+
 @pytest.mark.parametrize(
     "path",
     [
