Count goodput by the instant of the answer, and control bytes

Cause: goodput counted the calls that began in the window, so those that waited across its ends were lost from it: it read too low by up to the longest wait. Change: the calls that end in the window count.

--- a/packages/bench/src/corianderwall/bench/fair_share.py
+++ b/packages/bench/src/corianderwall/bench/fair_share.py
@@ -1,6 +1,7 @@
 """Measures what one heavy subscriber does to the others, under a virtual clock."""
 
 import argparse
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 from functools import partial
@@ -32,8 +33,12 @@
     light_refused: int
     heavy_share: float
     """The heavy subscriber's part of the capacity."""
+    heavy_share_worst_second: float
+    """The same over the one second in which it was highest."""
     direct_part: float
     """Attempts that took one hop."""
+    control_bytes_per_node_s: float
+    """Bytes of the leases' messages, requests, grants and notices, per entry node."""
 
 
 class _Tally:
@@ -42,14 +47,14 @@
     def __init__(self) -> None:
         self.latencies: list[float] = []
         self.refused = 0
-        self.served_heavy = 0
+        self.heavy_by_second: Counter[int] = Counter()
 
     def take(self, call: Call, answer: Answer, now: float) -> None:
         """Count one finished call."""
         if call.started < WARM_UP_S:
             return
         if call.subscriber == HEAVY:
-            self.served_heavy += answer.status == OK
+            self.heavy_by_second[int(now)] += answer.status == OK
         elif answer.status == OK:
             self.latencies.append(now - call.started)
         else:
@@ -107,18 +112,22 @@
         spread = NODES if is_spread else 1
         Arrivals(model, Random(seed + 2), [HEAVY], share_per_s * times, WARM_UP_S, spread=spread)
     model.clock.run_until(WARM_UP_S)
-    model.attempts = model.direct_attempts = 0
+    model.attempts = model.direct_attempts = model.control_bytes = 0
     model.clock.run_until(WARM_UP_S + seconds)
     return _summarise(tally, model, seconds)
 
 
 def _summarise(tally: _Tally, model: TrafficModel, seconds: float) -> FairShareRun:
     ordered = sorted(tally.latencies)
+    served_heavy = tally.heavy_by_second
+    capacity_per_s = ENDPOINTS * SLOTS / SERVICE_S
     return FairShareRun(
         light_p99_ms=round(ordered[int(len(ordered) * 0.99)] * 1000, 2),
         light_p50_ms=round(ordered[len(ordered) // 2] * 1000, 2),
         light_calls=len(ordered),
         light_refused=tally.refused,
-        heavy_share=round(tally.served_heavy * SERVICE_S / (seconds * ENDPOINTS * SLOTS), 4),
+        heavy_share=round(served_heavy.total() / capacity_per_s / seconds, 4),
+        heavy_share_worst_second=round(max(served_heavy.values(), default=0) / capacity_per_s, 4),
         direct_part=round(model.direct_attempts / model.attempts, 4),
+        control_bytes_per_node_s=round(model.control_bytes / seconds / NODES, 1),
     )
--- a/packages/bench/src/corianderwall/bench/overload.py
+++ b/packages/bench/src/corianderwall/bench/overload.py
@@ -64,7 +64,7 @@
     def finish(call: Call, answer: Answer) -> None:
         nonlocal good
         now = model.clock.now
-        good += answer.status == OK and now <= call.deadline and call.started >= WARM_UP_S
+        good += answer.status == OK and now <= call.deadline and now >= WARM_UP_S
 
     model.finish = finish
     capacity_per_s = ENDPOINTS * SLOTS / SERVICE_S
--- a/packages/bench/src/corianderwall/bench/traffic_model.py
+++ b/packages/bench/src/corianderwall/bench/traffic_model.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import Protocol
 
+import msgspec
+
 from corianderwall.bench.virtual_clock import VirtualClock
 from corianderwall.model.endpoint import Address, Endpoint, Locality
 from corianderwall.model.message import Outgoing
@@ -35,6 +37,8 @@
 UNAVAILABLE = 503
 FAILED = 500
 
+_encoder = msgspec.msgpack.Encoder()
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -324,6 +328,7 @@
         self.finish: Finished = lambda call, answer: None
         self.direct_attempts = 0
         self.attempts = 0
+        self.control_bytes = 0
         self._nodes = nodes
         self._zones = zones
         for index in range(endpoints):
@@ -354,7 +359,7 @@
     def _assess(self) -> None:
         for owner in self.owners.values():
             for outgoing in owner.assess():
-                self.clock.call_after(FAR_S, self._deliver, outgoing)
+                self._send(self._deliver, outgoing)
 
     def _report_loads(self) -> None:
         for owner in self.owners.values():
@@ -365,9 +370,14 @@
     def _exchange_leases(self) -> None:
         for entry in self.entries:
             for outgoing in entry.holder.collect_requests(self.clock.now):
-                self.clock.call_after(FAR_S, self._answer, outgoing.message)
+                self._send(self._answer, outgoing)
 
-    def _answer(self, message: object) -> None:
+    def _send(self, deliver: Callable[[Outgoing], None], outgoing: Outgoing) -> None:
+        self.control_bytes += len(_encoder.encode(outgoing.message))
+        self.clock.call_after(FAR_S, deliver, outgoing)
+
+    def _answer(self, outgoing: Outgoing) -> None:
+        message = outgoing.message
         if not isinstance(message, LeaseRequest):
             return
         for demand in message.demands:
@@ -377,7 +387,7 @@
                 continue
             for report in answer.reports:
                 owner.admission.report_usage(report, self.clock.now)
-            self.clock.call_after(FAR_S, self._deliver, answer.outgoing)
+            self._send(self._deliver, answer.outgoing)
 
     def _deliver(self, outgoing: Outgoing) -> None:
         holder = self.entries[int(outgoing.peer[1:])].holder
