Let no call leave the queue twice

Cause: a waiting call that moved to the other class and back stood twice in its flow and could be admitted twice; the traffic model met it under overload. Change: taking a flow out empties it. Also: the wait at an owner no longer counts as an endpoint's slowness, and a flow avoids the endpoints where it is over its share. Conclusion: a state test of the two classes now finds the fault at once.

--- a/packages/bench/src/corianderwall/bench/policies.py
+++ b/packages/bench/src/corianderwall/bench/policies.py
@@ -31,7 +31,12 @@
         self.outstanding = {endpoint.name: 0 for endpoint in endpoints}
 
     def choose(
-        self, service: str, version: str, now: float, exclude: Set[str] = frozenset()
+        self,
+        service: str,
+        version: str,
+        now: float,
+        exclude: Set[str] = frozenset(),
+        avoid: Set[str] = frozenset(),
     ) -> Endpoint | None:
         """Return the endpoint of the next attempt."""
         left = [endpoint for endpoint in self.endpoints if endpoint.name not in exclude]
@@ -52,7 +57,7 @@
         now: float,
         *,
         retry_after_s: float = 0.0,
-        is_by_owner: bool = False,
+        is_handed_over: bool = False,
     ) -> None:
         """Note the outcome of an attempt."""
         self.outstanding[outcome.endpoint] -= 1
--- a/packages/bench/src/corianderwall/bench/traffic_model.py
+++ b/packages/bench/src/corianderwall/bench/traffic_model.py
@@ -47,7 +47,6 @@
     verdict: Verdict
     status: int
     retry_after_s: float = 0.0
-    is_by_owner: bool = False
     is_over_share: bool = False
 
 
@@ -67,7 +66,12 @@
     """A policy that chooses endpoints."""
 
     def choose(
-        self, service: str, version: str, now: float, exclude: Set[str] = frozenset()
+        self,
+        service: str,
+        version: str,
+        now: float,
+        exclude: Set[str] = frozenset(),
+        avoid: Set[str] = frozenset(),
     ) -> Endpoint | None:
         """Return the endpoint of the next attempt."""
 
@@ -80,7 +84,7 @@
         now: float,
         *,
         retry_after_s: float = 0.0,
-        is_by_owner: bool = False,
+        is_handed_over: bool = False,
     ) -> None:
         """Note the outcome of an attempt."""
 
@@ -229,7 +233,9 @@
     def _attempt(self, call: Call) -> None:
         now = self._model.clock.now
         call.attempt += 1
-        endpoint = self.chooser.choose(SERVICE, VERSION, now, call.exclude)
+        flow = self._model.shares.find_flow(call.subscriber)
+        avoid = self.holder.find_over_share(flow)
+        endpoint = self.chooser.choose(SERVICE, VERSION, now, call.exclude, avoid)
         if endpoint is None:
             self._model.finish(call, Answer(Verdict.NOT_RUN, UNAVAILABLE))
             return
@@ -237,7 +243,6 @@
         owner = self._model.owners[endpoint.name]
         passage: Passage | None = None
         if self._model.is_mixed:
-            flow = self._model.shares.find_flow(call.subscriber)
             passage = self.holder.acquire(endpoint, flow, call.deadline, now)
 
         is_counted = passage is None or not passage.is_over_share
@@ -278,9 +283,10 @@
             refused=answer.verdict is Verdict.NOT_RUN,
             outstanding=outstanding,
         )
+        is_handed_over = passage is not None and not passage.direct
         if outstanding:
             self.chooser.finish(
-                outcome, now, retry_after_s=answer.retry_after_s, is_by_owner=answer.is_by_owner
+                outcome, now, retry_after_s=answer.retry_after_s, is_handed_over=is_handed_over
             )
         if answer.status != OK and self._retry(call, answer, endpoint):
             return
@@ -416,6 +422,5 @@
         Verdict.NOT_RUN,
         UNAVAILABLE,
         retry_after_s=refused.retry_after_s,
-        is_by_owner=True,
         is_over_share=refused.over_share,
     )
--- a/packages/traffic/src/corianderwall/traffic/balancer.py
+++ b/packages/traffic/src/corianderwall/traffic/balancer.py
@@ -65,13 +65,23 @@
             stat.report_load(running, now)
 
     def choose(
-        self, service: str, version: str, now: float, exclude: Set[str] = frozenset()
+        self,
+        service: str,
+        version: str,
+        now: float,
+        exclude: Set[str] = frozenset(),
+        avoid: Set[str] = frozenset(),
     ) -> Endpoint | None:
-        """Return the endpoint for a call, None if no endpoint outside `exclude` takes work."""
+        """Return the endpoint for a call, None if no endpoint outside `exclude` takes work.
+
+        Endpoints in `avoid`, where the subscriber is over its share, are taken for want of others.
+        """
         pool = self._pools.get((service, version))
         if pool is None:
             return None
-        stat = pool.choose(now, exclude)
+        stat = pool.choose(now, exclude | avoid) if avoid else pool.choose(now, exclude)
+        if stat is None and avoid:
+            stat = pool.choose(now, exclude)
         return None if stat is None else stat.endpoint
 
     def start(self, name: str) -> int:
@@ -88,22 +98,24 @@
         now: float,
         *,
         retry_after_s: float = 0.0,
-        is_by_owner: bool = False,
+        is_handed_over: bool = False,
     ) -> None:
         """Note the outcome of an attempt that `start` has begun.
 
-        A refusal by the owner's admission concerns one subscriber and not the endpoint.
+        Of an attempt that `is_handed_over` to the owner only a failure counts: its wait or its
+        refusal concern the subscriber and not the endpoint.
         """
         stat = self._stats.get(outcome.endpoint)
         if stat is None:
             return
         stat.outstanding = max(0, stat.outstanding - 1)
-        if outcome.cancelled or is_by_owner:
+        if outcome.cancelled or (outcome.refused and is_handed_over):
             return
         if outcome.refused:
             stat.refuse(retry_after_s, self._random.uniform(0.5, 1.0), now)
             return
-        self._find_pool(stat.endpoint).observe(stat, outcome, now)
+        pool = self._find_pool(stat.endpoint)
+        pool.observe(stat, outcome, now, is_timed=not is_handed_over)
 
     def list_endpoints(self, service: str, version: str) -> tuple[Endpoint, ...]:
         """Return the announced endpoints, also those that take no work."""
--- a/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
@@ -59,9 +59,11 @@
             stat.index = len(tier)
             tier.append(stat)
 
-    def observe(self, stat: EndpointStat, outcome: AttemptOutcome, now: float) -> None:
-        """Learn from the outcome of an attempt; the endpoint may be ejected by it."""
-        ratio = self._compare_with_route(outcome)
+    def observe(
+        self, stat: EndpointStat, outcome: AttemptOutcome, now: float, *, is_timed: bool
+    ) -> None:
+        """Learn from an attempt, from its latency if `is_timed`; it may eject the endpoint."""
+        ratio = self._compare_with_route(outcome) if is_timed else None
         stat.observe(failed=outcome.is_failure, ratio=ratio, now=now)
         if not outcome.is_failure:
             self._guard.note_success(stat)
--- a/packages/traffic/src/corianderwall/traffic/endpoint_stat.py
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_stat.py
@@ -86,14 +86,14 @@
         self._other_running += gain * (others - self._other_running)
         self._report_time = now
 
-    def observe(self, *, failed: bool, ratio: float, now: float) -> None:
-        """Take one attempt; `ratio` compares its latency with the mean of its route."""
+    def observe(self, *, failed: bool, ratio: float | None, now: float) -> None:
+        """Take one attempt; `ratio` compares its latency with the mean of its route, if known."""
         self.failure_rate += FAILURE_GAIN * (failed - self.failure_rate)
         self.samples += 1
         self.consecutive_failures = self.consecutive_failures + 1 if failed else 0
         if not failed:
             self._refusals = 0
-        if not failed or ratio > self.slowness:
+        if ratio is not None and (not failed or ratio > self.slowness):
             self._sample_time = now
             self.slowness += SLOWNESS_GAIN * (min(ratio, MAX_SAMPLE_RATIO) - self.slowness)
 
--- a/packages/traffic/src/corianderwall/traffic/fairqueue.py
+++ b/packages/traffic/src/corianderwall/traffic/fairqueue.py
@@ -118,6 +118,7 @@
         calls = [call for call in flow.calls if call.ticket in self._waiting]
         for call in calls:
             self.remove(call.ticket)
+        flow.calls.clear()
         return calls
 
     def pop_given_up(self, now: float) -> list[WaitingCall]:
--- a/packages/traffic/src/corianderwall/traffic/held_lease.py
+++ b/packages/traffic/src/corianderwall/traffic/held_lease.py
@@ -20,7 +20,6 @@
 
     __slots__ = (
         "_last_peak",
-        "_over_share",
         "_peak",
         "_uses",
         "active",
@@ -32,6 +31,7 @@
         "has_left",
         "idle_since",
         "in_use",
+        "over_share",
         "owner",
         "pressure",
         "reported_wanted",
@@ -50,7 +50,7 @@
         self.in_use = 0
         self.has_left = False
         self.idle_since = now
-        self._over_share: frozenset[str] = frozenset()
+        self.over_share: frozenset[str] = frozenset()
         self._peak = 0
         self._last_peak = 0
         self._uses: dict[str, _DirectUse] = {}
@@ -83,10 +83,6 @@
         """Return whether a call of a flow within its share may go to the endpoint directly."""
         return self.has_free(now) and call_deadline <= now + self.call_s
 
-    def is_over_share(self, flow: str) -> bool:
-        """Return whether the owner counts the flow as over its share."""
-        return flow in self._over_share
-
     def begin(self, flow: str, now: float, *, direct: bool) -> None:
         """Count a call that starts, through the owner or not."""
         self.active += 1
@@ -105,7 +101,6 @@
 
     def apply(self, grant: EndpointGrant, serial: int, sent_at: float) -> bool:
         """Put a grant in force, its term counted from the request; return whether it is less."""
-        self.take_pressure(grant.pressure)
         if serial <= self.applied_serial:
             return False
         is_less = grant.count < self.count
@@ -126,7 +121,7 @@
         known = (self.pressure.session, self.pressure.sequence)
         if (pressure.session, pressure.sequence) > known:
             self.pressure = pressure
-            self._over_share = frozenset(pressure.over_share)
+            self.over_share = frozenset(pressure.over_share)
 
     def report(self, now: float) -> LeaseDemand:
         """Return the demand of the period that ends, and begin the next."""
--- a/packages/traffic/src/corianderwall/traffic/lease_holder.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_holder.py
@@ -1,11 +1,12 @@
 """The entry node's side of connection leases: may a call go to the endpoint directly?"""
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 from corianderwall.model.endpoint import Endpoint
 from corianderwall.model.message import Outgoing
 from corianderwall.traffic.held_lease import HeldLease
-from corianderwall.traffic.messages import LeaseGrant, LeaseNotice, LeaseRequest
+from corianderwall.traffic.messages import LeaseGrant, LeaseNotice, LeaseRequest, Pressure
 
 RENEWAL_S = 4.0
 """Time between two requests to one owner while the leases suffice."""
@@ -15,6 +16,7 @@
 """Time without calls after which an endpoint's leases are given back."""
 REMEMBERED_REQUESTS = 16
 """Requests to one owner whose answers are still taken."""
+_NOWHERE: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,7 @@
         self._serial = 0
         self._leases: dict[str, HeldLease] = {}
         self._owners: dict[str, _OwnerState] = {}
+        self._over_share: dict[str, frozenset[str]] = {}
 
     def acquire(self, endpoint: Endpoint, flow: str, call_deadline: float, now: float) -> Passage:
         """Return the way of a call that starts now and ends by `call_deadline`."""
@@ -75,7 +78,7 @@
         if lease is None or lease.owner != endpoint.node:
             lease = self._take_up(endpoint, lease, now)
         lease.has_left = False
-        is_over_share = lease.is_over_share(flow)
+        is_over_share = flow in lease.over_share
         direct = not is_over_share and lease.allows(call_deadline, now)
         lease.begin(flow, now, direct=direct)
         if lease.is_short:
@@ -104,6 +107,10 @@
         lease = self._leases.get(endpoint)
         return lease is not None and lease.has_free(now)
 
+    def find_over_share(self, flow: str) -> Set[str]:
+        """Return the endpoints at which the flow is over its share; others are better for it."""
+        return self._over_share.get(flow, _NOWHERE)
+
     def collect_requests(self, now: float) -> list[Outgoing]:
         """Return the requests that are due; to be called every `EARLY_RENEWAL_S` at least."""
         due = [name for name, owner in self._owners.items() if owner.next_request <= now]
@@ -121,6 +128,7 @@
             lease = self._leases.get(each.endpoint)
             if lease is None or lease.owner != grant.owner or lease.has_left:
                 continue
+            self._take_pressure(lease, each.pressure)
             if lease.apply(each, grant.serial, sent_at):
                 owner.hasten()
 
@@ -128,7 +136,7 @@
         """Take the pressure on an endpoint from its owner."""
         lease = self._leases.get(notice.endpoint)
         if lease is not None and lease.owner == notice.owner:
-            lease.take_pressure(notice.pressure)
+            self._take_pressure(lease, notice.pressure)
 
     def forget(self, endpoint: str) -> None:
         """Use no lease of an endpoint that leaves; running calls may end.
@@ -151,7 +159,25 @@
         owner.hasten()
         return lease
 
+    def _take_pressure(self, lease: HeldLease, pressure: Pressure) -> None:
+        before = lease.over_share
+        lease.take_pressure(pressure)
+        self._index_over_share(lease.endpoint, before, lease.over_share)
+
+    def _index_over_share(
+        self, endpoint: str, before: frozenset[str], after: frozenset[str]
+    ) -> None:
+        for flow in before - after:
+            left = self._over_share[flow] - {endpoint}
+            if left:
+                self._over_share[flow] = left
+            else:
+                del self._over_share[flow]
+        for flow in after - before:
+            self._over_share[flow] = self._over_share.get(flow, _NOWHERE) | {endpoint}
+
     def _drop(self, lease: HeldLease) -> None:
+        self._index_over_share(lease.endpoint, lease.over_share, _NOWHERE)
         del self._leases[lease.endpoint]
         owner = self._owners[lease.owner]
         owner.endpoints.discard(lease.endpoint)
--- a/packages/traffic/tests/test_balancer.py
+++ b/packages/traffic/tests/test_balancer.py
@@ -231,10 +231,35 @@
     balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
     balancer.start("a")
     refusal = make_outcome("a", status=503, refused=True)
-    balancer.finish(refusal, 1.0, retry_after_s=5.0, is_by_owner=True)
+    balancer.finish(refusal, 1.0, retry_after_s=5.0, is_handed_over=True)
     assert {choose(balancer, 1.01) for _ in range(50)} == {"a", "b"}
 
 
+def test_the_wait_at_an_owner_does_not_count_as_slowness() -> None:
+    balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
+    for step in range(200):
+        name = choose(balancer, step / 100)
+        balancer.start(name)
+        late = make_outcome(name, latency_s=1.0)
+        balancer.finish(
+            late if name == "a" else make_outcome(name), step / 100, is_handed_over=name == "a"
+        )
+    chosen = Counter(choose(balancer, 2.0) for _ in range(200))
+    assert min(chosen["a"], chosen["b"]) > 60
+
+
+def test_an_avoided_endpoint_is_taken_for_want_of_others() -> None:
+    balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
+    names = {
+        endpoint.name
+        for _ in range(50)
+        if (endpoint := balancer.choose("s", "v1", 1.0, frozenset(), frozenset("a")))
+    }
+    assert names == {"b"}
+    last = balancer.choose("s", "v1", 1.0, frozenset("b"), frozenset("a"))
+    assert last is not None and last.name == "a"
+
+
 def test_a_leased_endpoint_is_preferred_at_equal_load() -> None:
     balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
     balancer.set_leased("b", leased=True)
--- a/packages/traffic/tests/test_leases.py
+++ b/packages/traffic/tests/test_leases.py
@@ -369,3 +369,16 @@
     assert told <= 4 + 10 / 4 + 1
     late = link.issuer.set_pressure("e", saturated=False, over_share=(), now=20)
     assert [outgoing.message for outgoing in late]
+
+
+def test_the_endpoints_where_a_flow_is_over_its_share_are_known() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    for over_share in (("heavy", "b"), ("b",)):
+        now = 2.0 if "heavy" in over_share else 3.0
+        changed = link.issuer.set_pressure("e", saturated=False, over_share=over_share, now=now)
+        assert isinstance(changed[0].message, LeaseNotice)
+        link.holder.receive_notice(changed[0].message)
+        assert link.holder.find_over_share("b") == {"e"}
+        assert ("e" in link.holder.find_over_share("heavy")) == ("heavy" in over_share)
--- /dev/null
+++ b/packages/traffic/tests/test_sharequeue.py
@@ -0,0 +1,98 @@
+from collections.abc import Iterable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from corianderwall.model.resource import Snapshot
+from corianderwall.traffic.fairqueue import WaitingCall
+from corianderwall.traffic.sharequeue import ShareQueue
+from corianderwall.traffic.shares import SubscriberShares
+
+FLOWS = ("a", "b")
+steps_of_work = st.lists(
+    st.tuples(
+        st.sampled_from(["push", "push", "pop", "end", "remove", "mark", "give_up"]),
+        st.sampled_from(FLOWS),
+        st.integers(0, 9),
+    ),
+    max_size=80,
+)
+
+
+class Model:
+    """A queue and the tickets that are in it or run."""
+
+    def __init__(self) -> None:
+        self.queue = ShareQueue(SubscriberShares(Snapshot()))
+        self.waiting: set[int] = set()
+        self.running: list[str] = []
+        self.ticket = 0
+
+    def push(self, flow: str, give_up_at: float) -> None:
+        self.ticket += 1
+        call = WaitingCall(self.ticket, flow, give_up_at, give_up_at)
+        self.queue.push(call, is_lent=self.queue.classify(flow))
+        self.waiting.add(self.ticket)
+
+    def pop(self, *, is_lent: bool) -> None:
+        call = self.queue.pop(1.0, is_lent=is_lent)
+        if call is not None:
+            self.waiting.remove(call.ticket)
+            if not is_lent:
+                self.running.append(call.flow)
+
+    def end(self) -> None:
+        if self.running:
+            self.queue.release(self.running.pop())
+
+    def leave(self, calls: Iterable[WaitingCall]) -> None:
+        for call in calls:
+            self.waiting.remove(call.ticket)
+
+    def remove(self, ticket: int) -> None:
+        assert self.queue.remove(ticket) == (ticket in self.waiting)
+        self.waiting.discard(ticket)
+
+    def step(self, event: str, flow: str, number: int) -> None:
+        if event == "push":
+            self.push(flow, number)
+        elif event == "pop":
+            self.pop(is_lent=number < 5)
+        elif event == "end":
+            self.end()
+        elif event == "remove":
+            self.remove(self.ticket - number)
+        elif event == "mark":
+            over = frozenset(flow) if number < 5 else frozenset()
+            self.queue.set_over_share(over, dict.fromkeys(over, 1 + number % 2))
+        else:
+            self.leave(self.queue.pop_given_up(number / 2))
+
+
+@settings(derandomize=True, max_examples=500)
+@given(steps_of_work)
+def test_every_call_leaves_once_while_marks_change(steps: list[tuple[str, str, int]]) -> None:
+    model = Model()
+    for event, flow, number in steps:
+        model.step(event, flow, number)
+        assert model.queue.count_waiting() == len(model.waiting)
+    model.queue.set_over_share(frozenset(), {})
+    for _ in range(len(model.waiting)):
+        model.pop(is_lent=False)
+    assert not model.waiting
+
+
+def test_a_marked_flow_keeps_the_places_of_its_share() -> None:
+    model = Model()
+    for _ in range(5):
+        model.push("a", 9.0)
+    model.queue.set_over_share(frozenset("a"), {"a": 2})
+    for _ in range(5):
+        model.pop(is_lent=False)
+    assert model.running == ["a", "a"]
+    model.end()
+    model.pop(is_lent=False)
+    assert model.running == ["a", "a"], "a waiting call has taken the place"
+    model.queue.set_over_share(frozenset(), {})
+    model.pop(is_lent=False)
+    assert len(model.running) == 3
