Tell holders at once that an endpoint drains

Cause: a node that missed the announcement could start direct calls for 4 s, beyond the bound of 3 s. Change: the owner tells every holder at once and again each second, and no assessment ends that state. Conclusion: four notices and the announcement fall within the bound.

--- a/packages/traffic/src/corianderwall/traffic/lease_issuer.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_issuer.py
@@ -61,6 +61,7 @@
     targets: dict[str, int] = field(default_factory=dict)
     next_division: float = float("-inf")
     charged: int = 0
+    is_draining: bool = False
     told_sequence: int = 0
     notices: NoticeBudget = field(default_factory=NoticeBudget)
 
@@ -108,16 +109,29 @@
         leased = self._endpoints.get(endpoint)
         if leased is None:
             return []
+        saturated = saturated or leased.is_draining
         known = leased.pressure
         if (known.saturated, known.over_share) != (saturated, over_share):
             leased.pressure = Pressure(self._session, known.sequence + 1, saturated, over_share)
         is_told = leased.told_sequence == leased.pressure.sequence
         if is_told or not leased.notices.take(now):
             return []
-        leased.told_sequence = leased.pressure.sequence
-        notice = LeaseNotice(owner=self._node, endpoint=endpoint, pressure=leased.pressure)
-        holders = {account.node for account in leased.accounts.values() if account.current}
-        return [Outgoing(holder, notice) for holder in sorted(holders)]
+        return self._make_notices(endpoint, leased)
+
+    def drain(self, endpoint: str) -> list[Outgoing]:
+        """Take all leases back; return the notices, to be asked for again every second.
+
+        From then on all calls come through the owner, which refuses them.
+        """
+        leased = self._endpoints.get(endpoint)
+        if leased is None:
+            return []
+        leased.is_draining = True
+        self.set_budget(endpoint, 0)
+        known = leased.pressure
+        if not known.saturated:
+            leased.pressure = Pressure(self._session, known.sequence + 1, True, known.over_share)
+        return self._make_notices(endpoint, leased)
 
     def receive(self, request: LeaseRequest, now: float) -> LeaseAnswer | None:
         """Answer a request; one that is doubled or overtaken by a newer gets no answer."""
@@ -170,6 +184,12 @@
             pressure=leased.pressure,
         )
 
+    def _make_notices(self, endpoint: str, leased: _LeasedEndpoint) -> list[Outgoing]:
+        leased.told_sequence = leased.pressure.sequence
+        notice = LeaseNotice(owner=self._node, endpoint=endpoint, pressure=leased.pressure)
+        holders = {account.node for account in leased.accounts.values() if account.current}
+        return [Outgoing(holder, notice) for holder in sorted(holders)]
+
     def _open_account(self, leased: _LeasedEndpoint, request: LeaseRequest) -> LeaseAccount:
         key = (request.node, request.session)
         account = leased.accounts.get(key)
--- a/packages/traffic/tests/test_leases.py
+++ b/packages/traffic/tests/test_leases.py
@@ -382,3 +382,19 @@
         link.holder.receive_notice(changed[0].message)
         assert link.holder.find_over_share("b") == {"e"}
         assert ("e" in link.holder.find_over_share("heavy")) == ("heavy" in over_share)
+
+
+def test_a_draining_endpoint_gets_no_direct_calls_after_one_notice() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    assert link.issuer.drain("e"), "the first notice is lost"
+    assert link.acquire(0.1).direct
+    (notice,) = link.issuer.drain("e")
+    assert isinstance(notice.message, LeaseNotice)
+    link.holder.receive_notice(notice.message)
+    assert not link.acquire(1.1).direct
+    assert not link.issuer.set_pressure("e", saturated=False, over_share=(), now=2.0)
+    link.exchange(4.1)
+    assert not link.acquire(4.2).direct
+    assert link.holder.read_limit("e", 4.2) == 0
