--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 setup: $(VENV)/ready
 
 demo: setup
-	@$(RUN) -m corianderwall.bench demo
+	@$(RUN) -m corianderwall.app.main demo
 
 test: setup
 	@$(RUN) -m pytest
--- /dev/null
+++ b/packages/app/src/corianderwall/app/__init__.py
@@ -0,0 +1,1 @@
+"""The corianderwall program and its demo."""
--- /dev/null
+++ b/packages/node/src/corianderwall/node/answers.py
@@ -0,0 +1,66 @@
+"""Answers that a node gives to callers itself."""
+
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
+from corianderwall.model.verdict import Verdict
+from corianderwall.node.callhead import NOT_RUN_HEADER, RETRY_AFTER_HEADER, VERDICT_HEADER
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.call import IncomingCall
+
+STATUS_BY_CODE = {
+    ErrorCode.MALFORMED_REQUEST: 400,
+    ErrorCode.NO_ROUTE: 404,
+    ErrorCode.REQUEST_TOO_LARGE: 413,
+    ErrorCode.NO_ENDPOINT: 503,
+    ErrorCode.OVERLOADED: 503,
+    ErrorCode.NOT_READY: 503,
+    ErrorCode.UPSTREAM_REFUSED: 503,
+    ErrorCode.UPSTREAM_LOST: 502,
+    ErrorCode.DEADLINE_EXCEEDED: 504,
+}
+
+_EFFECTS = {
+    Verdict.NOT_RUN: Effect.NONE,
+    Verdict.MAY_HAVE_RUN: Effect.UNKNOWN,
+    Verdict.RAN: Effect.APPLIED,
+}
+
+
+class CallError(CorianderwallError):
+    """The end of a call without the upstream's answer, with what is known of its execution."""
+
+    def __init__(
+        self, code: ErrorCode, sentence: str, verdict: Verdict, *, retry_after_s: float = 0
+    ) -> None:
+        super().__init__(code, sentence, effect=_EFFECTS[verdict], retry_after_s=retry_after_s)
+        self.verdict = verdict
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The JSON body of an answer that reports an error."""
+
+    code: str
+    sentence: str
+    effect: str
+
+
+def respond_error(call: "IncomingCall", error: CorianderwallError) -> int:
+    """Answer `call` with `error` at once and return the status."""
+    status = STATUS_BY_CODE.get(error.code, 500)
+    body = ErrorBody(error.code.value, error.sentence, error.effect.value)
+    headers = [(b"content-type", b"application/json")]
+    verdict = error.verdict if isinstance(error, CallError) else Verdict.NOT_RUN
+    if verdict is Verdict.NOT_RUN:
+        headers.append((NOT_RUN_HEADER, b"1"))
+    else:
+        headers.append((VERDICT_HEADER, verdict.value.encode("ascii")))
+    if error.retry_after_s > 0:
+        seconds = math.ceil(error.retry_after_s)
+        headers.append((RETRY_AFTER_HEADER, str(seconds).encode("ascii")))
+    call.respond(status, headers, msgspec.json.encode(body))
+    return status
--- /dev/null
+++ b/packages/node/src/corianderwall/node/logs.py
@@ -0,0 +1,101 @@
+"""Logs as JSON lines through absl, each with the node, its availability zone and version."""
+
+import json
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Annotated, cast
+
+from absl import logging as absl_logging
+from msgspec import Meta
+from twisted.logger import LogEvent, LogLevel, globalLogPublisher
+
+from corianderwall.model.settings import Section
+
+if TYPE_CHECKING:
+    from twisted.logger import ILogObserver
+
+FIELDS_ATTRIBUTE = "corianderwall_fields"
+
+_LEVELS = {
+    LogLevel.debug: logging.DEBUG,
+    LogLevel.info: logging.DEBUG,
+    LogLevel.warn: logging.WARNING,
+    LogLevel.error: logging.ERROR,
+    LogLevel.critical: logging.CRITICAL,
+}
+
+
+class LogSettings(Section, frozen=True, kw_only=True):
+    """What is logged; lines go to standard error."""
+
+    level: Annotated[
+        str,
+        Meta(
+            description="lowest level: debug, info, warning or error",
+            pattern="^(debug|info|warning|error)$",
+        ),
+    ] = "info"
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object on a line."""
+
+    def __init__(self, *, node: str, zone: str, read_version: Callable[[], int]) -> None:
+        super().__init__()
+        self._node = node
+        self._zone = zone
+        self._read_version = read_version
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line; fields given with the record come last."""
+        line = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "node": self._node,
+            "zone": self._zone,
+            "version": self._read_version(),
+            "message": record.getMessage(),
+        }
+        line.update(getattr(record, FIELDS_ATTRIBUTE, {}))
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def start_logs(
+    settings: LogSettings, *, node: str, zone: str, read_version: Callable[[], int]
+) -> None:
+    """Send absl's and Twisted's logs to standard error as JSON lines."""
+    absl_logging.use_absl_handler()
+    formatter = JsonFormatter(node=node, zone=zone, read_version=read_version)
+    absl_logging.get_absl_handler().setFormatter(formatter)
+    absl_logging.set_verbosity(getattr(absl_logging, settings.level.upper()))
+    absl_logging.set_stderrthreshold(settings.level)
+    globalLogPublisher.addObserver(cast("ILogObserver", _forward_twisted_event))
+
+
+def log_event(level: int, message: str, **fields: object) -> None:
+    """Log `message` with typed fields; keys and tokens are never given as fields."""
+    absl_logging.log(level, message, extra={FIELDS_ATTRIBUTE: fields})
+
+
+def log_info(message: str, **fields: object) -> None:
+    """Log an event that an operator wants to see on a quiet day."""
+    log_event(absl_logging.INFO, message, **fields)
+
+
+def log_warning(message: str, **fields: object) -> None:
+    """Log an event that the system handles but an operator should know."""
+    log_event(absl_logging.WARNING, message, **fields)
+
+
+def _forward_twisted_event(event: LogEvent) -> None:
+    level = _LEVELS.get(event.get("log_level", LogLevel.info), logging.DEBUG)
+    if level < logging.WARNING:
+        return
+    failure = event.get("log_failure")
+    text = event.get("log_format") or ""
+    fields = {"namespace": event.get("log_namespace", "")}
+    if failure is not None:
+        fields["traceback"] = failure.getTraceback()
+    logging.getLogger("absl").log(level, text, extra={FIELDS_ATTRIBUTE: fields})
--- /dev/null
+++ b/packages/node/src/corianderwall/node/pools.py
@@ -0,0 +1,33 @@
+"""The connection pools of a node, one for each address that it sends calls to."""
+
+from typing import TYPE_CHECKING
+
+from corianderwall.httpflow.pool import UpstreamPool
+
+if TYPE_CHECKING:
+    from corianderwall.model.endpoint import Address
+
+
+class Pools:
+    """Creates pools when they are needed and closes those of hosts and endpoints that left."""
+
+    def __init__(self) -> None:
+        self._pools: dict[Address, UpstreamPool] = {}
+
+    def find(self, address: "Address", max_connections: int) -> UpstreamPool:
+        """Return the pool of `address`, limited to `max_connections`."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = UpstreamPool(address, max_connections)
+        elif pool.max_connections != max_connections:
+            pool.max_connections = max_connections
+        return pool
+
+    def retain(self, addresses: "set[Address]") -> None:
+        """Close the pools of all other addresses; their running calls end first."""
+        for address in [address for address in self._pools if address not in addresses]:
+            self._pools.pop(address).close()
+
+    def close(self) -> None:
+        """Close all pools; running calls end first."""
+        self.retain(set())
