--- /dev/null
+++ b/packages/standins/src/corianderwall/standins/memory.py
@@ -0,0 +1,140 @@
+"""In-memory object API whose every call can be held, refused, lost or delayed by a test."""
+
+import enum
+from collections.abc import Awaitable, Callable
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock, deferLater
+
+from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
+from corianderwall.standins.objects import ObjectTable, RevisionMismatch
+from corianderwall.store.api import StoredObject
+
+START_UNIX_S = 1_700_000_000.0
+
+
+class Fault(enum.Enum):
+    """What happens to one call."""
+
+    NONE = enum.auto()
+    DOWN = enum.auto()
+    THROTTLED = enum.auto()
+    REQUEST_LOST = enum.auto()
+    ANSWER_LOST = enum.auto()
+    DELAYED = enum.auto()
+    """The caller gets no answer; a write takes effect when `flush_delayed` is called."""
+
+
+Gate = Callable[[str, str], Awaitable[Fault]]
+"""Called with the kind and the key of each call; decides when it goes on and how it ends."""
+
+
+async def pass_all(kind: str, key: str) -> Fault:
+    """Let each call through at once."""
+    return Fault.NONE
+
+
+class MemoryObjectApi:
+    """Implements `ObjectApi` over a table that several of them may share."""
+
+    def __init__(self, table: ObjectTable | None = None, gate: Gate = pass_all) -> None:
+        self.table = table or ObjectTable()
+        self.gate = gate
+        self.calls: list[str] = []
+        self._delayed: list[Callable[[], object]] = []
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Return the object, or None if there is none."""
+        await self._admit("read", key)
+        return self._load(key)
+
+    async def write_if(self, key: str, value: bytes, *, expected_revision: int) -> int:
+        """Write if the revision still is the expected one; return the new revision."""
+        return await self._change(
+            "write", key, lambda: self.table.write(key, value, expected_revision)
+        )
+
+    async def delete_if(self, key: str, *, expected_revision: int) -> None:
+        """Delete if the revision still is the expected one."""
+
+        def delete() -> int:
+            self.table.delete(key, expected_revision)
+            return 0
+
+        await self._change("delete", key, delete)
+
+    async def watch(self, key: str, *, after_revision: int, wait_s: float) -> StoredObject | None:
+        """Return the object if its revision is above `after_revision`; it never waits."""
+        await self._admit("watch", key)
+        return self._load(key) if self.table.read_revision(key) > after_revision else None
+
+    async def list_keys(self, prefix: str) -> tuple[str, ...]:
+        """Return the sorted keys that begin with `prefix`."""
+        await self._admit("list", prefix)
+        return tuple(self.table.list_keys(prefix))
+
+    def flush_delayed(self) -> None:
+        """Let the delayed writes arrive; those whose revision has moved have no effect."""
+        delayed, self._delayed = self._delayed, []
+        for change in delayed:
+            try:
+                change()
+            except RevisionMismatch:
+                continue
+
+    def _load(self, key: str) -> StoredObject | None:
+        revision = self.table.read_revision(key)
+        if revision == 0:
+            return None
+        return StoredObject(key=key, value=self.table.read_value(key), revision=revision)
+
+    async def _admit(self, kind: str, key: str) -> Fault:
+        self.calls.append(f"{kind} {key}")
+        fault = await self.gate(kind, key)
+        if fault is Fault.DOWN:
+            raise CorianderwallError(ErrorCode.PLATFORM_UNAVAILABLE, "down")
+        if fault is Fault.THROTTLED:
+            raise CorianderwallError(ErrorCode.PLATFORM_THROTTLED, "throttled", retry_after_s=1)
+        if fault is not Fault.NONE and kind not in ("write", "delete"):
+            raise CorianderwallError(ErrorCode.PLATFORM_UNAVAILABLE, "no answer")
+        return fault
+
+    async def _change(self, kind: str, key: str, change: Callable[[], int]) -> int:
+        fault = await self._admit(kind, key)
+        if fault is Fault.DELAYED:
+            self._delayed.append(change)
+        if fault in (Fault.DELAYED, Fault.REQUEST_LOST):
+            raise _build_lost_answer()
+        try:
+            revision = change()
+        except RevisionMismatch as error:
+            if fault is Fault.ANSWER_LOST:
+                raise _build_lost_answer() from error
+            raise CorianderwallError(ErrorCode.CONFLICT, "another revision") from error
+        if fault is Fault.ANSWER_LOST:
+            raise _build_lost_answer()
+        return revision
+
+
+class ManualTimer:
+    """A timer that stands still until `clock` is advanced."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.unix_offset_s = START_UNIX_S
+
+    def read_monotonic(self) -> float:
+        """Return the seconds of the clock."""
+        return float(self.clock.seconds())
+
+    def read_unix(self) -> float:
+        """Return the seconds of the clock since a fixed date."""
+        return self.unix_offset_s + self.read_monotonic()
+
+    def sleep(self, seconds: float) -> "Deferred[None]":
+        """Return a deferred that fires once the clock has been advanced."""
+        return deferLater(self.clock, seconds)
+
+
+def _build_lost_answer() -> CorianderwallError:
+    return CorianderwallError(ErrorCode.OUTCOME_UNKNOWN, "lost", effect=Effect.UNKNOWN)
--- /dev/null
+++ b/packages/store/src/corianderwall/store/archive.py
@@ -0,0 +1,116 @@
+"""The audit trail and the history behind the records that the head itself carries."""
+
+from typing import TYPE_CHECKING
+
+from corianderwall.model.delta import apply_delta
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.store.document import (
+    ArchivedVersion,
+    decode_archived,
+    encode_archived,
+    name_audit_key,
+)
+from corianderwall.store.operation import read_created_unix_ms
+
+if TYPE_CHECKING:
+    from corianderwall.model.audit import AuditRecord
+    from corianderwall.model.resource import Snapshot
+    from corianderwall.store.api import ObjectApi
+    from corianderwall.store.document import StoredHead
+
+MAX_SEARCHED = 256
+"""Archived records that a search for one operation reads at most."""
+
+MAX_HISTORY_STEPS = 256
+MAX_CLOCK_SKEW_MS = 300_000
+
+
+class Archive:
+    """Writes and reads `audit/VERSION`; an archived version never changes."""
+
+    def __init__(self, api: "ObjectApi") -> None:
+        self._api = api
+
+    async def archive_head(self, stored: "StoredHead") -> None:
+        """Archive the record of the head's version, so that a newer head may replace it."""
+        if stored.undo is None or not stored.head.recent:
+            return
+        archived = ArchivedVersion(record=stored.head.recent[-1], undo=stored.undo)
+        key = name_audit_key(stored.head.version)
+        try:
+            await self._api.write_if(key, encode_archived(archived), expected_revision=0)
+        except CorianderwallError as error:
+            # All writers would archive the same bytes, so one that is there already is right.
+            if error.code is not ErrorCode.CONFLICT:
+                raise
+
+    async def read(self, version: int) -> ArchivedVersion | None:
+        """Return the archived version, None if it is older than what is kept."""
+        stored = await self._api.read(name_audit_key(version))
+        return None if stored is None else decode_archived(stored.value)
+
+    async def find_operation(
+        self, operation_id: str, *, before_version: int
+    ) -> "AuditRecord | None":
+        """Return the record of an operation from the versions before this one, newest first.
+
+        Raises `OUTCOME_UNKNOWN` if the search ends before the operation's own time is reached.
+        """
+        created = read_created_unix_ms(operation_id)
+        floor = max(0, before_version - MAX_SEARCHED)
+        for version in range(before_version - 1, floor, -1):
+            archived = await self.read(version)
+            if archived is None:
+                return None
+            if archived.record.operation_id == operation_id:
+                return archived.record
+            if is_older(archived.record, created):
+                return None
+        if floor == 0:
+            return None
+        raise CorianderwallError(
+            ErrorCode.OUTCOME_UNKNOWN,
+            f"operation {operation_id!r} is not among the {MAX_SEARCHED} changes searched",
+        )
+
+    async def read_records(
+        self, stored: "StoredHead", *, before_version: int, limit: int
+    ) -> "tuple[AuditRecord, ...]":
+        """Return up to `limit` records of the versions before this one, newest first."""
+        near = {record.to_version: record for record in stored.head.recent}
+        records: list[AuditRecord] = []
+        version = min(before_version - 1, stored.head.version)
+        while version > 0 and len(records) < limit:
+            record = near.get(version)
+            if record is None:
+                archived = await self.read(version)
+                if archived is None:
+                    break
+                record = archived.record
+            records.append(record)
+            version -= 1
+        return tuple(records)
+
+    async def rebuild_snapshot(self, stored: "StoredHead", version: int) -> "Snapshot":
+        """Return an older snapshot by undoing one version after the other."""
+        steps = stored.head.version - version
+        if not 0 <= steps <= MAX_HISTORY_STEPS:
+            raise CorianderwallError(
+                ErrorCode.NOT_FOUND,
+                f"version {version} is not within the last {MAX_HISTORY_STEPS} of"
+                f" {stored.head.version}",
+            )
+        snapshot = stored.head.snapshot
+        undo = stored.undo
+        while snapshot.version > version:
+            if undo is None:
+                raise CorianderwallError(ErrorCode.NOT_FOUND, f"version {version} is not kept")
+            snapshot = apply_delta(snapshot, undo)
+            archived = await self.read(snapshot.version) if snapshot.version > version else None
+            undo = None if archived is None else archived.undo
+        return snapshot
+
+
+def is_older(record: "AuditRecord", created_unix_ms: int | None) -> bool:
+    """Return whether a record was surely made before an operation was."""
+    return created_unix_ms is not None and record.unix_ms < created_unix_ms - MAX_CLOCK_SKEW_MS
--- /dev/null
+++ b/packages/store/src/corianderwall/store/backoff.py
@@ -0,0 +1,17 @@
+"""Exponential backoff with full jitter."""
+
+from dataclasses import dataclass
+from random import Random
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Backoff:
+    """Delays drawn evenly from zero to a ceiling that doubles with each failed attempt."""
+
+    base_s: float = 0.05
+    cap_s: float = 5.0
+
+    def compute_delay(self, attempt: int, random: Random) -> float:
+        """Return the seconds to wait after this many failed attempts in a row."""
+        exponent = min(max(attempt - 1, 0), 30)
+        return random.uniform(0, min(self.cap_s, self.base_s * 2**exponent))
--- /dev/null
+++ b/packages/store/src/corianderwall/store/commit.py
@@ -0,0 +1,139 @@
+"""One commit of an operation, carried through lost answers and races with other operators."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from corianderwall.model.audit import AuditRecord, Head
+from corianderwall.model.change import Operation, apply_change
+from corianderwall.model.codec import compute_digest
+from corianderwall.model.delta import compute_delta
+from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
+from corianderwall.store.document import MAX_RECENT, StoredHead, encode_head
+from corianderwall.store.operation import read_kind, summarise_change
+from corianderwall.store.retry import RETRYABLE
+
+if TYPE_CHECKING:
+    from corianderwall.store.head import HeadStore
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Committed:
+    """The version that an operation made, its record, and the newest head seen meanwhile."""
+
+    version: int
+    record: AuditRecord
+    head: Head
+
+
+class Commit:
+    """One commit: reads, applies and writes until the outcome is known or time is up."""
+
+    def __init__(
+        self, store: "HeadStore", operation: Operation, deadline: float, repeated: bool
+    ) -> None:
+        self._store = store
+        self._operation = operation
+        self._deadline = deadline
+        self._repeated = repeated
+        self._unresolved_base: int | None = None
+        """Version on which a write with a lost answer was based."""
+
+    async def run(self) -> Committed:
+        """Return what the operation made, or raise the error that is true of its effect."""
+        attempt = 0
+        while True:
+            try:
+                return await self._attempt()
+            except CorianderwallError as error:
+                attempt += 1
+                if not await self._may_repeat(error, attempt):
+                    raise self._judge_effect(error) from error
+
+    async def _may_repeat(self, error: CorianderwallError, attempt: int) -> bool:
+        if error.code not in RETRYABLE and error.code is not ErrorCode.CONFLICT:
+            return False
+        return await self._store.pause(attempt, error.retry_after_s, deadline=self._deadline)
+
+    async def _attempt(self) -> Committed:
+        base = await self._store.read_head(deadline=self._deadline)
+        record = await self._find_earlier(base)
+        if record is not None:
+            return Committed(version=record.to_version, record=record, head=base.head)
+        head = make_next_head(base.head, self._operation, self._store.read_unix_ms())
+        undo = compute_delta(head.snapshot, base.head.snapshot)
+        encoded = encode_head(head, undo, base.parts)
+        await self._store.prepare(base, encoded.pieces, deadline=self._deadline)
+        try:
+            await self._store.replace_head(base, encoded.value)
+        except CorianderwallError as error:
+            if error.code is ErrorCode.OUTCOME_UNKNOWN:
+                self._unresolved_base = base.head.version
+            raise
+        return Committed(version=head.version, record=head.recent[-1], head=head)
+
+    async def _find_earlier(self, base: StoredHead) -> AuditRecord | None:
+        """Return the record of this operation if an earlier write of it took effect."""
+        operation_id = self._operation.operation_id
+        record = find_record(base.head.recent, operation_id)
+        if record is None and self._repeated:
+            record = await self._store.find_archived(base, operation_id, deadline=self._deadline)
+            self._repeated = False
+        if record is None and self._unresolved_base is not None:
+            record = await self._resolve_write(base, self._unresolved_base)
+        return record
+
+    async def _resolve_write(self, base: StoredHead, unresolved: int) -> AuditRecord | None:
+        # A write based on version n can only have made n + 1, so that record alone decides.
+        # While the head still is n the write may be under way; one more on n is safe, as the
+        # platform lets only one of them through.
+        if base.head.version == unresolved:
+            return None
+        record = await self._store.read_record(base, unresolved + 1, deadline=self._deadline)
+        if record is None:
+            raise _outcome_unknown(self._operation.operation_id)
+        self._unresolved_base = None
+        return record if record.operation_id == self._operation.operation_id else None
+
+    def _judge_effect(self, error: CorianderwallError) -> CorianderwallError:
+        if self._unresolved_base is not None:
+            return _outcome_unknown(self._operation.operation_id)
+        if error.code is ErrorCode.OUTCOME_UNKNOWN:
+            # Only the writes that prepare the change were lost, so the head is as before.
+            return CorianderwallError(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                "the platform's answers were lost until the deadline",
+            )
+        return error
+
+
+def make_next_head(head: Head, operation: Operation, unix_ms: int) -> Head:
+    """Return the head that the operation makes of this one, or raise the change's error."""
+    snapshot = apply_change(head.snapshot, operation.change)
+    record = AuditRecord(
+        operation_id=operation.operation_id,
+        actor=operation.actor,
+        unix_ms=unix_ms,
+        from_version=head.version,
+        to_version=snapshot.version,
+        kind=read_kind(operation.change),
+        summary=summarise_change(operation.change),
+    )
+    return Head(
+        version=snapshot.version,
+        digest=compute_digest(snapshot),
+        snapshot=snapshot,
+        recent=(*head.recent, record)[-MAX_RECENT:],
+    )
+
+
+def find_record(records: tuple[AuditRecord, ...], operation_id: str) -> AuditRecord | None:
+    """Return the record of an operation among these."""
+    return next((each for each in records if each.operation_id == operation_id), None)
+
+
+def _outcome_unknown(operation_id: str) -> CorianderwallError:
+    return CorianderwallError(
+        ErrorCode.OUTCOME_UNKNOWN,
+        f"the outcome of operation {operation_id!r} is not known yet; ask for it later",
+        effect=Effect.UNKNOWN,
+    )
--- /dev/null
+++ b/packages/store/src/corianderwall/store/document.py
@@ -0,0 +1,164 @@
+"""Encoding of the head object and of the archived versions, split where they are large."""
+
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from corianderwall.model.audit import AuditRecord, Head
+from corianderwall.model.codec import decode_snapshot, encode_snapshot
+from corianderwall.model.delta import Delta
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import EMPTY_SNAPSHOT, Snapshot
+
+HEAD_KEY = "config/head"
+PARTS_PREFIX = "config/parts/"
+AUDIT_PREFIX = "audit/"
+MAX_INLINE_BYTES = 700 << 10
+"""Longest snapshot that is kept inside the head object, whose other fields need room too."""
+
+MAX_PART_BYTES = 900 << 10
+MAX_PARTS = 64
+MAX_RECENT = 64
+"""Records of the newest changes that the head itself carries."""
+
+
+class Part(msgspec.Struct, frozen=True):
+    """An immutable piece of a snapshot; `made_for` is the version that it was written for."""
+
+    made_for: int
+    digest: str
+
+    @property
+    def key(self) -> str:
+        """Return the key of the part's object."""
+        return f"{PARTS_PREFIX}{self.made_for:012d}/{self.digest}"
+
+
+class HeadDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """The value of the head object; the snapshot is either inline or in `parts`.
+
+    `undo` leads from this version back to the one before it.
+    """
+
+    version: int
+    digest: str
+    recent: tuple[AuditRecord, ...]
+    snapshot: Snapshot | None = None
+    parts: tuple[Part, ...] = ()
+    undo: Delta | None = None
+
+
+class ArchivedVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """The record of one version and the delta that leads back to the one before it."""
+
+    record: AuditRecord
+    undo: Delta
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredHead:
+    """The head as it was read at `revision`; 0 and an empty snapshot if nothing was written."""
+
+    revision: int
+    head: Head
+    parts: tuple[Part, ...] = ()
+    undo: Delta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """The bytes of a part."""
+
+    part: Part
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EncodedHead:
+    """The value of a head object and the pieces that must exist before it is written."""
+
+    value: bytes
+    pieces: tuple[Piece, ...]
+
+
+EMPTY_HEAD = StoredHead(revision=0, head=Head(version=0, digest="", snapshot=EMPTY_SNAPSHOT))
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+_head_decoder = msgspec.json.Decoder(HeadDocument)
+_archive_decoder = msgspec.json.Decoder(ArchivedVersion)
+
+
+def name_audit_key(version: int) -> str:
+    """Return the key under which the record of a version is archived."""
+    return f"{AUDIT_PREFIX}{version:012d}"
+
+
+def encode_head(head: Head, undo: Delta, known_parts: tuple[Part, ...]) -> EncodedHead:
+    """Return the head object of `head`; pieces equal to known parts are referred to again."""
+    body = encode_snapshot(head.snapshot)
+    pieces: tuple[Piece, ...] = ()
+    if len(body) > MAX_INLINE_BYTES:
+        pieces = _split_body(body, head.version, known_parts)
+    document = HeadDocument(
+        version=head.version,
+        digest=head.digest,
+        recent=head.recent,
+        snapshot=None if pieces else head.snapshot,
+        parts=tuple(piece.part for piece in pieces),
+        undo=undo,
+    )
+    return EncodedHead(value=_encoder.encode(document), pieces=pieces)
+
+
+def decode_head(value: bytes) -> HeadDocument:
+    """Return the document in the value of a head object, or raise `DAMAGED_UPDATE`."""
+    try:
+        return _head_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CorianderwallError(ErrorCode.DAMAGED_UPDATE, f"not a head: {error}") from error
+
+
+def join_head(document: HeadDocument, revision: int, pieces: list[bytes]) -> StoredHead:
+    """Return the head with the snapshot joined from its pieces, or raise `DAMAGED_UPDATE`."""
+    body = b"".join(pieces)
+    if document.snapshot is not None:
+        body = encode_snapshot(document.snapshot)
+    if xxhash.xxh3_128_hexdigest(body) != document.digest:
+        raise CorianderwallError(
+            ErrorCode.DAMAGED_UPDATE, f"version {document.version} does not match its digest"
+        )
+    head = Head(
+        version=document.version,
+        digest=document.digest,
+        snapshot=document.snapshot or decode_snapshot(body),
+        recent=document.recent,
+    )
+    return StoredHead(revision=revision, head=head, parts=document.parts, undo=document.undo)
+
+
+def encode_archived(archived: ArchivedVersion) -> bytes:
+    """Return the value of an archived version."""
+    return _encoder.encode(archived)
+
+
+def decode_archived(value: bytes) -> ArchivedVersion:
+    """Return the archived version in `value`, or raise `DAMAGED_UPDATE`."""
+    try:
+        return _archive_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CorianderwallError(
+            ErrorCode.DAMAGED_UPDATE, f"not an archived version: {error}"
+        ) from error
+
+
+def _split_body(body: bytes, version: int, known_parts: tuple[Part, ...]) -> tuple[Piece, ...]:
+    known = {part.digest: part for part in known_parts}
+    pieces: list[Piece] = []
+    for start in range(0, len(body), MAX_PART_BYTES):
+        piece = body[start : start + MAX_PART_BYTES]
+        digest = xxhash.xxh3_128_hexdigest(piece)
+        pieces.append(Piece(known.get(digest, Part(version, digest)), piece))
+    if len(pieces) > MAX_PARTS:
+        raise CorianderwallError(ErrorCode.TOO_LARGE, "the configuration is too large to be kept")
+    return tuple(pieces)
--- /dev/null
+++ b/packages/store/src/corianderwall/store/head.py
@@ -0,0 +1,185 @@
+"""The head object: the newest configuration, changed by conditional updates only."""
+
+import enum
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+from twisted.internet.defer import DeferredLock
+
+from corianderwall.model.audit import AuditRecord
+from corianderwall.model.change import Operation
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import Snapshot
+from corianderwall.store.api import ObjectApi, StoredObject
+from corianderwall.store.archive import Archive, is_older
+from corianderwall.store.backoff import Backoff
+from corianderwall.store.commit import Commit, Committed, find_record
+from corianderwall.store.document import (
+    EMPTY_HEAD,
+    HEAD_KEY,
+    Piece,
+    StoredHead,
+    decode_head,
+    join_head,
+)
+from corianderwall.store.operation import read_created_unix_ms
+from corianderwall.store.retry import Retrier
+from corianderwall.store.timer import Timer
+
+SETTLED_AFTER_MS = 120_000
+"""Age from which no write of an operation can still be under way."""
+
+RETRY_BACKOFF = Backoff(base_s=0.02, cap_s=2.0)
+
+
+class OperationState(enum.StrEnum):
+    """What is known of an operation that was asked about later."""
+
+    APPLIED = "applied"
+    NOT_APPLIED = "not_applied"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Resolution:
+    """The state of an operation, with its record if it was applied."""
+
+    state: OperationState
+    record: AuditRecord | None = None
+
+
+class HeadStore:
+    """Reads and changes the head; deadlines are instants of the timer's monotonic clock."""
+
+    def __init__(self, api: ObjectApi, timer: Timer, random: Random) -> None:
+        self.archive = Archive(api)
+        self._api = api
+        self._timer = timer
+        self._retrier = Retrier(timer, random, RETRY_BACKOFF)
+        self._lock = DeferredLock()
+
+    async def read_head(self, *, deadline: float) -> StoredHead:
+        """Return the newest head, an empty one if nothing was ever written."""
+
+        async def read() -> StoredHead:
+            stored = await self._api.read(HEAD_KEY)
+            return EMPTY_HEAD if stored is None else await load_head(self._api, stored)
+
+        return await self._retrier.run(read, deadline=deadline)
+
+    async def commit(
+        self, operation: Operation, *, deadline: float, repeated: bool = False
+    ) -> Committed:
+        """Apply the operation to the newest head, once, whatever answers are lost.
+
+        `repeated` tells that the operation was perhaps sent before, so that the archive is
+        searched too. Raises `OUTCOME_UNKNOWN` if a lost answer can't be resolved in time, and
+        the error of the change or of the platform, both without effect, otherwise.
+        """
+        # Changes made through the same node queue here; they would only conflict.
+        await self._lock.acquire()
+        try:
+            return await Commit(self, operation, deadline, repeated).run()
+        finally:
+            self._lock.release()
+
+    async def resolve(self, operation_id: str, *, deadline: float) -> Resolution:
+        """Return what became of an operation whose outcome was unknown."""
+        stored = await self.read_head(deadline=deadline)
+        record = find_record(stored.head.recent, operation_id)
+        if record is None:
+            record = await self.find_archived(stored, operation_id, deadline=deadline)
+        if record is not None:
+            return Resolution(state=OperationState.APPLIED, record=record)
+        created = read_created_unix_ms(operation_id)
+        if created is None or self.read_unix_ms() - created < SETTLED_AFTER_MS:
+            return Resolution(state=OperationState.UNKNOWN)
+        return Resolution(state=OperationState.NOT_APPLIED)
+
+    async def read_snapshot_at(self, version: int, *, deadline: float) -> Snapshot:
+        """Return the snapshot of a version that is still kept, or raise `NOT_FOUND`."""
+        stored = await self.read_head(deadline=deadline)
+        return await self._retrier.run(
+            lambda: self.archive.rebuild_snapshot(stored, version), deadline=deadline
+        )
+
+    async def read_audit(
+        self, *, before_version: int | None, limit: int, deadline: float
+    ) -> tuple[AuditRecord, ...]:
+        """Return up to `limit` records, newest first, of the versions before this one."""
+        stored = await self.read_head(deadline=deadline)
+        before = stored.head.version + 1 if before_version is None else before_version
+        return await self._retrier.run(
+            lambda: self.archive.read_records(stored, before_version=before, limit=limit),
+            deadline=deadline,
+        )
+
+    async def find_archived(
+        self, stored: StoredHead, operation_id: str, *, deadline: float
+    ) -> AuditRecord | None:
+        """Return the record of an operation that is older than the head's own records."""
+        recent = stored.head.recent
+        if not recent or is_older(recent[0], read_created_unix_ms(operation_id)):
+            return None
+        return await self._retrier.run(
+            lambda: self.archive.find_operation(operation_id, before_version=recent[0].to_version),
+            deadline=deadline,
+        )
+
+    async def read_record(
+        self, stored: StoredHead, version: int, *, deadline: float
+    ) -> AuditRecord | None:
+        """Return the record of one version up to the head's."""
+        records = await self._retrier.run(
+            lambda: self.archive.read_records(stored, before_version=version + 1, limit=1),
+            deadline=deadline,
+        )
+        return records[0] if records else None
+
+    async def prepare(
+        self, base: StoredHead, pieces: tuple[Piece, ...], *, deadline: float
+    ) -> None:
+        """Write all that must exist before the next head; each write is idempotent."""
+        for piece in pieces:
+            if piece.part not in base.parts:
+                await self._retrier.run(partial(self._write_piece, piece), deadline=deadline)
+        await self._retrier.run(lambda: self.archive.archive_head(base), deadline=deadline)
+
+    async def replace_head(self, base: StoredHead, value: bytes) -> int:
+        """Write the next head if the base still is the newest; return its revision."""
+        return await self._api.write_if(HEAD_KEY, value, expected_revision=base.revision)
+
+    async def pause(self, attempt: int, at_least_s: float, *, deadline: float) -> bool:
+        """Wait before the next attempt of a commit; False if no time is left."""
+        return await self._retrier.pause(attempt, at_least_s, deadline=deadline)
+
+    def read_unix_ms(self) -> int:
+        """Return the wall clock in milliseconds."""
+        return int(self._timer.read_unix() * 1000)
+
+    async def _write_piece(self, piece: Piece) -> None:
+        try:
+            await self._api.write_if(piece.part.key, piece.body, expected_revision=0)
+        except CorianderwallError as error:
+            # The key holds the digest, so a part that is there already has these bytes.
+            if error.code is not ErrorCode.CONFLICT:
+                raise
+
+
+async def load_head(api: ObjectApi, stored: StoredObject) -> StoredHead:
+    """Return the head in a stored object, with its parts read.
+
+    Raises `PLATFORM_UNAVAILABLE` if a part is gone, as a newer head has replaced this one.
+    """
+    document = decode_head(stored.value)
+    pieces: list[bytes] = []
+    for part in document.parts:
+        piece = await api.read(part.key)
+        if piece is None:
+            raise CorianderwallError(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                f"version {document.version} was replaced while it was being read",
+            )
+        pieces.append(piece.value)
+    return join_head(document, stored.revision, pieces)
--- /dev/null
+++ b/packages/store/src/corianderwall/store/http_api.py
@@ -0,0 +1,170 @@
+"""The platform's object API over HTTP."""
+
+from typing import TYPE_CHECKING, Any, cast
+from urllib.parse import quote
+
+import msgspec
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+
+from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
+from corianderwall.store.api import StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+MAX_VALUE_BYTES = 1 << 20
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+IDLE_CONNECTION_TIMEOUT_S = 20.0
+MAX_IDLE_CONNECTIONS = 4
+
+
+class HttpObjectApi:
+    """Implements `ObjectApi`; it never repeats a call by itself."""
+
+    def __init__(self, reactor: Any, base_url: str, *, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self._reactor = reactor
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._pool: Any = cast("Any", HTTPConnectionPool)(reactor, persistent=True)
+        # The library would repeat a DELETE whose answer was lost and so report a false conflict.
+        self._pool.retryAutomatically = False
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
+        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        agent = cast("Any", Agent)(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._client = HTTPClient(agent)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._pool.closeCachedConnections()
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Return the object, or None if there is none."""
+        answer = await self._call("GET", self._build_url(key), self._timeout_s)
+        if answer.status == 404:
+            return None
+        answer.require(200)
+        return StoredObject(key=key, value=answer.body, revision=answer.read_revision())
+
+    async def write_if(self, key: str, value: bytes, *, expected_revision: int) -> int:
+        """Write if the revision still is the expected one; return the new revision."""
+        headers = _build_condition(expected_revision)
+        answer = await self._call(
+            "PUT", self._build_url(key), self._timeout_s, headers=headers, data=value
+        )
+        answer.require(200)
+        return answer.read_revision()
+
+    async def delete_if(self, key: str, *, expected_revision: int) -> None:
+        """Delete if the revision still is the expected one."""
+        headers = _build_condition(expected_revision)
+        answer = await self._call("DELETE", self._build_url(key), self._timeout_s, headers=headers)
+        answer.require(204)
+
+    async def watch(self, key: str, *, after_revision: int, wait_s: float) -> StoredObject | None:
+        """Return the object once its revision is above `after_revision`, None after `wait_s`."""
+        url = f"{self._build_url(key)}?after={after_revision}&wait_ms={int(wait_s * 1000)}"
+        answer = await self._call("GET", url, wait_s + self._timeout_s)
+        if answer.status in (304, 404):
+            return None
+        answer.require(200)
+        return StoredObject(key=key, value=answer.body, revision=answer.read_revision())
+
+    async def list_keys(self, prefix: str) -> tuple[str, ...]:
+        """Return the sorted keys that begin with `prefix`."""
+        url = f"{self._base_url}/objects?prefix={quote(prefix, safe='')}"
+        answer = await self._call("GET", url, self._timeout_s)
+        answer.require(200)
+        try:
+            return tuple(sorted(msgspec.json.decode(answer.body, type=list[str])))
+        except msgspec.DecodeError as error:
+            raise _unavailable(f"the list of keys is malformed: {error}") from error
+
+    def _build_url(self, key: str) -> str:
+        return f"{self._base_url}/objects/{quote(key)}"
+
+    async def _call(self, method: str, url: str, timeout_s: float, **options: Any) -> "_Answer":
+        exchange = Deferred.fromCoroutine(self._exchange(method, url, options))
+        exchange.addTimeout(timeout_s, self._reactor)
+        try:
+            return await exchange
+        except CorianderwallError:
+            raise
+        except Exception as error:
+            raise _judge_failure(method, error) from error
+
+    async def _exchange(self, method: str, url: str, options: dict[str, Any]) -> "_Answer":
+        request: Callable[..., Awaitable[Any]] = self._client.request
+        response = await request(method, url, unbuffered=True, **options)
+        body = await readBody(response)
+        if len(body) > MAX_VALUE_BYTES and method == "GET" and "?prefix=" not in url:
+            raise _unavailable("the value is larger than the platform allows")
+        headers = response.headers
+        return _Answer(
+            method=method,
+            status=response.code,
+            body=body,
+            tag=_read_header(headers, "etag"),
+            retry_after=_read_header(headers, "retry-after"),
+        )
+
+
+class _Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """An HTTP answer, judged by the contract of the object API."""
+
+    method: str
+    status: int
+    body: bytes
+    tag: str
+    retry_after: str
+
+    def require(self, status: int) -> None:
+        """Raise the error that another status stands for."""
+        if self.status != status:
+            raise self._judge_status()
+
+    def read_revision(self) -> int:
+        """Return the revision in the ETag; an answer without one is as good as lost."""
+        digits = self.tag.strip('"')
+        if not digits.isdigit():
+            raise _judge_failure(self.method, ValueError("the answer has no revision"))
+        return int(digits)
+
+    def _judge_status(self) -> CorianderwallError:
+        if self.status == 412:
+            return CorianderwallError(ErrorCode.CONFLICT, "the object has another revision")
+        if self.status == 413:
+            return CorianderwallError(ErrorCode.TOO_LARGE, "the value is too large to be stored")
+        if self.status == 429:
+            wait_s = float(self.retry_after) if self.retry_after.isdigit() else 1.0
+            return CorianderwallError(
+                ErrorCode.PLATFORM_THROTTLED, "the platform throttles", retry_after_s=wait_s
+            )
+        if self.status == 503:
+            return _unavailable("the platform says that it is down")
+        return _judge_failure(self.method, ValueError(f"unexpected status {self.status}"))
+
+
+def _judge_failure(method: str, error: Exception) -> CorianderwallError:
+    """Return the error of a call without a usable answer; only a write may have had an effect."""
+    if method == "GET" or isinstance(error, ConnectError):
+        return _unavailable(f"the platform gave no answer: {error!r}")
+    return CorianderwallError(
+        ErrorCode.OUTCOME_UNKNOWN, "the answer to a write was lost", effect=Effect.UNKNOWN
+    )
+
+
+def _unavailable(sentence: str) -> CorianderwallError:
+    return CorianderwallError(ErrorCode.PLATFORM_UNAVAILABLE, sentence)
+
+
+def _read_header(headers: Any, name: str) -> str:
+    values = headers.getRawHeaders(name)
+    return str(values[0]) if values else ""
+
+
+def _build_condition(expected_revision: int) -> dict[str, str]:
+    return {"if-match": f'"{expected_revision}"'}
--- /dev/null
+++ b/packages/store/src/corianderwall/store/lease.py
@@ -0,0 +1,268 @@
+"""Leases kept as objects of the platform, with fencing tokens.
+
+A lease only saves work; what its holder writes is guarded by the fencing token.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from automat import TypeMachineBuilder
+
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.store.api import ObjectApi, StoredObject
+from corianderwall.store.timer import Timer
+
+LEASES_PREFIX = "leases/"
+MAX_CLOCK_SKEW_S = 2.0
+"""Time after the stored deadline before another host takes the lease over."""
+
+
+class LeaseDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """The value of a lease object; `nonce` tells one attempt to acquire from another."""
+
+    holder: str
+    nonce: str
+    deadline_unix_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Grant:
+    """A lease as its holder sees it; `deadline` is an instant of its own monotonic clock."""
+
+    fencing: int
+    revision: int
+    deadline: float
+    deadline_unix_s: float
+
+
+class LeaseCycle(Protocol):
+    """Life cycle of a lease: absent, acquiring, held, lapsed."""
+
+    def begin(self) -> None:
+        """Start to acquire."""
+
+    def grant(self, grant: Grant) -> None:
+        """Take note that the platform granted or renewed the lease."""
+
+    def refuse(self) -> None:
+        """Take note that another node holds the lease or the outcome is not known."""
+
+    def lapse(self) -> None:
+        """Take note that the deadline has passed or another node took the lease over."""
+
+    def release(self) -> None:
+        """Give the lease up."""
+
+    def read_state(self) -> str:
+        """Return absent, acquiring, held or lapsed."""
+
+
+@dataclass(slots=True)
+class _LeaseCore:
+    grant: Grant | None = None
+
+
+def _build_cycle() -> "TypeMachineBuilder[LeaseCycle, _LeaseCore]":
+    builder = TypeMachineBuilder(LeaseCycle, _LeaseCore)
+    absent = builder.state("absent")
+    acquiring = builder.state("acquiring")
+    held = builder.state("held")
+    lapsed = builder.state("lapsed")
+
+    def store_grant(cycle: LeaseCycle, core: _LeaseCore, grant: Grant) -> None:
+        core.grant = grant
+
+    def drop_grant(cycle: LeaseCycle, core: _LeaseCore) -> None:
+        core.grant = None
+
+    for state in (absent, lapsed):
+        state.upon(LeaseCycle.begin).to(acquiring)(drop_grant)
+        state.upon(LeaseCycle.lapse).loop()(drop_grant)
+        state.upon(LeaseCycle.refuse).loop()(drop_grant)
+        state.upon(LeaseCycle.release).to(absent)(drop_grant)
+    acquiring.upon(LeaseCycle.grant).to(held)(store_grant)
+    acquiring.upon(LeaseCycle.refuse).to(absent)(drop_grant)
+    acquiring.upon(LeaseCycle.lapse).to(lapsed)(drop_grant)
+    acquiring.upon(LeaseCycle.release).to(absent)(drop_grant)
+    held.upon(LeaseCycle.grant).loop()(store_grant)
+    held.upon(LeaseCycle.lapse).to(lapsed)(drop_grant)
+    held.upon(LeaseCycle.refuse).to(lapsed)(drop_grant)
+    held.upon(LeaseCycle.release).to(absent)(drop_grant)
+    names = (("absent", absent), ("acquiring", acquiring), ("held", held), ("lapsed", lapsed))
+    for name, state in names:
+        state.upon(LeaseCycle.read_state).loop().returns(name)
+    return builder
+
+
+_create_cycle = _build_cycle().build()
+
+
+class Lease:
+    """What the holder may do at an instant; a pure part of `LeaseKeeper`."""
+
+    def __init__(self) -> None:
+        self._core = _LeaseCore()
+        self._cycle = _create_cycle(self._core)
+
+    @property
+    def state(self) -> str:
+        """Return absent, acquiring, held or lapsed, as last noted."""
+        return self._cycle.read_state()
+
+    @property
+    def grant(self) -> Grant | None:
+        """Return the grant while the lease is held."""
+        return self._core.grant
+
+    def begin(self) -> None:
+        """Start to acquire."""
+        self._cycle.begin()
+
+    def accept(self, grant: Grant, now: float) -> None:
+        """Note a grant or a renewal; one that arrives after its deadline is a lapse."""
+        if now >= grant.deadline:
+            self._cycle.lapse()
+        else:
+            self._cycle.grant(grant)
+
+    def refuse(self) -> None:
+        """Note that the platform refused."""
+        self._cycle.refuse()
+
+    def release(self) -> None:
+        """Give the lease up."""
+        self._cycle.release()
+
+    def lapse(self) -> None:
+        """Note that the lease is lost."""
+        self._cycle.lapse()
+
+    def is_held(self, now: float) -> bool:
+        """Return whether the lease is held at this instant, and note the lapse if it is not."""
+        grant = self._core.grant
+        if grant is None:
+            return False
+        if now >= grant.deadline:
+            self._cycle.lapse()
+            return False
+        return True
+
+    def require_held(self, now: float) -> int:
+        """Return the fencing token, or raise `LEASE_LOST`; call it right before each act."""
+        grant = self._core.grant
+        if grant is None or not self.is_held(now):
+            raise CorianderwallError(ErrorCode.LEASE_LOST, "the lease is not held any more")
+        return grant.fencing
+
+
+class LeaseKeeper:
+    """Acquires, renews and releases one lease through the object API."""
+
+    def __init__(
+        self, api: ObjectApi, timer: Timer, *, name: str, holder: str, ttl_s: float
+    ) -> None:
+        self.lease = Lease()
+        self._api = api
+        self._timer = timer
+        self._key = f"{LEASES_PREFIX}{name}"
+        self._holder = holder
+        self._ttl_s = ttl_s
+        self._attempts = 0
+
+    async def acquire(self) -> bool:
+        """Try once to take the lease; False while another node holds it.
+
+        Raises the platform's errors; a lost answer is resolved by reading, if that succeeds.
+        """
+        if self.lease.is_held(self._timer.read_monotonic()):
+            return True
+        self.lease.release()
+        self.lease.begin()
+        try:
+            return await self._acquire()
+        finally:
+            if self.lease.state == "acquiring":
+                self.lease.refuse()
+
+    async def renew(self) -> bool:
+        """Extend the lease; False if it has lapsed or was taken over.
+
+        An error of the platform leaves the lease as it is: its deadline still holds.
+        """
+        grant = self.lease.grant
+        if grant is None or not self.lease.is_held(self._timer.read_monotonic()):
+            return False
+        try:
+            await self._write(grant.revision, fencing=grant.fencing)
+        except CorianderwallError as error:
+            if error.code is not ErrorCode.CONFLICT:
+                raise
+            self.lease.lapse()
+        return self.lease.is_held(self._timer.read_monotonic())
+
+    async def release(self) -> None:
+        """Give the lease up; the object is deleted if it still is this node's."""
+        grant = self.lease.grant
+        self.lease.release()
+        if grant is None:
+            return
+        try:
+            await self._api.delete_if(self._key, expected_revision=grant.revision)
+        except CorianderwallError as error:
+            if error.code is not ErrorCode.CONFLICT:
+                raise
+
+    async def _acquire(self) -> bool:
+        stored = await self._api.read(self._key)
+        if stored is not None and not self._may_take(stored):
+            return False
+        try:
+            await self._write(0 if stored is None else stored.revision, fencing=None)
+        except CorianderwallError as error:
+            if error.code is not ErrorCode.CONFLICT:
+                raise
+            return False
+        return self.lease.is_held(self._timer.read_monotonic())
+
+    async def _write(self, expected_revision: int, *, fencing: int | None) -> None:
+        # Both deadlines are taken before the write is sent, so a pause can only shorten them.
+        deadline = self._timer.read_monotonic() + self._ttl_s
+        deadline_unix_s = self._timer.read_unix() + self._ttl_s
+        self._attempts += 1
+        document = LeaseDocument(
+            holder=self._holder,
+            nonce=f"{self._attempts}-{deadline!r}",
+            deadline_unix_ms=int(deadline_unix_s * 1000),
+        )
+        revision = await self._write_document(document, expected_revision)
+        grant = Grant(
+            fencing=revision if fencing is None else fencing,
+            revision=revision,
+            deadline=deadline,
+            deadline_unix_s=deadline_unix_s,
+        )
+        self.lease.accept(grant, self._timer.read_monotonic())
+
+    async def _write_document(self, document: LeaseDocument, expected_revision: int) -> int:
+        value = msgspec.json.encode(document)
+        try:
+            return await self._api.write_if(self._key, value, expected_revision=expected_revision)
+        except CorianderwallError as error:
+            if error.code is not ErrorCode.OUTCOME_UNKNOWN:
+                raise
+            stored = await self._api.read(self._key)
+            if stored is None or stored.value != value:
+                raise
+            return stored.revision
+
+    def _may_take(self, stored: StoredObject) -> bool:
+        try:
+            document = msgspec.json.decode(stored.value, type=LeaseDocument)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return True
+        # A holder that lost count of its own lease takes it again, under a newer token.
+        if document.holder == self._holder:
+            return True
+        expires_at = document.deadline_unix_ms / 1000 + MAX_CLOCK_SKEW_S
+        return self._timer.read_unix() >= expires_at
--- /dev/null
+++ b/packages/store/src/corianderwall/store/retry.py
@@ -0,0 +1,45 @@
+"""Repeats calls to the platform that had no effect or are idempotent, until a deadline."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import TypeVar
+
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.store.backoff import Backoff
+from corianderwall.store.timer import Timer
+
+T = TypeVar("T")
+
+RETRYABLE = frozenset(
+    {ErrorCode.PLATFORM_UNAVAILABLE, ErrorCode.PLATFORM_THROTTLED, ErrorCode.OUTCOME_UNKNOWN}
+)
+
+
+class Retrier:
+    """Waits between attempts with full jitter, or as long as the platform asks."""
+
+    def __init__(self, timer: Timer, random: Random, backoff: Backoff) -> None:
+        self._timer = timer
+        self._random = random
+        self._backoff = backoff
+
+    async def run(self, call: Callable[[], Awaitable[T]], *, deadline: float) -> T:
+        """Return the first result, or raise the last error once the deadline leaves no time."""
+        attempt = 0
+        while True:
+            try:
+                return await call()
+            except CorianderwallError as error:
+                if error.code not in RETRYABLE:
+                    raise
+                attempt += 1
+                if not await self.pause(attempt, error.retry_after_s, deadline=deadline):
+                    raise
+
+    async def pause(self, attempt: int, at_least_s: float, *, deadline: float) -> bool:
+        """Wait before the next attempt; False at once if it would begin after the deadline."""
+        delay = max(at_least_s, self._backoff.compute_delay(attempt, self._random))
+        if self._timer.read_monotonic() + delay >= deadline:
+            return False
+        await self._timer.sleep(delay)
+        return True
--- /dev/null
+++ b/packages/store/src/corianderwall/store/sweep.py
@@ -0,0 +1,50 @@
+"""Deletes the objects that no head refers to any more and the oldest archived versions."""
+
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.store.api import ObjectApi
+from corianderwall.store.document import AUDIT_PREFIX, PARTS_PREFIX, StoredHead, name_audit_key
+
+MAX_DELETIONS = 50
+"""Objects deleted in one sweep, so that a sweep stays within the node's share."""
+
+ARCHIVED_VERSIONS = 260_000
+"""Versions kept in the audit trail: a year at 710 changes a day."""
+
+
+async def sweep_objects(
+    api: ObjectApi, stored: StoredHead, *, archived_versions: int = ARCHIVED_VERSIONS
+) -> int:
+    """Delete what the head at hand makes superfluous; return the number of objects.
+
+    Parts made for a later version than this head's are left alone: their writer may be about to
+    write the head that refers to them.
+    """
+    keys = find_superfluous(await api.list_keys(PARTS_PREFIX), stored)
+    floor = stored.head.version - archived_versions
+    if floor > 0:
+        archived = await api.list_keys(AUDIT_PREFIX)
+        keys.extend(key for key in archived if key <= name_audit_key(floor))
+    return await _delete(api, keys[:MAX_DELETIONS])
+
+
+def find_superfluous(keys: tuple[str, ...], stored: StoredHead) -> list[str]:
+    """Return the keys of parts that neither this head nor any later one can refer to."""
+    used = {part.key for part in stored.parts}
+    end = f"{PARTS_PREFIX}{stored.head.version + 1:012d}/"
+    return [key for key in keys if key < end and key not in used]
+
+
+async def _delete(api: ObjectApi, keys: list[str]) -> int:
+    deleted = 0
+    for key in keys:
+        stored = await api.read(key)
+        if stored is None:
+            continue
+        try:
+            await api.delete_if(key, expected_revision=stored.revision)
+        except CorianderwallError as error:
+            if error.code is not ErrorCode.CONFLICT:
+                raise
+            continue
+        deleted += 1
+    return deleted
--- /dev/null
+++ b/packages/store/src/corianderwall/store/watcher.py
@@ -0,0 +1,57 @@
+"""Follows the head by long polls that resume from the last revision."""
+
+from collections.abc import Callable
+from random import Random
+
+from corianderwall.model.errors import CorianderwallError
+from corianderwall.store.api import ObjectApi
+from corianderwall.store.backoff import Backoff
+from corianderwall.store.document import EMPTY_HEAD, HEAD_KEY, StoredHead
+from corianderwall.store.head import load_head
+from corianderwall.store.timer import Timer
+
+WATCH_S = 25.0
+WATCH_BACKOFF = Backoff(base_s=0.1, cap_s=5.0)
+
+
+class HeadWatcher:
+    """Hands each newer head to `deliver`; errors are retried for as long as it runs."""
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        timer: Timer,
+        random: Random,
+        deliver: Callable[[StoredHead], None],
+        report: Callable[[CorianderwallError], None],
+    ) -> None:
+        self._api = api
+        self._timer = timer
+        self._random = random
+        self._deliver = deliver
+        self._report = report
+        self._newest = EMPTY_HEAD
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follow the head until cancelled."""
+        while True:
+            await self.poll()
+
+    async def poll(self) -> None:
+        """Make one long poll, or wait for the next attempt after an error."""
+        try:
+            stored = await self._api.watch(
+                HEAD_KEY, after_revision=self._newest.revision, wait_s=WATCH_S
+            )
+            newer = None if stored is None else await load_head(self._api, stored)
+        except CorianderwallError as error:
+            self._report(error)
+            self._failures += 1
+            delay = WATCH_BACKOFF.compute_delay(self._failures, self._random)
+            await self._timer.sleep(max(delay, error.retry_after_s))
+            return
+        self._failures = 0
+        if newer is not None and newer.head.version > self._newest.head.version:
+            self._newest = newer
+            self._deliver(newer)
