--- a/packages/standins/src/corianderwall/standins/memory.py
+++ b/packages/standins/src/corianderwall/standins/memory.py
@@ -2,14 +2,17 @@
 
 import enum
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, cast
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock, deferLater
 
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
 from corianderwall.standins.objects import ObjectTable, RevisionMismatch
 from corianderwall.store.api import StoredObject
 
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
 START_UNIX_S = 1_700_000_000.0
 
 
@@ -133,7 +136,7 @@
 
     def sleep(self, seconds: float) -> "Deferred[None]":
         """Return a deferred that fires once the clock has been advanced."""
-        return deferLater(self.clock, seconds)
+        return deferLater(cast("Any", self.clock), seconds)
 
 
 def _build_lost_answer() -> CorianderwallError:
