--- a/packages/store/src/corianderwall/store/http_api.py
+++ b/packages/store/src/corianderwall/store/http_api.py
@@ -6,7 +6,7 @@
 import msgspec
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
@@ -21,6 +21,9 @@
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 MAX_IDLE_CONNECTIONS = 4
 
+NOT_SENT_ERRORS = (ConnectError, ConnectingCancelledError)
+"""Errors raised before a connection exists, so that nothing was sent."""
+
 
 class HttpObjectApi:
     """Implements `ObjectApi`; it never repeats a call by itself."""
@@ -150,7 +153,7 @@
 
 def _judge_failure(method: str, error: Exception) -> CorianderwallError:
     """Return the error of a call without a usable answer; only a write may have had an effect."""
-    if method == "GET" or isinstance(error, ConnectError):
+    if method == "GET" or isinstance(error, NOT_SENT_ERRORS):
         return _unavailable(f"the platform gave no answer: {error!r}")
     return CorianderwallError(
         ErrorCode.OUTCOME_UNKNOWN, "the answer to a write was lost", effect=Effect.UNKNOWN
