--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/answer_parser.py
@@ -0,0 +1,148 @@
+"""Parses the answers of one connection to an upstream."""
+
+from typing import TYPE_CHECKING, Protocol
+
+import httptools
+
+from corianderwall.httpflow.attempt import AnswerHead
+from corianderwall.httpflow.headers import HOP_BY_HOP, NO_BODY_STATUSES, strip_named
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.flow import Headers
+    from corianderwall.httpflow.limits import ClientLimits
+
+
+class AnswerRefusedError(Exception):
+    """The answer breaks a rule or a limit of the protocol."""
+
+
+class AnswerEvents(Protocol):
+    """What the parser tells its connection."""
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Take the head of the final answer."""
+
+    def take_body(self, data: bytes) -> None:
+        """Take bytes of the answer's body."""
+
+
+class AnswerParser:
+    """Parses one answer after each `expect`; a byte more makes the connection useless.
+
+    `answered` is set once the answer is whole, `until_close` while its body ends with the
+    connection, `reusable` as long as the connection may carry another request.
+    """
+
+    def __init__(self, events: AnswerEvents, limits: "ClientLimits") -> None:
+        self.answered = False
+        self.until_close = False
+        self.reusable = True
+        self._events = events
+        self._limits = limits
+        self._codec = httptools.HttpResponseParser(self)
+        self._head_only = False
+        self._unframed = 0
+        self._headers: Headers = []
+        self._header_count = 0
+        self._head_bytes = 0
+        self._length: int | None = None
+        self._chunked = False
+        self._connection_header = b""
+        self._in_body = False
+        self._informational = False
+
+    def expect(self, *, head_only: bool) -> None:
+        """Get ready for the answer to a request; `head_only` for the method HEAD."""
+        if self._head_only:
+            # The codec still waits for the body that the head has announced.
+            self._codec = httptools.HttpResponseParser(self)
+        self._head_only = head_only
+        self.answered = False
+        self.until_close = False
+        self._unframed = 0
+
+    def feed(self, data: bytes) -> None:
+        """Parse `data`, or raise `AnswerRefusedError`."""
+        self._unframed += len(data)
+        try:
+            self._codec.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise AnswerRefusedError("an upgrade that was not asked for") from None
+        except httptools.HttpParserCallbackError as error:
+            raise error.__context__ or error from None
+        except httptools.HttpParserError as error:
+            raise AnswerRefusedError(str(error)) from None
+        if self._unframed > self._limits.max_head_bytes + len(data):
+            raise AnswerRefusedError("too much framing")
+
+    # Events of the codec.
+
+    def on_message_begin(self) -> None:
+        """Start a new head; a second answer to one request is an error."""
+        if self.answered:
+            raise AnswerRefusedError("more than one answer")
+        self._headers = []
+        self._header_count = 0
+        self._head_bytes = 0
+        self._length = None
+        self._chunked = False
+        self._connection_header = b""
+        self._in_body = False
+        self._informational = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header of the head, or a trailer, which is dropped."""
+        self._header_count += 1
+        self._head_bytes += len(name) + len(value)
+        limits = self._limits
+        if self._header_count > limits.max_headers or self._head_bytes > limits.max_head_bytes:
+            raise AnswerRefusedError("too large a head")
+        if self._in_body:
+            return
+        name = name.lower()
+        if name not in HOP_BY_HOP:
+            self._headers.append((name, value))
+        elif name == b"content-length":
+            self._length = int(value)
+        elif name == b"transfer-encoding":
+            if value.lower() != b"chunked":
+                raise AnswerRefusedError("unknown transfer encoding")
+            self._chunked = True
+        elif name == b"connection":
+            self._connection_header += value + b","
+
+    def on_headers_complete(self) -> None:
+        """Pass on the head of a final answer."""
+        self._unframed = 0
+        status: int = self._codec.get_status_code()
+        self._informational = 100 <= status < 200
+        if self._informational:
+            return
+        if status < 100 or self._codec.get_http_version() not in ("1.1", "1.0"):
+            raise AnswerRefusedError("bad status line")
+        self._in_body = True
+        headers = self._headers
+        if self._connection_header:
+            headers = strip_named(headers, self._connection_header)
+        bodiless = self._head_only or status in NO_BODY_STATUSES
+        self.until_close = not bodiless and self._length is None and not self._chunked
+        self._events.take_head(AnswerHead(status, headers, self._length))
+        if self._head_only:
+            self._end()
+
+    def on_body(self, data: bytes) -> None:
+        """Pass on bytes of the answer's body."""
+        self._unframed = 0
+        if self.answered:
+            raise AnswerRefusedError("a body where none may be")
+        self._events.take_body(data)
+
+    def on_message_complete(self) -> None:
+        """Take note that the answer is whole."""
+        self._unframed = 0
+        if not self._informational:
+            self._end()
+
+    def _end(self) -> None:
+        self.answered = True
+        self.reusable = self.reusable and self._codec.should_keep_alive()
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/attempt.py
@@ -0,0 +1,188 @@
+"""One attempt of a call at an upstream and the verdict that it ends with."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from corianderwall.httpflow.flow import BodySource, Headers
+from corianderwall.model.errors import ErrorCode
+from corianderwall.model.verdict import Verdict
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.client_connection import ClientConnection
+
+
+@dataclass(slots=True, kw_only=True)
+class OutgoingCall:
+    """A request to send; `deadline` is in monotonic seconds.
+
+    Either `body` is whole, or `streamed` is set and the body of `body_length` bytes (None:
+    unknown) comes by `Attempt.write_body`; `source` is paused while it backs up.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    deadline: float
+    idempotent: bool
+    body: bytes = b""
+    streamed: bool = False
+    body_length: int | None = 0
+    source: BodySource | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of a final answer; `length` is None for a chunked or close-delimited body."""
+
+    status: int
+    headers: Headers
+    length: int | None
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Return the first value of the header `name` (lower case)."""
+        for header in self.headers:
+            if header[0] == name:
+                return header[1]
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """What became of an attempt; `error` is None if the whole answer came.
+
+    `refused` tells that the upstream shed the request before running it; `head` is then the head
+    of the refusal.
+    """
+
+    verdict: Verdict
+    status: int = 0
+    error: ErrorCode | None = None
+    refused: bool = False
+    head: AnswerHead | None = None
+    complete: bool = False
+
+
+class AnswerReceiver(Protocol):
+    """Takes the answer of one attempt; `finish` is called exactly once and never in `send`."""
+
+    def receive_head(self, head: AnswerHead) -> None:
+        """Take the head of the final answer; not called for a refusal."""
+
+    def receive_body(self, data: bytes) -> None:
+        """Take the next bytes of the answer's body."""
+
+    def finish(self, result: AttemptResult) -> None:
+        """Take the result; a body without `complete` is truncated."""
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """The sink of the request's body and the source of the answer's body.
+
+    `handed_over` is set before the first byte goes to the transport, so that it can only err
+    towards "may have run".
+    """
+
+    call: OutgoingCall
+    receiver: AnswerReceiver
+    connection: "ClientConnection | None" = None
+    head: AnswerHead | None = None
+    handed_over: bool = False
+    refused: bool = False
+    finished: bool = False
+    body_ended: bool = False
+    started: float = 0.0
+    _early: list[bytes] = field(default_factory=list)
+    _paused: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+    def start_on(self, connection: "ClientConnection") -> None:
+        """Send the request on `connection`, with the part of the body that came meanwhile."""
+        self.connection = connection
+        connection.start(self)
+        early, self._early = self._early, []
+        for data in early:
+            connection.write_body(data)
+        if self.body_ended and self.call.streamed:
+            connection.end_body()
+
+    def write_body(self, data: bytes) -> None:
+        """Send the next bytes of a streamed request body."""
+        if self.finished or not data:
+            return
+        if self.connection is not None:
+            self.connection.write_body(data)
+            return
+        self._early.append(data)
+        if self.call.source is not None:
+            self.call.source.pause_body()
+
+    def end_body(self) -> None:
+        """End a streamed request body, which is whole."""
+        self.body_ended = True
+        if self.connection is not None and not self.finished:
+            self.connection.end_body()
+
+    def abort_body(self) -> None:
+        """Give the attempt up, as the rest of its body will not come."""
+        self.cancel()
+
+    def pause_body(self) -> None:
+        """Stop reading the answer."""
+        self._paused = True
+        if self.connection is not None and not self.finished:
+            self.connection.pause_reading()
+
+    def resume_body(self) -> None:
+        """Go on reading the answer."""
+        self._paused = False
+        if self.connection is not None and not self.finished:
+            self.connection.resume_reading()
+
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the receiver keeps the answer from being read."""
+        return self._paused
+
+    def cancel(self) -> None:
+        """Close the connection, which tells the upstream to stop, and finish."""
+        self.fail(ErrorCode.CANCELLED)
+
+    def expire(self) -> None:
+        """Close the connection and finish, as the deadline has passed."""
+        self.fail(ErrorCode.DEADLINE_EXCEEDED)
+
+    def fail(self, error: ErrorCode) -> None:
+        """Finish without a whole answer; the connection can carry no other call."""
+        if self.finished:
+            return
+        connection = self.connection
+        if connection is not None:
+            connection.abandon(self)
+        self.finish(error)
+
+    def finish(self, error: ErrorCode | None = None) -> None:
+        """Give the result to the receiver."""
+        if self.finished:
+            return
+        self.finished = True
+        if self.timer is not None:
+            self.timer.cancel()
+        head = self.head
+        result = AttemptResult(
+            verdict=self._judge(),
+            status=head.status if head is not None else 0,
+            error=ErrorCode.UPSTREAM_REFUSED if self.refused else error,
+            refused=self.refused,
+            head=head,
+            complete=error is None,
+        )
+        self.receiver.finish(result)
+
+    def _judge(self) -> Verdict:
+        if self.refused or not self.handed_over:
+            return Verdict.NOT_RUN
+        if self.head is not None:
+            return Verdict.RAN
+        return Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/call.py
@@ -0,0 +1,243 @@
+"""One call as the server side hands it to its handler."""
+
+from typing import TYPE_CHECKING, Protocol
+
+from corianderwall.httpflow.flow import BodySink, BodySource, Headers
+from corianderwall.httpflow.headers import (
+    CHUNKED,
+    CLOSE,
+    LAST_CHUNK,
+    NO_BODY_STATUSES,
+    encode_answer_head,
+    encode_chunk,
+)
+from corianderwall.httpflow.request_parser import RequestHead
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from corianderwall.httpflow.server_connection import ServerConnection
+
+
+class IncomingCall:
+    """A request and the way to answer it; answers to a caller that left are dropped.
+
+    `body_length` is 0 without a body and None for a chunked one. `on_hang_up` is called once if
+    the caller leaves before the answer has ended.
+    """
+
+    __slots__ = (
+        "_buffered",
+        "_chunked_answer",
+        "_chunks",
+        "_connection",
+        "_paused",
+        "_remaining",
+        "_sink",
+        "answer_source",
+        "answered",
+        "body_done",
+        "body_length",
+        "expects_continue",
+        "headers",
+        "host",
+        "keep_alive",
+        "method",
+        "modern",
+        "on_hang_up",
+        "target",
+    )
+
+    def __init__(self, connection: "ServerConnection", head: RequestHead) -> None:
+        self.method = head.method
+        self.target = head.target
+        self.headers = head.headers
+        self.host = head.host
+        self.keep_alive = head.keep_alive
+        self.modern = head.modern
+        self.body_length = head.body_length
+        self.expects_continue = head.expects_continue
+        self.body_done = False
+        self.answered = False
+        self.answer_source: BodySource | None = None
+        self.on_hang_up: Callable[[], None] | None = None
+        self._connection: ServerConnection | None = connection
+        self._chunks: list[bytes] = []
+        self._buffered = 0
+        self._sink: BodySink | None = None
+        self._paused = False
+        self._chunked_answer = False
+        self._remaining: int | None = None
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Return the first value of the header `name` (lower case)."""
+        for header in self.headers:
+            if header[0] == name:
+                return header[1]
+        return None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the caller still waits for the end of the answer."""
+        return self._connection is not None
+
+    def take_body(self) -> bytes | None:
+        """Return the whole body if all of it is here, otherwise None."""
+        if not self.body_done or self._sink is not None:
+            return None
+        chunks, self._chunks = self._chunks, []
+        return b"".join(chunks) if chunks else b""
+
+    def read_body(self, sink: BodySink) -> None:
+        """Stream the body to `sink`, first asking for it if the caller waits for that."""
+        self._sink = sink
+        chunks, self._chunks = self._chunks, []
+        self._buffered = 0
+        connection = self._connection
+        if connection is not None and self.expects_continue and not self.body_done:
+            self.expects_continue = False
+            connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        for chunk in chunks:
+            sink.write_body(chunk)
+        if self.body_done:
+            sink.end_body()
+        elif connection is None:
+            sink.abort_body()
+        else:
+            connection.update_reading()
+
+    def pause_body(self) -> None:
+        """Stop reading the request's body from the caller."""
+        self._paused = True
+        if self._connection is not None:
+            self._connection.update_reading()
+
+    def resume_body(self) -> None:
+        """Go on reading the request's body from the caller."""
+        self._paused = False
+        if self._connection is not None:
+            self._connection.update_reading()
+
+    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Answer with one write."""
+        connection = self._begin_answer()
+        if connection is None:
+            return
+        has_body = status not in NO_BODY_STATUSES
+        framing = b"content-length: %d\r\n" % len(body) if has_body else b""
+        keep = self._keeps_alive(connection)
+        head = encode_answer_head(status, headers, framing if keep else framing + CLOSE)
+        connection.write(head + body if has_body and self.method != b"HEAD" else head)
+        self._end_call(connection, keep)
+
+    def start_answer(
+        self,
+        status: int,
+        headers: Headers,
+        length: int | None,
+        source: BodySource | None = None,
+    ) -> None:
+        """Start a streamed answer of `length` bytes, None if unknown; `source` is kept in pace."""
+        connection = self._begin_answer()
+        if connection is None:
+            return
+        framing = b""
+        if status in NO_BODY_STATUSES:
+            pass
+        elif length is not None:
+            framing = b"content-length: %d\r\n" % length
+            self._remaining = length
+        elif self.modern:
+            framing = CHUNKED
+            self._chunked_answer = self.method != b"HEAD"
+        else:
+            self.keep_alive = False
+        if not self._keeps_alive(connection):
+            self.keep_alive = False
+            framing += CLOSE
+        self.answer_source = source
+        connection.write(encode_answer_head(status, headers, framing))
+        if source is not None and connection.write_paused:
+            source.pause_body()
+
+    def write_body(self, data: bytes) -> None:
+        """Write the next bytes of the streamed answer."""
+        connection = self._connection
+        if connection is None or not data or self.method == b"HEAD":
+            return
+        if self._chunked_answer:
+            connection.write_all(encode_chunk(data))
+            return
+        if self._remaining is not None:
+            self._remaining -= len(data)
+            if self._remaining < 0:
+                self.abort_answer()
+                return
+        connection.write(data)
+
+    def end_answer(self) -> None:
+        """End the streamed answer; one that is shorter than announced is aborted."""
+        connection = self._connection
+        if connection is None:
+            return
+        if self._remaining and self.method != b"HEAD":
+            self.abort_answer()
+            return
+        if self._chunked_answer:
+            connection.write(LAST_CHUNK)
+        self._end_call(connection, self.keep_alive)
+
+    def abort_answer(self) -> None:
+        """Reset the connection, so that a truncated answer never looks whole."""
+        connection = self._connection
+        if connection is not None:
+            self._connection = None
+            connection.abort_call(self)
+
+    def receive_chunk(self, data: bytes) -> None:
+        """Take bytes of the body from the connection."""
+        if self._sink is not None:
+            self._sink.write_body(data)
+            return
+        self._chunks.append(data)
+        self._buffered += len(data)
+
+    def receive_end(self) -> None:
+        """Take the end of the body from the connection."""
+        self.body_done = True
+        if self._sink is not None:
+            self._sink.end_body()
+
+    def holds_back(self, buffer_bytes: int) -> bool:
+        """Return whether the connection has to stop reading for the body's sake."""
+        return self._paused or (self._sink is None and self._buffered > buffer_bytes)
+
+    def lose_caller(self) -> None:
+        """Take note that the caller has left."""
+        self._connection = None
+        if self._sink is not None and not self.body_done:
+            self._sink.abort_body()
+        callback, self.on_hang_up = self.on_hang_up, None
+        if callback is not None:
+            callback()
+
+    def _begin_answer(self) -> "ServerConnection | None":
+        if self.answered:
+            raise RuntimeError("the call has been answered")
+        self.answered = True
+        return self._connection
+
+    def _keeps_alive(self, connection: "ServerConnection") -> bool:
+        return self.keep_alive and self.body_done and not connection.draining
+
+    def _end_call(self, connection: "ServerConnection", keep: bool) -> None:
+        self._connection = None
+        self.on_hang_up = None
+        connection.end_call(self, keep and self.body_done)
+
+
+class CallHandler(Protocol):
+    """Answers calls; `handle` must not block and may answer at once or later."""
+
+    def handle(self, call: IncomingCall) -> None:
+        """Start to work on `call`."""
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -0,0 +1,221 @@
+"""One connection to an upstream: at most one request at a time, answers parsed as they come."""
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, Protocol, cast
+
+from corianderwall.httpflow.answer_parser import AnswerParser, AnswerRefusedError
+from corianderwall.httpflow.attempt import AnswerHead, Attempt
+from corianderwall.httpflow.headers import (
+    CHUNKED,
+    LAST_CHUNK,
+    encode_chunk,
+    encode_request_head,
+)
+from corianderwall.model.errors import ErrorCode
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.limits import ClientLimits
+
+REFUSAL_STATUS = 503
+NOT_RUN_HEADER = (b"x-not-run", b"1")
+
+
+class ConnectionOwner(Protocol):
+    """What a connection tells its pool."""
+
+    def take_opened(self, connection: "ClientConnection") -> None:
+        """The connection is open and idle."""
+
+    def take_idle(self, connection: "ClientConnection") -> None:
+        """The connection's call has ended and it may carry another one."""
+
+    def take_lost(self, connection: "ClientConnection") -> None:
+        """The connection is closed."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """The state of one connection; `last_received` is the instant of the last byte that came."""
+
+    def __init__(
+        self, owner: ConnectionOwner, limits: "ClientLimits", loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.owner = owner
+        self.attempt: Attempt | None = None
+        self.opened = 0.0
+        self.last_received = 0.0
+        self.idle_since = 0.0
+        self.closed = False
+        self.fileno = -1
+        self._limits = limits
+        self._loop = loop
+        self._parser = AnswerParser(self, limits)
+        self._body_sent = True
+        self._chunked_request = False
+
+    # Events of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the options that find a dead path and tell the pool."""
+        self._transport = cast("asyncio.Transport", transport)
+        self._transport.set_write_buffer_limits(self._limits.write_buffer_bytes)
+        opened: socket.socket = transport.get_extra_info("socket")
+        self.fileno = opened.fileno()
+        self._set_options(opened)
+        now = self._loop.time()
+        self.opened = self.last_received = self.idle_since = now
+        self.owner.take_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a part of the answer; anything else makes the connection useless."""
+        self.last_received = self._loop.time()
+        if self.attempt is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed(data)
+        except AnswerRefusedError:
+            self._take_bad_answer()
+            return
+        if self._parser.answered:
+            self._end_answer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Finish the call in flight: whole only if the close was to end its body."""
+        self.closed = True
+        attempt, self.attempt = self.attempt, None
+        self.owner.take_lost(self)
+        if attempt is None:
+            return
+        whole = exc is None and (self._parser.until_close or self._parser.answered)
+        attempt.finish(None if whole else ErrorCode.UPSTREAM_LOST)
+
+    def pause_writing(self) -> None:
+        """Keep the source of the request's body from going on."""
+        if self.attempt is not None and self.attempt.call.source is not None:
+            self.attempt.call.source.pause_body()
+
+    def resume_writing(self) -> None:
+        """Let the source of the request's body go on."""
+        if self.attempt is not None and self.attempt.call.source is not None:
+            self.attempt.call.source.resume_body()
+
+    # Events of the parser.
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Pass on the head of a final answer, unless it is a refusal."""
+        attempt = self.attempt
+        if attempt is None:
+            return
+        attempt.head = head
+        attempt.refused = head.status == REFUSAL_STATUS and NOT_RUN_HEADER in head.headers
+        if not attempt.refused:
+            attempt.receiver.receive_head(head)
+
+    def take_body(self, data: bytes) -> None:
+        """Pass on bytes of the answer's body."""
+        attempt = self.attempt
+        if attempt is not None and not attempt.refused:
+            attempt.receiver.receive_body(data)
+
+    # What attempts and the pool ask for.
+
+    def start(self, attempt: Attempt) -> None:
+        """Send the head and what there is of the body in one write."""
+        call = attempt.call
+        self.attempt = attempt
+        self._parser.expect(head_only=call.method == b"HEAD")
+        self._chunked_request = call.streamed and call.body_length is None
+        self._body_sent = not call.streamed
+        framing = self._make_framing(attempt)
+        head = encode_request_head(call.method, call.target, call.headers, framing)
+        attempt.handed_over = True
+        attempt.started = self._loop.time()
+        self._transport.write(head + call.body)
+        if attempt.is_paused:
+            self._transport.pause_reading()
+
+    def write_body(self, data: bytes) -> None:
+        """Send bytes of a streamed request body."""
+        if self._chunked_request:
+            self._transport.writelines(encode_chunk(data))
+        else:
+            self._transport.write(data)
+
+    def end_body(self) -> None:
+        """End a streamed request body."""
+        self._body_sent = True
+        if self._chunked_request:
+            self._transport.write(LAST_CHUNK)
+
+    def pause_reading(self) -> None:
+        """Stop reading the answer."""
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Go on reading the answer."""
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Close, so that a late answer to `attempt` can reach nobody else."""
+        if self.attempt is attempt:
+            self.attempt = None
+            self.abort()
+
+    def abort(self) -> None:
+        """Reset the connection; the pool forgets it at once."""
+        if self.closed:
+            return
+        self.closed = True
+        self.owner.take_lost(self)
+        self._transport.abort()
+
+    def close(self) -> None:
+        """Close an idle connection."""
+        self.closed = True
+        self.owner.take_lost(self)
+        self._transport.close()
+
+    def _make_framing(self, attempt: Attempt) -> bytes:
+        call = attempt.call
+        if self._chunked_request:
+            return CHUNKED
+        if call.streamed:
+            return b"content-length: %d\r\n" % (call.body_length or 0)
+        if call.body or call.method in (b"POST", b"PUT", b"PATCH"):
+            return b"content-length: %d\r\n" % len(call.body)
+        return b""
+
+    def _end_answer(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        if attempt is None:
+            return
+        if self._parser.reusable and self._body_sent:
+            if attempt.is_paused:
+                self.resume_reading()
+            self.idle_since = self._loop.time()
+            self.owner.take_idle(self)
+        elif self._body_sent:
+            self.close()
+        else:
+            self.abort()
+        attempt.finish()
+
+    def _take_bad_answer(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        whole = self._parser.answered
+        self.abort()
+        if attempt is not None:
+            attempt.finish(None if whole else ErrorCode.UPSTREAM_LOST)
+
+    def _set_options(self, opened: socket.socket) -> None:
+        if opened.family != socket.AF_INET:
+            return
+        limits = self._limits
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, limits.keepalive_idle_s)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, limits.keepalive_interval_s)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, limits.keepalive_probes)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limits.user_timeout_ms)
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/headers.py
@@ -0,0 +1,67 @@
+"""Encoding of message heads and the headers that end at each hop."""
+
+from http import HTTPStatus
+
+from corianderwall.httpflow.flow import Headers
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+"""Headers that concern one connection or the framing and are never passed on."""
+
+CHUNKED = b"transfer-encoding: chunked\r\n"
+CLOSE = b"connection: close\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+NO_BODY_STATUSES = frozenset((204, 304))
+
+_STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %b\r\n" % (status.value, status.phrase.encode())
+    for status in HTTPStatus
+}
+
+
+class UnsafeHeaderError(ValueError):
+    """A header holds a line break and would change the framing of its message."""
+
+
+def strip_named(headers: Headers, connection: bytes) -> Headers:
+    """Return `headers` without those that the `connection` header names."""
+    named = {name.strip().lower() for name in connection.split(b",")}
+    return [header for header in headers if header[0] not in named]
+
+
+def encode_answer_head(status: int, headers: Headers, framing: bytes) -> bytes:
+    """Return a status line, `headers` but the hop-by-hop ones, and the lines of `framing`."""
+    line = _STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status
+    return _encode_head(line, headers, framing)
+
+
+def encode_request_head(method: bytes, target: bytes, headers: Headers, framing: bytes) -> bytes:
+    """Return a request line, `headers` but the hop-by-hop ones, and the lines of `framing`."""
+    return _encode_head(b"%b %b HTTP/1.1\r\n" % (method, target), headers, framing)
+
+
+def encode_chunk(data: bytes) -> tuple[bytes, bytes, bytes]:
+    """Return the buffers of one chunk; `data` must not be empty."""
+    return (b"%x\r\n" % len(data), data, b"\r\n")
+
+
+def _encode_head(line: bytes, headers: Headers, framing: bytes) -> bytes:
+    lines = [b"%b: %b\r\n" % header for header in headers if header[0] not in HOP_BY_HOP]
+    head = b"%b%b%b\r\n" % (line, b"".join(lines), framing)
+    breaks = len(lines) + framing.count(b"\n") + 2
+    if head.count(b"\n") != breaks or head.count(b"\r") != breaks:
+        raise UnsafeHeaderError("a line break in a header")
+    return head
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/limits.py
@@ -0,0 +1,46 @@
+"""Bounds of the connections on both sides of a call."""
+
+from dataclasses import dataclass
+
+KIB = 1024
+MIB = 1024 * KIB
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLimits:
+    """What one caller may use up; times in seconds, sizes in bytes."""
+
+    max_head_bytes: int = 32 * KIB
+    max_headers: int = 100
+    max_body_bytes: int = 1024 * MIB
+    body_buffer_bytes: int = 64 * KIB
+    write_buffer_bytes: int = 256 * KIB
+    max_connections: int = 4096
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+    body_timeout_s: float = 30.0
+    write_timeout_s: float = 60.0
+    linger_timeout_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClientLimits:
+    """What one upstream may use up; times in seconds, sizes in bytes.
+
+    A request that is not idempotent takes no connection that was idle for longer than
+    `max_unsafe_idle_s`. A call without any progress for `suspect_after_s` starts a comparison with
+    a fresh connection, which is over after `probe_timeout_s`.
+    """
+
+    max_head_bytes: int = 64 * KIB
+    max_headers: int = 200
+    write_buffer_bytes: int = 256 * KIB
+    connect_timeout_s: float = 1.0
+    max_idle_s: float = 30.0
+    max_unsafe_idle_s: float = 5.0
+    suspect_after_s: float = 1.0
+    probe_timeout_s: float = 1.0
+    user_timeout_ms: int = 3000
+    keepalive_idle_s: int = 1
+    keepalive_interval_s: int = 1
+    keepalive_probes: int = 3
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/pool.py
@@ -0,0 +1,210 @@
+"""The connections of this process to one upstream."""
+
+import asyncio
+import select
+from collections import deque
+
+from corianderwall.httpflow.attempt import AnswerReceiver, Attempt, OutgoingCall
+from corianderwall.httpflow.client_connection import ClientConnection
+from corianderwall.httpflow.limits import ClientLimits
+from corianderwall.httpflow.probing import SilenceWatch
+from corianderwall.model.endpoint import Address
+from corianderwall.model.errors import ErrorCode
+
+TICK_INTERVAL_S = 0.25
+STALE_EVENTS = select.POLLIN | select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class UpstreamPool:
+    """Sends calls on kept or new connections, never more than `max_connections` at once.
+
+    A comparison that looks for silent connections may open one more for a moment.
+    """
+
+    def __init__(
+        self, address: Address, max_connections: int, limits: ClientLimits | None = None
+    ) -> None:
+        self.address = address
+        self.max_connections = max_connections
+        self.limits = limits or ClientLimits()
+        self._loop = asyncio.get_event_loop()
+        self._connections: set[ClientConnection] = set()
+        self._idle: list[ClientConnection] = []
+        self._opening: set[asyncio.Task[None]] = set()
+        self._pending: deque[Attempt] = deque()
+        self._closed = False
+        self._poller = select.poll()
+        self._tick_timer: asyncio.TimerHandle | None = None
+        self._watch = SilenceWatch(self, self.limits, self._loop)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are open or being opened."""
+        return len(self._connections) + len(self._opening)
+
+    @property
+    def idle_connections(self) -> int:
+        """Return the number of connections that wait for a call."""
+        return len(self._idle)
+
+    @property
+    def busy_connections(self) -> int:
+        """Return the number of connections that carry a call or are being opened."""
+        return self.open_connections - len(self._idle)
+
+    def send(self, call: OutgoingCall, receiver: AnswerReceiver) -> Attempt:
+        """Send `call`; without a free connection the attempt fails as not run."""
+        attempt = Attempt(call, receiver)
+        loop = self._loop
+        if self._closed or call.deadline <= loop.time():
+            error = ErrorCode.UPSTREAM_LOST if self._closed else ErrorCode.DEADLINE_EXCEEDED
+            loop.call_soon(attempt.fail, error)
+            return attempt
+        attempt.timer = loop.call_at(call.deadline, self._expire, attempt)
+        connection = self._take_kept(call.idempotent)
+        if connection is not None:
+            attempt.start_on(connection)
+        elif self.open_connections < self.max_connections:
+            self._pending.append(attempt)
+            self._open()
+        else:
+            loop.call_soon(attempt.fail, ErrorCode.OVERLOADED)
+        return attempt
+
+    def warm(self, count: int) -> None:
+        """Open idle connections until `count` are open."""
+        for _ in range(min(count, self.max_connections) - self.open_connections):
+            self._open()
+
+    def close(self) -> None:
+        """Close idle connections now and the others when their calls end."""
+        self._closed = True
+        for connection in list(self._idle):
+            connection.close()
+
+    def abort(self) -> None:
+        """Close every connection; calls in flight fail."""
+        self.close()
+        for attempt in list(self._pending):
+            attempt.fail(ErrorCode.CANCELLED)
+        for connection in list(self._connections):
+            self.lose_connection(connection)
+
+    def lose_connection(self, connection: ClientConnection) -> None:
+        """Reset a connection; its call fails as lost."""
+        if connection.attempt is not None:
+            connection.attempt.fail(ErrorCode.UPSTREAM_LOST)
+        else:
+            connection.abort()
+
+    # What connections tell.
+
+    def take_opened(self, connection: ClientConnection) -> None:
+        """Use a new connection for the oldest call that waits for one."""
+        self._connections.add(connection)
+        if self._tick_timer is None:
+            self._tick_timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
+        self.take_idle(connection)
+
+    def take_idle(self, connection: ClientConnection) -> None:
+        """Use a free connection for the oldest call that waits, or keep it."""
+        while self._pending:
+            attempt = self._pending.popleft()
+            if not attempt.finished:
+                attempt.start_on(connection)
+                return
+        if self._closed or len(self._connections) > self.max_connections:
+            connection.close()
+        else:
+            self._idle.append(connection)
+
+    def take_lost(self, connection: ClientConnection) -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    # What the watch asks for.
+
+    @property
+    def connections(self) -> set[ClientConnection]:
+        """Return the open connections."""
+        return self._connections
+
+    def withdraw_idle(self, connection: ClientConnection) -> None:
+        """Keep an idle connection from being used until it is given back by `take_idle`."""
+        self._idle.remove(connection)
+
+    def list_idle(self) -> list[ClientConnection]:
+        """Return the connections that wait for a call."""
+        return list(self._idle)
+
+    def _take_kept(self, idempotent: bool) -> ClientConnection | None:
+        now = self._loop.time()
+        while self._idle:
+            connection = self._idle[-1]
+            idle_s = now - connection.idle_since
+            if not idempotent and idle_s > self.limits.max_unsafe_idle_s:
+                # The upstream may be about to close it: the request could be lost on the way.
+                if self.open_connections < self.max_connections:
+                    return None
+                connection.close()
+                continue
+            self._idle.pop()
+            if idle_s <= self.limits.max_idle_s and not self._is_stale(connection):
+                return connection
+            connection.close()
+        return None
+
+    def _is_stale(self, connection: ClientConnection) -> bool:
+        self._poller.register(connection.fileno, STALE_EVENTS)
+        events = self._poller.poll(0)
+        self._poller.unregister(connection.fileno)
+        return bool(events)
+
+    def _open(self) -> None:
+        task = self._loop.create_task(self._connect())
+        self._opening.add(task)
+
+    async def _connect(self) -> None:
+        task = asyncio.current_task()
+        error: OSError | None = None
+        try:
+            async with asyncio.timeout(self.limits.connect_timeout_s):
+                await self._loop.create_connection(
+                    self._make_connection, self.address.host, self.address.port
+                )
+        except OSError as caught:
+            error = caught
+        finally:
+            if task is not None:
+                self._opening.discard(task)
+        if error is not None:
+            self._fail_pending()
+
+    def _fail_pending(self) -> None:
+        while self._pending:
+            attempt = self._pending.popleft()
+            if not attempt.finished:
+                attempt.fail(ErrorCode.UPSTREAM_LOST)
+                return
+
+    def _make_connection(self) -> ClientConnection:
+        return ClientConnection(self, self.limits, self._loop)
+
+    def _expire(self, attempt: Attempt) -> None:
+        connection = attempt.connection
+        was_silent = connection is not None and connection.last_received < attempt.started
+        attempt.expire()
+        if was_silent:
+            self._watch.compare(since=attempt.started)
+
+    def _tick(self) -> None:
+        self._tick_timer = None
+        now = self._loop.time()
+        for connection in list(self._idle):
+            if now - connection.idle_since > self.limits.max_idle_s:
+                connection.close()
+        self._watch.tick()
+        if self._connections:
+            self._tick_timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/probing.py
@@ -0,0 +1,194 @@
+"""Carries out the search for silent connections of one pool."""
+
+import asyncio
+from typing import Protocol
+
+from corianderwall.httpflow.attempt import AnswerHead, Attempt, AttemptResult, OutgoingCall
+from corianderwall.httpflow.client_connection import ClientConnection
+from corianderwall.httpflow.limits import ClientLimits
+from corianderwall.httpflow.silence import (
+    Comparison,
+    ConnectionView,
+    find_distrusted,
+    find_silent,
+    find_suspects,
+)
+from corianderwall.model.endpoint import Address
+
+PROBE_TARGET = b"/health"
+MAX_OLD_PROBES = 2
+
+
+class WatchedPool(Protocol):
+    """What the watch needs of a pool."""
+
+    address: Address
+
+    @property
+    def connections(self) -> set[ClientConnection]:
+        """Return the open connections."""
+
+    def list_idle(self) -> list[ClientConnection]:
+        """Return the connections that wait for a call."""
+
+    def withdraw_idle(self, connection: ClientConnection) -> None:
+        """Keep an idle connection from being used."""
+
+    def take_idle(self, connection: ClientConnection) -> None:
+        """Use a free connection."""
+
+    def take_opened(self, connection: ClientConnection) -> None:
+        """Use a new connection."""
+
+    def take_lost(self, connection: ClientConnection) -> None:
+        """Forget a closed connection."""
+
+    def lose_connection(self, connection: ClientConnection) -> None:
+        """Reset a connection; its call fails as lost."""
+
+
+class ProbeReceiver:
+    """Takes the answer to one probe; any final answer proves that bytes pass both ways."""
+
+    def __init__(self, comparison: Comparison, *, fresh: bool) -> None:
+        self._comparison = comparison
+        self._fresh = fresh
+
+    def receive_head(self, head: AnswerHead) -> None:
+        """Ignore the head."""
+
+    def receive_body(self, data: bytes) -> None:
+        """Ignore the body."""
+
+    def finish(self, result: AttemptResult) -> None:
+        """Count the probe as answered or not."""
+        answered = result.head is not None
+        if not self._fresh:
+            self._comparison.old_answered += answered
+        elif answered:
+            self._comparison.fresh_answered = True
+        else:
+            self._comparison.fresh_failed = True
+
+
+class FreshOwner:
+    """Hands a fresh connection to the pool once its probe was answered."""
+
+    def __init__(self, pool: WatchedPool, comparison: Comparison, probe: OutgoingCall) -> None:
+        self._pool = pool
+        self._comparison = comparison
+        self._probe = probe
+
+    def take_opened(self, connection: ClientConnection) -> None:
+        """Send the probe."""
+        receiver = ProbeReceiver(self._comparison, fresh=True)
+        send_probe(connection, self._probe, receiver)
+
+    def take_idle(self, connection: ClientConnection) -> None:
+        """Give the connection to the pool."""
+        connection.owner = self._pool
+        self._pool.take_opened(connection)
+
+    def take_lost(self, connection: ClientConnection) -> None:
+        """Take note that the fresh connection is of no use."""
+        self._comparison.fresh_failed = not self._comparison.fresh_answered
+
+
+def send_probe(
+    connection: ClientConnection, probe: OutgoingCall, receiver: ProbeReceiver
+) -> Attempt:
+    """Send `probe` on `connection`; its deadline closes the connection."""
+    attempt = Attempt(probe, receiver)
+    attempt.timer = asyncio.get_event_loop().call_at(probe.deadline, attempt.expire)
+    attempt.start_on(connection)
+    return attempt
+
+
+class SilenceWatch:
+    """Runs at most one comparison at a time."""
+
+    def __init__(
+        self, pool: WatchedPool, limits: ClientLimits, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._pool = pool
+        self._limits = limits
+        self._loop = loop
+        self._comparison: Comparison | None = None
+        self._opening: asyncio.Task[None] | None = None
+
+    def tick(self) -> None:
+        """End a comparison that is over, and start one if a call waits without progress."""
+        now = self._loop.time()
+        comparison = self._comparison
+        if comparison is not None:
+            if not comparison.is_over(now):
+                return
+            self._comparison = None
+            self._condemn(comparison)
+        suspects = find_suspects(self._view_busy(), now, self._limits.suspect_after_s)
+        if suspects:
+            self.compare(since=min(view.waiting_since or now for view in suspects))
+
+    def compare(self, *, since: float) -> None:
+        """Compare a fresh connection with the idle ones that carried nothing after `since`.
+
+        The youngest of these are probed and the others closed: at the rate of calls of the
+        moment they were not needed.
+        """
+        if self._comparison is not None:
+            return
+        idle = {id(connection): connection for connection in self._pool.list_idle()}
+        distrusted = find_distrusted([_view(each) for each in idle.values()], since)
+        if not distrusted:
+            return
+        now = self._loop.time()
+        comparison = Comparison(started=now, deadline=now + self._limits.probe_timeout_s)
+        self._comparison = comparison
+        for view in distrusted[:-MAX_OLD_PROBES]:
+            idle[view.key].close()
+        for view in distrusted[-MAX_OLD_PROBES:]:
+            connection = idle[view.key]
+            self._pool.withdraw_idle(connection)
+            comparison.old_sent += 1
+            send_probe(connection, self._make_probe(), ProbeReceiver(comparison, fresh=False))
+        self._opening = self._loop.create_task(self._open_fresh(comparison))
+
+    async def _open_fresh(self, comparison: Comparison) -> None:
+        owner = FreshOwner(self._pool, comparison, self._make_probe())
+        address = self._pool.address
+        try:
+            async with asyncio.timeout(self._limits.connect_timeout_s):
+                await self._loop.create_connection(
+                    lambda: ClientConnection(owner, self._limits, self._loop),
+                    address.host,
+                    address.port,
+                )
+        except OSError:
+            comparison.fresh_failed = True
+
+    def _make_probe(self) -> OutgoingCall:
+        return OutgoingCall(
+            method=b"GET",
+            target=PROBE_TARGET,
+            headers=[(b"host", str(self._pool.address).encode())],
+            deadline=self._loop.time() + self._limits.probe_timeout_s,
+            idempotent=True,
+        )
+
+    def _condemn(self, comparison: Comparison) -> None:
+        busy = {id(each): each for each in self._pool.connections if each.attempt is not None}
+        for view in find_silent(comparison, [_view(each) for each in busy.values()]):
+            self._pool.lose_connection(busy[view.key])
+
+    def _view_busy(self) -> list[ConnectionView]:
+        return [_view(each) for each in self._pool.connections if each.attempt is not None]
+
+
+def _view(connection: ClientConnection) -> ConnectionView:
+    attempt = connection.attempt
+    waiting_since = None
+    if attempt is not None and not attempt.is_paused:
+        waiting_since = max(attempt.started, connection.last_received)
+    return ConnectionView(
+        id(connection), connection.opened, connection.last_received, waiting_since
+    )
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/relay.py
@@ -0,0 +1,90 @@
+"""The plain forwarder: one attempt for one call."""
+
+from corianderwall.httpflow.attempt import AnswerHead, Attempt, AttemptResult, OutgoingCall
+from corianderwall.httpflow.call import IncomingCall
+from corianderwall.httpflow.pool import UpstreamPool
+from corianderwall.model.errors import ErrorCode
+from corianderwall.model.verdict import Verdict
+
+MAX_HELD_BODY_BYTES = 16 * 1024
+NOT_RUN_HEADERS = [(b"x-not-run", b"1")]
+
+
+class Relay:
+    """Passes the answer of one attempt on to the caller."""
+
+    __slots__ = ("_body", "_call", "_head", "_started", "attempt")
+
+    def __init__(self, call: IncomingCall) -> None:
+        self._call = call
+        self.attempt: Attempt | None = None
+        self._head: AnswerHead | None = None
+        self._body = b""
+        self._started = False
+
+    def receive_head(self, head: AnswerHead) -> None:
+        """Pass on the head, or hold it back for a short body that will come with it."""
+        self._head = head
+        if head.length is None or head.length > MAX_HELD_BODY_BYTES:
+            self._start(head)
+
+    def receive_body(self, data: bytes) -> None:
+        """Pass on a part of the body."""
+        head = self._head
+        if self._started:
+            self._call.write_body(data)
+        elif head is not None and head.length == len(data):
+            self._body = data
+        elif head is not None:
+            self._start(head)
+            self._call.write_body(data)
+
+    def finish(self, result: AttemptResult) -> None:
+        """End the answer, or answer for the upstream."""
+        head = self._head
+        if self._started:
+            if result.complete:
+                self._call.end_answer()
+            else:
+                self._call.abort_answer()
+        elif result.complete and head is not None:
+            self._finish_unstarted(head)
+        else:
+            self._refuse(result)
+
+    def _start(self, head: AnswerHead) -> None:
+        self._started = True
+        self._call.start_answer(head.status, head.headers, head.length, self.attempt)
+
+    def _finish_unstarted(self, head: AnswerHead) -> None:
+        if self._call.method == b"HEAD":
+            self._call.start_answer(head.status, head.headers, head.length)
+            self._call.end_answer()
+        else:
+            self._call.respond(head.status, head.headers, self._body)
+
+    def _refuse(self, result: AttemptResult) -> None:
+        if result.verdict is Verdict.NOT_RUN:
+            self._call.respond(503, NOT_RUN_HEADERS)
+        elif result.error is ErrorCode.DEADLINE_EXCEEDED:
+            self._call.respond(504, [])
+        else:
+            self._call.respond(502, [])
+
+
+def relay(call: IncomingCall, pool: UpstreamPool, outgoing: OutgoingCall) -> Attempt:
+    """Send `outgoing` through `pool` and answer `call` with what comes back."""
+    receiver = Relay(call)
+    body = call.take_body()
+    if body is not None:
+        outgoing.body = body
+    else:
+        outgoing.streamed = True
+        outgoing.body_length = call.body_length
+        outgoing.source = call
+    attempt = pool.send(outgoing, receiver)
+    receiver.attempt = attempt
+    call.on_hang_up = attempt.cancel
+    if body is None:
+        call.read_body(attempt)
+    return attempt
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/request_parser.py
@@ -0,0 +1,205 @@
+"""Parses the requests of one connection and refuses ambiguous or oversized ones."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+import httptools
+
+from corianderwall.httpflow.headers import HOP_BY_HOP, strip_named
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.flow import Headers
+    from corianderwall.httpflow.limits import ServerLimits
+
+
+class RequestRefusedError(Exception):
+    """The request breaks a rule or a limit; `status` answers it."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """The head of a request; `modern` is HTTP/1.1, `body_length` is None for chunks."""
+
+    method: bytes
+    target: bytes
+    headers: "Headers"
+    host: bytes
+    keep_alive: bool
+    modern: bool
+    body_length: int | None
+    expects_continue: bool
+
+
+class RequestEvents(Protocol):
+    """What the parser tells its connection."""
+
+    def take_head(self, head: RequestHead) -> None:
+        """Take the head of the next request."""
+
+    def take_body(self, data: bytes) -> None:
+        """Take bytes of the body of the newest request."""
+
+    def take_end(self) -> None:
+        """Take the end of the newest request."""
+
+
+class RequestParser:
+    """Holds at most one head of bounded size; `in_message` is set between its first byte and end.
+
+    The codec refuses double or conflicting lengths, bad chunks, folded headers and bare CR or LF.
+    """
+
+    def __init__(self, events: RequestEvents, limits: "ServerLimits") -> None:
+        self.in_message = False
+        self._events = events
+        self._limits = limits
+        self._codec = httptools.HttpRequestParser(self)
+        self._unframed = 0
+        self._body_bytes = 0
+        self._in_body = False
+        self._target = b""
+        self._headers: Headers = []
+        self._host: bytes | None = None
+        self._connection_header = b""
+        self._body_length: int | None = 0
+        self._expects_continue = False
+        self._header_count = 0
+        self._head_bytes = 0
+
+    def feed(self, data: bytes) -> None:
+        """Parse `data`, or raise `RequestRefusedError`, after which nothing more may be fed."""
+        self._unframed += len(data)
+        while data:
+            data = self._feed_once(data)
+        if self._unframed > self._limits.max_head_bytes + len(data):
+            raise RequestRefusedError(431)
+
+    # Events of the codec.
+
+    def on_message_begin(self) -> None:
+        """Start a new head."""
+        self.in_message = True
+        self._in_body = False
+        self._target = b""
+        self._headers = []
+        self._host = None
+        self._connection_header = b""
+        self._body_length = 0
+        self._expects_continue = False
+        self._header_count = 0
+        self._head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target."""
+        self._target += url
+        self._count_head_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header of the head, or a trailer, which is dropped."""
+        self._header_count += 1
+        self._count_head_bytes(len(name) + len(value))
+        if self._header_count > self._limits.max_headers:
+            raise RequestRefusedError(431)
+        if self._in_body:
+            return
+        name = name.lower()
+        if name in HOP_BY_HOP:
+            self._take_hop_header(name, value)
+            return
+        if name == b"host":
+            if self._host is not None:
+                raise RequestRefusedError(400)
+            self._host = value
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass on the head."""
+        self._unframed = 0
+        self._body_bytes = 0
+        self._in_body = True
+        self._events.take_head(self._make_head())
+
+    def on_body(self, data: bytes) -> None:
+        """Pass on bytes of the body."""
+        self._unframed = 0
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.max_body_bytes:
+            raise RequestRefusedError(413)
+        self._events.take_body(data)
+
+    def on_message_complete(self) -> None:
+        """Pass on the end of the request."""
+        self._unframed = 0
+        self.in_message = False
+        self._events.take_end()
+
+    def _feed_once(self, data: bytes) -> bytes:
+        try:
+            self._codec.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            # Upgrades are not offered: the request is taken as a plain one.
+            offset: int = upgrade.args[0]
+            return data[offset:]
+        except httptools.HttpParserCallbackError as error:
+            raise error.__context__ or error from None
+        except httptools.HttpParserError:
+            raise RequestRefusedError(400) from None
+        return b""
+
+    def _count_head_bytes(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._limits.max_head_bytes:
+            raise RequestRefusedError(431)
+
+    def _take_hop_header(self, name: bytes, value: bytes) -> None:
+        if name == b"content-length":
+            self._body_length = int(value)
+            if self._body_length > self._limits.max_body_bytes:
+                raise RequestRefusedError(413)
+        elif name == b"transfer-encoding":
+            if value.lower() != b"chunked":
+                raise RequestRefusedError(501)
+            self._body_length = None
+        elif name == b"connection":
+            self._connection_header += value + b","
+        elif name == b"expect":
+            if value.lower() != b"100-continue":
+                raise RequestRefusedError(417)
+            self._expects_continue = True
+
+    def _make_head(self) -> RequestHead:
+        codec = self._codec
+        version = codec.get_http_version()
+        modern = version == "1.1"
+        self._check_version(version, modern)
+        method: bytes = codec.get_method()
+        if method == b"CONNECT":
+            raise RequestRefusedError(501)
+        if codec.should_upgrade() and self._body_length != 0:
+            # The codec ends such a request with its head, which would leave its body ambiguous.
+            raise RequestRefusedError(400)
+        headers = self._headers
+        if self._connection_header:
+            headers = strip_named(headers, self._connection_header)
+        return RequestHead(
+            method,
+            self._target,
+            headers,
+            self._host or b"",
+            modern and codec.should_keep_alive(),
+            modern,
+            self._body_length,
+            self._expects_continue,
+        )
+
+    def _check_version(self, version: str, modern: bool) -> None:
+        if not modern and version != "1.0":
+            raise RequestRefusedError(505)
+        if modern and self._host is None:
+            raise RequestRefusedError(400)
+        if not modern and self._body_length is None:
+            raise RequestRefusedError(400)
--- /dev/null
+++ b/packages/httpflow/src/corianderwall/httpflow/server.py
@@ -0,0 +1,125 @@
+"""The listening side: accepts callers, enforces deadlines, drains."""
+
+import asyncio
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred
+
+from corianderwall.httpflow.call import CallHandler
+from corianderwall.httpflow.limits import ServerLimits
+from corianderwall.httpflow.server_connection import ServerConnection, ServerState
+from corianderwall.model.endpoint import Address
+
+SWEEP_INTERVAL_S = 0.25
+BACKLOG = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class DrainReport:
+    """How many calls ended in peace since the drain began, and how many a forced stop cut."""
+
+    ended: int
+    cut: int
+
+
+class CallServer(ServerState):
+    """Serves HTTP/1.1 to callers; lives on the running loop of the asyncio reactor."""
+
+    def __init__(self, handler: CallHandler, limits: ServerLimits | None = None) -> None:
+        super().__init__(handler, limits or ServerLimits())
+        self._loop = asyncio.get_event_loop()
+        self._server: asyncio.Server | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._quiet_deadline = 0.0
+        self._ended_before_drain = 0
+        self._drained: Deferred[DrainReport] | None = None
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self.connections)
+
+    async def listen(self, host: str, port: int) -> Address:
+        """Start to accept callers at `host`; port 0 takes a free one."""
+        opening = self._loop.create_server(
+            self._make_connection, host, port, backlog=BACKLOG, reuse_address=True
+        )
+        task = self._loop.create_task(opening)
+        server = await Deferred.fromFuture(task)
+        self._server = server
+        self._sweep()
+        bound: tuple[str, int] = server.sockets[0].getsockname()
+        return Address(host=bound[0], port=bound[1])
+
+    def drain(self, quiet_deadline: float) -> Deferred[DrainReport]:
+        """Finish all calls and close; the result tells how it went.
+
+        Until `quiet_deadline` (monotonic seconds) the server still takes late calls, whose
+        senders do not know yet, and closes each connection behind its answer.
+        """
+        if self._drained is None:
+            self._drained = Deferred()
+            self.draining = True
+            self._quiet_deadline = quiet_deadline
+            self._ended_before_drain = self.ended_calls
+            self.note_change()
+        result: Deferred[DrainReport] = Deferred()
+        self._drained.addCallback(_pass_on, result)
+        return result
+
+    def stop_now(self) -> DrainReport:
+        """Close everything at once and tell how many calls that cut."""
+        cut = self.running_calls
+        self.draining = True
+        self._close_listener()
+        for connection in list(self.connections):
+            connection.abort()
+        self._stop_sweep()
+        report = DrainReport(ended=self.ended_calls - self._ended_before_drain, cut=cut)
+        self._report(report)
+        return report
+
+    def note_change(self) -> None:
+        """End the drain once nothing runs any more."""
+        if not self.draining or self._drained is None:
+            return
+        if self._loop.time() < self._quiet_deadline:
+            return
+        self._close_listener()
+        for connection in list(self.connections):
+            connection.close_if_quiet()
+        if not self.connections:
+            self._stop_sweep()
+            ended = self.ended_calls - self._ended_before_drain
+            self._report(DrainReport(ended=ended, cut=0))
+
+    def _make_connection(self) -> ServerConnection:
+        return ServerConnection(self, self._loop)
+
+    def _sweep(self) -> None:
+        now = self._loop.time()
+        for connection in list(self.connections):
+            if connection.deadline <= now:
+                connection.expire()
+        self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        if self.draining:
+            self.note_change()
+
+    def _stop_sweep(self) -> None:
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+
+    def _close_listener(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _report(self, report: DrainReport) -> None:
+        drained = self._drained
+        if drained is not None and not drained.called:
+            drained.callback(report)
+
+
+def _pass_on(report: DrainReport, result: "Deferred[DrainReport]") -> DrainReport:
+    result.callback(report)
+    return report
