Add the membership core

Cause: nodes need to know each other, their endpoints and who has failed without a coordination service.

Change: a ring overlay that each node computes alone, heartbeats, agreed deaths within a region, refutation, self-doubt, epidemic announcements and digest repair.

--- /dev/null
+++ b/packages/membership/src/corianderwall/membership/antientropy.py
@@ -0,0 +1,49 @@
+"""Repair of views that differ for longer than gossip takes."""
+
+from corianderwall.membership.messages import BucketKeys, RecordsWanted, ViewSummary
+from corianderwall.membership.records import BUCKETS
+from corianderwall.membership.view import View
+from corianderwall.model.message import Outgoing
+
+DIFFERING_HEARTBEATS = 2
+"""Heartbeats in a row with another digest, after which the views are compared."""
+
+
+class AntiEntropy:
+    """Compares bucket digests, then record keys, then exchanges what is newer at either side."""
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self._differing: dict[str, int] = {}
+
+    def note_digest(self, peer: str, digest: int) -> list[Outgoing]:
+        """Take the digest of a peer's view; start a comparison when it stays different."""
+        if digest == self._view.table.digest:
+            self._differing.pop(peer, None)
+            return []
+        self._differing[peer] = self._differing.get(peer, 0) + 1
+        if self._differing[peer] < DIFFERING_HEARTBEATS:
+            return []
+        del self._differing[peer]
+        return [Outgoing(peer, ViewSummary(self._view.table.buckets))]
+
+    def compare_buckets(self, peer: str, summary: ViewSummary) -> list[Outgoing]:
+        """Answer with the keys of the buckets that differ."""
+        mine = self._view.table.buckets
+        if len(summary.buckets) != BUCKETS:
+            return []
+        indexes = tuple(index for index in range(BUCKETS) if mine[index] != summary.buckets[index])
+        if not indexes:
+            return []
+        return [Outgoing(peer, BucketKeys(indexes, self._view.table.list_keys(indexes)))]
+
+    def compare_keys(self, peer: str, message: BucketKeys) -> list[Outgoing]:
+        """Queue what the peer lacks and ask for what this node lacks."""
+        theirs = {key.name: key.order for key in message.keys}
+        mine = {key.name: key.order for key in self._view.table.list_keys(message.indexes)}
+        lacking = [
+            name for name, order in mine.items() if name not in theirs or order > theirs[name]
+        ]
+        wanted = [name for name, order in theirs.items() if name not in mine or order > mine[name]]
+        self._view.queue_records(peer, lacking)
+        return [Outgoing(peer, RecordsWanted(tuple(wanted)))] if wanted else []
--- /dev/null
+++ b/packages/membership/src/corianderwall/membership/doubt.py
@@ -0,0 +1,73 @@
+"""Whether this node itself may be the one that is cut off or was paused."""
+
+import random
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+SAMPLES_KEPT = 20
+SAMPLES_PER_ROUND = 4
+SAMPLE_WAIT_S = 1.0
+
+
+@dataclass(slots=True)
+class _Sample:
+    name: str
+    asked_at: float
+    is_answered: bool = False
+
+
+class SelfDoubt:
+    """Decides whether silence around this node speaks against itself.
+
+    A node that misses more than half of the neighbours in its region asks hosts of its region
+    at random and suspects nobody until enough of them have answered.
+    """
+
+    def __init__(self, fraction_min: float, rng: random.Random, grace_until: float) -> None:
+        self._fraction_min = fraction_min
+        self._rng = rng
+        self._grace_until = grace_until
+        self._samples: deque[_Sample] = deque(maxlen=SAMPLES_KEPT)
+        self._next_round_at = 0.0
+        self._is_lonely = False
+
+    def note_pause(self, grace_until: float) -> None:
+        """Trust no silence until `grace_until`, for this process did not listen."""
+        self._grace_until = max(self._grace_until, grace_until)
+        self._samples.clear()
+
+    def note_heard(self, name: str) -> None:
+        """Count an answer of a sampled host."""
+        for sample in self._samples:
+            if sample.name == name:
+                sample.is_answered = True
+
+    def update(self, silent: int, watched: int, candidates: Sequence[str], now: float) -> list[str]:
+        """Return the names to ask now, given how many of the watched hosts are silent."""
+        self._is_lonely = silent * 2 > watched
+        if not self._is_lonely:
+            self._samples.clear()
+            return []
+        if now < self._next_round_at or not candidates:
+            return []
+        self._next_round_at = now + SAMPLE_WAIT_S
+        names = self._rng.sample(list(candidates), min(SAMPLES_PER_ROUND, len(candidates)))
+        self._samples.extend(_Sample(name, now) for name in names)
+        return names
+
+    def is_in_grace(self, now: float) -> bool:
+        """Return whether this process was paused or started too short a time ago."""
+        return now < self._grace_until
+
+    def is_doubting(self, now: float) -> bool:
+        """Return whether this node must not speak against hosts of its region."""
+        if self.is_in_grace(now):
+            return True
+        if not self._is_lonely:
+            return False
+        ripe = [sample for sample in self._samples if now - sample.asked_at >= SAMPLE_WAIT_S]
+        if len(ripe) < SAMPLES_PER_ROUND:
+            return True
+        answered = sum(sample.is_answered for sample in ripe)
+        return answered < self._fraction_min * len(ripe)
--- /dev/null
+++ b/packages/membership/src/corianderwall/membership/membership.py
@@ -0,0 +1,234 @@
+"""The membership of one node: who is there, what they offer, and who has failed."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+from corianderwall.membership.antientropy import AntiEntropy
+from corianderwall.membership.events import AdvertHeard, MembershipEvent
+from corianderwall.membership.messages import (
+    BucketKeys,
+    Gossip,
+    Heartbeat,
+    JoinReply,
+    JoinRequest,
+    Life,
+    ProbeReport,
+    ProbeRequest,
+    Record,
+    RecordsWanted,
+    ViewSummary,
+)
+from corianderwall.membership.records import pack_records, unpack_records
+from corianderwall.membership.seeding import Seeding
+from corianderwall.membership.settings import MembershipSettings
+from corianderwall.membership.status import Status
+from corianderwall.membership.view import View
+from corianderwall.membership.watching import NeighbourWatch
+from corianderwall.model.endpoint import Endpoint, EndpointState, Host
+from corianderwall.model.message import Outgoing, PeerMessage
+
+
+class Membership:
+    """Finds failed hosts and spreads announcements; pure, so the node sends and keeps time.
+
+    `handle` takes a message of a peer, `tick` is called about every 100 ms; both return what
+    is to be sent. `take_events` returns what has changed since it was last called.
+    """
+
+    def __init__(
+        self,
+        me: Host,
+        *,
+        rng: random.Random,
+        now: float,
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        self._settings = settings or MembershipSettings()
+        self._rng = rng
+        self._view = View(me, self._settings, now)
+        self._watch = NeighbourWatch(self._view, self._settings, rng, now)
+        self._repair = AntiEntropy(self._view)
+        self._seeding = Seeding(self._view, self._settings)
+        self._events: list[MembershipEvent] = []
+
+    @property
+    def me(self) -> Host:
+        """This host, with its current incarnation."""
+        return self._view.me
+
+    @property
+    def has_joined(self) -> bool:
+        """Whether a seed has answered, or there was none to ask."""
+        return self._seeding.is_done
+
+    @property
+    def neighbours(self) -> tuple[str, ...]:
+        """The names of the hosts that this node exchanges heartbeats with."""
+        return self._view.neighbours
+
+    @property
+    def view_digest(self) -> int:
+        """The digest of the replicated records; equal digests mean equal views."""
+        return self._view.table.digest
+
+    def find_host(self, name: str) -> Host | None:
+        """Return a host in view, a dead one or a seed, so that messages can be addressed."""
+        return self._view.find_host(name) or self._seeding.find_host(name)
+
+    def list_hosts(self) -> tuple[Host, ...]:
+        """Return all hosts in view, this one, suspected and unreachable ones too."""
+        return tuple(record.host for record in self._view.table.iterate_live())
+
+    def list_live_hosts(self) -> tuple[Host, ...]:
+        """Return the hosts in view that are neither suspected nor unreachable."""
+        return tuple(
+            host for host in self.list_hosts() if self.get_status(host.name) is Status.LIVE
+        )
+
+    def get_status(self, name: str) -> Status:
+        """Return the status of a host in view."""
+        return self._view.statuses.get(name)
+
+    def list_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the endpoints of all hosts in view; `get_status` tells of their owners."""
+        return tuple(
+            endpoint for record in self._view.table.iterate_live() for endpoint in record.endpoints
+        )
+
+    def is_doubting(self, now: float) -> bool:
+        """Return whether this node was paused or cut off and must not trust its view."""
+        return self._watch.is_doubting(now)
+
+    def set_advert(self, advert: bytes) -> None:
+        """Set the short value that this node's heartbeats carry."""
+        self._watch.advert = advert
+
+    def take_events(self) -> list[MembershipEvent]:
+        """Return and forget the events since the last call."""
+        events = self._events + self._watch.take_events() + self._view.take_events()
+        self._events = []
+        return events
+
+    def join(self, seeds: Iterable[Host], now: float) -> list[Outgoing]:
+        """Ask seeds for their view; `tick` repeats it until one answers."""
+        return self._seeding.start(seeds, now)
+
+    def announce(self, endpoint: Endpoint, now: float) -> list[Outgoing]:
+        """Announce or change an endpoint of this host."""
+        others = tuple(held for held in self._view.mine.endpoints if held.name != endpoint.name)
+        return self._publish(endpoints=(*others, endpoint), now=now)
+
+    def withdraw(self, name: str, now: float) -> list[Outgoing]:
+        """Withdraw an endpoint of this host."""
+        others = tuple(held for held in self._view.mine.endpoints if held.name != name)
+        if len(others) == len(self._view.mine.endpoints):
+            return []
+        return self._publish(endpoints=others, now=now)
+
+    def drain(self, now: float) -> list[Outgoing]:
+        """Announce that all endpoints of this host take no new work."""
+        drained = tuple(
+            replace(endpoint, state=EndpointState.DRAINING)
+            for endpoint in self._view.mine.endpoints
+        )
+        return self._publish(endpoints=drained, now=now)
+
+    def leave(self, now: float) -> list[Outgoing]:
+        """Announce that this host is gone; call it after `drain`, when all work is done."""
+        self._view.depart(now)
+        return self._view.queues.flush(now)
+
+    def handle(self, peer: str, message: PeerMessage, now: float) -> list[Outgoing]:
+        """Take a message of a peer and return the answers."""
+        self._watch.note_heard(peer, now)
+        handler = _HANDLERS.get(type(message))
+        answers = [] if handler is None else handler(self, peer, message, now)
+        return answers + self._flush(now)
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Do what is due."""
+        outgoing = self._seeding.tick(now) + self._watch.tick(now)
+        self._view.settle(now, may_declare=not self._watch.is_doubting(now))
+        return outgoing + self._flush(now)
+
+    def _flush(self, now: float) -> list[Outgoing]:
+        return self._view.queues.flush(now)
+
+    def _publish(self, *, endpoints: tuple[Endpoint, ...], now: float) -> list[Outgoing]:
+        self._view.publish(endpoints, now)
+        return self._flush(now)
+
+    def _handle_heartbeat(self, peer: str, message: Heartbeat, now: float) -> list[Outgoing]:
+        outgoing = []
+        if message.advert:
+            self._events.append(AdvertHeard(peer, message.advert))
+        self._events += self._watch.detector.note_hears_us(peer, message.hears_you, now)
+        if message.wants_reply:
+            outgoing.append(self._watch.make_heartbeat(peer, now))
+        record = self._view.table.get(peer)
+        if record is None or record.host.incarnation < message.incarnation:
+            outgoing.append(Outgoing(peer, RecordsWanted((peer,))))
+        elif record.life is not Life.LIVE:
+            outgoing.append(Outgoing(peer, Gossip(records=pack_records([record]))))
+        outgoing += self._repair.note_digest(peer, message.view_digest)
+        return outgoing
+
+    def _handle_gossip(self, peer: str, message: Gossip, now: float) -> list[Outgoing]:
+        records = unpack_records(message.records)
+        self._view.queues.drop_known(peer, records)
+        self._merge_records(records, peer, now)
+        for suspicion in message.suspicions:
+            self._view.store_suspicion(suspicion, source=peer, now=now)
+        return []
+
+    def _merge_records(self, records: Iterable[Record], source: str, now: float) -> None:
+        for record in records:
+            known = self._view.find_host(record.host.name)
+            if not self._view.merge(record, source, now):
+                continue
+            if known is not None and known.incarnation < record.host.incarnation:
+                self._events += self._watch.detector.note_refuted(record.host.name, now)
+
+    def _handle_join_request(self, peer: str, message: JoinRequest, now: float) -> list[Outgoing]:
+        self._merge_records(unpack_records(message.records), peer, now)
+        return [Outgoing(peer, self._seeding.make_reply(self._rng, now))]
+
+    def _handle_join_reply(self, peer: str, message: JoinReply, now: float) -> list[Outgoing]:
+        self._merge_records(unpack_records(message.records), peer, now)
+        self._seeding.note_reply()
+        return []
+
+    def _handle_probe_request(self, peer: str, message: ProbeRequest, now: float) -> list[Outgoing]:
+        is_heard = self._watch.detector.is_heard(message.subject, now)
+        return [Outgoing(peer, ProbeReport(message.subject, is_heard))]
+
+    def _handle_probe_report(self, peer: str, message: ProbeReport, now: float) -> list[Outgoing]:
+        self._watch.detector.note_report(message.subject, message.is_heard)
+        return []
+
+    def _handle_view_summary(self, peer: str, message: ViewSummary, now: float) -> list[Outgoing]:
+        return self._repair.compare_buckets(peer, message)
+
+    def _handle_bucket_keys(self, peer: str, message: BucketKeys, now: float) -> list[Outgoing]:
+        return self._repair.compare_keys(peer, message)
+
+    def _handle_records_wanted(
+        self, peer: str, message: RecordsWanted, now: float
+    ) -> list[Outgoing]:
+        self._view.queue_records(peer, message.names)
+        return []
+
+
+_HANDLERS: dict[type[PeerMessage], Callable[[Membership, str, Any, float], list[Outgoing]]] = {
+    Heartbeat: Membership._handle_heartbeat,
+    Gossip: Membership._handle_gossip,
+    JoinRequest: Membership._handle_join_request,
+    JoinReply: Membership._handle_join_reply,
+    ProbeRequest: Membership._handle_probe_request,
+    ProbeReport: Membership._handle_probe_report,
+    ViewSummary: Membership._handle_view_summary,
+    BucketKeys: Membership._handle_bucket_keys,
+    RecordsWanted: Membership._handle_records_wanted,
+}
--- /dev/null
+++ b/packages/membership/src/corianderwall/membership/view.py
@@ -0,0 +1,249 @@
+"""The replicated view of one node: records, suspicions, and what follows from them."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+import msgspec
+
+from corianderwall.membership.events import (
+    EndpointAdded,
+    EndpointChanged,
+    EndpointRemoved,
+    HostDead,
+    HostJoined,
+    HostLeft,
+    HostReturned,
+    MembershipEvent,
+)
+from corianderwall.membership.gossip import GossipQueues
+from corianderwall.membership.messages import Life, Record, Suspicion
+from corianderwall.membership.overlay import Overlay
+from corianderwall.membership.records import RecordTable
+from corianderwall.membership.settings import MembershipSettings
+from corianderwall.membership.status import StatusBoard
+from corianderwall.membership.suspicions import SuspicionTable
+from corianderwall.model.endpoint import Endpoint, Host
+
+
+class View:
+    """Merges news, queues it for the neighbours and declares deaths that are agreed on."""
+
+    def __init__(self, me: Host, settings: MembershipSettings, now: float) -> None:
+        self._settings = settings
+        self.table = RecordTable()
+        self.statuses = StatusBoard()
+        self.suspicions = SuspicionTable(settings.suspicion_life_s)
+        self.queues = GossipQueues(settings)
+        self.mine = Record(host=me, session=me.incarnation)
+        self.table.store(self.mine, now)
+        self._events: list[MembershipEvent] = []
+        self._overlay: Overlay | None = None
+        self._are_statuses_stale = False
+        self._agreed_at: dict[str, float] = {}
+
+    @property
+    def me(self) -> Host:
+        """This host."""
+        return self.mine.host
+
+    @property
+    def overlay(self) -> Overlay:
+        """The overlay of all hosts in view."""
+        if self._overlay is None:
+            self._overlay = Overlay(record.host for record in self.table.iterate_live())
+            self.queues.keep_peers(set(self._overlay.find_neighbours(self.me.name)))
+        return self._overlay
+
+    @property
+    def neighbours(self) -> tuple[str, ...]:
+        """This host's neighbours on the overlay."""
+        return self.overlay.find_neighbours(self.me.name)
+
+    def take_events(self) -> list[MembershipEvent]:
+        """Return and forget the events since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def find_host(self, name: str) -> Host | None:
+        """Return a known host, also a dead one."""
+        record = self.table.get(name)
+        return None if record is None else record.host
+
+    def is_near(self, name: str) -> bool:
+        """Return whether a host stands in this host's region."""
+        host = self.find_host(name)
+        return host is not None and host.locality.region == self.me.locality.region
+
+    def list_near_names(self) -> list[str]:
+        """Return the other hosts in view that stand in this host's region."""
+        region = self.me.locality.region
+        return sorted(
+            record.host.name
+            for record in self.table.iterate_live()
+            if record.host.locality.region == region and record.host.name != self.me.name
+        )
+
+    def publish(self, endpoints: tuple[Endpoint, ...], now: float) -> None:
+        """Replace this host's endpoints and spread the news."""
+        self._store_mine(
+            msgspec.structs.replace(
+                self.mine, revision=self.mine.revision + 1, endpoints=endpoints
+            ),
+            now,
+        )
+
+    def depart(self, now: float) -> None:
+        """Mark this host as left and spread the news."""
+        peers = self.neighbours
+        self.mine = msgspec.structs.replace(
+            self.mine, revision=self.mine.revision + 1, endpoints=(), life=Life.LEFT
+        )
+        self.table.store(self.mine, now)
+        for peer in peers:
+            self.queues.add_record(peer, self.mine)
+
+    def merge(self, record: Record, source: str, now: float) -> bool:
+        """Take a record over if it is newer; return whether it was."""
+        if record.host.name == self.me.name:
+            self._defend(record, now)
+            return False
+        if not self.table.is_newer(record):
+            return False
+        before = self.table.store(record, now)
+        self._note_change(before, record)
+        self._spread(record, source)
+        return True
+
+    def queue_records(self, peer: str, names: Iterable[str]) -> None:
+        """Queue the records of these hosts for a peer."""
+        for name in names:
+            record = self.table.get(name)
+            if record is not None:
+                self.queues.add_record(peer, record)
+
+    def store_suspicion(self, suspicion: Suspicion, source: str, now: float) -> None:
+        """Take a suspicion over if it is news, refute it if it is about this host."""
+        if not self.suspicions.store(suspicion, now):
+            return
+        self._are_statuses_stale = True
+        if suspicion.subject == self.me.name and suspicion.active:
+            self._refute(suspicion, now)
+        for peer in self.neighbours:
+            if peer not in (source, suspicion.accuser):
+                self.queues.add_suspicion(peer, suspicion)
+
+    def settle(self, now: float, *, may_declare: bool) -> None:
+        """Declare agreed deaths, forget what has lapsed and work the statuses out anew.
+
+        A node that doubts itself may not declare, and counts its waiting anew afterwards.
+        """
+        self.table.forget_removed(now - self._settings.tombstone_life_s)
+        if self.suspicions.expire(now):
+            self._are_statuses_stale = True
+        if may_declare:
+            self._declare_deaths(now)
+        else:
+            self._agreed_at.clear()
+        if self._are_statuses_stale:
+            self._are_statuses_stale = False
+            self._events += self.statuses.update(
+                self.me, self.table.iterate_live(), self.suspicions
+            )
+
+    def _store_mine(self, record: Record, now: float) -> None:
+        before = self.table.store(record, now)
+        self.mine = record
+        self._note_change(before, record)
+        self._spread(record, self.me.name)
+
+    def _defend(self, record: Record, now: float) -> None:
+        """Outbid a record about this host that is newer than its own word."""
+        if self.mine.life is Life.LEFT or record.order <= self.mine.order:
+            return
+        self._raise_incarnation(record.host.incarnation, now)
+
+    def _refute(self, suspicion: Suspicion, now: float) -> None:
+        if suspicion.incarnation >= self.me.incarnation and self.is_near(suspicion.accuser):
+            self._raise_incarnation(suspicion.incarnation, now)
+
+    def _raise_incarnation(self, above: int, now: float) -> None:
+        host = replace(self.me, incarnation=max(above, self.me.incarnation) + 1)
+        self._store_mine(msgspec.structs.replace(self.mine, host=host), now)
+
+    def _spread(self, record: Record, source: str) -> None:
+        for peer in self.neighbours:
+            if peer not in (source, record.host.name):
+                self.queues.add_record(peer, record)
+
+    def _note_change(self, before: Record | None, after: Record) -> None:
+        self._are_statuses_stale = True
+        if before is None or before.life is not after.life or before.host != after.host:
+            self._overlay = None
+        self._note_endpoints(before.endpoints if before else (), after.endpoints)
+        if after.life is not Life.LIVE:
+            self.statuses.forget(after.host.name)
+        self._note_life(before, after)
+
+    def _note_life(self, before: Record | None, after: Record) -> None:
+        was_live = before is not None and before.life is Life.LIVE
+        if after.life is Life.DEAD and was_live:
+            self._events.append(HostDead(after.host))
+        elif after.life is Life.LEFT and was_live:
+            self._events.append(HostLeft(after.host))
+        elif after.life is Life.LIVE:
+            if before is None or before.session != after.session:
+                self._events.append(HostJoined(after.host))
+            elif before.life is Life.DEAD:
+                self._events.append(HostReturned(after.host))
+
+    def _note_endpoints(self, before: tuple[Endpoint, ...], after: tuple[Endpoint, ...]) -> None:
+        old = {endpoint.name: endpoint for endpoint in before}
+        new = {endpoint.name: endpoint for endpoint in after}
+        for name, endpoint in new.items():
+            if name not in old:
+                self._events.append(EndpointAdded(endpoint))
+            elif old[name] != endpoint:
+                self._events.append(EndpointChanged(endpoint))
+        self._events += [EndpointRemoved(old[name]) for name in old if name not in new]
+
+    def _declare_deaths(self, now: float) -> None:
+        agreed = {}
+        for subject in self.suspicions.iterate_subjects():
+            if subject != self.me.name and self.is_near(subject) and self._is_agreed(subject):
+                agreed[subject] = self._agreed_at.get(subject, now)
+        self._agreed_at = agreed
+        for subject, since in agreed.items():
+            if now - since >= self._settings.death_wait_s:
+                self._declare_dead(subject, now)
+
+    def _is_agreed(self, subject: str) -> bool:
+        """Tell whether enough neighbours of a host in its region suspect it."""
+        record = self.table.get(subject)
+        if record is None or record.life is not Life.LIVE:
+            return False
+        accusers = [
+            accuser
+            for accuser in self.suspicions.list_accusers(subject, record.host.incarnation)
+            if self._is_live(accuser) and self.is_near(accuser) and not self._is_suspected(accuser)
+        ]
+        able = [
+            name
+            for name in self.overlay.find_neighbours(subject)
+            if self.is_near(name) and not self._is_suspected(name)
+        ]
+        required = min(self._settings.required_accusers, len(able))
+        return len(accusers) >= max(1, required)
+
+    def _is_live(self, name: str) -> bool:
+        record = self.table.get(name)
+        return record is not None and record.life is Life.LIVE
+
+    def _is_suspected(self, name: str) -> bool:
+        host = self.find_host(name)
+        return host is not None and bool(self.suspicions.list_accusers(name, host.incarnation))
+
+    def _declare_dead(self, subject: str, now: float) -> None:
+        record = self.table.get(subject)
+        if record is not None:
+            dead = msgspec.structs.replace(record, life=Life.DEAD, endpoints=())
+            self.merge(dead, self.me.name, now)
--- /dev/null
+++ b/packages/membership/src/corianderwall/membership/watching.py
@@ -0,0 +1,130 @@
+"""Heartbeats with the neighbours, and what this node says when one falls silent."""
+
+import random
+
+from corianderwall.membership.detector import SilenceDetector
+from corianderwall.membership.doubt import SelfDoubt
+from corianderwall.membership.events import MembershipEvent
+from corianderwall.membership.messages import Heartbeat, Life, Suspicion
+from corianderwall.membership.settings import MembershipSettings
+from corianderwall.membership.view import View
+from corianderwall.model.message import Outgoing
+
+REMOVED_PROBE_INTERVAL_S = 10.0
+"""How often one dead or departed host is greeted, in case it is back."""
+
+
+class NeighbourWatch:
+    """Exchanges heartbeats with the neighbours and accuses those that have failed."""
+
+    def __init__(
+        self, view: View, settings: MembershipSettings, rng: random.Random, now: float
+    ) -> None:
+        self._view = view
+        self._settings = settings
+        self._rng = rng
+        self.detector = SilenceDetector(settings, self._find_helpers)
+        self._doubt = SelfDoubt(settings.sample_fraction_min, rng, now + settings.grace_s)
+        self.advert = b""
+        self._last_tick = now
+        self._next_heartbeat_at = now
+        self._next_greeting_at = now + REMOVED_PROBE_INTERVAL_S
+        self._next_sequence = view.me.incarnation
+        self._events: list[MembershipEvent] = []
+
+    def is_doubting(self, now: float) -> bool:
+        """Return whether this node was paused or cut off and must not trust its view."""
+        return now - self._last_tick > self._settings.pause_s or self._doubt.is_doubting(now)
+
+    def take_events(self) -> list[MembershipEvent]:
+        """Return and forget the events since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def note_heard(self, peer: str, now: float) -> None:
+        """Record a sign of life of any kind."""
+        self.detector.note_heard(peer, now)
+        self._doubt.note_heard(peer)
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Send what heartbeats are due and look for silent neighbours."""
+        if now - self._last_tick > self._settings.pause_s:
+            self._doubt.note_pause(now + self._settings.grace_s)
+            self.detector.forgive_all(now)
+        self._last_tick = now
+        outgoing = self._watch_neighbours(now)
+        if now >= self._next_heartbeat_at:
+            self._next_heartbeat_at = now + self._settings.heartbeat_interval_s
+            outgoing += [self.make_heartbeat(peer, now) for peer in self._view.neighbours]
+        return outgoing + self._greet_removed(now)
+
+    def make_heartbeat(self, peer: str, now: float, *, wants_reply: bool = False) -> Outgoing:
+        """Return a heartbeat for a peer."""
+        return Outgoing(
+            peer,
+            Heartbeat(
+                incarnation=self._view.me.incarnation,
+                view_digest=self._view.table.digest,
+                hears_you=self.detector.hears(peer, now),
+                wants_reply=wants_reply,
+                advert=self.advert,
+            ),
+        )
+
+    def _find_helpers(self, subject: str) -> tuple[str, ...]:
+        names = self._view.overlay.find_neighbours(subject)
+        return tuple(name for name in names if name != self._view.me.name)
+
+    def _watch_neighbours(self, now: float) -> list[Outgoing]:
+        dropped = self.detector.watch(self._view.neighbours, now)
+        outgoing = self._sample_hosts(now)
+        findings = self.detector.run_round(lambda name: self._may_accuse(name, now), now)
+        self._events += findings.events
+        for name in findings.accused:
+            self._speak_of(name, active=True, now=now)
+        for name in [*findings.cleared, *dropped]:
+            self._speak_of(name, active=False, now=now)
+        return outgoing + findings.outgoing
+
+    def _sample_hosts(self, now: float) -> list[Outgoing]:
+        silent = [name for name in self.detector.list_silent(now) if self._view.is_near(name)]
+        watched = [name for name in self._view.neighbours if self._view.is_near(name)]
+        candidates = self._view.list_near_names() if len(silent) * 2 > len(watched) else []
+        names = self._doubt.update(len(silent), len(watched), candidates, now)
+        return [self.make_heartbeat(name, now, wants_reply=True) for name in names]
+
+    def _may_accuse(self, name: str, now: float) -> bool:
+        """Tell whether silence of a host may be held against it rather than this node."""
+        if self._view.is_near(name):
+            return not self._doubt.is_doubting(now)
+        return not self._doubt.is_in_grace(now)
+
+    def _speak_of(self, name: str, *, active: bool, now: float) -> None:
+        record = self._view.table.get(name)
+        if record is None or record.life is not Life.LIVE:
+            return
+        self._next_sequence += 1
+        self._view.store_suspicion(
+            Suspicion(
+                accuser=self._view.me.name,
+                subject=name,
+                incarnation=record.host.incarnation,
+                sequence=self._next_sequence,
+                active=active,
+            ),
+            source=self._view.me.name,
+            now=now,
+        )
+
+    def _greet_removed(self, now: float) -> list[Outgoing]:
+        if now < self._next_greeting_at:
+            return []
+        self._next_greeting_at = now + REMOVED_PROBE_INTERVAL_S
+        removed = [
+            record.host.name
+            for record in self._view.table.list_removed()
+            if record.host.name != self._view.me.name
+        ]
+        if not removed:
+            return []
+        return [self.make_heartbeat(self._rng.choice(removed), now, wants_reply=True)]
--- /dev/null
+++ b/packages/membership/tests/test_membership.py
@@ -0,0 +1,199 @@
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from corianderwall.membership.events import (
+    EndpointAdded,
+    EndpointChanged,
+    EndpointRemoved,
+    HostDead,
+    HostJoined,
+    HostLeft,
+    HostReturned,
+    HostUnreachable,
+    LinkSilent,
+)
+from corianderwall.membership.status import Status
+from corianderwall.model.endpoint import Address, Endpoint, EndpointState, Host
+
+Build = Callable[..., Any]
+
+
+def make_endpoint(host: Host, **changes: Any) -> Endpoint:
+    endpoint = Endpoint(
+        name=f"{host.name}-a",
+        service="shiftboard",
+        version="v1",
+        node=host.name,
+        locality=host.locality,
+        address=Address(host=host.call_address.host, port=8000),
+        slots=6,
+        connections=110,
+    )
+    return replace(endpoint, **changes)
+
+
+def list_events(net: Any, kind: type) -> list[Any]:
+    return [event for events in net.events.values() for event in events if isinstance(event, kind)]
+
+
+def test_all_hosts_come_to_the_same_view(build_net: Build) -> None:
+    net = build_net(40)
+    assert {core.view_digest for core in net.cores.values()} == {
+        net.cores["host-000"].view_digest
+    }
+    assert len(net.cores["host-000"].list_live_hosts()) == 40
+
+
+def test_an_announcement_reaches_all_within_a_second(build_net: Build) -> None:
+    net = build_net(60)
+    core = net.cores["host-007"]
+    net.send("host-007", core.announce(make_endpoint(core.me), net.now))
+    net.run(1.0)
+    assert len(list_events(net, EndpointAdded)) == 60
+    net.send("host-007", core.drain(net.now))
+    net.run(1.0)
+    changed = list_events(net, EndpointChanged)
+    assert [event.endpoint.state for event in changed] == [EndpointState.DRAINING] * 60
+
+
+def test_the_death_of_a_host_is_agreed_and_removes_its_endpoints(build_net: Build) -> None:
+    net = build_net(30)
+    core = net.cores["host-007"]
+    net.send("host-007", core.announce(make_endpoint(core.me), net.now))
+    net.run(1.0)
+    net.stop("host-007")
+    net.run(12.0)
+    assert {event.host.name for event in list_events(net, HostDead)} == {"host-007"}
+    assert len(list_events(net, HostDead)) == 29
+    assert len(list_events(net, EndpointRemoved)) == 29
+
+
+def test_the_death_of_a_zone_is_agreed_by_the_rest_of_its_region(build_net: Build) -> None:
+    net = build_net(50)
+    lost = {name for name in net.cores if int(name[-3:]) % 5 == 2}
+    for name in lost:
+        net.stop(name)
+    net.run(40.0)
+    for name in net.cores:
+        assert set(net.seen_by(name, HostDead)) == lost
+
+
+def test_half_of_the_fleet_may_die_at_once(build_net: Build) -> None:
+    net = build_net(60)
+    lost = set(net.rng.sample(sorted(net.cores), 30))
+    for name in lost:
+        net.stop(name)
+    net.run(90.0)
+    for name in net.cores:
+        assert set(net.seen_by(name, HostDead)) == lost
+
+
+def test_a_paused_host_declares_nobody_dead_and_comes_back(build_net: Build) -> None:
+    net = build_net(30)
+    net.paused.add("host-004")
+    net.run(30.0)
+    assert net.seen_by("host-001", HostDead) == ["host-004"]
+    net.clear_events()
+    net.wake("host-004")
+    net.run(15.0)
+    assert {event.host.name for event in list_events(net, HostDead)} <= {"host-004"}
+    assert net.seen_by("host-001", HostReturned) == ["host-004"]
+    assert len(net.cores["host-004"].list_live_hosts()) == 30
+
+
+def test_an_old_accusation_is_not_carried_out_by_a_host_that_was_paused(build_net: Build) -> None:
+    net = build_net(30)
+    net.stop("host-007")
+    for _ in range(60):
+        net.run(0.1)
+        if net.cores["host-001"].get_status("host-007") is Status.SUSPECTED:
+            break
+    assert not list_events(net, HostDead)
+    net.run(0.5)
+    net.paused.add("host-001")
+    net.run(0.4)
+    net.start(replace(net.hosts["host-007"], incarnation=2000), [net.hosts["host-000"]])
+    net.run(10.0)
+    net.paused.discard("host-001")
+    net.run(0.1)
+    assert net.seen_by("host-001", HostDead) == []
+
+
+def test_an_isolated_host_doubts_itself(build_net: Build) -> None:
+    net = build_net(30)
+    net.is_cut = lambda sender, receiver: "host-004" in (sender, receiver)
+    net.run(60.0)
+    assert net.cores["host-004"].is_doubting(net.now)
+    assert net.seen_by("host-004", HostDead) == []
+    net.is_cut = lambda sender, receiver: False
+    net.run(30.0)
+    assert {core.view_digest for core in net.cores.values()} == {net.cores["host-004"].view_digest}
+    assert len(net.cores["host-004"].list_live_hosts()) == 30
+
+
+def test_regions_apart_for_minutes_declare_nobody_dead(build_net: Build) -> None:
+    net = build_net(40)
+    regions = {name: host.locality.region for name, host in net.hosts.items()}
+    net.is_cut = lambda sender, receiver: regions[sender] != regions[receiver]
+    net.run(180.0)
+    assert not list_events(net, HostDead)
+    for name, core in net.cores.items():
+        far = {other for other in regions if regions[other] != regions[name]}
+        assert set(net.seen_by(name, HostUnreachable)) == far
+        assert {host.name for host in core.list_live_hosts()} == set(regions) - far
+        assert len(core.list_hosts()) == 40
+    net.is_cut = lambda sender, receiver: False
+    net.run(10.0)
+    for core in net.cores.values():
+        assert len(core.list_live_hosts()) == 40
+
+
+def test_a_silent_link_is_replaced_and_kills_nobody(build_net: Build) -> None:
+    net = build_net(30)
+    peer = net.cores["host-004"].neighbours[0]
+    net.is_cut = lambda sender, receiver: (sender, receiver) == (peer, "host-004")
+    net.run(30.0)
+    assert not list_events(net, HostDead)
+    assert LinkSilent(peer) in net.events["host-004"]
+    assert LinkSilent("host-004") in net.events[peer]
+
+
+def test_a_restart_without_memory_is_seen_as_a_new_session(build_net: Build) -> None:
+    net = build_net(20)
+    net.stop("host-007")
+    net.run(0.5)
+    net.start(replace(net.hosts["host-007"], incarnation=500), [net.hosts["host-003"]])
+    net.run(10.0)
+    assert not list_events(net, HostDead)
+    assert net.seen_by("host-001", HostJoined) == ["host-007"]
+    assert net.cores["host-007"].me.incarnation > 1000
+
+
+def test_a_host_that_leaves_is_gone_at_once(build_net: Build) -> None:
+    net = build_net(20)
+    net.send("host-007", net.cores["host-007"].leave(net.now))
+    net.stop("host-007")
+    net.run(1.0)
+    assert len(list_events(net, HostLeft)) == 19
+    net.run(20.0)
+    assert not list_events(net, HostDead)
+
+
+def test_a_lost_announcement_is_repaired(build_net: Build) -> None:
+    net = build_net(20)
+    core = net.cores["host-007"]
+    net.is_cut = lambda sender, receiver: True
+    net.send("host-007", core.announce(make_endpoint(core.me), net.now))
+    net.is_cut = lambda sender, receiver: False
+    net.run(4.0)
+    assert len(list_events(net, EndpointAdded)) == 20
+
+
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_few_hosts_see_each_other(build_net: Build, count: int) -> None:
+    net = build_net(count)
+    for core in net.cores.values():
+        assert len(core.list_live_hosts()) == count
