--- a/packages/model/src/corianderwall/model/change.py
+++ b/packages/model/src/corianderwall/model/change.py
@@ -85,12 +85,13 @@
 
 
 class AdvanceMove(msgspec.Struct, frozen=True, tag="advance_move"):
-    """Sets the share of a running move; `step` must be the next and `fencing` not older."""
+    """Raises the share of a running move; `step` must be the next and `fencing` not older."""
 
     move_id: str
     step: int
     share_permille: int
     fencing: int
+    unix_ms: int = 0
 
 
 class EndMove(msgspec.Struct, frozen=True, tag="end_move"):
@@ -258,6 +259,7 @@
         started_unix_ms=change.started_unix_ms,
         deadline_unix_ms=change.deadline_unix_ms,
         policy=change.policy,
+        stepped_unix_ms=change.started_unix_ms,
     )
     # Only the newest move of a service is kept in the snapshot; the audit trail has them all.
     others = tuple(other for other in snapshot.moves if other.service != change.service)
@@ -288,14 +290,26 @@
         raise CorianderwallError(
             ErrorCode.STALE_VERSION, f"move {move.id!r} is at step {move.step}, not before the next"
         )
+    if change.share_permille < move.share_permille:
+        raise CorianderwallError(
+            ErrorCode.INVALID_ARGUMENT, f"the share of running move {move.id!r} cannot fall"
+        )
     advanced = replace(
-        move, step=change.step, share_permille=change.share_permille, fencing=change.fencing
+        move,
+        step=change.step,
+        share_permille=change.share_permille,
+        fencing=change.fencing,
+        stepped_unix_ms=max(move.stepped_unix_ms, change.unix_ms),
     )
     return _store_move(snapshot, advanced)
 
 
 def _end_move(snapshot: Snapshot, change: EndMove) -> Snapshot:
     move = _require_running(snapshot, change.move_id, change.fencing)
+    if change.state is MoveState.RUNNING:
+        raise CorianderwallError(
+            ErrorCode.INVALID_ARGUMENT, f"move {move.id!r} cannot end as still running"
+        )
     ended = replace(
         move,
         state=change.state,
--- a/packages/model/src/corianderwall/model/resource.py
+++ b/packages/model/src/corianderwall/model/resource.py
@@ -89,7 +89,8 @@
     """The transfer of a service's calls from one version to another by a deadline.
 
     `step` counts the changes of share made so far, `fencing` is the token of the lease under
-    which the last change was made; neither ever falls. `cause` and `evidence` state the end.
+    which the last change was made; neither ever falls. The last step was made at
+    `stepped_unix_ms`. `cause` and `evidence` state the end.
     """
 
     id: str
@@ -103,6 +104,7 @@
     step: int = 0
     share_permille: int = 0
     fencing: int = 0
+    stepped_unix_ms: int = 0
     ended_unix_ms: int = 0
     cause: str = ""
     evidence: str = ""
--- a/packages/model/src/corianderwall/model/validation.py
+++ b/packages/model/src/corianderwall/model/validation.py
@@ -133,5 +133,9 @@
         yield _invalid(f"move {move_id!r} has steps that do not rise to {PERMILLE}")
     if policy.min_calls_per_step <= 0:
         yield _invalid(f"move {move_id!r} asks for no calls in a step")
+    if not 0 <= policy.tolerated_error_permille <= PERMILLE:
+        yield _invalid(f"move {move_id!r} has a tolerated error rate out of range")
+    if policy.tolerated_slowdown_percent < 0:
+        yield _invalid(f"move {move_id!r} tolerates a negative slowdown")
     if not 0 <= policy.caution <= 1:
         yield _invalid(f"move {move_id!r} has a caution out of range")
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/agent.py
@@ -0,0 +1,274 @@
+"""A node's whole part in the moves: evidence, shares, cuts, aggregation and control.
+
+Pure: the node feeds it snapshots, members, outcomes, messages and ticks, sends what it returns
+and writes the changes that it wants.
+"""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from corianderwall.model.change import AdvanceMove, EndMove
+from corianderwall.model.endpoint import Endpoint, EndpointState
+from corianderwall.model.message import Outgoing, PeerMessage
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.model.resource import Move, MoveState, Snapshot
+from corianderwall.moves.control import Capacity, HeldLease, MoveController, Situation
+from corianderwall.moves.cut import CutBook
+from corianderwall.moves.evidence import EvidenceBook
+from corianderwall.moves.judgement import Judgement
+from corianderwall.moves.messages import Cut, Ejection, EvidenceAck, EvidenceReport
+from corianderwall.moves.reporting import place_aggregators
+from corianderwall.moves.share import ShareGate, compute_phase
+from corianderwall.moves.watch import Aggregation, LocalWatch, start_aggregation, start_watch
+
+WARMUP_S = 20.0
+"""Time after its start during which the latency of an endpoint does not count."""
+
+WARMUP_PART = 0.1
+"""The same as a part of the move's duration, if that is shorter."""
+
+REMINDER_PERIOD_S = 1.0
+
+Held = TypeVar("Held")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Members:
+    """The nodes and endpoints that membership shows; `nodes` are sorted names."""
+
+    nodes: tuple[str, ...]
+    endpoints: tuple[Endpoint, ...]
+
+
+@dataclass(slots=True)
+class MoveAgent:
+    """All that one node, in one incarnation, knows and does about the running moves."""
+
+    node: str
+    incarnation: int
+    rng: random.Random
+    book: EvidenceBook = field(default_factory=EvidenceBook)
+    cuts: CutBook = field(init=False)
+    _members: Members = field(default_factory=lambda: Members(nodes=(), endpoints=()))
+    _moves: dict[str, Move] = field(default_factory=dict)
+    _gates: dict[str, ShareGate] = field(default_factory=dict)
+    _watches: dict[str, LocalWatch] = field(default_factory=dict)
+    _aggregations: dict[str, Aggregation] = field(default_factory=dict)
+    _controllers: dict[str, MoveController] = field(default_factory=dict)
+    _aggregators: dict[str, list[str]] = field(default_factory=dict)
+    _next_reminder_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.cuts = CutBook(self.node, self.rng)
+
+    def update_snapshot(self, snapshot: Snapshot) -> None:
+        """Follow the configuration that is in force at this node."""
+        running = [move for move in snapshot.moves if move.state is MoveState.RUNNING]
+        self._moves = {move.id: move for move in running}
+        self.cuts.update(running)
+        self.book.update(running, self._map_zones())
+        _drop_ended(self._gates, self._moves)
+        _drop_ended(self._watches, self._moves)
+        _drop_ended(self._aggregations, self._moves)
+        _drop_ended(self._controllers, self._moves)
+        for move in running:
+            self._open_move(move)
+
+    def update_members(self, members: Members) -> None:
+        """Follow the membership."""
+        self._members = members
+        self._aggregators.clear()
+        zones = self._map_zones()
+        self.book.update(list(self._moves.values()), zones)
+        for move in self._moves.values():
+            own = self._map_new_zones(move)
+            for held in (self._watches.get(move.id), self._aggregations.get(move.id)):
+                if held is not None:
+                    held.judge.zones = own
+
+    def record(self, outcome: AttemptOutcome) -> None:
+        """Count the outcome of one attempt of a call."""
+        self.book.record(outcome)
+
+    def choose_version(self, service: str, sticky: str = "") -> str:
+        """Return the version for a call of a service under a move, empty without a move."""
+        evidence = self.book.find(service)
+        if evidence is None:
+            return ""
+        move = evidence.move
+        is_new = self._gates[move.id].choose_new(sticky)
+        return move.to_version if is_new else move.from_version
+
+    def take_message(self, message: PeerMessage) -> list[Outgoing]:
+        """Act on a message from a peer and return the answers."""
+        if isinstance(message, EvidenceReport):
+            return self._take_report(message)
+        if isinstance(message, EvidenceAck):
+            watch = self._watches.get(message.move_id)
+            if watch is not None:
+                watch.reporter.take_ack(message)
+        elif isinstance(message, Cut):
+            return self._pass_on(message) if self.cuts.take_cut(message) else []
+        elif isinstance(message, Ejection):
+            return self._pass_on(message) if self.cuts.take_ejection(message) else []
+        return []
+
+    def tick(self, now: float, unix_ms: int) -> list[Outgoing]:
+        """Judge the last window; call it every `WINDOW_S`."""
+        outgoing: list[Outgoing] = []
+        for move in list(self._moves.values()):
+            outgoing.extend(self._tick_watch(move, now, unix_ms))
+            outgoing.extend(self._tick_aggregation(move, unix_ms))
+        if now >= self._next_reminder_at:
+            self._next_reminder_at = now + REMINDER_PERIOD_S
+            outgoing.extend(self.cuts.remind(self._members.nodes))
+        return outgoing
+
+    def is_aggregator(self, move_id: str) -> bool:
+        """Return whether this node merges the evidence of a move and may contend for its lease."""
+        return self.node in self._find_aggregators(move_id)
+
+    def decide(
+        self,
+        move_id: str,
+        lease: HeldLease | None,
+        busy_slots: float,
+        now: float,
+        unix_ms: int,
+    ) -> AdvanceMove | EndMove | None:
+        """Return the change that this node wants written; `busy_slots` over all nodes."""
+        move = self._moves.get(move_id)
+        if move is None:
+            return None
+        aggregation = self._aggregations.get(move_id)
+        controller = self._controllers.setdefault(move_id, MoveController(move_id))
+        return controller.decide(
+            Situation(
+                move=move,
+                judgement=aggregation.judgement if aggregation else None,
+                capacity=Capacity(self._count_new_slots(move), busy_slots),
+                lease=lease,
+                now=now,
+                unix_ms=unix_ms,
+                cut=self.cuts.find_cut(move_id),
+            )
+        )
+
+    def get_judgement(self, move_id: str) -> Judgement | None:
+        """Return the merged judgement on a move, if this node aggregates it."""
+        aggregation = self._aggregations.get(move_id)
+        return aggregation.judgement if aggregation else None
+
+    def _open_move(self, move: Move) -> None:
+        gate = self._gates.get(move.id)
+        if gate is None:
+            phase = compute_phase(move.id, self.node, self._members.nodes)
+            gate = self._gates[move.id] = ShareGate(phase)
+        gate.update(move.share_permille)
+        self._apply_cut(move.id)
+        evidence = self.book.find(move.service)
+        if evidence is not None and move.id not in self._watches:
+            self._watches[move.id] = start_watch(
+                evidence,
+                self.node,
+                self.incarnation,
+                self._map_new_zones(move),
+                len(self._members.nodes),
+            )
+
+    def _apply_cut(self, move_id: str) -> None:
+        if self.cuts.is_cut(move_id) and move_id in self._gates:
+            self._gates[move_id].close()
+
+    def _take_report(self, report: EvidenceReport) -> list[Outgoing]:
+        move = self._moves.get(report.move_id)
+        if move is None or not self.is_aggregator(report.move_id):
+            return []
+        aggregation = self._open_aggregation(move)
+        answers: list[PeerMessage] = []
+        ack = aggregation.take_report(report)
+        if ack is not None:
+            answers.append(ack)
+        cut = self.cuts.find_cut(move.id)
+        if cut is not None:
+            answers.append(cut)
+        return [Outgoing(report.node, answer) for answer in answers]
+
+    def _open_aggregation(self, move: Move) -> Aggregation:
+        aggregation = self._aggregations.get(move.id)
+        if aggregation is None:
+            aggregation = start_aggregation(move, self.node, self._map_new_zones(move))
+            self._aggregations[move.id] = aggregation
+        return aggregation
+
+    def _pass_on(self, message: Cut | Ejection) -> list[Outgoing]:
+        self._apply_cut(message.move_id)
+        first = self._find_aggregators(message.move_id)
+        return self.cuts.spread(message, self._members.nodes, first)
+
+    def _tick_watch(self, move: Move, now: float, unix_ms: int) -> list[Outgoing]:
+        watch = self._watches[move.id]
+        watch.evidence.warming = self._list_warming(move, unix_ms)
+        reports = watch.tick(self._find_aggregators(move.id), self.cuts.list_ejected(move.id), now)
+        outgoing = self._act(move, watch.judgement, unix_ms)
+        for aggregator, report in reports.items():
+            if aggregator == self.node:
+                for answer in self._take_report(report):
+                    self.take_message(answer.message)
+            else:
+                outgoing.append(Outgoing(aggregator, report))
+        return outgoing
+
+    def _tick_aggregation(self, move: Move, unix_ms: int) -> list[Outgoing]:
+        aggregation = self._aggregations.get(move.id)
+        if aggregation is None:
+            return []
+        judgement = aggregation.tick(move, self.cuts.list_ejected(move.id))
+        return self._act(move, judgement, unix_ms)
+
+    def _act(self, move: Move, judgement: Judgement, unix_ms: int) -> list[Outgoing]:
+        learnt = self.cuts.take_judgement(move.id, judgement, unix_ms)
+        return self._pass_on(learnt) if learnt is not None else []
+
+    def _find_aggregators(self, move_id: str) -> list[str]:
+        held = self._aggregators.get(move_id)
+        if held is None:
+            held = self._aggregators[move_id] = place_aggregators(move_id, self._members.nodes)
+        return held
+
+    def _list_new_endpoints(self, move: Move) -> list[Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._members.endpoints
+            if endpoint.service == move.service and endpoint.version == move.to_version
+        ]
+
+    def _list_warming(self, move: Move, unix_ms: int) -> frozenset[str]:
+        duration_ms = move.deadline_unix_ms - move.started_unix_ms
+        warmup_ms = min(WARMUP_S * 1000, WARMUP_PART * duration_ms)
+        return frozenset(
+            endpoint.name
+            for endpoint in self._list_new_endpoints(move)
+            if unix_ms < endpoint.started_unix_ms + warmup_ms
+        )
+
+    def _count_new_slots(self, move: Move) -> int:
+        ejected = self.cuts.list_ejected(move.id)
+        return sum(
+            endpoint.slots
+            for endpoint in self._list_new_endpoints(move)
+            if endpoint.state is EndpointState.READY and endpoint.name not in ejected
+        )
+
+    def _map_new_zones(self, move: Move) -> dict[str, str]:
+        return {each.name: each.locality.zone for each in self._list_new_endpoints(move)}
+
+    def _map_zones(self) -> dict[str, str]:
+        return {each.name: each.locality.zone for each in self._members.endpoints}
+
+
+def _drop_ended(held: dict[str, Held], running: Mapping[str, Move]) -> None:
+    for move_id in [move_id for move_id in held if move_id not in running]:
+        del held[move_id]
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/attribution.py
@@ -0,0 +1,44 @@
+"""Tells whether a few endpoints, rather than the version, are what is bad."""
+
+from collections.abc import Mapping
+
+from corianderwall.moves.detector import Sample, compute_log_clearance, compute_log_ratios
+from corianderwall.moves.scopes import EXCESSES, Metric, RecentTally, add_tallies
+
+SUSPECT_LOG_RATIO = 2.5
+"""Least log likelihood ratio against an endpoint that is held responsible."""
+
+CLEAN_LOG_RATIO = 3.0
+"""Least log likelihood ratio for the other endpoints being as good as tolerable."""
+
+MIN_REST_CALLS = 8
+
+
+def find_bad_minority(tallies: Mapping[str, RecentTally], metric: Metric) -> tuple[str, ...]:
+    """Return the endpoints without which the version is clean, empty if there are no such."""
+    suspects = tuple(sorted(name for name, tally in tallies.items() if _suspects(tally, metric)))
+    if not suspects or 2 * len(suspects) >= len(tallies):
+        return ()
+    bad = add_tallies(tallies[name] for name in suspects)
+    rest = add_tallies(tally for name, tally in tallies.items() if name not in suspects)
+    return suspects if _is_clean(rest, bad) else ()
+
+
+def _to_sample(tally: RecentTally, null_rate: float) -> Sample:
+    calls = round(tally.calls)
+    return Sample(calls, min(calls, round(tally.hits)), null_rate)
+
+
+def _suspects(tally: RecentTally, metric: Metric) -> bool:
+    if tally.rate <= tally.null_rate:
+        return False
+    ratios = compute_log_ratios(_to_sample(tally, tally.null_rate), EXCESSES[metric])
+    return max(ratios) >= SUSPECT_LOG_RATIO
+
+
+def _is_clean(rest: RecentTally, bad: RecentTally) -> bool:
+    if rest.calls < MIN_REST_CALLS:
+        return False
+    worse = max(1.5 * rest.null_rate + 0.02, bad.rate / 2)
+    clearance = compute_log_clearance(_to_sample(rest, worse), rest.null_rate)
+    return clearance >= CLEAN_LOG_RATIO
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/control.py
@@ -0,0 +1,218 @@
+"""Decides the next change of a move from the snapshot, the evidence, the lease and the clock."""
+
+from dataclasses import dataclass, field
+
+from corianderwall.model.change import AdvanceMove, EndMove
+from corianderwall.model.resource import PERMILLE, Move, MoveState
+from corianderwall.moves.judgement import Judgement, Verdict
+from corianderwall.moves.lifecycle import LifeCycle, Statement, observe_move, start_lifecycle
+from corianderwall.moves.messages import Cut
+from corianderwall.moves.plan import Plan, build_plan
+
+CAPACITY_HEADROOM = 0.8
+"""Part of the new version's slots that the move may fill."""
+
+BALANCED_CAUTION = 0.5
+"""Below it a move that lacks some proof goes on; from it on such a move is taken back."""
+
+LEAST_PARTIAL_PERMILLE = 500
+"""Least proven share from which a move that runs out of time may be completed."""
+
+DEADLINE_CAUSE = "not proven by the deadline"
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Slots of the new version's ready endpoints, and slots that the service's calls keep busy."""
+
+    new_slots: int
+    busy_slots: float
+
+    def bound_share(self) -> int:
+        """Return the largest share in per mille that the new version can serve."""
+        if self.busy_slots <= 0:
+            return PERMILLE if self.new_slots else 0
+        room = CAPACITY_HEADROOM * self.new_slots / self.busy_slots
+        return min(PERMILLE, int(room * PERMILLE))
+
+
+@dataclass(frozen=True, slots=True)
+class HeldLease:
+    """The lease of the move, as its holder knows it; instants are monotonic seconds."""
+
+    fencing: int
+    expires_at: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Situation:
+    """All that a decision rests on.
+
+    `judgement` is None without merged evidence, `cut` without a known cut, `lease` when this
+    node does not hold the move's lease.
+    """
+
+    move: Move
+    judgement: Judgement | None
+    capacity: Capacity
+    lease: HeldLease | None
+    now: float
+    unix_ms: int
+    cut: Cut | None = None
+
+
+@dataclass(slots=True)
+class MoveController:
+    """Steers one move; it may be lost and built anew at any time.
+
+    A change that it wants is wanted again until the snapshot shows it or something newer, so a
+    lost answer does no harm: the change carries the step that it follows.
+    """
+
+    move_id: str
+    _statement: Statement = field(default_factory=Statement)
+    _life: LifeCycle = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._life = start_lifecycle(self._statement)
+
+    def decide(self, situation: Situation) -> AdvanceMove | EndMove | None:
+        """Return the change that is wanted now, if any."""
+        move = situation.move
+        observe_move(self._life, move)
+        if move.state is not MoveState.RUNNING or not _holds_lease(situation):
+            return None
+        self._decide_end(situation)
+        decision = self._life.read_decision()
+        if decision is not MoveState.RUNNING:
+            return self._state_end(situation, decision)
+        return _step_up(situation)
+
+    def _decide_end(self, situation: Situation) -> None:
+        judgement = situation.judgement
+        if situation.cut is not None:
+            cut = situation.cut
+            self._life.take_back(cut.cause, f"cut by {cut.node}: {cut.evidence}")
+        elif judgement is not None and judgement.verdict is Verdict.BAD:
+            self._life.take_back(judgement.cause, judgement.evidence)
+        elif _has_soaked(situation):
+            self._complete("proven at full share", situation)
+        elif situation.unix_ms >= _get_plan(situation.move).finish_by_unix_ms:
+            self._decide_late(situation)
+
+    def _decide_late(self, situation: Situation) -> None:
+        if may_complete_late(situation):
+            self._complete("in time by the policy's caution", situation)
+        else:
+            self._life.take_back(DEADLINE_CAUSE, _describe(situation))
+
+    def _complete(self, cause: str, situation: Situation) -> None:
+        self._life.complete(cause, _describe(situation))
+
+    def _state_end(self, situation: Situation, decision: MoveState) -> EndMove:
+        lease = situation.lease
+        assert lease is not None
+        return EndMove(
+            move_id=self.move_id,
+            state=decision,
+            cause=self._statement.cause,
+            evidence=self._statement.evidence,
+            ended_unix_ms=situation.unix_ms,
+            fencing=lease.fencing,
+        )
+
+
+def may_complete_late(situation: Situation) -> bool:
+    """Return whether a move that has used up its time is completed nevertheless.
+
+    At full share nothing may speak against the version; a cautious policy asks for proof there.
+    Below, only a policy that weighs lateness more completes, with proof at half of the calls.
+    """
+    move = situation.move
+    judgement = situation.judgement
+    if judgement is None or judgement.step != move.step or judgement.is_suspicious:
+        return False
+    is_proven = judgement.verdict is Verdict.GOOD
+    is_bold = move.policy.caution < BALANCED_CAUTION
+    if move.share_permille >= PERMILLE:
+        return is_proven or is_bold
+    if move.share_permille < LEAST_PARTIAL_PERMILLE:
+        return False
+    return is_proven and is_bold and situation.capacity.bound_share() >= PERMILLE
+
+
+def _get_plan(move: Move) -> Plan:
+    return build_plan(move.policy, move.started_unix_ms, move.deadline_unix_ms)
+
+
+def _holds_lease(situation: Situation) -> bool:
+    lease = situation.lease
+    if lease is None or situation.now >= lease.expires_at:
+        return False
+    return lease.fencing >= situation.move.fencing
+
+
+def _has_soaked(situation: Situation) -> bool:
+    move = situation.move
+    if move.share_permille < PERMILLE or not _has_dwelt(situation):
+        return False
+    judgement = situation.judgement
+    if judgement is None or judgement.step != move.step:
+        return False
+    return judgement.verdict is Verdict.GOOD and _has_route_proof(situation, judgement)
+
+
+def _has_dwelt(situation: Situation) -> bool:
+    move = situation.move
+    dwell = _get_plan(move).find_dwell_ms(move.share_permille)
+    return situation.unix_ms >= move.stepped_unix_ms + dwell
+
+
+def _has_route_proof(situation: Situation, judgement: Judgement) -> bool:
+    """Wait for proof on every route as long as the plan leaves time for it."""
+    if not judgement.unproven_routes:
+        return True
+    move = situation.move
+    return situation.unix_ms >= _get_plan(move).find_next_by_unix_ms(move.share_permille)
+
+
+def _step_up(situation: Situation) -> AdvanceMove | None:
+    move = situation.move
+    if move.share_permille >= PERMILLE:
+        return None
+    if move.share_permille > 0 and not _may_step(situation):
+        return None
+    planned = _get_plan(move).find_next_share(move.share_permille)
+    share = min(planned, situation.capacity.bound_share())
+    lease = situation.lease
+    if share <= move.share_permille or lease is None:
+        return None
+    return AdvanceMove(
+        move_id=move.id,
+        step=move.step + 1,
+        share_permille=share,
+        fencing=lease.fencing,
+        unix_ms=situation.unix_ms,
+    )
+
+
+def _may_step(situation: Situation) -> bool:
+    move = situation.move
+    judgement = situation.judgement
+    if judgement is None or judgement.step != move.step or not _has_dwelt(situation):
+        return False
+    if judgement.is_suspicious or judgement.step_calls < move.policy.min_calls_per_step:
+        return False
+    if judgement.verdict is Verdict.GOOD:
+        return _has_route_proof(situation, judgement)
+    is_bold = move.policy.caution < BALANCED_CAUTION
+    is_pressed = situation.unix_ms >= _get_plan(move).find_next_by_unix_ms(move.share_permille)
+    return is_bold and is_pressed
+
+
+def _describe(situation: Situation) -> str:
+    share = f"share {situation.move.share_permille} per mille"
+    judgement = situation.judgement
+    if judgement is None:
+        return f"{share}; no merged evidence"
+    return f"{share}; {judgement.evidence}"
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/evidence.py
@@ -0,0 +1,181 @@
+"""What a node saw of a move's two versions: counts and latencies by route, place and load.
+
+Calls of the new version are kept by endpoint, those of the old version by zone, which is what
+a judgement compares them with. All counts only grow, so that reports of them are idempotent.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.model.resource import Move
+from corianderwall.moves.histogram import BUCKET_COUNT, find_bucket
+
+MAX_ROUTES = 16
+MAX_PLACES = 48
+OTHERS = ""
+"""Stands for the routes or places beyond the limits, which are counted together."""
+
+LOAD_LEVELS = 4
+"""Outstanding calls 0-1, 2-3, 4-7 and 8 or more at the endpoint, as this node sees it."""
+
+MAX_EXCUSED_SUBSCRIBERS = 64
+EXCUSE_MIN_CALLS = 6
+"""Calls a subscriber must have made to the old version before its failures can be excused."""
+
+_LEVELS = (0, 0, 1, 1, 2, 2, 2, 2, 3)
+
+
+class CellKey(NamedTuple):
+    """Identity of one counter: `place` is an endpoint of the new or a zone of the old version."""
+
+    is_new: bool
+    route: str
+    place: str
+    level: int
+
+
+class Cell:
+    """Counts of calls of one kind; `buckets` hold the latencies of answers that count."""
+
+    __slots__ = ("buckets", "calls", "failures", "refusals")
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.failures = 0
+        self.refusals = 0
+        self.buckets = [0] * BUCKET_COUNT
+
+    def add(self, other: "Cell") -> None:
+        """Add the counts of `other`."""
+        self.calls += other.calls
+        self.failures += other.failures
+        self.refusals += other.refusals
+        mine = self.buckets
+        for bucket, count in enumerate(other.buckets):
+            if count:
+                mine[bucket] += count
+
+    @property
+    def total(self) -> int:
+        """Return calls and refusals, which grow with every record."""
+        return self.calls + self.refusals
+
+
+Window = Mapping[CellKey, Cell]
+"""The calls of one stretch of time."""
+
+
+@dataclass(slots=True)
+class _SubscriberTally:
+    calls: int = 0
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class MoveEvidence:
+    """The cumulative evidence of one node on one running move.
+
+    `zones` gives the zone of each endpoint, `warming` the endpoints whose latency doesn't count
+    yet because they started a short while ago; `ejected` endpoints are not counted at all.
+    """
+
+    move: Move
+    zones: Mapping[str, str]
+    warming: frozenset[str] = frozenset()
+    ejected: frozenset[str] = frozenset()
+    cells: dict[CellKey, Cell] = field(default_factory=dict)
+    _routes: set[str] = field(default_factory=set)
+    _places: set[str] = field(default_factory=set)
+    _tallies: dict[str, _SubscriberTally] = field(default_factory=dict)
+
+    def record(self, outcome: AttemptOutcome) -> None:
+        """Count one attempt; runs on the path of every call."""
+        if outcome.cancelled:
+            return
+        is_new = outcome.version == self.move.to_version
+        if not is_new and outcome.version != self.move.from_version:
+            return
+        if outcome.endpoint in self.ejected:
+            return
+        cell = self._find_cell(is_new, outcome)
+        if outcome.refused:
+            cell.refusals += 1
+            return
+        failed = outcome.is_failure
+        if (failed or self._tallies) and self._is_excused(is_new, failed, outcome.subscriber):
+            return
+        cell.calls += 1
+        if failed:
+            cell.failures += 1
+        elif outcome.endpoint not in self.warming:
+            cell.buckets[find_bucket(outcome.latency_s)] += 1
+
+    def _find_cell(self, is_new: bool, outcome: AttemptOutcome) -> Cell:
+        outstanding = outcome.outstanding
+        level = _LEVELS[outstanding] if outstanding < 8 else 3
+        place = outcome.endpoint if is_new else self.zones.get(outcome.endpoint, OTHERS)
+        cell = self.cells.get(CellKey(is_new, outcome.route, place, level))
+        if cell is None:
+            cell = self._add_cell(CellKey(is_new, outcome.route, place, level))
+        return cell
+
+    def _add_cell(self, key: CellKey) -> Cell:
+        route = _admit(self._routes, key.route, MAX_ROUTES)
+        place = _admit(self._places, key.place, MAX_PLACES)
+        return self.cells.setdefault(CellKey(key.is_new, route, place, key.level), Cell())
+
+    def _is_excused(self, is_new: bool, failed: bool, subscriber: str) -> bool:
+        """Return whether the subscriber's calls fail at the old version anyway."""
+        tally = self._tallies.get(subscriber)
+        if tally is None:
+            if is_new or len(self._tallies) >= MAX_EXCUSED_SUBSCRIBERS:
+                return False
+            tally = self._tallies[subscriber] = _SubscriberTally()
+        if not is_new:
+            tally.calls += 1
+            tally.failures += failed
+        return tally.calls >= EXCUSE_MIN_CALLS and tally.failures * 2 > tally.calls
+
+
+class EvidenceBook:
+    """All evidence of one node, by service; services without a running move cost one lookup."""
+
+    def __init__(self) -> None:
+        self._by_service: dict[str, MoveEvidence] = {}
+
+    def record(self, outcome: AttemptOutcome) -> None:
+        """Count one attempt if its service has a running move."""
+        evidence = self._by_service.get(outcome.service)
+        if evidence is not None:
+            evidence.record(outcome)
+
+    def update(self, running: Iterable[Move], zones: Mapping[str, str]) -> None:
+        """Keep evidence for exactly the `running` moves; `zones` maps endpoints to zones."""
+        kept: dict[str, MoveEvidence] = {}
+        for move in running:
+            held = self._by_service.get(move.service)
+            if held is None or held.move.id != move.id:
+                held = MoveEvidence(move=move, zones=zones)
+            held.move = move
+            held.zones = zones
+            kept[move.service] = held
+        self._by_service = kept
+
+    def find(self, service: str) -> MoveEvidence | None:
+        """Return the evidence on the service's running move, if it has one."""
+        return self._by_service.get(service)
+
+    def list_all(self) -> list[MoveEvidence]:
+        """Return the evidence of every running move."""
+        return list(self._by_service.values())
+
+
+def _admit(known: set[str], name: str, limit: int) -> str:
+    if name in known:
+        return name
+    if len(known) >= limit:
+        return OTHERS
+    known.add(name)
+    return name
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/histogram.py
@@ -0,0 +1,50 @@
+"""Latency histograms with a fixed number of buckets, which merge by addition."""
+
+from collections.abc import Sequence
+from math import frexp
+
+BUCKETS_PER_OCTAVE = 4
+LOWEST_EXPONENT = -9
+"""Exponent, as `frexp` gives it, of the fastest octave: 1/1024 s to 1/512 s."""
+
+OCTAVES = 16
+BUCKET_COUNT = OCTAVES * BUCKETS_PER_OCTAVE
+"""Buckets from about 1 ms to 64 s; faster and slower calls go to the first and the last."""
+
+_LAST_BUCKET = BUCKET_COUNT - 1
+
+
+def find_bucket(latency_s: float) -> int:
+    """Return the index of the bucket that holds `latency_s`; buckets are at most 25% wide."""
+    mantissa, exponent = frexp(latency_s)
+    index = (exponent - LOWEST_EXPONENT) * BUCKETS_PER_OCTAVE + int((mantissa - 0.5) * 8)
+    if index < 0:
+        return 0
+    return index if index < BUCKET_COUNT else _LAST_BUCKET
+
+
+def find_lower_bound(bucket: int) -> float:
+    """Return the smallest latency of `bucket` in seconds."""
+    octave, part = divmod(bucket, BUCKETS_PER_OCTAVE)
+    return float((0.5 + part / 8) * 2.0 ** (octave + LOWEST_EXPONENT))
+
+
+def find_quantile(counts: Sequence[int], quantile: float) -> int:
+    """Return the bucket in which `quantile` of the calls ends, -1 without calls."""
+    total = sum(counts)
+    if not total:
+        return -1
+    wanted = total * quantile
+    seen = 0
+    for bucket, count in enumerate(counts):
+        seen += count
+        if seen >= wanted:
+            return bucket
+    return _LAST_BUCKET
+
+
+def scale_bucket(bucket: int, factor: float) -> int:
+    """Return the first bucket that lies wholly above `factor` times the bucket's upper bound."""
+    upper = find_lower_bound(bucket + 1) * factor
+    # A hair under the bound keeps an exact power of two in the bucket that it closes.
+    return find_bucket(upper * 0.999_999) + 1
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/judgement.py
@@ -0,0 +1,271 @@
+"""Judges the new version of a move against the old one, window after window.
+
+The same judge runs at the aggregators over the merged evidence and at each node over its own.
+"""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from math import log
+from typing import NamedTuple
+
+from corianderwall.model.resource import PERMILLE, MovePolicy
+from corianderwall.moves.attribution import find_bad_minority
+from corianderwall.moves.detector import compute_log_threshold
+from corianderwall.moves.evidence import OTHERS, Cell, CellKey, Window
+from corianderwall.moves.reference import Reference
+from corianderwall.moves.scopes import (
+    CellSamples,
+    Metric,
+    RecentTally,
+    ScopeTest,
+    Tolerance,
+    draw_samples,
+)
+
+WHOLE_PART = 0.4
+"""Part of the error rate spent on the version as a whole; routes and endpoints share the rest."""
+
+GROUP_PART = 0.3
+LEAST_ROUTES = 4
+LEAST_ENDPOINTS = 8
+SUSPICION_PART = 0.4
+"""Part of the way to an alarm from which no step up is made and reports become urgent."""
+
+
+class Verdict(enum.Enum):
+    """What the evidence says about the new version."""
+
+    GOOD = "good"
+    BAD = "bad"
+    BAD_ENDPOINTS = "bad endpoints"
+    UNDECIDED = "undecided"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Judgement:
+    """The state of the evidence after a window, at the move's `step`.
+
+    `is_suspicious` holds back a step without being proof. `unproven_routes` have too few calls
+    of the new version, since the step, to tell that it is as good as the old one there.
+    """
+
+    verdict: Verdict
+    step: int = 0
+    step_calls: int = 0
+    is_suspicious: bool = False
+    unproven_routes: tuple[str, ...] = ()
+    bad_endpoints: tuple[str, ...] = ()
+    cause: str = ""
+    evidence: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JudgeSettings:
+    """Limits of one judge's errors over all its windows."""
+
+    tolerance: Tolerance
+    windows: float
+    alarm_error: float
+    clearance_error: float
+
+
+def choose_settings(policy: MovePolicy, windows: float, judges: int) -> JudgeSettings:
+    """Return the settings of one of `judges` equal judges of a move under `policy`.
+
+    A cautious policy accepts more false alarms and asks for more proof before a step.
+    """
+    alarm_error = 0.001 + 0.003 * policy.caution
+    return JudgeSettings(
+        tolerance=Tolerance(
+            failure_rate=policy.tolerated_error_permille / PERMILLE,
+            slowdown=1 + policy.tolerated_slowdown_percent / 100,
+        ),
+        windows=windows,
+        alarm_error=alarm_error / judges,
+        clearance_error=0.02 - 0.015 * policy.caution,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Alarm:
+    metric: Metric
+    scope: str
+    route: str
+    log_value: float
+    log_threshold: float
+
+
+class Origin(NamedTuple):
+    """Where calls were answered: an endpoint and the route by which they came."""
+
+    endpoint: str
+    route: str
+
+
+@dataclass(slots=True)
+class Judge:
+    """Takes windows and gives judgements on one move.
+
+    `zones` gives the zones of the new version's endpoints and may be replaced at any time.
+    """
+
+    settings: JudgeSettings
+    zones: Mapping[str, str]
+    reference: Reference = field(default_factory=Reference)
+    ejected: set[str] = field(default_factory=set)
+    step: int = 0
+    _whole: ScopeTest = field(default_factory=ScopeTest)
+    _routes: dict[str, ScopeTest] = field(default_factory=dict)
+    _endpoints: dict[str, ScopeTest] = field(default_factory=dict)
+    _recent: dict[Metric, dict[Origin, RecentTally]] = field(
+        default_factory=lambda: {metric: {} for metric in Metric}
+    )
+
+    def take_window(self, window: Window) -> None:
+        """Count the calls of both versions in one window."""
+        self.reference.take_window(window)
+        for tallies in self._recent.values():
+            for tally in tallies.values():
+                tally.decay()
+        for key, cell in window.items():
+            if key.is_new and cell.calls and key.place not in self.ejected:
+                self._take_cell(key, cell)
+        for scope in self._list_scopes():
+            scope.close_window()
+
+    def start_step(self, step: int) -> None:
+        """Ask anew for proof that the version is good, as its share has changed."""
+        if step == self.step:
+            return
+        self.step = step
+        for scope in self._list_scopes():
+            scope.start_step()
+
+    def eject(self, endpoints: tuple[str, ...]) -> None:
+        """Leave out these endpoints and judge the others afresh."""
+        new = [endpoint for endpoint in endpoints if endpoint not in self.ejected]
+        if not new:
+            return
+        self.ejected.update(new)
+        for endpoint in new:
+            self._endpoints.pop(endpoint, None)
+        calls = self._whole.step_calls
+        self._whole = ScopeTest(step_calls=calls)
+        self._routes = {route: ScopeTest() for route in self._routes}
+        for tallies in self._recent.values():
+            for place in [place for place in tallies if place.endpoint in self.ejected]:
+                del tallies[place]
+
+    def judge(self) -> Judgement:
+        """Return what the evidence says now."""
+        alarms, is_suspicious = self._find_alarms()
+        if alarms:
+            return self._judge_alarms(alarms)
+        unproven = tuple(
+            sorted(route for route, scope in self._routes.items() if not self._is_clear(scope))
+        )
+        is_good = not is_suspicious and self._is_clear(self._whole)
+        return Judgement(
+            verdict=Verdict.GOOD if is_good else Verdict.UNDECIDED,
+            step=self.step,
+            step_calls=self._whole.step_calls,
+            is_suspicious=is_suspicious,
+            unproven_routes=unproven,
+            evidence=self._describe_step(),
+        )
+
+    def _take_cell(self, key: CellKey, cell: Cell) -> None:
+        zone = self.zones.get(key.place, OTHERS)
+        drawn = draw_samples(key, cell, zone, self.reference, self.settings.tolerance)
+        self._whole.take_cell(drawn)
+        self._routes.setdefault(key.route, ScopeTest()).take_cell(drawn)
+        self._endpoints.setdefault(key.place, ScopeTest()).take_cell(drawn)
+        self._take_recent(key, drawn)
+
+    def _take_recent(self, key: CellKey, drawn: CellSamples) -> None:
+        for metric, sample in drawn.samples.items():
+            tallies = self._recent[metric]
+            place = Origin(key.place, key.route)
+            tally = tallies.get(place)
+            if tally is None:
+                tally = tallies[place] = RecentTally()
+            tally.add(sample)
+
+    def _list_scopes(self) -> list[ScopeTest]:
+        return [self._whole, *self._routes.values(), *self._endpoints.values()]
+
+    def _is_clear(self, scope: ScopeTest) -> bool:
+        wanted = -log(self.settings.clearance_error)
+        return scope.failure_clearance >= wanted and scope.slow_clearance >= wanted
+
+    def _find_alarms(self) -> tuple[list[_Alarm], bool]:
+        alarms: list[_Alarm] = []
+        is_suspicious = False
+        routes = max(LEAST_ROUTES, len(self._routes))
+        endpoints = max(LEAST_ENDPOINTS, len(self._endpoints))
+        groups = (
+            ({"": self._whole}, 1 / WHOLE_PART, "all calls", False),
+            (self._routes, routes / GROUP_PART, "route", True),
+            (self._endpoints, endpoints / GROUP_PART, "endpoint", False),
+        )
+        for scopes, tests, kind, is_route in groups:
+            threshold = self._compute_threshold(tests * len(Metric))
+            suspicion = self._compute_suspicion(threshold)
+            for name, scope in scopes.items():
+                for metric, detector in scope.detectors.items():
+                    value = detector.log_value
+                    if value >= suspicion:
+                        is_suspicious = True
+                    if value >= threshold:
+                        label = f"{kind} {name}".strip()
+                        route = name if is_route else ""
+                        alarms.append(_Alarm(metric, label, route, value, threshold))
+        return alarms, is_suspicious
+
+    def _compute_threshold(self, tests: float) -> float:
+        return compute_log_threshold(self.settings.windows, tests, self.settings.alarm_error)
+
+    def _compute_suspicion(self, threshold: float) -> float:
+        usual = log(max(self.settings.windows, 1))
+        return usual + SUSPICION_PART * (threshold - usual)
+
+    def _judge_alarms(self, alarms: list[_Alarm]) -> Judgement:
+        alarm = max(alarms, key=lambda each: each.log_value - each.log_threshold)
+        bad = self._attribute(alarm)
+        return Judgement(
+            verdict=Verdict.BAD_ENDPOINTS if bad else Verdict.BAD,
+            step=self.step,
+            step_calls=self._whole.step_calls,
+            is_suspicious=True,
+            bad_endpoints=bad,
+            cause=f"{alarm.metric.value} at {alarm.scope}",
+            evidence=self._describe_alarm(alarm),
+        )
+
+    def _attribute(self, alarm: _Alarm) -> tuple[str, ...]:
+        by_endpoint: dict[str, RecentTally] = {}
+        for (endpoint, route), tally in self._recent[alarm.metric].items():
+            if not alarm.route or route == alarm.route:
+                by_endpoint.setdefault(endpoint, RecentTally()).add(tally)
+        known = len({*self.zones, *self._endpoints, *self.ejected})
+        bad = find_bad_minority(by_endpoint, alarm.metric)
+        return bad if 2 * (len(bad) + len(self.ejected)) < known else ()
+
+    def _describe_alarm(self, alarm: _Alarm) -> str:
+        total = RecentTally()
+        for (_, route), tally in self._recent[alarm.metric].items():
+            if not alarm.route or route == alarm.route:
+                total.add(tally)
+        return (
+            f"recent {alarm.metric.value} {total.rate:.1%} of {total.calls:.0f} calls, "
+            f"tolerable {total.null_rate:.1%}; log e-value {alarm.log_value:.1f} "
+            f"over {alarm.log_threshold:.1f}"
+        )
+
+    def _describe_step(self) -> str:
+        whole = self._whole
+        return (
+            f"{whole.step_calls} calls since the step; log evidence for as good as before: "
+            f"failures {whole.failure_clearance:.1f}, latency {whole.slow_clearance:.1f}"
+        )
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/lifecycle.py
@@ -0,0 +1,98 @@
+"""The life cycle of a move as its controller sees it: a decided end is never reconsidered."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+from corianderwall.model.resource import PERMILLE, Move, MoveState
+
+
+class LifeCycle(Protocol):
+    """Inputs of the machine."""
+
+    def observe_partial_share(self) -> None:
+        """The committed share is above zero and below all."""
+
+    def observe_full_share(self) -> None:
+        """The committed share is all."""
+
+    def complete(self, cause: str, evidence: str) -> None:
+        """Decide to complete; ignored while the new version has no share."""
+
+    def take_back(self, cause: str, evidence: str) -> None:
+        """Decide to take back; overrules a completion that is not committed yet."""
+
+    def observe_end(self) -> None:
+        """The snapshot states the end, whoever wrote it."""
+
+    def read_decision(self) -> MoveState:
+        """Return the end that is decided, `RUNNING` if none is."""
+
+
+@dataclass(slots=True)
+class Statement:
+    """The cause and evidence of the end that was decided; the core of the machine."""
+
+    cause: str = ""
+    evidence: str = ""
+
+
+_builder = TypeMachineBuilder(LifeCycle, Statement)
+_waiting = _builder.state("waiting")
+_rising = _builder.state("rising")
+_soaking = _builder.state("soaking")
+_completing = _builder.state("completing")
+_taking_back = _builder.state("taking_back")
+_ended = _builder.state("ended")
+
+
+def _state_cause(life: LifeCycle, core: Statement, cause: str, evidence: str) -> None:
+    core.cause = cause
+    core.evidence = evidence
+
+
+_waiting.upon(LifeCycle.observe_partial_share).to(_rising).returns(None)
+_rising.upon(LifeCycle.observe_partial_share).loop().returns(None)
+for _state in (_waiting, _rising, _soaking):
+    _state.upon(LifeCycle.observe_full_share).to(_soaking).returns(None)
+    _state.upon(LifeCycle.take_back).to(_taking_back)(_state_cause)
+    _state.upon(LifeCycle.read_decision).loop().returns(MoveState.RUNNING)
+for _state in (_rising, _soaking):
+    _state.upon(LifeCycle.complete).to(_completing)(_state_cause)
+_waiting.upon(LifeCycle.complete).loop().returns(None)
+_soaking.upon(LifeCycle.observe_partial_share).loop().returns(None)
+_completing.upon(LifeCycle.take_back).to(_taking_back)(_state_cause)
+_completing.upon(LifeCycle.complete).loop().returns(None)
+_completing.upon(LifeCycle.read_decision).loop().returns(MoveState.COMPLETED)
+_taking_back.upon(LifeCycle.complete).loop().returns(None)
+_taking_back.upon(LifeCycle.take_back).loop().returns(None)
+_taking_back.upon(LifeCycle.read_decision).loop().returns(MoveState.TAKEN_BACK)
+for _state in (_completing, _taking_back):
+    _state.upon(LifeCycle.observe_partial_share).loop().returns(None)
+    _state.upon(LifeCycle.observe_full_share).loop().returns(None)
+for _state in (_waiting, _rising, _soaking, _completing, _taking_back):
+    _state.upon(LifeCycle.observe_end).to(_ended).returns(None)
+_ended.upon(LifeCycle.observe_end).loop().returns(None)
+_ended.upon(LifeCycle.observe_partial_share).loop().returns(None)
+_ended.upon(LifeCycle.observe_full_share).loop().returns(None)
+_ended.upon(LifeCycle.complete).loop().returns(None)
+_ended.upon(LifeCycle.take_back).loop().returns(None)
+_ended.upon(LifeCycle.read_decision).loop().returns(MoveState.RUNNING)
+
+_build_machine = _builder.build()
+
+
+def start_lifecycle(statement: Statement) -> LifeCycle:
+    """Return a machine that keeps the cause of its end in `statement`."""
+    return _build_machine(statement)
+
+
+def observe_move(life: LifeCycle, move: Move) -> None:
+    """Tell the machine what the snapshot says of its move."""
+    if move.state is not MoveState.RUNNING:
+        life.observe_end()
+    elif move.share_permille >= PERMILLE:
+        life.observe_full_share()
+    elif move.share_permille > 0:
+        life.observe_partial_share()
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/pool.py
@@ -0,0 +1,110 @@
+"""An aggregator's side of reporting: the merged evidence of all nodes, each call counted once."""
+
+from dataclasses import dataclass, field
+
+from corianderwall.moves.evidence import Cell, CellKey, Window
+from corianderwall.moves.histogram import BUCKET_COUNT
+from corianderwall.moves.messages import CellReport, EvidenceAck, EvidenceReport
+
+MAX_SOURCES = 4096
+"""Incarnations of nodes that a pool remembers; reports of further ones are not counted."""
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """One incarnation of one node; its counts start at zero."""
+
+    node: str
+    incarnation: int
+
+
+@dataclass(slots=True)
+class _Ledger:
+    sequence: int = 0
+    cells: dict[CellKey, CellReport] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class EvidencePool:
+    """Merges the reports about one move.
+
+    The newest report of a source replaces its older ones cell by cell, so a report that comes
+    twice, late, or through another path adds nothing. The counts of a dead incarnation stay.
+    """
+
+    move_id: str
+    aggregator: str
+    _ledgers: dict[Source, _Ledger] = field(default_factory=dict)
+    _pending: dict[CellKey, Cell] = field(default_factory=dict)
+
+    def take_report(self, report: EvidenceReport) -> EvidenceAck | None:
+        """Count what is new in `report`; None if it is about another move or beyond the limit."""
+        if report.move_id != self.move_id:
+            return None
+        source = Source(report.node, report.incarnation)
+        ledger = self._ledgers.get(source)
+        if ledger is None:
+            if len(self._ledgers) >= MAX_SOURCES:
+                return None
+            ledger = self._ledgers[source] = _Ledger()
+        if report.sequence > ledger.sequence:
+            ledger.sequence = report.sequence
+            self._count_cells(ledger, report)
+        return EvidenceAck(
+            move_id=report.move_id,
+            aggregator=self.aggregator,
+            incarnation=report.incarnation,
+            sequence=report.sequence,
+        )
+
+    def close_window(self) -> Window:
+        """Return what was counted since the last window closed."""
+        window = self._pending
+        self._pending = {}
+        return window
+
+    def _count_cells(self, ledger: _Ledger, report: EvidenceReport) -> None:
+        for cell in report.cells:
+            if not _is_well_formed(cell, len(report.names)):
+                continue
+            key = CellKey(
+                cell.is_new, report.names[cell.route], report.names[cell.place], cell.level
+            )
+            before = ledger.cells.get(key)
+            if before is not None and not _has_grown(before, cell):
+                continue
+            ledger.cells[key] = cell
+            pending = self._pending.get(key)
+            if pending is None:
+                pending = self._pending[key] = Cell()
+            _add_difference(pending, cell, before)
+
+
+def _is_well_formed(cell: CellReport, names: int) -> bool:
+    if not (0 <= cell.route < names and 0 <= cell.place < names):
+        return False
+    if len(cell.buckets) % 2 or not 0 <= cell.failures <= cell.calls or cell.refusals < 0:
+        return False
+    return all(0 <= bucket < BUCKET_COUNT for bucket in cell.buckets[::2])
+
+
+def _has_grown(before: CellReport, after: CellReport) -> bool:
+    return (
+        after.calls >= before.calls
+        and after.failures >= before.failures
+        and after.refusals >= before.refusals
+    )
+
+
+def _add_difference(cell: Cell, after: CellReport, before: CellReport | None) -> None:
+    _add_scaled(cell, after, 1)
+    if before is not None:
+        _add_scaled(cell, before, -1)
+
+
+def _add_scaled(cell: Cell, report: CellReport, factor: int) -> None:
+    cell.calls += factor * report.calls
+    cell.failures += factor * report.failures
+    cell.refusals += factor * report.refusals
+    for position in range(0, len(report.buckets), 2):
+        cell.buckets[report.buckets[position]] += factor * report.buckets[position + 1]
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -0,0 +1,222 @@
+"""What the old version does at the same time, route, zone and load: the standard of a move."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from math import sqrt
+from typing import NamedTuple
+
+from corianderwall.moves.evidence import LOAD_LEVELS, CellKey, Window
+from corianderwall.moves.histogram import BUCKET_COUNT, find_quantile
+
+RECENT_WINDOWS = 6
+"""Windows with calls of the old version over which a change of its behaviour is looked for."""
+
+PRIOR_CALLS = 20.0
+"""Weight of the wider group's rate in that of a narrower one."""
+
+MARGIN_ERRORS = 1.5
+"""Standard errors that are added to an estimated rate."""
+
+MIN_QUANTILE_CALLS = 40
+MIN_SHIFT_CALLS = 12
+LEVEL_GAP_BUCKETS = 2
+"""Buckets of latency granted for each load level at which the old version was not seen."""
+
+ANY = "*"
+ANY_LEVEL = -1
+
+
+class Stratum(NamedTuple):
+    """A group of the old version's calls; `ANY` and `ANY_LEVEL` leave a dimension open."""
+
+    route: str
+    zone: str
+    level: int
+
+
+class _QuantileKey(NamedTuple):
+    stratum: Stratum
+    quantile: float
+
+
+WHOLE = Stratum(ANY, ANY, ANY_LEVEL)
+
+
+@dataclass(slots=True)
+class _Tally:
+    calls: int = 0
+    failures: int = 0
+    buckets: list[int] = field(default_factory=lambda: [0] * BUCKET_COUNT)
+
+    def add(self, other: "_Sparse", sign: int) -> None:
+        self.calls += sign * other.calls
+        self.failures += sign * other.failures
+        for bucket, count in other.pairs:
+            self.buckets[bucket] += sign * count
+
+
+@dataclass(frozen=True, slots=True)
+class _Sparse:
+    strata: tuple[Stratum, ...]
+    calls: int
+    failures: int
+    pairs: tuple[tuple[int, int], ...]
+
+
+@dataclass(slots=True)
+class Reference:
+    """Counts of the old version since the move's start, and of its last few windows.
+
+    Without recent calls of the old version, as at full share, the last ones that were seen
+    remain the standard.
+    """
+
+    _whole: dict[Stratum, _Tally] = field(default_factory=dict)
+    _recent: dict[Stratum, _Tally] = field(default_factory=dict)
+    _windows: deque[list[_Sparse]] = field(default_factory=deque)
+    _quantiles: dict[_QuantileKey, int] = field(default_factory=dict)
+
+    def take_window(self, window: Window) -> None:
+        """Count the old version's calls of a window."""
+        added = [
+            _make_sparse(key, cell.calls, cell.failures, cell.buckets)
+            for key, cell in window.items()
+            if not key.is_new and cell.calls
+        ]
+        if not added:
+            return
+        self._quantiles.clear()
+        self._windows.append(added)
+        for sparse in added:
+            _add(self._whole, sparse, 1)
+            _add(self._recent, sparse, 1)
+        if len(self._windows) > RECENT_WINDOWS:
+            for sparse in self._windows.popleft():
+                _add(self._recent, sparse, -1)
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls of the old version were counted."""
+        whole = self._whole.get(WHOLE)
+        return whole.calls if whole else 0
+
+    def estimate_failure_rate(self, stratum: Stratum) -> float:
+        """Return the old version's failure rate in `stratum`, with its recent rise."""
+        rate, _ = self._estimate(stratum)
+        return min(1.0, rate + self._find_failure_shift(stratum))
+
+    def bound_failure_rate(self, stratum: Stratum) -> float:
+        """Return a rate above which the old version hardly is in `stratum`."""
+        rate, weight = self._estimate(stratum)
+        margin = MARGIN_ERRORS * sqrt(rate * (1 - rate) / (weight + PRIOR_CALLS))
+        return min(1.0, rate + margin + self._find_failure_shift(stratum))
+
+    def find_latency_bucket(self, stratum: Stratum, quantile: float) -> int:
+        """Return the bucket of the old version's quantile, -1 while too little is known."""
+        key = _QuantileKey(stratum, quantile)
+        cached = self._quantiles.get(key)
+        if cached is None:
+            cached = self._compute_latency_bucket(stratum, quantile)
+            self._quantiles[key] = cached
+        return cached
+
+    def _compute_latency_bucket(self, stratum: Stratum, quantile: float) -> int:
+        best = -1
+        for level in range(stratum.level, -1, -1):
+            gap = stratum.level - level
+            bucket = self._find_level_bucket(stratum._replace(level=level), quantile)
+            if bucket >= 0:
+                best = bucket + gap * LEVEL_GAP_BUCKETS
+                break
+        if best < 0:
+            best = self._find_quantile_bucket(Stratum(ANY, ANY, ANY_LEVEL), quantile)
+        if best < 0:
+            return -1
+        return min(best + self._find_latency_shift(stratum, quantile), BUCKET_COUNT - 1)
+
+    def _find_level_bucket(self, stratum: Stratum, quantile: float) -> int:
+        for candidate in (stratum, stratum._replace(zone=ANY)):
+            bucket = self._find_quantile_bucket(candidate, quantile)
+            if bucket >= 0:
+                return bucket
+        return -1
+
+    def _find_quantile_bucket(self, stratum: Stratum, quantile: float) -> int:
+        tally = self._whole.get(stratum)
+        if tally is None or tally.calls < MIN_QUANTILE_CALLS:
+            return -1
+        return find_quantile(tally.buckets, quantile)
+
+    def _estimate(self, stratum: Stratum) -> tuple[float, float]:
+        """Return the rate shrunk towards wider groups, and the calls that it rests on."""
+        rate = 0.0
+        weight = 0.0
+        for group in (
+            WHOLE,
+            Stratum(stratum.route, ANY, ANY_LEVEL),
+            Stratum(stratum.route, ANY, stratum.level),
+            stratum,
+        ):
+            tally = self._whole.get(group)
+            if tally is None:
+                continue
+            rate = (tally.failures + PRIOR_CALLS * rate) / (tally.calls + PRIOR_CALLS)
+            weight = max(weight, tally.calls) if group is WHOLE else tally.calls
+        return rate, weight
+
+    def _find_failure_shift(self, stratum: Stratum) -> float:
+        return max(self._measure_failure_shift(group) for group in _list_shift_groups(stratum))
+
+    def _measure_failure_shift(self, group: Stratum) -> float:
+        recent = self._recent.get(group)
+        whole = self._whole.get(group)
+        if recent is None or whole is None or recent.calls < MIN_SHIFT_CALLS:
+            return 0.0
+        usual = whole.failures / whole.calls
+        spread = sqrt(max(recent.calls * usual * (1 - usual), 0.25))
+        excess = recent.failures - recent.calls * usual
+        return max(0.0, (excess + spread) / recent.calls) if excess > 1.5 * spread else 0.0
+
+    def _find_latency_shift(self, stratum: Stratum, quantile: float) -> int:
+        return max(
+            self._measure_latency_shift(group, quantile) for group in _list_shift_groups(stratum)
+        )
+
+    def _measure_latency_shift(self, group: Stratum, quantile: float) -> int:
+        recent = self._recent.get(group)
+        if recent is None or recent.calls < MIN_SHIFT_CALLS:
+            return 0
+        usual = self._find_quantile_bucket(group, quantile)
+        now = find_quantile(recent.buckets, quantile)
+        if usual < 0 or now < 0:
+            return 0
+        return max(0, now - usual)
+
+
+def _list_shift_groups(stratum: Stratum) -> tuple[Stratum, Stratum, Stratum]:
+    return (
+        WHOLE,
+        Stratum(stratum.route, ANY, ANY_LEVEL),
+        Stratum(ANY, stratum.zone, ANY_LEVEL),
+    )
+
+
+def _make_sparse(key: CellKey, calls: int, failures: int, buckets: list[int]) -> _Sparse:
+    level = min(key.level, LOAD_LEVELS - 1)
+    strata = (
+        WHOLE,
+        Stratum(key.route, ANY, ANY_LEVEL),
+        Stratum(key.route, ANY, level),
+        Stratum(ANY, key.place, ANY_LEVEL),
+        Stratum(key.route, key.place, level),
+    )
+    pairs = tuple((bucket, count) for bucket, count in enumerate(buckets) if count)
+    return _Sparse(strata, calls, failures, pairs)
+
+
+def _add(tallies: dict[Stratum, _Tally], sparse: _Sparse, sign: int) -> None:
+    for stratum in sparse.strata:
+        tally = tallies.get(stratum)
+        if tally is None:
+            tally = tallies[stratum] = _Tally()
+        tally.add(sparse, sign)
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/watch.py
@@ -0,0 +1,132 @@
+"""What a node does about one running move: it watches its own calls, or merges all nodes'."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from corianderwall.model.resource import Move
+from corianderwall.moves.evidence import Cell, CellKey, MoveEvidence, Window
+from corianderwall.moves.judgement import Judge, Judgement, Verdict, choose_settings
+from corianderwall.moves.messages import EvidenceAck, EvidenceReport
+from corianderwall.moves.pool import EvidencePool
+from corianderwall.moves.reporting import Reporter
+
+WINDOW_S = 0.5
+"""Length of the windows in which evidence is judged, in seconds."""
+
+AGGREGATED_JUDGES = 4
+"""Both aggregators together may spend half of a move's error rate."""
+
+
+@dataclass(slots=True)
+class WindowCutter:
+    """Cuts cumulative evidence into windows."""
+
+    evidence: MoveEvidence
+    _before: dict[CellKey, Cell] = field(default_factory=dict)
+
+    def close_window(self) -> Window:
+        """Return what was counted since the last window closed."""
+        window: dict[CellKey, Cell] = {}
+        for key, cell in self.evidence.cells.items():
+            before = self._before.get(key)
+            if before is None:
+                before = self._before[key] = Cell()
+            if cell.total == before.total:
+                continue
+            window[key] = _subtract(cell, before)
+            _copy(cell, before)
+        return window
+
+
+@dataclass(slots=True)
+class LocalWatch:
+    """One node's own judgement of a move and its reports to the aggregators."""
+
+    evidence: MoveEvidence
+    judge: Judge
+    reporter: Reporter
+    judgement: Judgement = field(default_factory=lambda: Judgement(verdict=Verdict.UNDECIDED))
+    _cutter: WindowCutter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._cutter = WindowCutter(self.evidence)
+
+    def tick(
+        self, aggregators: Sequence[str], ejected: frozenset[str], now: float
+    ) -> dict[str, EvidenceReport]:
+        """Judge the last window and return the reports that are due.
+
+        Weak evidence against the version is not acted upon here; it makes the report urgent, so
+        that the aggregators can join it with the weak evidence of other nodes.
+        """
+        self.evidence.ejected = ejected
+        self.judge.eject(tuple(ejected))
+        window = self._cutter.close_window()
+        if window:
+            self.judge.take_window(window)
+            self.judgement = self.judge.judge()
+        is_urgent = bool(window) and self.judgement.is_suspicious
+        return self.reporter.collect_reports(aggregators, now, is_urgent=is_urgent)
+
+
+@dataclass(slots=True)
+class Aggregation:
+    """The merged evidence of all nodes on one move, and the judgement on it."""
+
+    pool: EvidencePool
+    judge: Judge
+    judgement: Judgement = field(default_factory=lambda: Judgement(verdict=Verdict.UNDECIDED))
+
+    def take_report(self, report: EvidenceReport) -> EvidenceAck | None:
+        """Count a node's report and return the acknowledgement."""
+        return self.pool.take_report(report)
+
+    def tick(self, move: Move, ejected: frozenset[str]) -> Judgement:
+        """Judge the reports that came since the last tick."""
+        self.judge.start_step(move.step)
+        self.judge.eject(tuple(ejected))
+        window = self.pool.close_window()
+        if window:
+            self.judge.take_window(window)
+        self.judgement = self.judge.judge()
+        return self.judgement
+
+
+def start_watch(
+    evidence: MoveEvidence, node: str, incarnation: int, zones: Mapping[str, str], nodes: int
+) -> LocalWatch:
+    """Return the watch of one of `nodes` nodes; all of them share half of the error rate."""
+    settings = choose_settings(
+        evidence.move.policy, _count_windows(evidence.move), 2 * max(nodes, 1)
+    )
+    return LocalWatch(
+        evidence=evidence,
+        judge=Judge(settings, zones),
+        reporter=Reporter(node, incarnation, evidence),
+    )
+
+
+def start_aggregation(move: Move, node: str, zones: Mapping[str, str]) -> Aggregation:
+    """Return the aggregation of a move at `node`."""
+    settings = choose_settings(move.policy, _count_windows(move), AGGREGATED_JUDGES)
+    return Aggregation(pool=EvidencePool(move.id, node), judge=Judge(settings, zones))
+
+
+def _count_windows(move: Move) -> float:
+    return (move.deadline_unix_ms - move.started_unix_ms) / 1000 / WINDOW_S
+
+
+def _subtract(after: Cell, before: Cell) -> Cell:
+    difference = Cell()
+    difference.calls = after.calls - before.calls
+    difference.failures = after.failures - before.failures
+    difference.refusals = after.refusals - before.refusals
+    difference.buckets = [new - old for new, old in zip(after.buckets, before.buckets, strict=True)]
+    return difference
+
+
+def _copy(source: Cell, target: Cell) -> None:
+    target.calls = source.calls
+    target.failures = source.failures
+    target.refusals = source.refusals
+    target.buckets = list(source.buckets)
