--- /dev/null
+++ b/packages/node/src/corianderwall/node/callcontext.py
@@ -0,0 +1,48 @@
+"""What the calls of one node share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from corianderwall.model.clock import Clock
+from corianderwall.model.endpoint import Address
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.node.desk import Desk
+from corianderwall.node.metrics import CallMetrics
+from corianderwall.node.pools import Pools
+from corianderwall.traffic.balancer import Balancer
+from corianderwall.traffic.lease_holder import LeaseHolder
+from corianderwall.traffic.retries import RetryPolicy
+
+
+class MoveView(Protocol):
+    """What the calls need to know of the running moves."""
+
+    def choose_version(self, service: str, sticky: str = "") -> str:
+        """Return the version for a call of a service under a move, empty without a move."""
+
+    def record(self, outcome: AttemptOutcome) -> None:
+        """Count the outcome of one attempt."""
+
+    def list_ejected(self, service: str) -> frozenset[str]:
+        """Return the endpoints of a service that a running move has ejected."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallContext:
+    """The parts of a node that its calls use; `find_call_address` resolves a node's name."""
+
+    node: str
+    clock: Clock
+    random: Random
+    balancer: Balancer
+    leases: LeaseHolder
+    pools: Pools
+    desk: Desk
+    moves: MoveView
+    metrics: CallMetrics
+    retries: RetryPolicy
+    call_later: Callable[[float, Callable[[], None]], object]
+    find_call_address: Callable[[str], Address | None]
+    max_attempts: int = field(default=3)
--- /dev/null
+++ b/packages/node/src/corianderwall/node/control.py
@@ -0,0 +1,244 @@
+"""Drives the decisions of one node: gives them messages and ticks, sends and applies the rest."""
+
+from typing import TYPE_CHECKING, Any
+
+from corianderwall.distribution.events import (
+    DigestConflict,
+    HeadWanted,
+    UpdateRefused,
+    VersionInForce,
+)
+from corianderwall.distribution.messages import MESSAGES as DISTRIBUTION_MESSAGES
+from corianderwall.membership.events import (
+    AdvertHeard,
+    EndpointAdded,
+    EndpointChanged,
+    EndpointRemoved,
+    HostDead,
+    HostJoined,
+    HostLeft,
+    HostReturned,
+    HostSuspected,
+    HostUnreachable,
+    LinkSilent,
+)
+from corianderwall.membership.messages import MESSAGES as MEMBERSHIP_MESSAGES
+from corianderwall.model.errors import CorianderwallError
+from corianderwall.moves.agent import Members
+from corianderwall.moves.messages import MESSAGES as MOVE_MESSAGES
+from corianderwall.moves.watch import WINDOW_S
+from corianderwall.node.logs import log_info, log_warning
+from corianderwall.traffic.messages import MESSAGES as TRAFFIC_MESSAGES
+from corianderwall.traffic.messages import LeaseGrant, LeaseNotice, LeaseRequest
+from corianderwall.traffic.shares import SubscriberShares
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from corianderwall.distribution.distributor import Distributor
+    from corianderwall.links.peers import PeerLinks
+    from corianderwall.membership.membership import Membership
+    from corianderwall.model.clock import Clock
+    from corianderwall.model.endpoint import Endpoint, Host
+    from corianderwall.model.message import Outgoing, PeerMessage
+    from corianderwall.model.resource import Snapshot
+    from corianderwall.moves.agent import MoveAgent
+    from corianderwall.node.desk import Desk
+    from corianderwall.node.dispatcher import Dispatcher
+    from corianderwall.node.moveview import AgentView
+    from corianderwall.traffic.balancer import Balancer
+    from corianderwall.traffic.lease_holder import LeaseHolder
+    from corianderwall.traffic.lease_issuer import LeaseIssuer
+
+TICK_S = 0.1
+
+MESSAGES = (
+    *MEMBERSHIP_MESSAGES,
+    *DISTRIBUTION_MESSAGES,
+    *TRAFFIC_MESSAGES,
+    *MOVE_MESSAGES,
+)
+"""All messages between nodes."""
+
+_MEMBERSHIP = frozenset(MEMBERSHIP_MESSAGES)
+_DISTRIBUTION = frozenset(DISTRIBUTION_MESSAGES)
+_MOVES = frozenset(MOVE_MESSAGES)
+
+
+class Control:
+    """Joins the decisions of one node; all methods run in the reactor's thread."""
+
+    def __init__(
+        self,
+        *,
+        clock: "Clock",
+        links: "PeerLinks",
+        membership: "Membership",
+        distributor: "Distributor",
+        balancer: "Balancer",
+        holder: "LeaseHolder",
+        issuer: "LeaseIssuer",
+        desk: "Desk",
+        agent: "MoveAgent",
+        moves: "AgentView",
+        dispatcher: "Dispatcher",
+        want_head: "Callable[[], None]",
+        on_version: "Callable[[Snapshot], None]",
+    ) -> None:
+        self._clock = clock
+        self._links = links
+        self._membership = membership
+        self._distributor = distributor
+        self._balancer = balancer
+        self._holder = holder
+        self._issuer = issuer
+        self._desk = desk
+        self._agent = agent
+        self._moves = moves
+        self._dispatcher = dispatcher
+        self._want_head = want_head
+        self._on_version = on_version
+        self._endpoints: dict[str, Endpoint] = {}
+        self._members_changed = True
+        self._next_window = 0.0
+
+    def deliver(self, peer: str, message: "PeerMessage") -> None:
+        """Take one message from another node; a malformed one has no effect."""
+        now = self._clock.read_monotonic()
+        try:
+            self.send(self._handle(peer, message, now))
+        except CorianderwallError as error:
+            log_warning("refused a message", peer=peer, code=error.code.value, why=error.sentence)
+        self._apply_events(now)
+
+    def tick(self) -> None:
+        """Do what is due; to be called every `TICK_S`."""
+        now = self._clock.read_monotonic()
+        self.send(self._membership.tick(now))
+        self.send(self._distributor.tick(now))
+        self.send(self._holder.collect_requests(now))
+        self._desk.tick()
+        self._apply_events(now)
+        self._tick_moves(now)
+        for name in self._endpoints:
+            self._balancer.set_leased(name, leased=self._holder.has_free_lease(name, now))
+
+    def send(self, messages: "Iterable[Outgoing]") -> None:
+        """Send messages to hosts whose address the membership knows."""
+        for outgoing in messages:
+            host = self._membership.find_host(outgoing.peer)
+            if host is not None:
+                self._links.set_address(host.name, host.peer_address)
+            self._links.send(outgoing)
+
+    def apply_events(self) -> None:
+        """Apply what a call into the decisions from outside has changed."""
+        self._apply_events(self._clock.read_monotonic())
+
+    def _handle(self, peer: str, message: "PeerMessage", now: float) -> "list[Outgoing]":
+        kind = type(message)
+        if kind in _MEMBERSHIP:
+            return self._membership.handle(peer, message, now)
+        if kind in _DISTRIBUTION:
+            return self._distributor.handle(peer, message, now)
+        if kind in _MOVES:
+            return self._agent.take_message(message)
+        return self._handle_lease(message, now)
+
+    def _handle_lease(self, message: "PeerMessage", now: float) -> "list[Outgoing]":
+        match message:
+            case LeaseRequest():
+                answer = self._issuer.receive(message, now)
+                if answer is None:
+                    return []
+                for report in answer.reports:
+                    self._desk.report_usage(report)
+                return [answer.outgoing]
+            case LeaseGrant():
+                self._holder.receive_grant(message)
+            case LeaseNotice():
+                self._holder.receive_notice(message)
+        return []
+
+    def _tick_moves(self, now: float) -> None:
+        if self._members_changed:
+            self._members_changed = False
+            self._update_members()
+        if now >= self._next_window:
+            self._next_window = now + WINDOW_S
+            unix_ms = int(self._clock.read_unix() * 1000)
+            self.send(self._agent.tick(now, unix_ms))
+
+    def _update_members(self) -> None:
+        names = sorted(host.name for host in self._membership.list_live_hosts())
+        endpoints = tuple(self._endpoints[name] for name in sorted(self._endpoints))
+        self._agent.update_members(Members(nodes=tuple(names), endpoints=endpoints))
+
+    def _apply_events(self, now: float) -> None:
+        for membership_event in self._membership.take_events():
+            self._apply_membership(membership_event, now)
+        for event in self._distributor.take_events():
+            self._apply_distribution(event)
+
+    def _apply_membership(self, event: Any, now: float) -> None:
+        match event:
+            case EndpointAdded() | EndpointChanged():
+                self._upsert(event.endpoint, now)
+            case EndpointRemoved():
+                self._remove(event.endpoint)
+            case LinkSilent():
+                log_warning("replacing a silent connection", peer=event.peer)
+                self._links.reset(event.peer)
+            case AdvertHeard():
+                self.send(self._distributor.note_advert(event.peer, event.advert, now))
+            case HostSuspected() | HostUnreachable():
+                self._suspect(event.host, suspected=True)
+            case HostJoined() | HostReturned():
+                self._suspect(event.host, suspected=False)
+            case HostDead() | HostLeft():
+                self._suspect(event.host, suspected=True)
+                self._links.forget(event.host.name)
+
+    def _apply_distribution(self, event: Any) -> None:
+        match event:
+            case VersionInForce():
+                self._install(event.snapshot)
+            case HeadWanted():
+                self._want_head()
+            case UpdateRefused():
+                log_warning(
+                    "refused an update",
+                    peer=event.peer,
+                    code=event.code.value,
+                    why=event.sentence,
+                )
+            case DigestConflict():
+                log_warning(
+                    "two snapshots under one version", source=event.source, conflict=event.version
+                )
+
+    def _install(self, snapshot: "Snapshot") -> None:
+        self._dispatcher.install(snapshot)
+        self._moves.update_snapshot(snapshot)
+        self._desk.set_shares(SubscriberShares(snapshot))
+        log_info("a version is in force", to_version=snapshot.version)
+        self._on_version(snapshot)
+
+    def _upsert(self, endpoint: "Endpoint", now: float) -> None:
+        self._endpoints[endpoint.name] = endpoint
+        self._balancer.upsert(endpoint, now, int(self._clock.read_unix() * 1000))
+        self._members_changed = True
+
+    def _remove(self, endpoint: "Endpoint") -> None:
+        self._endpoints.pop(endpoint.name, None)
+        self._balancer.remove(endpoint.name)
+        self._holder.forget(endpoint.name)
+        self._members_changed = True
+
+    def _suspect(self, host: "Host", *, suspected: bool) -> None:
+        self._members_changed = True
+        for endpoint in self._endpoints.values():
+            if endpoint.node == host.name:
+                self._balancer.set_suspected(endpoint.name, suspected=suspected)
+        if suspected:
+            log_warning("a host is in doubt", host=host.name)
--- /dev/null
+++ b/packages/node/src/corianderwall/node/dispatcher.py
@@ -0,0 +1,138 @@
+"""Takes the calls that reach this node, from callers and from other entry nodes."""
+
+from typing import TYPE_CHECKING
+
+from corianderwall.httpflow.attempt import AttemptResult, OutgoingCall
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.verdict import Verdict
+from corianderwall.node.answerflow import AnswerFlow
+from corianderwall.node.answers import CallError, respond_error
+from corianderwall.node.callhead import ENDPOINT_HEADER, HOP_HEADER, read_call_head
+from corianderwall.node.entry import EntryCall, read_retry_after
+from corianderwall.traffic.routing import RouteTable
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.call import IncomingCall
+    from corianderwall.model.resource import Route, Snapshot
+    from corianderwall.node.callcontext import CallContext
+    from corianderwall.node.callhead import CallHead
+    from corianderwall.traffic.routing import RouteChoice
+
+_UPSTREAM_DROPS = frozenset((HOP_HEADER, ENDPOINT_HEADER))
+
+
+class Dispatcher:
+    """The handler of the call server; without a snapshot it refuses every call."""
+
+    def __init__(self, context: "CallContext", default_timeout_s: float) -> None:
+        self._context = context
+        self._default_timeout_s = default_timeout_s
+        self._table: RouteTable | None = None
+        self._routes: dict[str, Route] = {}
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The routes in force, None before the first snapshot."""
+        return self._table
+
+    def install(self, snapshot: "Snapshot") -> None:
+        """Route all later calls by `snapshot`."""
+        table = RouteTable.compile(snapshot)
+        self._routes = {route.name: route for route in snapshot.routes}
+        self._table = table
+
+    def handle(self, call: "IncomingCall") -> None:
+        """Take one call."""
+        clock = self._context.clock
+        now = clock.read_monotonic()
+        try:
+            head = read_call_head(call, now=now, unix_s=clock.read_unix())
+            if head.hop:
+                self._handle_hop(call, head, now)
+            else:
+                self._handle_entry(call, head, now)
+        except CorianderwallError as error:
+            self._context.metrics.count_refusal(error.code)
+            respond_error(call, error)
+
+    def _handle_entry(self, call: "IncomingCall", head: "CallHead", now: float) -> None:
+        if self._table is None:
+            raise CorianderwallError(
+                ErrorCode.NOT_READY, "this node has no configuration yet", retry_after_s=1.0
+            )
+        choice = self._table.match(head.request, self._context.random)
+        deadline = now + choice.timeout_ms / 1000
+        if head.deadline is not None:
+            deadline = min(deadline, head.deadline)
+        if deadline <= now:
+            raise CallError(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", Verdict.NOT_RUN)
+        version = self._choose_version(choice, head)
+        EntryCall(self._context, call, head, choice, version, deadline, now).start()
+
+    def _choose_version(self, choice: "RouteChoice", head: "CallHead") -> str:
+        route = self._routes[choice.route]
+        if route.pinned_version:
+            return choice.version
+        sticky = head.request.headers.get(route.sticky_header, "") if route.sticky_header else ""
+        return self._context.moves.choose_version(choice.service, sticky) or choice.version
+
+    def _handle_hop(self, call: "IncomingCall", head: "CallHead", now: float) -> None:
+        endpoint = self._context.desk.endpoint
+        wanted = call.find_header(ENDPOINT_HEADER) or b""
+        if endpoint is None or endpoint.name.encode("ascii") != wanted:
+            raise CorianderwallError(ErrorCode.NO_ENDPOINT, "the endpoint is not here any more")
+        if not self._context.desk.drain.accepts_work:
+            raise CorianderwallError(ErrorCode.NO_ENDPOINT, "the endpoint drains")
+        deadline = head.deadline if head.deadline is not None else now + self._default_timeout_s
+        HopCall(self._context, call, head, deadline).start()
+
+
+class HopCall:
+    """One call that an entry node hands to the owner of the endpoint; it is tried once."""
+
+    __slots__ = ("_attempt", "_call", "_context", "_deadline", "_head")
+
+    def __init__(
+        self, context: "CallContext", call: "IncomingCall", head: "CallHead", deadline: float
+    ) -> None:
+        self._context = context
+        self._call = call
+        self._head = head
+        self._deadline = deadline
+
+    def start(self) -> None:
+        """Offer the call to the endpoint."""
+        call = self._call
+        body = call.take_body()
+        outgoing = OutgoingCall(
+            method=call.method,
+            target=call.target,
+            headers=[header for header in call.headers if header[0] not in _UPSTREAM_DROPS],
+            deadline=self._deadline,
+            idempotent=call.method == b"GET",
+        )
+        if body is not None:
+            outgoing.body = body
+        else:
+            outgoing.streamed = True
+            outgoing.body_length = call.body_length
+            outgoing.source = call
+        flow = AnswerFlow(call, self)
+        carrier = self._context.desk.open_carrier(self._head.subscriber)
+        flow.attempt = attempt = carrier.send(outgoing, flow)
+        call.on_hang_up = attempt.cancel
+        if body is None:
+            call.read_body(attempt)
+
+    def end_attempt(self, result: AttemptResult, *, answered: bool) -> None:
+        """Tell the entry node what became of the attempt, unless the answer has told it."""
+        if answered or result.error is ErrorCode.CANCELLED:
+            return
+        code = result.error or ErrorCode.UPSTREAM_LOST
+        if result.refused and code is ErrorCode.UPSTREAM_REFUSED:
+            code = ErrorCode.OVERLOADED
+        retry_after_s = read_retry_after(result.head)
+        error = CallError(
+            code, "the endpoint gave no whole answer", result.verdict, retry_after_s=retry_after_s
+        )
+        respond_error(self._call, error)
--- /dev/null
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -0,0 +1,292 @@
+"""One call at its entry node: chooses endpoints, sends attempts and gives the one answer."""
+
+from typing import TYPE_CHECKING
+
+from corianderwall.httpflow.attempt import AttemptResult, OutgoingCall
+from corianderwall.model.errors import ErrorCode
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.model.verdict import Verdict
+from corianderwall.node.answerflow import AnswerFlow
+from corianderwall.node.answers import CallError, respond_error
+from corianderwall.node.callhead import (
+    CALL_ID_HEADER,
+    DEADLINE_HEADER,
+    ENDPOINT_HEADER,
+    HOP_HEADER,
+    HOP_OWNER,
+    LOAD_HEADER,
+    NODE_HEADERS,
+    RETRY_AFTER_HEADER,
+    ROUTE_HEADER,
+)
+from corianderwall.node.desk import parse_load
+from corianderwall.traffic.retries import FailedAttempt
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.attempt import AnswerHead
+    from corianderwall.httpflow.call import IncomingCall
+    from corianderwall.httpflow.flow import Headers
+    from corianderwall.model.endpoint import Endpoint
+    from corianderwall.node.callcontext import CallContext
+    from corianderwall.node.callhead import CallHead
+    from corianderwall.node.carrier import Carrier, RunningAttempt
+    from corianderwall.traffic.lease_holder import Passage
+    from corianderwall.traffic.routing import RouteChoice
+
+REPLAY_BODY_BYTES = 64 * 1024
+"""Largest request body that is kept so that the call can be tried again."""
+
+OWNER_CONNECTIONS = 128
+"""Connections to another node for the calls that its endpoint takes through it."""
+
+
+class EntryCall:
+    """The attempts of one call, one after another, until one answers or none may follow."""
+
+    __slots__ = (
+        "_attempt",
+        "_body",
+        "_call",
+        "_choice",
+        "_context",
+        "_deadline",
+        "_done",
+        "_endpoint",
+        "_excluded",
+        "_head",
+        "_on_end",
+        "_outstanding",
+        "_passage",
+        "_sent_at",
+        "_started_at",
+        "_tries",
+        "_verdict",
+        "_version",
+    )
+
+    def __init__(
+        self,
+        context: "CallContext",
+        call: "IncomingCall",
+        head: "CallHead",
+        choice: "RouteChoice",
+        version: str,
+        deadline: float,
+        now: float,
+    ) -> None:
+        self._context = context
+        self._call = call
+        self._head = head
+        self._choice = choice
+        self._version = version
+        self._deadline = deadline
+        self._started_at = now
+        self._sent_at = now
+        self._body: bytes | None = None
+        self._attempt: RunningAttempt | None = None
+        self._endpoint: Endpoint | None = None
+        self._passage: Passage | None = None
+        self._excluded = context.moves.list_ejected(choice.service)
+        self._outstanding = 0
+        self._tries = 0
+        self._verdict = Verdict.NOT_RUN
+        self._done = False
+
+    def start(self) -> None:
+        """Send the first attempt as soon as the body allows it."""
+        self._context.retries.add_call(self._choice.service)
+        self._call.on_hang_up = self._hang_up
+        self._body = self._call.take_body()
+        length = self._call.body_length
+        if self._body is None and length is not None and length <= REPLAY_BODY_BYTES:
+            self._call.read_body(_BodyCollector(self))
+        else:
+            self._send()
+
+    def take_whole_body(self, body: bytes) -> None:
+        """Send the first attempt, as the whole body is here."""
+        self._body = body
+        self._send()
+
+    def end_attempt(self, result: AttemptResult, *, answered: bool) -> None:
+        """Note how an attempt ended; try again or answer unless the caller has its answer."""
+        now = self._context.clock.read_monotonic()
+        self._attempt = None
+        self._record(result, now)
+        if self._done:
+            return
+        if answered:
+            self._finish(result.status, now)
+            return
+        if result.verdict is not Verdict.NOT_RUN:
+            self._verdict = result.verdict
+        if not self._retry(result, now):
+            self._fail(result, now)
+
+    def _send(self) -> None:
+        if self._done:
+            return
+        now = self._context.clock.read_monotonic()
+        endpoint = self._context.balancer.choose(
+            self._choice.service, self._version, now, self._excluded
+        )
+        if endpoint is None:
+            self._respond(ErrorCode.NO_ENDPOINT, "no endpoint of the service takes calls", 1.0, now)
+            return
+        self._tries += 1
+        self._sent_at = now
+        self._endpoint = endpoint
+        self._outstanding = self._context.balancer.start(endpoint.name)
+        carrier, outgoing = self._prepare(endpoint, now)
+        flow = AnswerFlow(self._call, self)
+        self._attempt = flow.attempt = attempt = carrier.send(outgoing, flow)
+        if self._body is None:
+            self._call.read_body(attempt)
+
+    def _prepare(self, endpoint: "Endpoint", now: float) -> "tuple[Carrier, OutgoingCall]":
+        context = self._context
+        headers = self._make_headers(now)
+        carrier: Carrier
+        if endpoint.node == context.node:
+            carrier = context.desk.open_carrier(self._head.subscriber)
+        else:
+            self._passage = context.leases.acquire(
+                endpoint, self._head.subscriber, self._deadline, now
+            )
+            if self._passage.direct:
+                limit = context.leases.read_limit(endpoint.name, now)
+                carrier = context.pools.find(endpoint.address, max(1, limit))
+            else:
+                address = context.find_call_address(endpoint.node) or endpoint.address
+                carrier = context.pools.find(address, OWNER_CONNECTIONS)
+                headers.append((HOP_HEADER, HOP_OWNER))
+                headers.append((ENDPOINT_HEADER, endpoint.name.encode("ascii")))
+        outgoing = OutgoingCall(
+            method=self._call.method,
+            target=self._call.target,
+            headers=headers,
+            deadline=self._deadline,
+            idempotent=self._choice.idempotent,
+        )
+        if self._body is not None:
+            outgoing.body = self._body
+        else:
+            outgoing.streamed = True
+            outgoing.body_length = self._call.body_length
+            outgoing.source = self._call
+        return carrier, outgoing
+
+    def _make_headers(self, now: float) -> "Headers":
+        headers = [header for header in self._call.headers if header[0] not in NODE_HEADERS]
+        if self._call.find_header(CALL_ID_HEADER) is None:
+            headers.append((CALL_ID_HEADER, self._head.call_id.encode("latin-1")))
+        unix_ms = int((self._context.clock.read_unix() + self._deadline - now) * 1000)
+        headers.append((DEADLINE_HEADER, b"%d" % unix_ms))
+        headers.append((ROUTE_HEADER, self._choice.route.encode("ascii")))
+        return headers
+
+    def _record(self, result: AttemptResult, now: float) -> None:
+        """Give back what the attempt held and let the limits and moves learn from it."""
+        endpoint, self._endpoint = self._endpoint, None
+        if endpoint is None:
+            return
+        passage, self._passage = self._passage, None
+        if passage is not None:
+            self._context.leases.release(passage, now)
+        self._read_load(endpoint, result.head, now)
+        outcome = AttemptOutcome(
+            service=self._choice.service,
+            version=self._version,
+            route=self._choice.route,
+            endpoint=endpoint.name,
+            subscriber=self._head.subscriber,
+            verdict=result.verdict,
+            status=result.status,
+            latency_s=now - self._sent_at,
+            refused=result.refused,
+            outstanding=self._outstanding,
+            cancelled=result.error is ErrorCode.CANCELLED,
+        )
+        self._context.balancer.finish(outcome, now, read_retry_after(result.head))
+        self._context.moves.record(outcome)
+        self._context.metrics.count_attempt(outcome)
+
+    def _read_load(self, endpoint: "Endpoint", head: "AnswerHead | None", now: float) -> None:
+        value = head.find_header(LOAD_HEADER) if head is not None else None
+        running = parse_load(value) if value is not None else None
+        if running is not None:
+            self._context.balancer.report_load(endpoint.name, running, now)
+
+    def _retry(self, result: AttemptResult, now: float) -> bool:
+        if self._body is None or self._tries >= self._context.max_attempts:
+            return False
+        failed = FailedAttempt(
+            service=self._choice.service,
+            verdict=result.verdict,
+            idempotent=self._choice.idempotent,
+            attempt=self._tries,
+            deadline=self._deadline,
+        )
+        decision = self._context.retries.decide(failed, now)
+        if decision.is_retried:
+            self._context.call_later(max(0.0, decision.start_at - now), self._send)
+        return decision.is_retried
+
+    def _fail(self, result: AttemptResult, now: float) -> None:
+        retry_after_s = read_retry_after(result.head)
+        match result.error:
+            case ErrorCode.DEADLINE_EXCEEDED:
+                code, sentence = ErrorCode.DEADLINE_EXCEEDED, "the deadline of the call has passed"
+            case ErrorCode.OVERLOADED | ErrorCode.UPSTREAM_REFUSED:
+                code, sentence = ErrorCode.OVERLOADED, "the upstream takes no more calls now"
+                retry_after_s = max(1.0, retry_after_s)
+            case ErrorCode.NO_ENDPOINT:
+                code, sentence = ErrorCode.NO_ENDPOINT, "the endpoint has left"
+            case _:
+                code, sentence = ErrorCode.UPSTREAM_LOST, "the upstream gave no whole answer"
+        self._respond(code, sentence, retry_after_s, now)
+
+    def _respond(self, code: ErrorCode, sentence: str, retry_after_s: float, now: float) -> None:
+        error = CallError(code, sentence, self._verdict, retry_after_s=retry_after_s)
+        status = respond_error(self._call, error)
+        self._context.metrics.count_refusal(code)
+        self._finish(status, now)
+
+    def _finish(self, status: int, now: float) -> None:
+        self._done = True
+        self._context.metrics.count_call(
+            self._choice.service, self._version, status, now - self._started_at
+        )
+
+    def _hang_up(self) -> None:
+        """Stop the work for a caller that has left."""
+        self._done = True
+        if self._attempt is not None:
+            self._attempt.cancel()
+
+
+class _BodyCollector:
+    """Collects a short request body before the first attempt."""
+
+    __slots__ = ("_chunks", "_entry")
+
+    def __init__(self, entry: EntryCall) -> None:
+        self._entry = entry
+        self._chunks: list[bytes] = []
+
+    def write_body(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self._chunks.append(data)
+
+    def end_body(self) -> None:
+        """Hand over the whole body."""
+        self._entry.take_whole_body(b"".join(self._chunks))
+
+    def abort_body(self) -> None:
+        """Do nothing, as the caller has left and nothing was sent."""
+
+
+def read_retry_after(head: "AnswerHead | None") -> float:
+    """Return the seconds that a refusal asks to wait, 0 if it names none."""
+    value = head.find_header(RETRY_AFTER_HEADER) if head is not None else None
+    return float(value) if value is not None and value.isdigit() and len(value) < 6 else 0.0
--- a/packages/node/src/corianderwall/node/main.py
+++ b/packages/node/src/corianderwall/node/main.py
@@ -18,7 +18,7 @@
     """Install Twisted's asyncio reactor on an uvloop loop; nothing may have imported another."""
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
+    asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
 
 
 @click.command()
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -1,8 +1,14 @@
 """The metrics that a node shows to Prometheus."""
 
+from bisect import bisect_left
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Counter, Gauge, Registry, render
+
+if TYPE_CHECKING:
+    from corianderwall.model.errors import ErrorCode
+    from corianderwall.model.outcome import AttemptOutcome
 
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0)
 
@@ -30,13 +36,14 @@
     refusals: Counter = field(
         default_factory=lambda: _counter("refusals", "Calls refused by this node, by error code.")
     )
-    latency: Histogram = field(
-        default_factory=lambda: Histogram(
-            "corianderwall_call_seconds",
-            "Seconds from the head of a call to the end of its answer, by service.",
-            buckets=list(LATENCY_BUCKETS_S),
+    slow_calls: Counter = field(
+        default_factory=lambda: _counter(
+            "calls_within", "Calls answered within `seconds`, cumulative, by service."
         )
     )
+    call_seconds: Counter = field(
+        default_factory=lambda: _counter("call_seconds", "Seconds of all calls, by service.")
+    )
     version: Gauge = field(
         default_factory=lambda: _gauge("config_version", "Configuration version in force.")
     )
@@ -77,3 +84,59 @@
     """Return the body and the headers of an answer to a scrape."""
     body, headers = render(registry, accept)
     return body, headers
+
+
+@dataclass(slots=True)
+class _ServiceLatency:
+    buckets: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1))
+    sum_s: float = 0.0
+
+
+class CallMetrics:
+    """Counts calls in plain integers, since the call path can't afford labelled metrics."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self._calls: dict[tuple[str, str, int], int] = {}
+        self._attempts: dict[tuple[str, str], int] = {}
+        self._refusals: dict[str, int] = {}
+        self._latency: dict[str, _ServiceLatency] = {}
+
+    def count_call(self, service: str, version: str, status: int, latency_s: float) -> None:
+        """Count a call that has its answer."""
+        key = (service, version, status)
+        self._calls[key] = self._calls.get(key, 0) + 1
+        latency = self._latency.get(service)
+        if latency is None:
+            latency = self._latency[service] = _ServiceLatency()
+        latency.buckets[bisect_left(LATENCY_BUCKETS_S, latency_s)] += 1
+        latency.sum_s += latency_s
+
+    def count_attempt(self, outcome: "AttemptOutcome") -> None:
+        """Count one attempt at an endpoint."""
+        key = (outcome.service, "refused" if outcome.refused else outcome.verdict.value)
+        self._attempts[key] = self._attempts.get(key, 0) + 1
+
+    def count_refusal(self, code: "ErrorCode") -> None:
+        """Count a call that this node answered with an error."""
+        self._refusals[code.value] = self._refusals.get(code.value, 0) + 1
+
+    def export(self, metrics: Metrics) -> None:
+        """Set the labelled metrics from the counts."""
+        for (service, version, status), count in self._calls.items():
+            labels = {"service": service, "version": version, "status": str(status)}
+            metrics.calls.set(labels, count)
+        for (service, verdict), count in self._attempts.items():
+            metrics.attempts.set({"service": service, "verdict": verdict}, count)
+        for code, count in self._refusals.items():
+            metrics.refusals.set({"code": code}, count)
+        for service, latency in self._latency.items():
+            _export_latency(metrics, service, latency)
+
+
+def _export_latency(metrics: Metrics, service: str, latency: _ServiceLatency) -> None:
+    total = 0
+    for bound_s, count in zip((*LATENCY_BUCKETS_S, "+Inf"), latency.buckets, strict=True):
+        total += count
+        metrics.slow_calls.set({"service": service, "seconds": str(bound_s)}, total)
+    metrics.call_seconds.set({"service": service}, latency.sum_s)
--- /dev/null
+++ b/packages/node/src/corianderwall/node/steering.py
@@ -0,0 +1,137 @@
+"""Steers the running moves for which this node holds the lease."""
+
+from typing import TYPE_CHECKING
+
+from corianderwall.model.change import AdvanceMove, EndMove, Operation
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import MoveState
+from corianderwall.moves.control import HeldLease
+from corianderwall.node.logs import log_info, log_warning
+from corianderwall.store.lease import LeaseKeeper
+from corianderwall.store.operation import make_operation_id
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from corianderwall.model.resource import Move, Snapshot
+    from corianderwall.moves.agent import MoveAgent
+    from corianderwall.store.api import ObjectApi
+    from corianderwall.store.commit import Committed
+    from corianderwall.store.head import HeadStore
+    from corianderwall.store.timer import Timer
+
+LEASE_TTL_S = 10.0
+RENEW_BEFORE_S = 6.0
+COMMIT_TIMEOUT_S = 4.0
+
+_EXPECTED = frozenset((ErrorCode.STALE_VERSION, ErrorCode.LEASE_LOST, ErrorCode.NOT_FOUND))
+"""Errors of a change that another holder, or an operator, has overtaken."""
+
+
+class MoveSteering:
+    """Contends for the leases of the moves that this node aggregates and writes the changes.
+
+    Two holders do no harm: each change names the step it follows and carries a fencing token.
+    """
+
+    def __init__(
+        self,
+        *,
+        agent: "MoveAgent",
+        api: "ObjectApi",
+        store: "HeadStore",
+        timer: "Timer",
+        random: "Random",
+        node: str,
+        deliver: "Callable[[Committed], None]",
+        count_busy_slots: "Callable[[str], float]",
+    ) -> None:
+        self._agent = agent
+        self._api = api
+        self._store = store
+        self._timer = timer
+        self._random = random
+        self._node = node
+        self._deliver = deliver
+        self._count_busy_slots = count_busy_slots
+        self._keepers: dict[str, LeaseKeeper] = {}
+
+    async def steer(self, snapshot: "Snapshot") -> None:
+        """Do for each running move what is due; platform errors wait for the next call."""
+        running = {move.id: move for move in snapshot.moves if move.state is MoveState.RUNNING}
+        for move_id in [move_id for move_id in self._keepers if move_id not in running]:
+            await self._release(move_id)
+        for move in running.values():
+            if not self._agent.is_aggregator(move.id):
+                continue
+            try:
+                await self._steer_move(move)
+            except CorianderwallError as error:
+                self._report(move, error)
+
+    async def stop(self) -> None:
+        """Give all leases up, so that other nodes take over at once."""
+        for move_id in list(self._keepers):
+            await self._release(move_id)
+
+    async def _steer_move(self, move: "Move") -> None:
+        lease = await self._hold_lease(move.id)
+        if lease is None:
+            return
+        change = self._agent.decide(
+            move.id,
+            lease,
+            self._count_busy_slots(move.service),
+            self._timer.read_monotonic(),
+            int(self._timer.read_unix() * 1000),
+        )
+        if change is not None:
+            await self._commit(move, change)
+
+    async def _hold_lease(self, move_id: str) -> HeldLease | None:
+        keeper = self._keepers.get(move_id)
+        if keeper is None:
+            keeper = self._keepers[move_id] = LeaseKeeper(
+                self._api,
+                self._timer,
+                name=f"moves/{move_id}",
+                holder=self._node,
+                ttl_s=LEASE_TTL_S,
+            )
+        now = self._timer.read_monotonic()
+        grant = keeper.lease.grant
+        if grant is None or not keeper.lease.is_held(now):
+            await keeper.acquire()
+        elif grant.deadline - now < RENEW_BEFORE_S:
+            await keeper.renew()
+        grant = keeper.lease.grant
+        return None if grant is None else HeldLease(grant.fencing, grant.deadline)
+
+    async def _commit(self, move: "Move", change: AdvanceMove | EndMove) -> None:
+        unix_ms = int(self._timer.read_unix() * 1000)
+        operation = Operation(
+            make_operation_id(unix_ms, self._random), f"controller:{self._node}", change
+        )
+        deadline = self._timer.read_monotonic() + COMMIT_TIMEOUT_S
+        committed = await self._store.commit(operation, deadline=deadline)
+        log_info(
+            "changed a move",
+            move=move.id,
+            service=move.service,
+            change=committed.record.summary,
+            to_version=committed.version,
+        )
+        self._deliver(committed)
+
+    async def _release(self, move_id: str) -> None:
+        keeper = self._keepers.pop(move_id)
+        try:
+            await keeper.release()
+        except CorianderwallError:
+            # The lease lapses by itself.
+            return
+
+    def _report(self, move: "Move", error: CorianderwallError) -> None:
+        if error.code not in _EXPECTED:
+            log_warning("a move waits", move=move.id, code=error.code.value, why=error.sentence)
