Test the client against every fault and add the upstream stand-in

A source that was paused while its connection opened was never resumed: an upload over a fresh connection hung until its deadline. The pool's tests found it; starting on a connection now resumes the source unless the transport is full. The stand-in is an upstream with slots, queue, shedding, cold start, cancellation, deadlines, misleading health, bad versions and faults of single calls.

--- a/packages/httpflow/src/corianderwall/httpflow/attempt.py
+++ b/packages/httpflow/src/corianderwall/httpflow/attempt.py
@@ -106,6 +106,8 @@
             connection.write_body(data)
         if self.body_ended and self.call.streamed:
             connection.end_body()
+        elif early and self.call.source is not None and not connection.write_paused:
+            self.call.source.resume_body()
 
     def write_body(self, data: bytes) -> None:
         """Send the next bytes of a streamed request body."""
--- a/packages/httpflow/src/corianderwall/httpflow/call.py
+++ b/packages/httpflow/src/corianderwall/httpflow/call.py
@@ -81,6 +81,11 @@
         """Return whether the caller still waits for the end of the answer."""
         return self._connection is not None
 
+    @property
+    def connection(self) -> "ServerConnection | None":
+        """Return the connection that the call came on, None once it has been answered or lost."""
+        return self._connection
+
     def take_body(self) -> bytes | None:
         """Return the whole body if all of it is here, otherwise None."""
         if not self.body_done or self._sink is not None:
--- a/packages/httpflow/src/corianderwall/httpflow/client_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -47,6 +47,7 @@
         self.idle_since = 0.0
         self.closed = False
         self.fileno = -1
+        self.write_paused = False
         self._limits = limits
         self._loop = loop
         self._parser = AnswerParser(self, limits)
@@ -92,11 +93,13 @@
 
     def pause_writing(self) -> None:
         """Keep the source of the request's body from going on."""
+        self.write_paused = True
         if self.attempt is not None and self.attempt.call.source is not None:
             self.attempt.call.source.pause_body()
 
     def resume_writing(self) -> None:
         """Let the source of the request's body go on."""
+        self.write_paused = False
         if self.attempt is not None and self.attempt.call.source is not None:
             self.attempt.call.source.resume_body()
 
--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -190,7 +190,11 @@
     def close_if_quiet(self) -> None:
         """Close unless a request is under way."""
         if self.is_quiet and not self._deaf:
-            self._close(linger=False)
+            self.close()
+
+    def close(self) -> None:
+        """Close after what has been written, whatever is under way."""
+        self._close(linger=False)
 
     def abort(self) -> None:
         """Reset the connection."""
--- a/packages/httpflow/tests/conftest.py
+++ b/packages/httpflow/tests/conftest.py
@@ -1,11 +1,17 @@
 import asyncio
-from collections.abc import Callable, Iterable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterable
+from types import SimpleNamespace
 
 import pytest
+from twisted.internet.defer import Deferred
 
+from corianderwall.httpflow.attempt import AnswerHead, AttemptResult, OutgoingCall
 from corianderwall.httpflow.call import IncomingCall
-from corianderwall.httpflow.limits import ServerLimits
+from corianderwall.httpflow.limits import ClientLimits, ServerLimits
+from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.httpflow.server_connection import ServerConnection, ServerState
+from corianderwall.model.endpoint import Address
 
 
 class FakeTransport(asyncio.Transport):
@@ -120,3 +126,161 @@
 @pytest.fixture
 def make_sink() -> type[Sink]:
     return Sink
+
+
+class ScriptedUpstream:
+    """Runs one script for each connection, the last one for all further connections."""
+
+    def __init__(self) -> None:
+        self.scripts: list[Script] = []
+        self.connections = 0
+        self.requests: list[bytes] = []
+        self.ended = 0
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> Address:
+        loop = asyncio.get_event_loop()
+        opening = loop.create_task(asyncio.start_server(self._accept, "127.0.0.1", 0))
+        self._server = await Deferred.fromFuture(opening)
+        return Address(host="127.0.0.1", port=self._server.sockets[0].getsockname()[1])
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def read_request(self, reader: asyncio.StreamReader) -> bytes:
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.requests.append(head)
+        return head
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        script = self.scripts[min(self.connections, len(self.scripts) - 1)]
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await script(self, reader, writer)
+        self.ended += 1
+        writer.close()
+
+
+Script = Callable[[ScriptedUpstream, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def answer_with(*answers: bytes) -> Script:
+    """Write the next of `answers` after each request, then close."""
+
+    async def run(
+        upstream: ScriptedUpstream, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for answer in answers:
+            await upstream.read_request(reader)
+            writer.write(answer)
+            await writer.drain()
+
+    return run
+
+
+def keep_answering(answer: bytes) -> Script:
+    """Write `answer` after each request."""
+
+    async def run(
+        upstream: ScriptedUpstream, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            await upstream.read_request(reader)
+            writer.write(answer)
+            await writer.drain()
+
+    return run
+
+
+class Receiver:
+    """Keeps the answer; `done` fires with the result."""
+
+    def __init__(self) -> None:
+        self.heads: list[AnswerHead] = []
+        self.body = b""
+        self.results: list[AttemptResult] = []
+        self.done: Deferred[AttemptResult] = Deferred()
+
+    def receive_head(self, head: AnswerHead) -> None:
+        self.heads.append(head)
+
+    def receive_body(self, data: bytes) -> None:
+        self.body += data
+
+    def finish(self, result: AttemptResult) -> None:
+        self.results.append(result)
+        self.done.callback(result)
+
+
+async def pause(seconds: float) -> None:
+    # The reactor may not be imported here: this file is loaded before it is installed.
+    await Deferred.fromFuture(asyncio.get_event_loop().create_task(asyncio.sleep(seconds)))
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Let the reactor run until `condition` holds; a test that hangs is a test that fails."""
+    for _ in range(2000):
+        if condition():
+            return
+        await pause(0.005)
+    raise AssertionError("the condition never held")
+
+
+def make_call(method: bytes = b"GET", **changes: object) -> OutgoingCall:
+    fields: dict[str, object] = {
+        "target": b"/",
+        "headers": [(b"host", b"h")],
+        "deadline": asyncio.get_event_loop().time() + 20,
+        "idempotent": method == b"GET",
+    }
+    return OutgoingCall(method=method, **(fields | changes))
+
+
+class PoolSide:
+    """A pool in front of a scripted upstream."""
+
+    def __init__(self) -> None:
+        self.upstream = ScriptedUpstream()
+        self.pools: list[UpstreamPool] = []
+
+    async def open(self, *scripts: Script, size: int = 4, **limits: float) -> UpstreamPool:
+        self.upstream.scripts = list(scripts)
+        address = await self.upstream.start()
+        pool = UpstreamPool(address, size, ClientLimits(**limits))
+        self.pools.append(pool)
+        return pool
+
+    async def call(
+        self, pool: UpstreamPool, method: bytes = b"GET", **changes: object
+    ) -> tuple[AttemptResult, Receiver]:
+        receiver = Receiver()
+        pool.send(make_call(method, **changes), receiver)
+        assert not receiver.results
+        result = await receiver.done
+        return result, receiver
+
+
+@pytest.fixture
+def pool_side():
+    side = PoolSide()
+    yield side
+    for pool in side.pools:
+        pool.abort()
+    side.upstream.stop()
+
+
+@pytest.fixture
+def tools() -> SimpleNamespace:
+    return SimpleNamespace(
+        answer_with=answer_with,
+        keep_answering=keep_answering,
+        wait_until=wait_until,
+        pause=pause,
+        make_call=make_call,
+        Receiver=Receiver,
+    )
--- /dev/null
+++ b/packages/standins/src/corianderwall/standins/upstream_answer.py
@@ -0,0 +1,85 @@
+"""Writes the answers of an upstream stand-in, with the faults that a test asks for."""
+
+import asyncio
+
+from corianderwall.httpflow.call import IncomingCall
+from corianderwall.httpflow.flow import Headers
+from corianderwall.standins.upstream_settings import Fault
+
+CHUNK_BYTES = 64 * 1024
+MAX_SHORT_BYTES = CHUNK_BYTES
+
+
+def make_body(seed: bytes, length: int) -> bytes:
+    """Return `length` bytes that tell which call they belong to."""
+    pattern = seed + b"."
+    return (pattern * (length // len(pattern) + 1))[:length]
+
+
+class AnswerWriter:
+    """Streams one long answer and keeps pace with its reader."""
+
+    def __init__(self, call: IncomingCall, seed: bytes, length: int) -> None:
+        self._call = call
+        self._left = length
+        self._paused = False
+        self._scheduled = False
+        self._loop = asyncio.get_event_loop()
+        # Whole repetitions of the pattern make all chunks but the last one equal.
+        pattern = len(seed) + 1
+        self._chunk = make_body(seed, pattern * (CHUNK_BYTES // pattern or 1))
+
+    def start(self, headers: Headers, *, chunked: bool) -> None:
+        """Start the answer."""
+        self._call.start_answer(200, headers, None if chunked else self._left, self)
+        self._schedule()
+
+    def pause_body(self) -> None:
+        """Stop writing."""
+        self._paused = True
+
+    def resume_body(self) -> None:
+        """Go on writing."""
+        self._paused = False
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._scheduled and not self._paused:
+            self._scheduled = True
+            self._loop.call_soon(self._write)
+
+    def _write(self) -> None:
+        self._scheduled = False
+        if not self._call.is_open:
+            return
+        data = self._chunk[: self._left]
+        self._left -= len(data)
+        self._call.write_body(data)
+        if self._left:
+            self._schedule()
+        else:
+            self._call.end_answer()
+
+
+def write_faulty_answer(call: IncomingCall, fault: Fault, headers: Headers, body: bytes) -> None:
+    """Answer with the fault that shows in the bytes of the answer."""
+    connection = call.connection
+    if connection is None:
+        return
+    if fault is Fault.CLOSE_RUN:
+        connection.abort()
+    elif fault in (Fault.CLOSE_IN_ANSWER, Fault.TRUNCATE):
+        call.start_answer(200, headers, len(body) + 1)
+        call.write_body(body)
+        if fault is Fault.TRUNCATE:
+            connection.close()
+        else:
+            asyncio.get_event_loop().call_later(0.01, connection.abort)
+    elif fault is Fault.CLOSE_AFTER:
+        call.respond(200, headers, body)
+        connection.close()
+    elif fault is Fault.DOUBLE:
+        call.respond(200, headers, body)
+        connection.write(b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond")
+    else:
+        call.respond(200, headers, body)
--- /dev/null
+++ b/packages/standins/src/corianderwall/standins/upstream_command.py
@@ -0,0 +1,75 @@
+"""The command that runs an upstream stand-in as a process."""
+
+import asyncio
+import signal
+import sys
+from typing import Any
+
+import click
+import msgspec
+import uvloop
+from twisted.internet import asyncioreactor
+from twisted.internet.defer import Deferred
+
+from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
+
+QUIET_S = 3.0
+
+
+@click.command("upstream")
+@click.option("--service", default="service")
+@click.option("--version", default="v1")
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", default=0, help="0 takes a free one, which is printed.")
+@click.option("--node-host", default="127.0.0.1")
+@click.option("--node-port", default=0, help="Port of the node to announce to; 0 for none.")
+@click.option("--slots", default=6)
+@click.option("--queue", default=24)
+@click.option("--connections", default=110)
+@click.option("--cold-start-ms", default=0.0)
+@click.option("--seed", default=1)
+@click.option("--work-ms", default=0.0, help="How long a call takes.")
+@click.option("--switches", default="{}", help="JSON of the further switches.")
+@click.option("--with-path", is_flag=True, help="Put a relay in front that can go silent.")
+def upstream(*, switches: str, work_ms: float, with_path: bool, **options: Any) -> None:
+    """Run an upstream stand-in until it is terminated; SIGTERM drains it."""
+    chosen = msgspec.json.decode(switches, type=Switches)
+    if work_ms:
+        chosen.work_ms = work_ms
+    settings = UpstreamSettings(switches=chosen, **options)
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    install: Any = asyncioreactor.install
+    install(loop)
+    _run(settings, with_path=with_path)
+
+
+def _run(settings: UpstreamSettings, *, with_path: bool) -> None:
+    from twisted.internet import reactor as installed
+
+    from corianderwall.standins.upstream import UpstreamStandin
+
+    reactor: Any = installed
+
+    async def start() -> None:
+        standin = UpstreamStandin(settings, with_path=with_path)
+        address = await standin.start()
+        click.echo(f"listening {address}")
+        sys.stdout.flush()
+
+        def drain(*_: object) -> None:
+            drained = standin.drain(standin.loop.time() + QUIET_S)
+            drained.addCallback(lambda _: reactor.stop())
+
+        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(drain))
+
+    reactor.callWhenRunning(lambda: Deferred.fromCoroutine(start()).addErrback(_give_up))
+    reactor.run()
+
+
+def _give_up(failure: Any) -> None:
+    click.echo(failure.getTraceback(), err=True)
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    reactor.stop()
--- /dev/null
+++ b/packages/standins/src/corianderwall/standins/upstream_path.py
@@ -0,0 +1,108 @@
+"""A relay in front of an upstream that can lose track of its open connections."""
+
+import asyncio
+from typing import cast
+
+from twisted.internet.defer import Deferred
+
+from corianderwall.model.endpoint import Address
+
+
+class PathEnd(asyncio.Protocol):
+    """One of the two connections that the relay joins."""
+
+    def __init__(self, path: "SilentPath") -> None:
+        self.silent = False
+        self.other: PathEnd | None = None
+        self.transport: asyncio.Transport | None = None
+        self._path = path
+        self._early: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Join the other end."""
+        self.transport = cast("asyncio.Transport", transport)
+        self._path.ends.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on, or lose them on a silent connection."""
+        if self.silent:
+            return
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.write(data)
+        else:
+            self._early.append(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Close the other end, unless the relay has lost track of it."""
+        self._path.ends.discard(self)
+        if not self.silent and self.other is not None and self.other.transport is not None:
+            self.other.transport.close()
+
+    def pause_writing(self) -> None:
+        """Stop reading from the other end."""
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Go on reading from the other end."""
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.resume_reading()
+
+    def join(self, other: "PathEnd") -> None:
+        """Pass on to `other` what comes and what has come."""
+        self.other = other
+        other.other = self
+        early, self._early = self._early, []
+        for data in early:
+            self.data_received(data)
+
+
+class SilentPath:
+    """Relays connections; after `go_silent` the open ones stay open and carry nothing."""
+
+    def __init__(self) -> None:
+        self.ends: set[PathEnd] = set()
+        self._loop = asyncio.get_event_loop()
+        self._target: Address | None = None
+        self._server: asyncio.Server | None = None
+        self._joins: set[asyncio.Task[None]] = set()
+
+    async def listen(self, host: str, port: int, target: Address) -> Address:
+        """Relay connections at `host` to `target`."""
+        self._target = target
+        opening = self._loop.create_server(self._accept, host, port)
+        self._server = await Deferred.fromFuture(self._loop.create_task(opening))
+        bound: tuple[str, int] = self._server.sockets[0].getsockname()
+        return Address(host=bound[0], port=bound[1])
+
+    def go_silent(self) -> int:
+        """Lose track of the open connections and return how many there were."""
+        for end in self.ends:
+            end.silent = True
+        return len(self.ends) // 2
+
+    def close(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        for end in list(self.ends):
+            if end.transport is not None:
+                end.transport.abort()
+
+    def _accept(self) -> PathEnd:
+        front = PathEnd(self)
+        task = self._loop.create_task(self._join(front))
+        self._joins.add(task)
+        task.add_done_callback(self._joins.discard)
+        return front
+
+    async def _join(self, front: PathEnd) -> None:
+        target = self._target
+        if target is None:
+            return
+        back = PathEnd(self)
+        await self._loop.create_connection(lambda: back, target.host, target.port)
+        front.join(back)
+        gone = front.transport is None or front.transport.is_closing()
+        if gone and back.transport is not None:
+            back.transport.close()
