Add the distribution core

Cause: a change accepted at the platform must be in force at every node within seconds and never revert, at a cost to the platform that does not grow with the fleet.

Change: deltas bound to digests pushed along the overlay, catch-up in one exchange, witnesses before a version is in force, a floor after restarts, collectors for the acknowledgement. Seeds that are not in view are asked again, since two parts of a fleet that started apart never met.

--- /dev/null
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -0,0 +1,273 @@
+"""The distribution of one node: what it may put in force, and when."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from corianderwall.distribution.advert import decode_advert, encode_advert
+from corianderwall.distribution.events import (
+    DigestConflict,
+    DistributionEvent,
+    HeadWanted,
+    VersionInForce,
+)
+from corianderwall.distribution.floor import FloorSearch
+from corianderwall.distribution.headreads import HeadReads
+from corianderwall.distribution.members import Members
+from corianderwall.distribution.messages import (
+    NO_VERSION,
+    CatchUpRequest,
+    FloorAnswer,
+    FloorQuery,
+    HeadAnswer,
+    HeadRequest,
+    Held,
+    InForce,
+    RolloutAnswer,
+    RolloutQuery,
+    SnapshotPart,
+    Update,
+)
+from corianderwall.distribution.placement import choose_watchers
+from corianderwall.distribution.replica import PLATFORM, Replica
+from corianderwall.distribution.rollout import Rollout, RolloutLedger
+from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.distribution.witnesses import WitnessRule
+from corianderwall.model.codec import compute_digest
+from corianderwall.model.message import Outgoing, PeerMessage
+from corianderwall.model.resource import Snapshot
+
+
+class Distributor:
+    """Puts a held version in force once its floor is known and enough other hosts hold it.
+
+    Pure: `handle` takes a message of a peer, `tick` is called about every 100 ms; both return
+    what is to be sent. `take_events` returns what has changed since it was last called.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        *,
+        rng: random.Random,
+        now: float,
+        settings: DistributionSettings | None = None,
+    ) -> None:
+        self._members = members
+        self._settings = settings or DistributionSettings()
+        self._started_at = now
+        session = members.me.incarnation
+        self._replica = Replica(members, self._settings, session)
+        self._floor = FloorSearch(members, self._settings, rng, now)
+        self._reads = HeadReads(self._settings.head_request_life_s)
+        self._witnesses = WitnessRule(members, self._replica.holders, self._settings)
+        self._ledger = RolloutLedger(members, self._settings, session)
+        self._events: list[DistributionEvent] = []
+        self._next_witness_ask_at = now
+        self._witness_asks = 0
+        self._retries = 0
+        self._current: Snapshot | None = None
+
+    @property
+    def current(self) -> Snapshot | None:
+        """The snapshot in force, None before there is one."""
+        return self._current
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a snapshot is in force, so that calls may be served."""
+        return self._current is not None
+
+    @property
+    def held_version(self) -> int:
+        """The version of the newest snapshot held, in force or not, `NO_VERSION` for none."""
+        return self._replica.history.version
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this node is to watch the platform's head."""
+        watchers = choose_watchers(
+            self._members.list_hosts(), per_region=self._settings.watchers_per_region
+        )
+        return any(host.name == self._members.me.name for host in watchers)
+
+    def make_advert(self) -> bytes:
+        """Return the value that heartbeats are to carry."""
+        return encode_advert(self._replica.make_advert())
+
+    def take_events(self) -> list[DistributionEvent]:
+        """Return and forget the events since the last call."""
+        events = self._replica.take_events() + self._events
+        self._events = []
+        return events
+
+    def offer(
+        self, snapshot: Snapshot, now: float, *, asked_at: float | None = None
+    ) -> list[Outgoing]:
+        """Take the platform's head, `EMPTY_SNAPSHOT` if it has none yet.
+
+        `asked_at` is when the read was sent; a watch that waited leaves it out. Raises when
+        the snapshot is not coherent, with no effect.
+        """
+        outgoing = self._replica.hold(snapshot, PLATFORM, now)
+        self._check_conflict(snapshot)
+        self._floor.note_platform(snapshot.version)
+        if asked_at is not None:
+            outgoing += self._reads.answer(snapshot.version, asked_at)
+        return outgoing + self._advance(now)
+
+    def handle(self, peer: str, message: PeerMessage, now: float) -> list[Outgoing]:
+        """Take a message of a peer and return the answers."""
+        handler = _HANDLERS.get(type(message))
+        if handler is None:
+            return []
+        return handler(self, peer, message, now) + self._advance(now)
+
+    def handle_advert(self, peer: str, data: bytes, now: float) -> list[Outgoing]:
+        """Take the advert of a peer's heartbeat."""
+        return self._replica.handle_advert(peer, decode_advert(data), now) + self._advance(now)
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Do what is due."""
+        inquiries = self._floor.tick(now)
+        self._events += inquiries.events
+        outgoing = inquiries.outgoing
+        if self._reads.is_read_due(now):
+            self._events.append(HeadWanted())
+        outgoing += self._fetch_newer(now)
+        outgoing += self._advance(now)
+        outgoing += self._ask_witnesses(now)
+        version = None if self._current is None else self._current.version
+        return outgoing + self._ledger.tick(version, now)
+
+    def start_wait(self, version: int, deadline: float, now: float) -> list[Outgoing]:
+        """Find out until `deadline` which hosts have at least `version` in force."""
+        return self._ledger.start_wait(version, deadline, now)
+
+    def read_rollout(self, version: int) -> Rollout:
+        """Return what `start_wait` has found out so far."""
+        return self._ledger.read(version)
+
+    def _check_conflict(self, snapshot: Snapshot) -> None:
+        history = self._replica.history
+        if snapshot.version == history.version and compute_digest(snapshot) != history.digest:
+            self._events.append(DigestConflict(PLATFORM, snapshot.version))
+
+    def _advance(self, now: float) -> list[Outgoing]:
+        """Put the newest version in force that this node may."""
+        current_version = NO_VERSION if self._current is None else self._current.version
+        if self.held_version <= current_version or not self._may_serve(now):
+            return []
+        snapshot = self._replica.history.find_at_most(self._find_witnessed(now))
+        if snapshot is None or snapshot.version <= current_version:
+            return []
+        if self._floor.floor is None or snapshot.version < self._floor.floor:
+            return []
+        self._current = snapshot
+        self._events.append(VersionInForce(snapshot))
+        return self._ledger.report(snapshot.version, now)
+
+    def _may_serve(self, now: float) -> bool:
+        is_alone = now - self._started_at >= self._settings.join_wait_s
+        return self._floor.is_known and (self._members.has_joined or is_alone)
+
+    def _find_witnessed(self, now: float) -> int:
+        is_patient = now - self._replica.held_since < self._settings.zone_wait_s
+        return self._witnesses.find_witnessed(self.held_version, is_patient=is_patient)
+
+    def _request_newer(self, peer: str, version: int, now: float) -> list[Outgoing]:
+        if version <= self.held_version:
+            return []
+        return self._replica.catch_up.request(peer, now)
+
+    def _fetch_newer(self, now: float) -> list[Outgoing]:
+        """Ask a holder of a newer version again when no answer came."""
+        holders = self._replica.holders
+        newer = [
+            name
+            for name in holders.iterate_names()
+            if holders.get_version(name, session=self._members.get_session(name))
+            > self.held_version
+        ]
+        in_view = {host.name for host in self._members.list_hosts()} if newer else set()
+        newer = [name for name in newer if name in in_view]
+        if not newer:
+            return []
+        self._retries += 1
+        return self._replica.catch_up.request(newer[self._retries % len(newer)], now)
+
+    def _ask_witnesses(self, now: float) -> list[Outgoing]:
+        """Ask hosts beyond the neighbours when the neighbours do not suffice as witnesses."""
+        if self.held_version == NO_VERSION or now < self._next_witness_ask_at:
+            return []
+        if now - self._replica.held_since < self._settings.witness_ask_interval_s:
+            return []
+        if self._find_witnessed(now) >= self.held_version:
+            return []
+        self._next_witness_ask_at = now + self._settings.witness_ask_interval_s
+        self._witness_asks += 1
+        message = self._replica.make_held(wants_reply=True)
+        helpers = self._witnesses.choose_helpers(self._witness_asks)
+        return [Outgoing(name, message) for name in helpers]
+
+    def _handle_update(self, peer: str, message: Update, now: float) -> list[Outgoing]:
+        return self._replica.handle_update(peer, message, now)
+
+    def _handle_part(self, peer: str, message: SnapshotPart, now: float) -> list[Outgoing]:
+        return self._replica.handle_part(peer, message, now)
+
+    def _handle_held(self, peer: str, message: Held, now: float) -> list[Outgoing]:
+        return self._replica.handle_held(peer, message, now)
+
+    def _handle_catch_up(self, peer: str, message: CatchUpRequest, now: float) -> list[Outgoing]:
+        return self._replica.handle_catch_up(peer, message)
+
+    def _handle_head_request(self, peer: str, message: HeadRequest, now: float) -> list[Outgoing]:
+        self._reads.add(peer, message.nonce, now)
+        return []
+
+    def _handle_head_answer(self, peer: str, message: HeadAnswer, now: float) -> list[Outgoing]:
+        self._floor.note_head(message.nonce, message.version)
+        return self._request_newer(peer, message.version, now)
+
+    def _handle_floor_query(self, peer: str, message: FloorQuery, now: float) -> list[Outgoing]:
+        floor = self._floor.floor
+        answer = FloorAnswer(
+            nonce=message.nonce,
+            version=max(self.held_version, NO_VERSION if floor is None else floor),
+            is_recovering=floor is None or self.held_version < floor,
+            view_digest=self._members.view_digest,
+        )
+        return [Outgoing(peer, answer)]
+
+    def _handle_floor_answer(self, peer: str, message: FloorAnswer, now: float) -> list[Outgoing]:
+        self._floor.note_answer(peer, message)
+        return self._request_newer(peer, message.version, now)
+
+    def _handle_in_force(self, peer: str, message: InForce, now: float) -> list[Outgoing]:
+        self._ledger.note(peer, message)
+        return []
+
+    def _handle_rollout_query(self, peer: str, message: RolloutQuery, now: float) -> list[Outgoing]:
+        return [Outgoing(peer, self._ledger.answer(message))]
+
+    def _handle_rollout_answer(
+        self, peer: str, message: RolloutAnswer, now: float
+    ) -> list[Outgoing]:
+        self._ledger.note_answer(message)
+        return []
+
+
+_HANDLERS: dict[type[PeerMessage], Callable[[Distributor, str, Any, float], list[Outgoing]]] = {
+    Update: Distributor._handle_update,
+    SnapshotPart: Distributor._handle_part,
+    Held: Distributor._handle_held,
+    CatchUpRequest: Distributor._handle_catch_up,
+    HeadRequest: Distributor._handle_head_request,
+    HeadAnswer: Distributor._handle_head_answer,
+    FloorQuery: Distributor._handle_floor_query,
+    FloorAnswer: Distributor._handle_floor_answer,
+    InForce: Distributor._handle_in_force,
+    RolloutQuery: Distributor._handle_rollout_query,
+    RolloutAnswer: Distributor._handle_rollout_answer,
+}
--- /dev/null
+++ b/packages/distribution/src/corianderwall/distribution/floor.py
@@ -0,0 +1,124 @@
+"""Finds out, after a start without memory, what this node must not serve less than."""
+
+import random
+from dataclasses import dataclass
+
+from corianderwall.distribution.events import DistributionEvent, HeadWanted
+from corianderwall.distribution.members import Members
+from corianderwall.distribution.messages import (
+    FloorAnswer,
+    FloorQuery,
+    HeadRequest,
+)
+from corianderwall.distribution.placement import choose_watchers
+from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.model.endpoint import Host
+from corianderwall.model.message import Outgoing
+
+
+@dataclass(slots=True)
+class Inquiries:
+    """What the search for the floor wants done."""
+
+    outgoing: list[Outgoing]
+    events: list[DistributionEvent]
+
+
+class FloorSearch:
+    """Takes the platform's head, read after the start, or else the highest of its region.
+
+    The nonce is drawn once per process, so an answer that bears it was given after the start.
+    """
+
+    def __init__(
+        self, members: Members, settings: DistributionSettings, rng: random.Random, now: float
+    ) -> None:
+        self._members = members
+        self._settings = settings
+        self._started_at = now
+        self._nonce = rng.getrandbits(62)
+        self._answers: dict[str, FloorAnswer] = {}
+        self._next_head_ask_at = now + rng.random() * settings.head_ask_interval_s
+        self._next_query_at = now + settings.floor_query_after_s
+        self._queue: list[str] = []
+        self._asked = 0
+        self.floor: int | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the floor is known."""
+        return self.floor is not None
+
+    def note_platform(self, version: int) -> None:
+        """Take the platform's head, read by this process."""
+        if self.floor is None:
+            self.floor = version
+
+    def note_head(self, nonce: int, version: int) -> None:
+        """Take the platform's head as a watcher read it after this process had asked."""
+        if nonce == self._nonce:
+            self.note_platform(version)
+
+    def note_answer(self, peer: str, answer: FloorAnswer) -> None:
+        """Take the word of a host of this region."""
+        if answer.nonce == self._nonce and self.floor is None:
+            self._answers[peer] = answer
+            self._conclude()
+
+    def tick(self, now: float) -> Inquiries:
+        """Ask watchers, then the whole region, until the floor is known."""
+        inquiries = Inquiries([], [])
+        if self.is_known:
+            return inquiries
+        if now >= self._next_head_ask_at:
+            self._next_head_ask_at = now + self._settings.head_ask_interval_s
+            self._ask_watcher(inquiries)
+        if now >= self._next_query_at:
+            self._next_query_at = now + self._settings.floor_query_interval_s
+            self._queue = self._list_unheard()
+        batch = self._settings.floor_queries_per_tick
+        names, self._queue = self._queue[:batch], self._queue[batch:]
+        inquiries.outgoing += [Outgoing(name, FloorQuery(self._nonce)) for name in names]
+        self._conclude()
+        return inquiries
+
+    def _ask_watcher(self, inquiries: Inquiries) -> None:
+        watchers = choose_watchers(
+            self._list_region(), per_region=self._settings.watchers_per_region
+        )
+        watcher = watchers[self._asked % len(watchers)]
+        self._asked += 1
+        if watcher.name == self._members.me.name:
+            inquiries.events.append(HeadWanted())
+        else:
+            inquiries.outgoing.append(Outgoing(watcher.name, HeadRequest(self._nonce)))
+
+    def _list_region(self) -> list[Host]:
+        region = self._members.me.locality.region
+        return [host for host in self._members.list_hosts() if host.locality.region == region]
+
+    def _list_others(self) -> list[str]:
+        me = self._members.me.name
+        return [host.name for host in self._list_region() if host.name != me]
+
+    def _list_unheard(self) -> list[str]:
+        """Return whom to ask: hosts not heard yet, and those whose view was another."""
+        return [name for name in self._list_others() if not self._is_heard(name)]
+
+    def _is_heard(self, name: str) -> bool:
+        answer = self._answers.get(name)
+        if answer is None:
+            return False
+        return not answer.is_recovering and answer.view_digest == self._members.view_digest
+
+    def _conclude(self) -> None:
+        """Settle the floor once every host of the region has answered.
+
+        One that kept its memory must share this node's view, else a host might be missing.
+        """
+        others = self._list_others()
+        if not self._members.has_joined or not all(name in self._answers for name in others):
+            return
+        if not any(self._is_heard(name) for name in others):
+            return
+        self.floor = max(self._answers[name].version for name in others)
--- /dev/null
+++ b/packages/distribution/src/corianderwall/distribution/headreads.py
@@ -0,0 +1,53 @@
+"""Requests of returning nodes that wait for a read of the platform's head."""
+
+from dataclasses import dataclass
+
+from corianderwall.distribution.messages import HeadAnswer
+from corianderwall.model.message import Outgoing
+
+MAX_WAITING = 2048
+READ_INTERVAL_S = 0.2
+"""The least time between two reads, so that one read answers many requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    peer: str
+    nonce: int
+    arrived_at: float
+
+
+class HeadReads:
+    """Answers requests only by a read that was sent after they had arrived."""
+
+    def __init__(self, life_s: float) -> None:
+        self._life_s = life_s
+        self._waiting: dict[str, _Request] = {}
+        self._next_read_at = 0.0
+
+    def add(self, peer: str, nonce: int, now: float) -> None:
+        """Add a request; one per peer is kept."""
+        held = self._waiting.get(peer)
+        if held is not None and held.nonce == nonce:
+            return
+        if len(self._waiting) < MAX_WAITING:
+            self._waiting[peer] = _Request(peer, nonce, now)
+
+    def is_read_due(self, now: float) -> bool:
+        """Return whether the head should be read now; counts it as read."""
+        lapsed = [
+            peer for peer, each in self._waiting.items() if now - each.arrived_at > self._life_s
+        ]
+        for peer in lapsed:
+            del self._waiting[peer]
+        if not self._waiting or now < self._next_read_at:
+            return False
+        self._next_read_at = now + READ_INTERVAL_S
+        return True
+
+    def answer(self, version: int, asked_at: float) -> list[Outgoing]:
+        """Answer the requests that had arrived when the read was sent."""
+        ripe = [each for each in self._waiting.values() if each.arrived_at <= asked_at]
+        for request in ripe:
+            del self._waiting[request.peer]
+        return [Outgoing(each.peer, HeadAnswer(each.nonce, version)) for each in ripe]
--- /dev/null
+++ b/packages/distribution/src/corianderwall/distribution/replica.py
@@ -0,0 +1,172 @@
+"""The snapshots that a node holds: taking them over whole, and passing them on."""
+
+import msgspec
+
+from corianderwall.distribution.advert import Advert, shorten_digest
+from corianderwall.distribution.catchup import CatchUp
+from corianderwall.distribution.events import DigestConflict, DistributionEvent, UpdateRefused
+from corianderwall.distribution.history import History
+from corianderwall.distribution.members import Members
+from corianderwall.distribution.messages import (
+    NO_VERSION,
+    CatchUpRequest,
+    Held,
+    SnapshotPart,
+    Update,
+)
+from corianderwall.distribution.parts import Assembly, split_snapshot
+from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.distribution.witnesses import Holders
+from corianderwall.model.delta import Delta, apply_delta
+from corianderwall.model.errors import CorianderwallError
+from corianderwall.model.message import Outgoing, PeerMessage
+from corianderwall.model.resource import Snapshot
+from corianderwall.model.validation import require_valid
+
+PLATFORM = "platform"
+"""The source of a snapshot that was read from the platform."""
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Replica:
+    """Holds the newest snapshot that reached this node; its version only grows.
+
+    What is held is passed on at once: a small delta to neighbours that lack it, a short word
+    to those that have it. A peer that knows neither base nor result asks for the rest.
+    """
+
+    def __init__(self, members: Members, settings: DistributionSettings, session: int) -> None:
+        self._members = members
+        self._settings = settings
+        self._session = session
+        self._assembly = Assembly()
+        self._parts: tuple[SnapshotPart, ...] = ()
+        self._events: list[DistributionEvent] = []
+        self.holders = Holders()
+        self.history = History(settings.history_size)
+        self.catch_up = CatchUp(self.history, settings.catch_up_wait_s)
+        self.held_since = 0.0
+
+    def take_events(self) -> list[DistributionEvent]:
+        """Return and forget the events since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def make_advert(self) -> Advert:
+        """Return what heartbeats tell of this replica."""
+        digest = shorten_digest(self.history.digest)
+        return Advert(self._session, self.history.version, digest)
+
+    def make_held(self, *, wants_reply: bool = False) -> Held:
+        """Return the word on what this replica holds."""
+        return Held(self._session, self.history.version, wants_reply)
+
+    def hold(self, snapshot: Snapshot, source: str, now: float) -> list[Outgoing]:
+        """Take a coherent snapshot over if it is newer, or raise with no effect; pass it on."""
+        if snapshot.version <= self.history.version:
+            return []
+        require_valid(snapshot)
+        base_digest = self.history.digest
+        self.history.add(snapshot)
+        self.held_since = now
+        self._parts = ()
+        self.catch_up.finish()
+        update = self._make_eager_update(base_digest)
+        return [self._pass_on(peer, source, update) for peer in self._members.neighbours]
+
+    def handle_update(self, peer: str, message: Update, now: float) -> list[Outgoing]:
+        """Apply a delta to the snapshot that it is bound to, or ask for what is lacking."""
+        delta = message.delta
+        self.holders.note(peer, message.session, delta.changed.version)
+        if self._is_old(peer, delta.changed.version, delta.result_digest):
+            return []
+        if self.history.newest is None or delta.base_digest != self.history.digest:
+            return self.catch_up.request(peer, now)
+        try:
+            return self.hold(apply_delta(self.history.newest, delta), peer, now)
+        except CorianderwallError as error:
+            return self._refuse(peer, error, now)
+
+    def handle_part(self, peer: str, message: SnapshotPart, now: float) -> list[Outgoing]:
+        """Take a part of a whole snapshot; apply it when all have come."""
+        self.holders.note(peer, message.session, message.version)
+        if self._is_old(peer, message.version, message.digest):
+            return []
+        self.catch_up.note_progress(peer, now)
+        try:
+            snapshot = self._assembly.add(message)
+            return [] if snapshot is None else self.hold(snapshot, peer, now)
+        except CorianderwallError as error:
+            return self._refuse(peer, error, now)
+
+    def handle_held(self, peer: str, message: Held, now: float) -> list[Outgoing]:
+        """Take the word of a peer; ask it for what this node lacks."""
+        self.holders.note(peer, message.session, message.version)
+        outgoing = []
+        if message.version > self.history.version:
+            outgoing += self.catch_up.request(peer, now)
+        if message.wants_reply:
+            outgoing.append(Outgoing(peer, self.make_held()))
+        return outgoing
+
+    def handle_advert(self, peer: str, advert: Advert, now: float) -> list[Outgoing]:
+        """Take what a heartbeat tells; ask the peer for what this node lacks."""
+        self.holders.note(peer, advert.session, advert.version)
+        if advert.version > self.history.version:
+            return self.catch_up.request(peer, now)
+        digest = shorten_digest(self.history.digest)
+        if advert.version == self.history.version and advert.digest != digest:
+            self._events.append(DigestConflict(peer, advert.version))
+        return []
+
+    def handle_catch_up(self, peer: str, message: CatchUpRequest) -> list[Outgoing]:
+        """Answer with all that leads from the peer's snapshot to this node's."""
+        if message.version >= self.history.version:
+            return [Outgoing(peer, self.make_held())]
+        return [Outgoing(peer, answer) for answer in self._make_answers(message.digest)]
+
+    def _make_answers(self, base_digest: str) -> list[PeerMessage]:
+        delta = self.history.make_delta(base_digest)
+        if delta is not None and _measure(delta) <= self._settings.part_bytes:
+            return [Update(self._session, delta)]
+        return list(self._split())
+
+    def _split(self) -> tuple[SnapshotPart, ...]:
+        if not self._parts and self.history.newest is not None:
+            self._parts = split_snapshot(
+                self.history.newest,
+                self.history.digest,
+                session=self._session,
+                part_bytes=self._settings.part_bytes,
+            )
+        return self._parts
+
+    def _make_eager_update(self, base_digest: str) -> Update | None:
+        delta = self.history.make_delta(base_digest)
+        if delta is None or _measure(delta) > self._settings.eager_bytes:
+            return None
+        return Update(self._session, delta)
+
+    def _pass_on(self, peer: str, source: str, update: Update | None) -> Outgoing:
+        session = self._members.get_session(peer)
+        held = self.holders.get_version(peer, session=session)
+        is_lacking = held != NO_VERSION and held < self.history.version
+        if update is not None and is_lacking and peer != source:
+            return Outgoing(peer, update)
+        return Outgoing(peer, self.make_held())
+
+    def _is_old(self, peer: str, version: int, digest: str) -> bool:
+        if version == self.history.version and digest != self.history.digest:
+            self._events.append(DigestConflict(peer, version))
+        return version <= self.history.version
+
+    def _refuse(self, peer: str, error: CorianderwallError, now: float) -> list[Outgoing]:
+        self._events.append(UpdateRefused(peer, error.code, error.sentence))
+        self._assembly.clear()
+        self.catch_up.finish()
+        return self.catch_up.request(peer, now)
+
+
+def _measure(delta: Delta) -> int:
+    return len(_encoder.encode(delta))
--- /dev/null
+++ b/packages/distribution/src/corianderwall/distribution/rollout.py
@@ -0,0 +1,137 @@
+"""Who has which version in force: reports to collectors, and answers for whoever asks."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from corianderwall.distribution.members import Members
+from corianderwall.distribution.messages import InForce, RolloutAnswer, RolloutQuery
+from corianderwall.distribution.placement import choose_collectors
+from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.model.message import Outgoing
+
+
+@dataclass(frozen=True, slots=True)
+class Rollout:
+    """How far a version has come; `lacking` names the hosts in view not known to have it."""
+
+    version: int
+    confirmed: int
+    lacking: tuple[str, ...]
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every host in view has the version, or a newer one, in force."""
+        return not self.lacking
+
+
+@dataclass(slots=True)
+class _Wait:
+    deadline: float
+    next_ask_at: float
+    confirmed: dict[str, int] = field(default_factory=dict)
+
+
+class RolloutLedger:
+    """Reports this node's version to its zone's collectors, collects those of others, asks."""
+
+    def __init__(self, members: Members, settings: DistributionSettings, session: int) -> None:
+        self._members = members
+        self._settings = settings
+        self._session = session
+        self._reports: dict[str, tuple[int, int]] = {}
+        self._waits: dict[int, _Wait] = {}
+        self._next_report_at = 0.0
+        self._next_check_at = 0.0
+        self._collectors: tuple[str, ...] = ()
+
+    def report(self, version: int, now: float) -> list[Outgoing]:
+        """Tell the collectors of this zone what this node has in force."""
+        self._next_report_at = now + self._settings.report_interval_s
+        self._collectors = self._find_collectors(self._members.me.locality.zone)
+        message = InForce(self._session, version)
+        self.note(self._members.me.name, message)
+        return self._address(self._collectors, message)
+
+    def note(self, peer: str, report: InForce) -> None:
+        """Keep what a host has in force."""
+        known = self._reports.get(peer, (0, 0))
+        self._reports[peer] = max(known, (report.session, report.version))
+
+    def answer(self, query: RolloutQuery) -> RolloutAnswer:
+        """Return which hosts are known to have a version in force, in their present session."""
+        names = tuple(
+            name
+            for name, (session, version) in self._reports.items()
+            if version >= query.version and session == self._members.get_session(name)
+        )
+        return RolloutAnswer(query.version, names)
+
+    def start_wait(self, version: int, deadline: float, now: float) -> list[Outgoing]:
+        """Ask the collectors of all zones about a version until `deadline`."""
+        self._waits.setdefault(version, _Wait(deadline, now)).deadline = deadline
+        return self._ask(version, self._waits[version], now)
+
+    def note_answer(self, answer: RolloutAnswer) -> None:
+        """Take a collector's answer."""
+        wait = self._waits.get(answer.version)
+        if wait is None:
+            return
+        for name in answer.names:
+            wait.confirmed[name] = self._members.get_session(name)
+
+    def read(self, version: int) -> Rollout:
+        """Return what is known about a version that is waited for."""
+        wait = self._waits.get(version)
+        confirmed = {} if wait is None else wait.confirmed
+        hosts = [host.name for host in self._members.list_hosts()]
+        lacking = tuple(
+            name for name in hosts if confirmed.get(name) != self._members.get_session(name)
+        )
+        return Rollout(version, len(hosts) - len(lacking), lacking)
+
+    def tick(self, version: int | None, now: float) -> list[Outgoing]:
+        """Repeat reports and questions that are due; `version` is the one in force."""
+        outgoing: list[Outgoing] = []
+        if version is not None and self._is_report_due(now):
+            outgoing += self.report(version, now)
+        for asked, wait in list(self._waits.items()):
+            if now >= wait.deadline:
+                del self._waits[asked]
+            elif now >= wait.next_ask_at:
+                outgoing += self._ask(asked, wait, now)
+        return outgoing
+
+    def _is_report_due(self, now: float) -> bool:
+        if now >= self._next_report_at:
+            return True
+        if now < self._next_check_at:
+            return False
+        self._next_check_at = now + 1.0
+        self._forget_gone()
+        return self._find_collectors(self._members.me.locality.zone) != self._collectors
+
+    def _forget_gone(self) -> None:
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if self._members.find_host(name) is not None
+        }
+
+    def _ask(self, version: int, wait: _Wait, now: float) -> list[Outgoing]:
+        wait.next_ask_at = now + self._settings.rollout_ask_interval_s
+        query = RolloutQuery(version)
+        self.note_answer(self.answer(query))
+        lacking = set(self.read(version).lacking)
+        zones = {host.locality.zone for host in self._members.list_hosts() if host.name in lacking}
+        names = [name for zone in sorted(zones) for name in self._find_collectors(zone)]
+        return self._address(names, query)
+
+    def _find_collectors(self, zone: str) -> tuple[str, ...]:
+        hosts = choose_collectors(
+            self._members.list_hosts(), zone, count=self._settings.collectors_per_zone
+        )
+        return tuple(host.name for host in hosts)
+
+    def _address(self, names: Iterable[str], message: InForce | RolloutQuery) -> list[Outgoing]:
+        me = self._members.me.name
+        return [Outgoing(name, message) for name in names if name != me]
--- a/packages/membership/src/corianderwall/membership/doubt.py
+++ b/packages/membership/src/corianderwall/membership/doubt.py
@@ -21,7 +21,8 @@
     """Decides whether silence around this node speaks against itself.
 
     A node that misses more than half of the neighbours in its region asks hosts of its region
-    at random and suspects nobody until enough of them have answered.
+    at random and suspects nobody until enough of them have answered. In a region of two hosts
+    neither can tell, so both trust themselves.
     """
 
     def __init__(self, fraction_min: float, rng: random.Random, grace_until: float) -> None:
@@ -45,7 +46,7 @@
 
     def update(self, silent: int, watched: int, candidates: Sequence[str], now: float) -> list[str]:
         """Return the names to ask now, given how many of the watched hosts are silent."""
-        self._is_lonely = silent * 2 > watched
+        self._is_lonely = watched > 1 and silent * 2 > watched
         if not self._is_lonely:
             self._samples.clear()
             return []
--- a/packages/membership/src/corianderwall/membership/membership.py
+++ b/packages/membership/src/corianderwall/membership/membership.py
@@ -91,6 +91,11 @@
         """Return the status of a host in view."""
         return self._view.statuses.get(name)
 
+    def get_session(self, name: str) -> int:
+        """Return the number that stays the same for the life of a host's process, 0 if unknown."""
+        record = self._view.table.get(name)
+        return 0 if record is None else record.session
+
     def list_endpoints(self) -> tuple[Endpoint, ...]:
         """Return the endpoints of all hosts in view; `get_status` tells of their owners."""
         return tuple(
@@ -199,7 +204,8 @@
         return [Outgoing(peer, self._seeding.make_reply(self._rng, now))]
 
     def _handle_join_reply(self, peer: str, message: JoinReply, now: float) -> list[Outgoing]:
-        self._merge_records(unpack_records(message.records), peer, now, is_news=False)
+        is_news = self._seeding.is_done
+        self._merge_records(unpack_records(message.records), peer, now, is_news=is_news)
         self._seeding.note_reply()
         return []
 
--- a/packages/membership/src/corianderwall/membership/seeding.py
+++ b/packages/membership/src/corianderwall/membership/seeding.py
@@ -11,13 +11,20 @@
 from corianderwall.model.message import Outgoing
 
 ASK_INTERVAL_S = 1.0
+LATE_ASK_INTERVAL_S = 10.0
+EARLY_ASKS = 10
+"""How often each seed is asked at the shorter interval."""
+
 SAMPLE_SIZE = 32
 """Hosts in the answer of a seed that has given out enough whole views; anti-entropy with
 those brings the rest."""
 
 
 class Seeding:
-    """Asks one seed after another until one answers."""
+    """Asks the seeds in turn until one answers, and later those that are still not in view.
+
+    A seed that is not in view may belong to another part of the fleet that started apart.
+    """
 
     def __init__(self, view: View, settings: MembershipSettings) -> None:
         self._view = view
@@ -45,16 +52,21 @@
         return self.tick(now)
 
     def tick(self, now: float) -> list[Outgoing]:
-        """Ask the next seed if none has answered in time."""
-        if self._is_answered or now < self._next_ask_at:
+        """Ask the next seed that is not in view."""
+        if now < self._next_ask_at:
+            return []
+        unseen = [seed for seed in self._seeds if self._view.table.get(seed.name) is None]
+        asked = unseen if self._is_answered else self._seeds
+        if not asked:
             return []
-        self._next_ask_at = now + ASK_INTERVAL_S
-        seed = self._seeds[self._asked % len(self._seeds)]
+        is_early = not self._is_answered or self._asked < EARLY_ASKS * len(self._seeds)
+        self._next_ask_at = now + (ASK_INTERVAL_S if is_early else LATE_ASK_INTERVAL_S)
+        seed = asked[self._asked % len(asked)]
         self._asked += 1
         return [Outgoing(seed.name, JoinRequest(pack_records([self._view.mine])))]
 
     def note_reply(self) -> None:
-        """Stop asking."""
+        """Record that a seed has answered."""
         self._is_answered = True
 
     def make_reply(self, rng: random.Random, now: float) -> JoinReply:
--- a/packages/membership/tests/test_membership.py
+++ b/packages/membership/tests/test_membership.py
@@ -190,6 +190,20 @@
     assert len(list_events(net, EndpointAdded)) == 20
 
 
+def test_parts_of_the_fleet_that_started_apart_find_each_other(build_net: Build) -> None:
+    net = build_net(20, settle_s=0.0)
+    net.is_cut = lambda sender, receiver: (sender < "host-010") != (receiver < "host-010")
+    for name, host in net.hosts.items():
+        net.stop(name)
+        own, other = ("host-000", "host-019") if name < "host-010" else ("host-019", "host-000")
+        net.start(host, [net.hosts[own], net.hosts[other]])
+    net.run(5.0)
+    assert len(net.cores["host-003"].list_live_hosts()) == 10
+    net.is_cut = lambda sender, receiver: False
+    net.run(20.0)
+    assert {len(core.list_live_hosts()) for core in net.cores.values()} == {20}
+
+
 @pytest.mark.parametrize("count", [1, 2, 3])
 def test_few_hosts_see_each_other(build_net: Build, count: int) -> None:
     net = build_net(count)
