--- a/packages/node/src/corianderwall/node/control.py
+++ b/packages/node/src/corianderwall/node/control.py
@@ -24,10 +24,13 @@
 )
 from corianderwall.membership.messages import MESSAGES as MEMBERSHIP_MESSAGES
 from corianderwall.model.errors import CorianderwallError
+from corianderwall.model.message import Outgoing
 from corianderwall.moves.agent import Members
 from corianderwall.moves.messages import MESSAGES as MOVE_MESSAGES
 from corianderwall.moves.watch import WINDOW_S
 from corianderwall.node.logs import log_info, log_warning
+from corianderwall.node.serviceload import MESSAGES as LOAD_MESSAGES
+from corianderwall.node.serviceload import LoadAnswer, LoadQuery
 from corianderwall.traffic.messages import MESSAGES as TRAFFIC_MESSAGES
 from corianderwall.traffic.messages import LeaseGrant, LeaseNotice, LeaseRequest
 from corianderwall.traffic.shares import SubscriberShares
@@ -40,12 +43,13 @@
     from corianderwall.membership.membership import Membership
     from corianderwall.model.clock import Clock
     from corianderwall.model.endpoint import Endpoint, Host
-    from corianderwall.model.message import Outgoing, PeerMessage
+    from corianderwall.model.message import PeerMessage
     from corianderwall.model.resource import Snapshot
     from corianderwall.moves.agent import MoveAgent
     from corianderwall.node.desk import Desk
     from corianderwall.node.dispatcher import Dispatcher
     from corianderwall.node.moveview import AgentView
+    from corianderwall.node.serviceload import LoadSurvey
     from corianderwall.traffic.balancer import Balancer
     from corianderwall.traffic.lease_holder import LeaseHolder
     from corianderwall.traffic.lease_issuer import LeaseIssuer
@@ -57,6 +61,7 @@
     *DISTRIBUTION_MESSAGES,
     *TRAFFIC_MESSAGES,
     *MOVE_MESSAGES,
+    *LOAD_MESSAGES,
 )
 """All messages between nodes."""
 
@@ -82,6 +87,7 @@
         agent: "MoveAgent",
         moves: "AgentView",
         dispatcher: "Dispatcher",
+        survey: "LoadSurvey",
         want_head: "Callable[[], None]",
         on_version: "Callable[[Snapshot], None]",
     ) -> None:
@@ -96,6 +102,7 @@
         self._agent = agent
         self._moves = moves
         self._dispatcher = dispatcher
+        self._survey = survey
         self._want_head = want_head
         self._on_version = on_version
         self._endpoints: dict[str, Endpoint] = {}
@@ -114,6 +121,7 @@
     def tick(self) -> None:
         """Do what is due; to be called every `TICK_S`."""
         now = self._clock.read_monotonic()
+        self._membership.set_advert(self._distributor.make_advert())
         self.send(self._membership.tick(now))
         self.send(self._distributor.tick(now))
         self.send(self._holder.collect_requests(now))
@@ -143,9 +151,9 @@
             return self._distributor.handle(peer, message, now)
         if kind in _MOVES:
             return self._agent.take_message(message)
-        return self._handle_lease(message, now)
+        return self._handle_traffic(peer, message, now)
 
-    def _handle_lease(self, message: "PeerMessage", now: float) -> "list[Outgoing]":
+    def _handle_traffic(self, peer: str, message: "PeerMessage", now: float) -> "list[Outgoing]":
         match message:
             case LeaseRequest():
                 answer = self._issuer.receive(message, now)
@@ -158,6 +166,12 @@
                 self._holder.receive_grant(message)
             case LeaseNotice():
                 self._holder.receive_notice(message)
+            case LoadQuery():
+                load = self._desk.load.read(now)
+                answer_load = LoadAnswer(message.nonce, load.calls_per_s, load.busy_slots)
+                return [Outgoing(peer, answer_load)]
+            case LoadAnswer():
+                self._survey.take_answer(peer, message)
         return []
 
     def _tick_moves(self, now: float) -> None:
@@ -190,7 +204,7 @@
                 log_warning("replacing a silent connection", peer=event.peer)
                 self._links.reset(event.peer)
             case AdvertHeard():
-                self.send(self._distributor.note_advert(event.peer, event.advert, now))
+                self.send(self._distributor.handle_advert(event.peer, event.advert, now))
             case HostSuspected() | HostUnreachable():
                 self._suspect(event.host, suspected=True)
             case HostJoined() | HostReturned():
--- a/packages/node/src/corianderwall/node/desk.py
+++ b/packages/node/src/corianderwall/node/desk.py
@@ -7,6 +7,7 @@
 from corianderwall.model.errors import ErrorCode
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.callhead import LOAD_HEADER, RETRY_AFTER_HEADER
+from corianderwall.node.serviceload import LoadMeter
 from corianderwall.traffic.admission import Admission, Admitted, Queued, Refused
 from corianderwall.traffic.draining import EndpointDrain
 
@@ -157,6 +158,7 @@
         self._endpoint: Endpoint | None = None
         self._admission: Admission | None = None
         self._drain = EndpointDrain()
+        self.load = LoadMeter(clock.read_monotonic())
         self._waiting: dict[int, DeskAttempt] = {}
         self._expiry: asyncio.TimerHandle | None = None
 
@@ -250,6 +252,7 @@
         now = self._clock.read_monotonic()
         if result.complete or result.refused:
             latency_s = now - started_at
+            self.load.add(1, latency_s, now)
             started = admission.finish(attempt.ticket, latency_s, now, refused=result.refused)
         else:
             started = admission.cancel(attempt.ticket, now)
@@ -267,7 +270,10 @@
         endpoint = self._endpoint
         if self._admission is None or endpoint is None or report.endpoint != endpoint.name:
             return
-        self._admission.report_usage(report, self._clock.read_monotonic())
+        now = self._clock.read_monotonic()
+        self._admission.report_usage(report, now)
+        for usage in report.usage:
+            self.load.add(usage.calls, usage.busy_ms / 1000, now)
 
     def tick(self) -> None:
         """Weigh the demands and tell the holders when they must come through the owner."""
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -13,71 +13,36 @@
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0)
 
 
-def _counter(name: str, text: str) -> Counter:
-    return Counter(f"corianderwall_{name}_total", text)
-
-
-def _gauge(name: str, text: str) -> Gauge:
-    return Gauge(f"corianderwall_{name}", text)
-
-
-@dataclass(slots=True)
 class Metrics:
-    """All metrics of one node; the names carry their units."""
+    """All metrics of one node in a registry of its own; the names carry their units."""
 
-    calls: Counter = field(
-        default_factory=lambda: _counter("calls", "Calls answered, by service, version and status.")
-    )
-    attempts: Counter = field(
-        default_factory=lambda: _counter(
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.calls = self._add_counter("calls", "Calls answered, by service, version and status.")
+        self.attempts = self._add_counter(
             "attempts", "Attempts at endpoints, by service and verdict."
         )
-    )
-    refusals: Counter = field(
-        default_factory=lambda: _counter("refusals", "Calls refused by this node, by error code.")
-    )
-    slow_calls: Counter = field(
-        default_factory=lambda: _counter(
+        self.refusals = self._add_counter("refusals", "Calls refused by this node, by error code.")
+        self.calls_within = self._add_counter(
             "calls_within", "Calls answered within `seconds`, cumulative, by service."
         )
-    )
-    call_seconds: Counter = field(
-        default_factory=lambda: _counter("call_seconds", "Seconds of all calls, by service.")
-    )
-    version: Gauge = field(
-        default_factory=lambda: _gauge("config_version", "Configuration version in force.")
-    )
-    hosts: Gauge = field(default_factory=lambda: _gauge("hosts", "Hosts known, by state."))
-    endpoints: Gauge = field(
-        default_factory=lambda: _gauge("endpoints", "Endpoints known, by service and version.")
-    )
-    running_calls: Gauge = field(
-        default_factory=lambda: _gauge("running_calls", "Calls that this node is serving.")
-    )
-    link_bytes: Counter = field(
-        default_factory=lambda: _counter("link_bytes", "Bytes of messages between nodes.")
-    )
-    link_messages: Counter = field(
-        default_factory=lambda: _counter("link_messages", "Messages between nodes, by fate.")
-    )
-    platform_calls: Counter = field(
-        default_factory=lambda: _counter("platform_calls", "Calls to the platform, by kind.")
-    )
-    move_share: Gauge = field(
-        default_factory=lambda: _gauge("move_share_permille", "Share of a move's new version.")
-    )
-    moves_ended: Counter = field(
-        default_factory=lambda: _counter(
+        self.call_seconds = self._add_counter("call_seconds", "Seconds of all calls, by service.")
+        self.version = self._add_gauge("config_version", "Configuration version in force.")
+        self.hosts = self._add_gauge("hosts", "Hosts known, by state.")
+        self.running_calls = self._add_gauge("running_calls", "Calls that this node is serving.")
+        self.link_bytes = self._add_counter("link_bytes", "Bytes of messages between nodes.")
+        self.link_messages = self._add_counter("link_messages", "Messages between nodes, by fate.")
+        self.platform_calls = self._add_counter("platform_calls", "Calls to the platform, by kind.")
+        self.move_share = self._add_gauge("move_share_permille", "Share of a move's new version.")
+        self.moves_ended = self._add_counter(
             "moves_ended", "Moves seen to end, by service and outcome."
         )
-    )
 
-    def build_registry(self) -> Registry:
-        """Return a registry of all metrics."""
-        registry = Registry()
-        for name in self.__slots__:
-            registry.register(getattr(self, name))
-        return registry
+    def _add_counter(self, name: str, text: str) -> Counter:
+        return Counter(f"corianderwall_{name}_total", text, registry=self.registry)
+
+    def _add_gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"corianderwall_{name}", text, registry=self.registry)
 
 
 def render_metrics(registry: Registry, accept: list[str]) -> tuple[bytes, dict[str, str]]:
@@ -138,5 +103,5 @@
     total = 0
     for bound_s, count in zip((*LATENCY_BUCKETS_S, "+Inf"), latency.buckets, strict=True):
         total += count
-        metrics.slow_calls.set({"service": service, "seconds": str(bound_s)}, total)
+        metrics.calls_within.set({"service": service, "seconds": str(bound_s)}, total)
     metrics.call_seconds.set({"service": service}, latency.sum_s)
--- /dev/null
+++ b/packages/node/src/corianderwall/node/platformtask.py
@@ -0,0 +1,143 @@
+"""The tasks that read the platform: watching the head, reading it once, keeping the seeds."""
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from corianderwall.model.errors import CorianderwallError
+from corianderwall.node.logs import log_info, log_warning
+from corianderwall.store.watcher import HeadWatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from corianderwall.model.endpoint import Host
+    from corianderwall.model.resource import Snapshot
+    from corianderwall.node.seedboard import SeedBoard
+    from corianderwall.store.api import ObjectApi
+    from corianderwall.store.document import StoredHead
+    from corianderwall.store.head import HeadStore
+    from corianderwall.store.timer import Timer
+
+READ_TIMEOUT_S = 5.0
+SEED_INTERVAL_S = 30.0
+BOOTSTRAP_RETRY_S = 1.0
+BOOTSTRAP_RETRY_CAP_S = 5.0
+
+
+class PlatformTask:
+    """Keeps this node's reads of the platform going while the process runs."""
+
+    def __init__(
+        self,
+        *,
+        api: "ObjectApi",
+        store: "HeadStore",
+        board: "SeedBoard",
+        timer: "Timer",
+        random: "Random",
+        offer: "Callable[[Snapshot, float | None], None]",
+    ) -> None:
+        self._api = api
+        self._store = store
+        self._board = board
+        self._timer = timer
+        self._random = random
+        self._offer = offer
+        self._watching: Deferred[None] | None = None
+        self._reading = False
+        self._next_refresh = 0.0
+        self._refreshing = False
+
+    @property
+    def is_watching(self) -> bool:
+        """Return whether this node holds a watch of the head."""
+        return self._watching is not None
+
+    def set_watching(self, watching: bool) -> None:
+        """Take up or lay down the role of a watcher."""
+        if watching == self.is_watching:
+            return
+        if not watching:
+            self.stop()
+            return
+        watcher = HeadWatcher(
+            self._api, self._timer, self._random, self._take_head, self._report_watch
+        )
+        log_info("watching the platform")
+        self._watching = Deferred.fromCoroutine(watcher.run())
+        self._watching.addErrback(_ignore_cancel)
+
+    def stop(self) -> None:
+        """Stop watching."""
+        watching, self._watching = self._watching, None
+        if watching is not None:
+            watching.cancel()
+
+    def read_once(self) -> None:
+        """Read the head now, unless a read is under way."""
+        if not self._reading:
+            self._reading = True
+            Deferred.fromCoroutine(self._read_head())
+
+    def refresh_seeds(
+        self, list_live: "Callable[[], tuple[Host, ...]]", join: "Callable[[Host], None]"
+    ) -> None:
+        """Keep living nodes on the seed object, and join those that this node can't see."""
+        now = self._timer.read_monotonic()
+        if self._refreshing or now < self._next_refresh:
+            return
+        self._refreshing = True
+        self._next_refresh = now + SEED_INTERVAL_S * self._random.uniform(0.5, 1.5)
+        Deferred.fromCoroutine(self._refresh(list_live, join))
+
+    async def find_seeds(self) -> "tuple[Host, ...]":
+        """Return the nodes to join through, none if this node is the first of the mesh.
+
+        Waits, with jitter, until the platform has answered.
+        """
+        attempt = 0
+        while True:
+            try:
+                seeds = await self._board.read()
+                if seeds or await self._board.enter_if_empty():
+                    return seeds
+            except CorianderwallError as error:
+                log_warning("no seeds yet", code=error.code.value, why=error.sentence)
+            attempt += 1
+            ceiling = min(BOOTSTRAP_RETRY_CAP_S, BOOTSTRAP_RETRY_S * 2**attempt)
+            await self._timer.sleep(self._random.uniform(0, ceiling))
+
+    async def _read_head(self) -> None:
+        asked_at = self._timer.read_monotonic()
+        try:
+            stored = await self._store.read_head(deadline=asked_at + READ_TIMEOUT_S)
+            self._offer(stored.head.snapshot, asked_at)
+        except CorianderwallError as error:
+            self._report_watch(error)
+        finally:
+            self._reading = False
+
+    async def _refresh(
+        self, list_live: "Callable[[], tuple[Host, ...]]", join: "Callable[[Host], None]"
+    ) -> None:
+        try:
+            for host in await self._board.refresh(list_live):
+                join(host)
+        except CorianderwallError as error:
+            self._report_watch(error)
+        finally:
+            self._refreshing = False
+
+    def _take_head(self, stored: "StoredHead") -> None:
+        self._offer(stored.head.snapshot, None)
+
+    def _report_watch(self, error: CorianderwallError) -> None:
+        log_warning("the platform failed", code=error.code.value, why=error.sentence)
+
+
+def _ignore_cancel(failure: "object") -> None:
+    check = getattr(failure, "check", None)
+    if check is not None and check(CancelledError) is None:
+        log_warning("the watch of the platform ended", failure=str(failure))
--- /dev/null
+++ b/packages/node/src/corianderwall/node/site.py
@@ -0,0 +1,27 @@
+"""The HTTP site of a node: operators' calls, and the interface to the platform's tools."""
+
+from typing import TYPE_CHECKING
+
+from twisted.web.resource import Resource
+
+from corianderwall.node.operators import PREFIX
+
+if TYPE_CHECKING:
+    from twisted.web.resource import IResource
+    from twisted.web.server import Request
+
+
+class SiteRoot(Resource):
+    """Hands a request to one of two resources by the beginning of its path."""
+
+    def __init__(self, *, operators: "IResource", admin: "IResource") -> None:
+        super().__init__()
+        self._operators = operators
+        self._admin = admin
+        self._prefix = PREFIX.encode("ascii")
+
+    def getChild(self, path: bytes, request: "Request") -> "IResource":  # noqa: N802
+        """Return the resource, which sees the whole path again."""
+        chosen = self._operators if request.path.startswith(self._prefix) else self._admin
+        request.postpath.insert(0, request.prepath.pop())
+        return chosen
--- a/packages/node/src/corianderwall/node/steering.py
+++ b/packages/node/src/corianderwall/node/steering.py
@@ -11,11 +11,12 @@
 from corianderwall.store.operation import make_operation_id
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
     from random import Random
 
     from corianderwall.model.resource import Move, Snapshot
     from corianderwall.moves.agent import MoveAgent
+    from corianderwall.node.serviceload import ServiceLoad
     from corianderwall.store.api import ObjectApi
     from corianderwall.store.commit import Committed
     from corianderwall.store.head import HeadStore
@@ -45,7 +46,7 @@
         random: "Random",
         node: str,
         deliver: "Callable[[Committed], None]",
-        count_busy_slots: "Callable[[str], float]",
+        measure_service: "Callable[[str], Awaitable[ServiceLoad]]",
     ) -> None:
         self._agent = agent
         self._api = api
@@ -54,7 +55,7 @@
         self._random = random
         self._node = node
         self._deliver = deliver
-        self._count_busy_slots = count_busy_slots
+        self._measure_service = measure_service
         self._keepers: dict[str, LeaseKeeper] = {}
 
     async def steer(self, snapshot: "Snapshot") -> None:
@@ -79,10 +80,11 @@
         lease = await self._hold_lease(move.id)
         if lease is None:
             return
+        load = await self._measure_service(move.service)
         change = self._agent.decide(
             move.id,
             lease,
-            self._count_busy_slots(move.service),
+            load.busy_slots,
             self._timer.read_monotonic(),
             int(self._timer.read_unix() * 1000),
         )
--- a/packages/traffic/src/corianderwall/traffic/balancer.py
+++ b/packages/traffic/src/corianderwall/traffic/balancer.py
@@ -86,6 +86,11 @@
         stat.outstanding += 1
         return stat.outstanding
 
+    def count_outstanding(self, name: str) -> int:
+        """Return the attempts of this node that run at an endpoint."""
+        stat = self._stats.get(name)
+        return 0 if stat is None else stat.outstanding
+
     def finish(self, outcome: AttemptOutcome, now: float, retry_after_s: float = 0.0) -> None:
         """Note the outcome of an attempt that `start` has begun."""
         stat = self._stats.get(outcome.endpoint)
