Find silent connections by comparison and test the stand-in's faults

A call that runs out of time on a silent connection told its receiver first and distrusted the other connections afterwards, so the very next call was caught as well. The comparison now starts before the receiver hears of it. A refusal no longer counts as a complete answer.

--- a/packages/httpflow/src/corianderwall/httpflow/attempt.py
+++ b/packages/httpflow/src/corianderwall/httpflow/attempt.py
@@ -178,7 +178,7 @@
             error=ErrorCode.UPSTREAM_REFUSED if self.refused else error,
             refused=self.refused,
             head=head,
-            complete=error is None,
+            complete=error is None and not self.refused,
         )
         self.receiver.finish(result)
 
--- a/packages/httpflow/src/corianderwall/httpflow/pool.py
+++ b/packages/httpflow/src/corianderwall/httpflow/pool.py
@@ -194,10 +194,10 @@
 
     def _expire(self, attempt: Attempt) -> None:
         connection = attempt.connection
-        was_silent = connection is not None and connection.last_received < attempt.started
-        attempt.expire()
-        if was_silent:
+        if connection is not None and connection.last_received < attempt.started:
+            # Before the receiver learns of it: its next call must find no distrusted connection.
             self._watch.compare(since=attempt.started)
+        attempt.expire()
 
     def _tick(self) -> None:
         self._tick_timer = None
--- /dev/null
+++ b/packages/httpflow/tests/test_server.py
@@ -0,0 +1,264 @@
+import asyncio
+
+import pytest
+import pytest_twisted
+
+from corianderwall.httpflow.limits import ServerLimits
+from corianderwall.httpflow.pool import UpstreamPool
+from corianderwall.httpflow.relay import relay
+from corianderwall.httpflow.server import CallServer
+from corianderwall.model.verdict import Verdict
+
+
+class Holder:
+    """Keeps its calls unanswered."""
+
+    def __init__(self) -> None:
+        self.calls = []
+
+    def handle(self, call) -> None:
+        self.calls.append(call)
+
+
+@pytest.fixture
+def opened():
+    closers = []
+    yield closers
+    for close in closers:
+        close()
+
+
+async def open_server(opened, handler, **limits):
+    server = CallServer(handler, ServerLimits(**limits))
+    opened.append(server.stop_now)
+    address = await server.listen("127.0.0.1", 0)
+    pool = UpstreamPool(address, 10)
+    opened.append(pool.abort)
+    return server, pool
+
+
+def now() -> float:
+    return asyncio.get_event_loop().time()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_drain_lets_the_running_call_end(opened, tools) -> None:
+    holder = Holder()
+    server, pool = await open_server(opened, holder)
+    receiver = tools.Receiver()
+    pool.send(tools.make_call(), receiver)
+    await tools.wait_until(lambda: len(holder.calls) == 1)
+    drained = server.drain(now())
+    await tools.pause(0.05)
+    assert not drained.called
+    holder.calls[0].respond(200, [], b"whole")
+    report = await drained
+    assert (report.ended, report.cut) == (1, 0)
+    result = await receiver.done
+    assert (result.complete, receiver.body) == (True, b"whole")
+    late = tools.Receiver()
+    pool.send(tools.make_call(), late)
+    assert (await late.done).verdict is Verdict.NOT_RUN
+
+
+@pytest_twisted.ensureDeferred
+async def test_late_calls_run_while_senders_do_not_know_of_the_drain(opened, tools) -> None:
+    class Answerer:
+        def handle(self, call) -> None:
+            call.respond(200, [], b"ok")
+
+    server, pool = await open_server(opened, Answerer())
+    pool.warm(3)
+    await tools.wait_until(lambda: pool.idle_connections == 3)
+    drained = server.drain(now() + 0.3)
+    for _ in range(6):
+        receiver = tools.Receiver()
+        pool.send(tools.make_call(), receiver)
+        assert (await receiver.done).complete
+    assert pool.open_connections == 0
+    report = await drained
+    assert (report.ended, report.cut) == (6, 0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_forced_stop_reports_what_it_cut(opened, tools) -> None:
+    holder = Holder()
+    server, pool = await open_server(opened, holder)
+    receivers = [tools.Receiver() for _ in range(2)]
+    for receiver in receivers:
+        pool.send(tools.make_call(), receiver)
+    await tools.wait_until(lambda: len(holder.calls) == 2)
+    drained = server.drain(now())
+    holder.calls[0].respond(200, [])
+    assert server.stop_now().cut == 1
+    report = await drained
+    assert (report.ended, report.cut) == (1, 1)
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_idle_connection_is_closed_at_its_deadline(opened, tools) -> None:
+    server, pool = await open_server(opened, Holder(), idle_timeout_s=0.1)
+    pool.warm(1)
+    await tools.wait_until(lambda: server.open_connections == 1)
+    await tools.wait_until(lambda: server.open_connections == 0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_connections_above_the_limit_are_closed(opened, tools) -> None:
+    server, pool = await open_server(opened, Holder(), max_connections=2)
+    pool.warm(5)
+    await tools.wait_until(lambda: pool.open_connections == 2)
+    assert server.open_connections == 2
+
+
+class Forwarder:
+    def __init__(self, pool, tools) -> None:
+        self.pool = pool
+        self.tools = tools
+
+    def handle(self, call) -> None:
+        outgoing = self.tools.make_call(call.method, target=call.target, headers=call.headers)
+        relay(call, self.pool, outgoing)
+
+
+@pytest_twisted.ensureDeferred
+async def test_two_hops_keep_a_large_answer_in_bounded_memory(opened, tools) -> None:
+    chunk = b"x" * 65536
+    chunks = 3200
+
+    class Source:
+        def __init__(self, call) -> None:
+            self.call, self.left, self.paused = call, chunks, False
+            call.start_answer(200, [], None, self)
+            self.write()
+
+        def pause_body(self) -> None:
+            self.paused = True
+
+        def resume_body(self) -> None:
+            self.paused = False
+            asyncio.get_event_loop().call_soon(self.write)
+
+        def write(self) -> None:
+            while self.left and not self.paused:
+                self.left -= 1
+                self.call.write_body(chunk)
+            if not self.left:
+                self.call.end_answer()
+
+    class Pourer:
+        def handle(self, call) -> None:
+            self.source = Source(call)
+
+    pourer = Pourer()
+    _, inner = await open_server(opened, pourer)
+    _, outer = await open_server(opened, Forwarder(inner, tools))
+
+    class Counter(tools.Receiver):
+        received = 0
+
+        def receive_body(self, data: bytes) -> None:
+            self.received += len(data)
+
+    receiver = Counter()
+    attempt = outer.send(tools.make_call(), receiver)
+    await tools.wait_until(lambda: receiver.received > 0)
+    attempt.pause_body()
+    left = -1
+    while left != pourer.source.left:
+        left = pourer.source.left
+        await tools.pause(0.1)
+    # What lies in the sockets and the write buffers of both hops.
+    under_way = (chunks - left) * len(chunk) - receiver.received
+    assert under_way < 32 * 1024 * 1024
+    attempt.resume_body()
+    result = await receiver.done
+    assert (result.complete, receiver.received) == (True, chunks * len(chunk))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_caller_that_leaves_cancels_the_call_behind_the_relay(opened, tools) -> None:
+    holder = Holder()
+    _, inner = await open_server(opened, holder)
+    server, outer = await open_server(opened, Forwarder(inner, tools))
+    receiver = tools.Receiver()
+    attempt = outer.send(tools.make_call(), receiver)
+    await tools.wait_until(lambda: len(holder.calls) == 1)
+    hung_up = []
+    holder.calls[0].on_hang_up = lambda: hung_up.append(1)
+    attempt.cancel()
+    await tools.wait_until(lambda: hung_up == [1])
+    assert server.running_calls == 0
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_truncated_answer_is_truncated_behind_the_relay(opened, tools) -> None:
+    holder = Holder()
+    _, inner = await open_server(opened, holder)
+    _, outer = await open_server(opened, Forwarder(inner, tools))
+    receiver = tools.Receiver()
+    outer.send(tools.make_call(), receiver)
+    await tools.wait_until(lambda: len(holder.calls) == 1)
+    holder.calls[0].start_answer(200, [], None)
+    holder.calls[0].write_body(b"part")
+    await tools.wait_until(lambda: receiver.body == b"part")
+    holder.calls[0].abort_answer()
+    result = await receiver.done
+    assert (result.verdict, result.complete) == (Verdict.RAN, False)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_refusal_stays_one_behind_the_relay(opened, tools) -> None:
+    class Refuser:
+        def handle(self, call) -> None:
+            call.respond(503, [(b"x-not-run", b"1")])
+
+    _, inner = await open_server(opened, Refuser())
+    _, outer = await open_server(opened, Forwarder(inner, tools))
+    receiver = tools.Receiver()
+    outer.send(tools.make_call(b"POST", body=b"abc"), receiver)
+    result = await receiver.done
+    assert (result.verdict, result.refused) == (Verdict.NOT_RUN, True)
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_upload_is_streamed_through_the_relay(opened, tools) -> None:
+    class Counting:
+        received = 0
+
+        def handle(self, call) -> None:
+            self.call, self.received = call, 0
+            call.read_body(self)
+
+        def write_body(self, data: bytes) -> None:
+            self.received += len(data)
+
+        def end_body(self) -> None:
+            self.call.respond(200, [], b"%d" % self.received)
+
+        def abort_body(self) -> None:
+            pass
+
+    _, inner = await open_server(opened, Counting())
+    _, outer = await open_server(opened, Forwarder(inner, tools))
+
+    class Source:
+        paused = False
+
+        def pause_body(self) -> None:
+            self.paused = True
+
+        def resume_body(self) -> None:
+            self.paused = False
+
+    for length in (None, 20 * 1024 * 1024):
+        receiver, source = tools.Receiver(), Source()
+        call = tools.make_call(b"PUT", streamed=True, body_length=length, source=source)
+        attempt = outer.send(call, receiver)
+        for _ in range(320):
+            while source.paused:
+                await tools.pause(0)
+            attempt.write_body(b"x" * 65536)
+        attempt.end_body()
+        assert (await receiver.done).complete
+        assert receiver.body == b"%d" % (20 * 1024 * 1024)
