Add the demo and the runner of measurements

Cause: a newcomer needs one command that shows the whole path. Change: make demo runs a stand-in platform, nine nodes with upstreams of three versions, calls, a change, a good and a bad move and a graceful stop, and fails if a part does not do what it must; the load of a service is asked of its owners, for feasibility and the capacity bound. Conclusion: the thin path runs from nothing to a stated end of a move.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	@$(RUN) -m behave --no-capture --format progress features
 
 measure: setup
-	@$(RUN) -m corianderwall.bench measure $(WHAT) $(ARGS)
+	@$(RUN) -m corianderwall.bench $(WHAT) $(ARGS)
 
 format: setup
 	@$(BIN)/black -q .
--- /dev/null
+++ b/packages/app/src/corianderwall/app/demo.py
@@ -0,0 +1,208 @@
+"""The demo: calls, a configuration change, a good move and a bad one, told as they happen."""
+
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import click
+import treq
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from corianderwall.app.scene import LOOPBACK, Placement, Scene
+from corianderwall.standins.upstream_settings import BadKind, BadRule, Switches
+
+ZONES = ("midlands-a", "midlands-b", "midlands-c")
+SERVICE = "placements"
+READY_TIMEOUT_S = 10.0
+MOVE_SECONDS = 25
+MOVE_TIMEOUT_S = 30.0
+CALLS_PER_S = 150
+GOOD = Switches(work_ms=2)
+BAD = Switches(work_ms=2, rules=(BadRule(kind=BadKind.FAIL, share=0.3),))
+POLICY = {"steps_permille": [100, 500, 1000], "min_calls_per_step": 60}
+
+
+class DemoError(Exception):
+    """A part of the demo did not do what it must."""
+
+
+@dataclass(slots=True)
+class CallTally:
+    """The answers of the demo's callers, by status."""
+
+    statuses: dict[int, int] = field(default_factory=dict)
+
+    def add(self, status: int) -> None:
+        """Count one answer."""
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    def describe(self) -> str:
+        """Return the counts as words."""
+        counts = (f"{count} x {status}" for status, count in sorted(self.statuses.items()))
+        return ", ".join(counts) or "none"
+
+
+class Demo:
+    """Runs the parts in order and tells what happened."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._scene = Scene(reactor)
+        self._tally = CallTally()
+        self._next = 0
+
+    async def run(self) -> None:
+        """Run everything, or raise `DemoError`."""
+        await self._start()
+        await self._configure()
+        await self._call_once()
+        caller = self._start_callers()
+        try:
+            await self._scene.pause(2.0)
+            await self._move("v2", "completed")
+            await self._move("v3", "taken_back")
+        finally:
+            caller.stop()
+        await self._finish()
+
+    async def _start(self) -> None:
+        placements = [
+            Placement(
+                name=f"host-{version}-{zone[-1]}",
+                zone=zone,
+                service=SERVICE,
+                version=version,
+                switches=BAD if version == "v3" else GOOD,
+            )
+            for version in ("v1", "v2", "v3")
+            for zone in ZONES
+        ]
+        await self._scene.start(placements)
+        hosts = self._scene.hosts
+        ready = await self._scene.wait_for(
+            lambda: all(host.node.read_health().ready for host in hosts), READY_TIMEOUT_S
+        )
+        _require(ready, "the nodes were not ready in time")
+        tell(f"{len(hosts)} nodes in {len(ZONES)} availability zones are ready")
+
+    async def _configure(self) -> None:
+        service = {
+            "name": SERVICE,
+            "versions": ["v1", "v2", "v3"],
+            "split": [{"version": "v1", "permille": 1000}],
+        }
+        await self._change("PutService", {"service": service})
+        route = {"name": "accept", "service": SERVICE, "path_prefix": "/placements"}
+        answer = await self._change("PutRoute", {"route": route})
+        version = int(answer["version"])
+        began = time.monotonic()
+        deadline = int((time.time() + READY_TIMEOUT_S) * 1000)
+        status = await self._scene.call_operator(
+            "WaitConfig", {"version": version, "deadline_unix_ms": deadline}
+        )
+        _require(status["in_force"], f"version {version} is not in force everywhere: {status}")
+        took = time.monotonic() - began
+        tell(f"version {version} is in force at all {status['known_nodes']} nodes ({took:.2f} s)")
+
+    async def _change(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
+        answer = await self._scene.call_operator(method, body)
+        _require("code" not in answer, f"{method} failed: {answer}")
+        tell(f"operator: {answer['record']['summary']} -> version {answer['version']}")
+        return answer
+
+    async def _call_once(self) -> None:
+        port = self._scene.hosts[0].call_port
+        response = await treq.get(f"http://{LOOPBACK}:{port}/placements/1")
+        await response.content()
+        _require(response.code == 200, f"the first call was answered {response.code}")
+        version = (response.headers.getRawHeaders("x-version") or ["?"])[0]
+        tell(f"caller: GET /placements/1 -> {response.code} from version {version}")
+
+    def _start_callers(self) -> LoopingCall:
+        caller = LoopingCall(self._send_call)
+        caller.clock = self._scene.reactor
+        caller.start(1 / CALLS_PER_S)
+        return caller
+
+    def _send_call(self) -> None:
+        hosts = self._scene.hosts
+        self._next += 1
+        port = hosts[self._next % len(hosts)].call_port
+        Deferred.fromCoroutine(self._call(port, self._next))
+
+    async def _call(self, port: int, number: int) -> None:
+        response = await treq.get(f"http://{LOOPBACK}:{port}/placements/{number}")
+        await response.content()
+        self._tally.add(response.code)
+
+    async def _move(self, version: str, expected: str) -> None:
+        deadline = int((time.time() + MOVE_SECONDS) * 1000)
+        move_id = f"to-{version}"
+        await self._change(
+            "StartMove",
+            {
+                "move_id": move_id,
+                "service": SERVICE,
+                "to_version": version,
+                "deadline_unix_ms": deadline,
+                "policy": POLICY,
+            },
+        )
+        move = await self._follow(move_id)
+        state = move["state"].removeprefix("MOVE_STATE_").lower()
+        in_time = int(move["ended_unix_ms"]) <= deadline
+        tell(f"move {move_id}: {state.replace('_', ' ')}; {move['cause']}; {move['evidence']}")
+        _require(state == expected, f"the move to {version} ended as {state}, not {expected}")
+        _require(in_time, f"the move to {version} ended after its deadline")
+
+    async def _follow(self, move_id: str) -> dict[str, Any]:
+        deadline = time.monotonic() + MOVE_TIMEOUT_S
+        share = 0
+        while time.monotonic() < deadline:
+            move = await self._scene.call_operator("GetMove", {"move_id": move_id})
+            if move.get("state") not in (None, "MOVE_STATE_RUNNING"):
+                return move
+            if move.get("share_permille", share) != share:
+                share = move["share_permille"]
+                tell(f"move {move_id}: {share / 10:g}% of the calls")
+            await self._scene.pause(0.2)
+        raise DemoError(f"the move {move_id} has no end in time")
+
+    async def _finish(self) -> None:
+        audit = await self._scene.call_operator("ListAudit", {})
+        tell(f"callers: {self._tally.describe()}")
+        tell(f"audit trail: {len(audit['records'])} records, newest {audit['records'][0]['kind']}")
+        cut = await self._scene.stop()
+        _require(sum(cut) == 0, f"the shutdown cut {sum(cut)} calls")
+        tell("all nodes stopped gracefully; no call was cut")
+
+
+def tell(text: str) -> None:
+    """Print one line with the seconds since the start."""
+    click.echo(f"[{time.monotonic() - _BEGAN:6.2f} s] {text}")
+
+
+def _require(condition: bool, sentence: str) -> None:
+    if not condition:
+        raise DemoError(sentence)
+
+
+_BEGAN = time.monotonic()
+
+
+def run_demo(reactor: Any) -> str:
+    """Run the demo on the installed reactor; return why it failed, empty if it did not."""
+    failures: list[str] = []
+
+    def end(result: Any) -> None:
+        failure = getattr(result, "value", None)
+        if failure is not None:
+            failures.append(f"{type(failure).__name__}: {failure}")
+        reactor.stop()
+
+    def begin() -> None:
+        Deferred.fromCoroutine(Demo(reactor).run()).addBoth(end)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return failures[0] if failures else ""
--- a/packages/app/src/corianderwall/app/main.py
+++ b/packages/app/src/corianderwall/app/main.py
@@ -2,6 +2,7 @@
 
 import click
 
+from corianderwall.app.command import demo
 from corianderwall.node.main import check, keys, node
 
 
@@ -14,6 +15,7 @@
 main.add_command(node)
 main.add_command(check)
 main.add_command(keys)
+main.add_command(demo)
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/packages/app/src/corianderwall/app/scene.py
@@ -0,0 +1,168 @@
+"""A whole mesh on loopback in one process: stand-ins, nodes and callers."""
+
+import json
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import treq
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.task import deferLater
+
+from corianderwall.links.keys import generate_key_ring
+from corianderwall.node.session import Node
+from corianderwall.node.settings import parse_node_settings
+from corianderwall.standins.platform import PlatformStandin
+from corianderwall.standins.upstream import UpstreamStandin
+from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from corianderwall.links.keys import KeyRing
+
+LOOPBACK = "127.0.0.1"
+TOKEN = "token-of-the-demo-operator"
+OPERATOR = "demo"
+PORTS_PER_NODE = 3
+POLL_S = 0.1
+
+_SETTINGS = """
+[host]
+name = "{name}"
+region = "{region}"
+zone = "{zone}"
+call_address = "127.0.0.1:{call}"
+peer_address = "127.0.0.1:{peer}"
+admin_address = "127.0.0.1:{admin}"
+[mesh]
+public_key = '{public}'
+secret_key = '{secret}'
+[platform]
+url = "http://127.0.0.1:{platform}"
+[operators]
+tokens = {{ {operator} = "{token}" }}
+"""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Placement:
+    """Where a node stands, and which version the upstream beside it runs, empty for none."""
+
+    name: str
+    zone: str
+    service: str = ""
+    version: str = ""
+    switches: Switches | None = None
+    region: str = "midlands"
+
+
+@dataclass(frozen=True, slots=True)
+class RunningHost:
+    """A node with its ports and the upstream beside it."""
+
+    node: Node
+    call_port: int
+    admin_port: int
+    upstream: UpstreamStandin | None
+
+
+class Scene:
+    """Starts and stops the stand-in platform and the hosts."""
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self.platform = PlatformStandin()
+        self.hosts: list[RunningHost] = []
+        self._keys = generate_key_ring()
+        self._platform_port = 0
+
+    async def start(self, placements: list[Placement]) -> None:
+        """Start the platform and all hosts."""
+        self._platform_port = await self.platform.start()
+        for placement in placements:
+            self.hosts.append(await self.start_host(placement))
+
+    async def start_host(self, placement: Placement) -> RunningHost:
+        """Start one node, and the upstream beside it if there is one."""
+        call, peer, admin = find_free_ports(PORTS_PER_NODE)
+        text = _render(placement, call, peer, admin, self._keys, self._platform_port)
+        node = Node(parse_node_settings(text.encode(), placement.name), self.reactor)
+        await node.start()
+        upstream = None
+        if placement.service:
+            upstream = UpstreamStandin(
+                UpstreamSettings(
+                    service=placement.service,
+                    version=placement.version,
+                    node_host=LOOPBACK,
+                    node_port=admin,
+                    switches=placement.switches or Switches(work_ms=2),
+                )
+            )
+            await upstream.start()
+        return RunningHost(node, call, admin, upstream)
+
+    async def stop(self) -> list[int]:
+        """Stop all hosts gracefully; return for each how many calls were cut."""
+        drains = [Deferred.fromCoroutine(host.node.drain()) for host in self.hosts]
+        reports = await gatherResults(drains)
+        for host in self.hosts:
+            await host.node.stop()
+            if host.upstream is not None:
+                host.upstream.stop()
+        await self.platform.stop()
+        return [report.cut for report in reports]
+
+    async def call_operator(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Make one operators' call at the first node; return the answer, an error too."""
+        port = self.hosts[0].admin_port
+        response = await treq.post(
+            f"http://{LOOPBACK}:{port}/corianderwall.v1.Operators/{method}",
+            json.dumps(body).encode(),
+            headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
+        )
+        answer: dict[str, Any] = json.loads(await response.text())
+        return answer
+
+    async def wait_for(self, condition: "Callable[[], bool]", timeout_s: float) -> bool:
+        """Return whether the condition became true in time."""
+        deadline = self.reactor.seconds() + timeout_s
+        while not condition():
+            if self.reactor.seconds() >= deadline:
+                return False
+            await self.pause(POLL_S)
+        return True
+
+    async def pause(self, seconds: float) -> None:
+        """Wait."""
+        await deferLater(self.reactor, seconds)
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports on loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((LOOPBACK, 0))
+    ports = [int(each.getsockname()[1]) for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def _render(
+    placement: Placement, call: int, peer: int, admin: int, keys: "KeyRing", platform: int
+) -> str:
+    return _SETTINGS.format(
+        name=placement.name,
+        region=placement.region,
+        zone=placement.zone,
+        call=call,
+        peer=peer,
+        admin=admin,
+        public=keys.public,
+        secret=keys.secret,
+        platform=platform,
+        operator=OPERATOR,
+        token=TOKEN,
+    )
--- a/packages/node/src/corianderwall/node/backend.py
+++ b/packages/node/src/corianderwall/node/backend.py
@@ -124,9 +124,7 @@
                 return InForce(
                     version=version,
                     known_nodes=rollout.confirmed + len(rollout.lacking),
-                    lagging=tuple(
-                        LaggingNode(name=name, version=0) for name in rollout.lacking
-                    ),
+                    lagging=tuple(LaggingNode(name=name, version=0) for name in rollout.lacking),
                 )
             await self._timer.sleep(min(POLL_S, remaining))
 
--- a/packages/node/src/corianderwall/node/serviceload.py
+++ b/packages/node/src/corianderwall/node/serviceload.py
@@ -16,6 +16,9 @@
 MEMORY_S = 5.0
 """Time in which a past call loses all but 1/e of its weight."""
 
+MIN_WEIGHT_S = 0.5
+"""Time over which the first calls of an endpoint are averaged at least."""
+
 ANSWER_WAIT_S = 0.5
 
 
@@ -47,11 +50,12 @@
 class LoadMeter:
     """Decaying rates of the calls at one endpoint, from all entry nodes."""
 
-    __slots__ = ("_at", "_busy_s", "_calls")
+    __slots__ = ("_at", "_busy_s", "_calls", "_weight_s")
 
     def __init__(self, now: float) -> None:
         self._calls = 0.0
         self._busy_s = 0.0
+        self._weight_s = 0.0
         self._at = now
 
     def add(self, calls: int, busy_s: float, now: float) -> None:
@@ -63,12 +67,16 @@
     def read(self, now: float) -> ServiceLoad:
         """Return the rates of the last seconds."""
         self._decay(now)
-        return ServiceLoad(self._calls / MEMORY_S, self._busy_s / MEMORY_S)
+        # Until `MEMORY_S` has passed several times, less time than that bears the weight.
+        weight_s = max(self._weight_s, MIN_WEIGHT_S)
+        return ServiceLoad(self._calls / weight_s, self._busy_s / weight_s)
 
     def _decay(self, now: float) -> None:
         factor = exp(min(0.0, self._at - now) / MEMORY_S)
         self._calls *= factor
         self._busy_s *= factor
+        if self._calls:
+            self._weight_s += (MEMORY_S - self._weight_s) * (1.0 - factor)
         self._at = max(now, self._at)
 
 
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -212,9 +212,8 @@
         tokens = self._settings.operators.tokens
         operators = OperatorApp(self._backend, tokens, self._timer, self._random)
         root = SiteRoot(operators=operators.build_resource(), admin=admin.app.resource())
-        self._site_port = self._reactor.listenTCP(
-            address.port, OperatorSite(root), interface=address.host
-        )
+        site = OperatorSite(root)  # type: ignore[no-untyped-call]
+        self._site_port = self._reactor.listenTCP(address.port, site, interface=address.host)
 
     async def _join(self) -> None:
         seeds = [parse_seed(text) for text in self._settings.mesh.seeds]
@@ -357,9 +356,8 @@
 
     async def drain(self) -> "DrainReport":
         """Leave the mesh: no new work after `NOTICE_S`, running calls end, nothing is cut."""
-        now = self._timer.read_monotonic()
         log_info("draining", running=self._server.running_calls)
-        self._control.send(self.membership.drain(now))
+        self._control.send(self.membership.drain(self._timer.read_monotonic()))
         report = await self._server.drain(self._loop.time() + NOTICE_S)
         await self._steering.stop()
         return report
--- a/packages/node/src/corianderwall/node/site.py
+++ b/packages/node/src/corianderwall/node/site.py
@@ -15,7 +15,7 @@
     """Hands a request to one of two resources by the beginning of its path."""
 
     def __init__(self, *, operators: "IResource", admin: "IResource") -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self._operators = operators
         self._admin = admin
         self._prefix = PREFIX.encode("ascii")
@@ -23,5 +23,6 @@
     def getChild(self, path: bytes, request: "Request") -> "IResource":  # noqa: N802
         """Return the resource, which sees the whole path again."""
         chosen = self._operators if request.path.startswith(self._prefix) else self._admin
-        request.postpath.insert(0, request.prepath.pop())
+        taken = request.prepath.pop() if request.prepath else path
+        request.postpath = [taken, *(request.postpath or [])]
         return chosen
