Drop messages in tests also when the cut came after they were sent

Cause: the test of parts that start apart saw messages of before its cut.

Change: the in-memory net looks at the cut at delivery too.

--- a/packages/membership/tests/conftest.py
+++ b/packages/membership/tests/conftest.py
@@ -92,7 +92,8 @@
     def _deliver(self, until: float) -> None:
         while self._queue and self._queue[0][0] <= until:
             self.now, _, sender, receiver, data = heapq.heappop(self._queue)
-            self._hand_over(sender, receiver, data)
+            if not self.is_cut(sender, receiver):
+                self._hand_over(sender, receiver, data)
         self.now = until - TICK_S
 
     def _hand_over(self, sender: str, receiver: str, data: bytes) -> None:
