Add the operators' command-line client

Cause: operators could reach the calls only by hand-made requests. A change carries a client-made operation id, so the next node can be tried after a lost answer; after one, no later error claims to be without effect.

--- /dev/null
+++ b/packages/ctl/src/corianderwall/ctl/client.py
@@ -0,0 +1,144 @@
+"""Client of the operators' calls, which tries one node after the other."""
+
+from typing import Any, TypeVar
+
+import treq
+from google.protobuf.message import DecodeError, Message
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.task import deferLater
+from twisted.web.client import readBody
+
+from corianderwall.ctl import rpc_pb2 as pb
+from corianderwall.ctl.convert import read_error
+from corianderwall.ctl.failures import NodesUnreachableError
+from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
+
+Answer = TypeVar("Answer", bound=Message)
+
+PREFIX = "/corianderwall.v1.Operators/"
+MEDIA_TYPE = "application/x-protobuf"
+ATTEMPT_TIMEOUT_S = 20.0
+ROUND_PAUSE_S = 0.5
+"""Time between two rounds over all nodes."""
+
+NOT_SENT_ERRORS = (ConnectError, ConnectingCancelledError)
+TRY_ELSEWHERE = frozenset(
+    {
+        ErrorCode.NOT_READY,
+        ErrorCode.PLATFORM_UNAVAILABLE,
+        ErrorCode.PLATFORM_THROTTLED,
+        ErrorCode.CONFLICT,
+        ErrorCode.OUTCOME_UNKNOWN,
+        ErrorCode.INTERNAL,
+    }
+)
+
+
+class OperatorClient:
+    """Calls any of the nodes; changes carry an operation id, so trying again is idempotent."""
+
+    def __init__(self, reactor: Any, nodes: tuple[str, ...], token: str) -> None:
+        self._reactor = reactor
+        self._urls = tuple(_build_base_url(node) for node in nodes)
+        self._token = token
+
+    async def call(
+        self, method: str, request: Any, answer_type: type[Answer], *, deadline: float
+    ) -> Answer:
+        """Return the answer of the first node that gives one before the deadline.
+
+        The deadline is an instant of `reactor.seconds()`. Once an attempt may have had an
+        effect, only an answer makes the outcome known again: until then every error is raised
+        as `OUTCOME_UNKNOWN`.
+        """
+        doubtful = False
+        while True:
+            for url in self._urls:
+                error, answer = await self._attempt(url + method, request, answer_type, deadline)
+                if answer is not None:
+                    return answer
+                doubtful = doubtful or error.effect is Effect.UNKNOWN
+                if error.code not in TRY_ELSEWHERE:
+                    raise _judge(error, doubtful)
+                _mark_repeated(request)
+            if self._reactor.seconds() + ROUND_PAUSE_S >= deadline:
+                raise _judge(error, doubtful)
+            await deferLater(self._reactor, ROUND_PAUSE_S)
+
+    async def _attempt(
+        self, url: str, request: Any, answer_type: type[Answer], deadline: float
+    ) -> tuple[CorianderwallError, Answer | None]:
+        nothing = NodesUnreachableError("no node could be reached before the deadline")
+        timeout_s = min(ATTEMPT_TIMEOUT_S, deadline - self._reactor.seconds())
+        if timeout_s <= 0:
+            return nothing, None
+        exchange = Deferred.fromCoroutine(self._exchange(url, request.SerializeToString()))
+        exchange.addTimeout(timeout_s, self._reactor)
+        try:
+            status, body = await exchange
+            if status != 200:
+                return _read_failure(body), None
+            return nothing, answer_type.FromString(body)
+        except NOT_SENT_ERRORS as error:
+            return NodesUnreachableError(f"no node could be reached: {error!r}"), None
+        except Exception as error:
+            return _build_lost_answer(request, error), None
+
+    async def _exchange(self, url: str, body: bytes) -> tuple[int, bytes]:
+        headers = {"content-type": MEDIA_TYPE, "authorization": f"Bearer {self._token}"}
+        response = await treq.post(
+            url,
+            body,
+            headers=headers,
+            persistent=False,
+            unbuffered=True,
+            reactor=self._reactor,
+        )
+        body = await readBody(response)
+        media_type = (response.headers.getRawHeaders("content-type") or [""])[0]
+        if media_type != MEDIA_TYPE:
+            raise DecodeError(f"the answer has the media type {media_type!r}")
+        return response.code, body
+
+
+def _build_base_url(node: str) -> str:
+    base = node if "://" in node else f"http://{node}"
+    return base.rstrip("/") + PREFIX
+
+
+def _is_change(request: Any) -> bool:
+    return "identity" in request.DESCRIPTOR.fields_by_name
+
+
+def _mark_repeated(request: Any) -> None:
+    if _is_change(request):
+        request.identity.repeated_call = True
+
+
+def _read_failure(body: bytes) -> CorianderwallError:
+    try:
+        return read_error(pb.Error.FromString(body))
+    except DecodeError:
+        return CorianderwallError(
+            ErrorCode.INTERNAL, "the answer is not from a node", effect=Effect.UNKNOWN
+        )
+
+
+def _build_lost_answer(request: Any, error: Exception) -> CorianderwallError:
+    if _is_change(request):
+        return CorianderwallError(
+            ErrorCode.OUTCOME_UNKNOWN, "the node's answer was lost", effect=Effect.UNKNOWN
+        )
+    return NodesUnreachableError(f"the node's answer was lost: {error!r}")
+
+
+def _judge(error: CorianderwallError, doubtful: bool) -> CorianderwallError:
+    if not doubtful:
+        return error
+    return CorianderwallError(
+        ErrorCode.OUTCOME_UNKNOWN,
+        f"an earlier attempt may still take effect; the last one failed: {error.sentence}",
+        effect=Effect.UNKNOWN,
+        retry_after_s=error.retry_after_s,
+    )
--- /dev/null
+++ b/packages/ctl/src/corianderwall/ctl/fleet_commands.py
@@ -0,0 +1,221 @@
+"""Commands that show nodes, configuration, audit trail, operations and decisions."""
+
+import sys
+import time
+
+import click
+
+from corianderwall.ctl import rpc_pb2 as pb
+from corianderwall.ctl.failures import ExitCode
+from corianderwall.ctl.output import convert_to_json, format_time
+from corianderwall.ctl.resource_commands import parse_pairs
+from corianderwall.ctl.session import Session
+
+WAIT_CALL_S = 10.0
+"""Longest wait of one call of `config wait`."""
+
+_OPERATION_STATES = {
+    pb.OPERATION_STATE_APPLIED: "applied",
+    pb.OPERATION_STATE_NOT_APPLIED: "not applied",
+    pb.OPERATION_STATE_UNKNOWN: "unknown",
+}
+
+
+@click.group()
+def node() -> None:
+    """Nodes and the endpoints beside them."""
+
+
+@node.command("list")
+@click.pass_obj
+def list_nodes(session: Session) -> None:
+    """List the nodes that the asked node knows.
+
+    Example: corianderwall ctl node list
+    """
+    found = session.call("ListNodes", pb.ListNodesRequest(), pb.NodeList)
+    rows = [
+        [each.name, each.region, each.zone, each.state, each.version_in_force, each.peer_address]
+        for each in found.nodes
+    ]
+    session.show(found, ["node", "region", "zone", "state", "version", "address"], rows)
+
+
+@node.command("endpoints")
+@click.option("--service", default="", help="All services if absent.")
+@click.pass_obj
+def list_endpoints(session: Session, service: str) -> None:
+    """List the endpoints with their load.
+
+    Example: corianderwall ctl node endpoints --service placements
+    """
+    request = pb.ListEndpointsRequest(service=service)
+    found = session.call("ListEndpoints", request, pb.EndpointList)
+    rows = [
+        [
+            each.name,
+            each.service,
+            each.version,
+            each.node,
+            each.state,
+            f"{each.running}/{each.slots}",
+        ]
+        for each in found.endpoints
+    ]
+    session.show(found, ["endpoint", "service", "version", "node", "state", "running"], rows)
+
+
+@click.group()
+def config() -> None:
+    """The configuration, its history and whether it is in force."""
+
+
+@config.command("show")
+@click.option("--version", type=click.IntRange(0), default=0, help="The newest if absent.")
+@click.pass_obj
+def show_config(session: Session, version: int) -> None:
+    """Show a whole configuration.
+
+    Example: corianderwall ctl config show --version 12
+    """
+    found = session.read_config(version)
+    rows = [["service", each.name] for each in found.services]
+    rows += [["route", each.name] for each in found.routes]
+    rows += [["subscriber", each.name] for each in found.subscribers]
+    rows += [["move", each.id] for each in found.moves]
+    session.show(found, [f"version {found.version}", "name"], rows)
+
+
+@config.command("diff")
+@click.argument("from_version", type=click.IntRange(1))
+@click.argument("to_version", type=click.IntRange(0), default=0)
+@click.pass_obj
+def diff_config(session: Session, from_version: int, to_version: int) -> None:
+    """Show what differs between two versions; the second is the newest if absent.
+
+    Example: corianderwall ctl config diff 12 14
+    """
+    request = pb.DiffConfigRequest(from_version=from_version, to_version=to_version)
+    found = session.call("DiffConfig", request, pb.ConfigDiff)
+    rows = [
+        [each.kind, each.name, each.before or "-", each.after or "-"] for each in found.differences
+    ]
+    session.show(found, ["kind", "name", f"v{found.from_version}", f"v{found.to_version}"], rows)
+
+
+@config.command("history")
+@click.option("--before", type=click.IntRange(0), default=0, help="Only earlier versions.")
+@click.option("--limit", type=click.IntRange(1, 500), default=20, show_default=True)
+@click.pass_obj
+def show_history(session: Session, before: int, limit: int) -> None:
+    """List the versions, newest first.
+
+    Example: corianderwall ctl config history --limit 5
+    """
+    found = _read_audit(session, before, limit)
+    rows = [[each.to_version, format_time(each.unix_ms), each.summary] for each in found.records]
+    session.show(found, ["version", "time", "change"], rows)
+
+
+@config.command("wait")
+@click.argument("version", type=click.IntRange(0), default=0)
+@click.option("--for", "span_s", type=click.FloatRange(0), default=30, show_default=True)
+@click.pass_obj
+def wait_config(session: Session, version: int, span_s: float) -> None:
+    """Wait until a version is in force at every known node; exit 9 if some lack it.
+
+    Example: corianderwall ctl config wait 14 --for 10
+    """
+    found = _wait(session, version, span_s)
+    rows = [[each.name, each.version] for each in found.lagging]
+    if found.in_force:
+        rows = [["all known nodes", found.version]]
+    session.show(found, ["node", "version"], rows)
+    if not found.in_force:
+        sys.exit(ExitCode.NOT_REACHED)
+
+
+def _wait(session: Session, version: int, span_s: float) -> pb.InForce:
+    until = time.time() + span_s
+    while True:
+        call_until = min(until, time.time() + min(WAIT_CALL_S, session.timeout_s / 2))
+        request = pb.WaitConfigRequest(version=version, deadline_unix_ms=int(call_until * 1000))
+        found: pb.InForce = session.call("WaitConfig", request, pb.InForce)
+        # A later round must not wait for a version that was made meanwhile.
+        version = found.version
+        if found.in_force or time.time() >= until:
+            return found
+
+
+@click.command("audit")
+@click.option("--before", type=click.IntRange(0), default=0, help="Only earlier versions.")
+@click.option("--limit", type=click.IntRange(1, 500), default=20, show_default=True)
+@click.pass_obj
+def audit(session: Session, before: int, limit: int) -> None:
+    """Show who changed what, newest first.
+
+    Example: corianderwall ctl audit --limit 50
+    """
+    found = _read_audit(session, before, limit)
+    rows = [
+        [each.to_version, format_time(each.unix_ms), each.actor, each.operation_id, each.summary]
+        for each in found.records
+    ]
+    session.show(found, ["version", "time", "actor", "operation", "change"], rows)
+
+
+def _read_audit(session: Session, before: int, limit: int) -> pb.AuditList:
+    request = pb.ListAuditRequest(before_version=before, limit=limit)
+    found: pb.AuditList = session.call("ListAudit", request, pb.AuditList)
+    return found
+
+
+@click.command("operation")
+@click.argument("operation_id")
+@click.pass_obj
+def operation(session: Session, operation_id: str) -> None:
+    """Tell what became of a change; exit 7 while that is not known.
+
+    Example: corianderwall ctl operation 018f2f6e8c11-9a1b2c3d4e5f6071
+    """
+    request = pb.GetOperationRequest(operation_id=operation_id)
+    found = session.call("GetOperation", request, pb.Operation)
+    state = _OPERATION_STATES.get(found.state, "unknown")
+    version = found.record.to_version if found.HasField("record") else "-"
+    session.show(found, ["operation", "state", "version"], [[operation_id, state, version]])
+    if state == "unknown":
+        sys.exit(ExitCode.OUTCOME_UNKNOWN)
+
+
+@click.command("explain")
+@click.argument("method")
+@click.argument("path")
+@click.option("--host", default="")
+@click.option("--header", "headers", multiple=True, metavar="NAME=VALUE")
+@click.option("--subscriber", default="")
+@click.pass_obj
+def explain(
+    session: Session, method: str, path: str, host: str, headers: tuple[str, ...], subscriber: str
+) -> None:
+    """Tell where a call would go and why.
+
+    Example: corianderwall ctl explain GET /shifts --subscriber growers
+    """
+    pairs = parse_pairs(headers, "--header")
+    request = pb.ExplainRequest(
+        method=method,
+        host=host,
+        path=path,
+        headers=[pb.HeaderMatch(name=name.lower(), value=value) for name, value in pairs],
+        subscriber=subscriber,
+    )
+    found = session.call("Explain", request, pb.Explanation)
+    if session.output == "json":
+        click.echo(convert_to_json(found))
+        return
+    for number, reason in enumerate(found.reasons, start=1):
+        click.echo(f"{number}. {reason}")
+    if found.refusal_code:
+        click.echo(f"refused with {found.refusal_code}")
+    else:
+        click.echo(f"goes to {found.endpoint} ({found.service} {found.version})")
