--- a/packages/node/src/corianderwall/node/operators.py
+++ b/packages/node/src/corianderwall/node/operators.py
@@ -126,6 +126,9 @@
 class OperatorSite(Site):
     """An HTTP site that keeps a bounded part of each body in memory and none on a disk."""
 
+    def __init__(self, resource: Any) -> None:
+        cast("Any", super()).__init__(resource)
+
     def getContentFile(self, length: int | None) -> Any:  # noqa: N802
         """Return the file that takes up the body."""
         return BoundedBody(MAX_REQUEST_BYTES)
--- a/packages/store/src/corianderwall/store/budget.py
+++ b/packages/store/src/corianderwall/store/budget.py
@@ -8,8 +8,11 @@
 OTHERS_PART = 0.3
 """Part that all nodes divide; the rest is kept for roles that are held twice for a while."""
 
-BURST_CALLS = 6.0
-"""Calls that a node may save up, enough for one change with a retry."""
+READ_BURST = 6.0
+"""Reads that a node may save up; small, as a returning fleet reads all at once."""
+
+WRITE_BURST = 60.0
+"""Writes that a node may save up; a returning fleet makes none, operators make few at once."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,12 +36,14 @@
 
 
 class CallBudget:
-    """Token bucket; it starts with one call so that a returning fleet does not burst."""
+    """Token bucket that starts with `saved` calls and keeps up to `burst`."""
 
-    def __init__(self, rate_per_s: float, *, now: float, burst: float = BURST_CALLS) -> None:
+    def __init__(
+        self, rate_per_s: float, *, now: float, burst: float = READ_BURST, saved: float = 1.0
+    ) -> None:
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._tokens = 1.0
+        self._tokens = saved
         self._updated_s = now
 
     def set_rate(self, rate_per_s: float, *, now: float) -> None:
--- a/packages/store/src/corianderwall/store/commit.py
+++ b/packages/store/src/corianderwall/store/commit.py
@@ -52,7 +52,7 @@
     async def _may_repeat(self, error: CorianderwallError, attempt: int) -> bool:
         if error.code not in RETRYABLE and error.code is not ErrorCode.CONFLICT:
             return False
-        return await self._store.pause(attempt, error.retry_after_s, deadline=self._deadline)
+        return await self._store.pause(attempt, error, deadline=self._deadline)
 
     async def _attempt(self) -> Committed:
         base = await self._store.read_head(deadline=self._deadline)
--- a/packages/store/src/corianderwall/store/guard.py
+++ b/packages/store/src/corianderwall/store/guard.py
@@ -7,7 +7,7 @@
 
 from corianderwall.model.errors import CorianderwallError, ErrorCode
 from corianderwall.store.api import ObjectApi, StoredObject
-from corianderwall.store.budget import CallBudget, PlatformRates, compute_share
+from corianderwall.store.budget import WRITE_BURST, CallBudget, PlatformRates, compute_share
 from corianderwall.store.circuit import Circuit
 from corianderwall.store.timer import Timer
 
@@ -48,7 +48,9 @@
         self._circuit = Circuit()
         now = timer.read_monotonic()
         self._read_budget = CallBudget(rates.reads_per_s, now=now)
-        self._write_budget = CallBudget(rates.writes_per_s, now=now)
+        self._write_budget = CallBudget(
+            rates.writes_per_s, now=now, burst=WRITE_BURST, saved=WRITE_BURST
+        )
 
     @property
     def circuit_state(self) -> str:
--- a/packages/store/src/corianderwall/store/head.py
+++ b/packages/store/src/corianderwall/store/head.py
@@ -31,6 +31,8 @@
 """Age from which no write of an operation can still be under way."""
 
 RETRY_BACKOFF = Backoff(base_s=0.02, cap_s=2.0)
+CONFLICT_BACKOFF = Backoff(base_s=0.01, cap_s=0.1)
+"""Spreads racing operators; a long delay would only let the others win again."""
 
 
 class OperationState(enum.StrEnum):
@@ -57,6 +59,7 @@
         self._api = api
         self._timer = timer
         self._retrier = Retrier(timer, random, RETRY_BACKOFF)
+        self._conflict_retrier = Retrier(timer, random, CONFLICT_BACKOFF)
         self._lock = DeferredLock()
 
     async def read_head(self, *, deadline: float) -> StoredHead:
@@ -150,9 +153,11 @@
         """Write the next head if the base still is the newest; return its revision."""
         return await self._api.write_if(HEAD_KEY, value, expected_revision=base.revision)
 
-    async def pause(self, attempt: int, at_least_s: float, *, deadline: float) -> bool:
+    async def pause(self, attempt: int, error: CorianderwallError, *, deadline: float) -> bool:
         """Wait before the next attempt of a commit; False if no time is left."""
-        return await self._retrier.pause(attempt, at_least_s, deadline=deadline)
+        is_conflict = error.code is ErrorCode.CONFLICT
+        retrier = self._conflict_retrier if is_conflict else self._retrier
+        return await retrier.pause(attempt, error.retry_after_s, deadline=deadline)
 
     def read_unix_ms(self) -> int:
         """Return the wall clock in milliseconds."""
--- a/packages/store/tests/test_guard.py
+++ b/packages/store/tests/test_guard.py
@@ -125,3 +125,15 @@
     assert codes.count(ErrorCode.PLATFORM_THROTTLED) >= 17
     assert guard.counts.held_back == codes.count(ErrorCode.PLATFORM_THROTTLED)
     assert len(inner.calls) <= 2
+
+
+def test_an_ordinary_node_of_a_large_fleet_takes_a_session_of_changes() -> None:
+    guard, inner, _ = build_guard(Fault.NONE)
+    guard.set_fleet(nodes=590, holders=4, is_holder=False)
+    ended: list[object] = []
+    for number in range(50):
+        write = guard.write_if(f"k{number}", b"x", expected_revision=0)
+        Deferred.fromCoroutine(write).addBoth(ended.append)
+    assert len(ended) == 50
+    assert guard.counts.held_back == 0
+    assert len(inner.calls) == 50
