--- /dev/null
+++ b/packages/bench/src/corianderwall/bench/moves_world.py
@@ -0,0 +1,365 @@
+"""A move under a virtual clock: real decisions of the nodes, fake upstreams and platform."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+
+from corianderwall.bench.moves_traffic import (
+    NEW_VERSION,
+    OLD_VERSION,
+    PLACES,
+    ROUTE_WEIGHTS,
+    ROUTES,
+    SUBSCRIBERS,
+    ZONES,
+    Answer,
+    Place,
+    Request,
+    UpstreamModel,
+)
+from corianderwall.model.change import AddVersion, PutService, StartMove, apply_change, find_move
+from corianderwall.model.endpoint import Address, Endpoint, Locality
+from corianderwall.model.message import Outgoing
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.model.resource import (
+    EMPTY_SNAPSHOT,
+    PERMILLE,
+    Move,
+    MovePolicy,
+    MoveState,
+    Service,
+    Snapshot,
+    VersionShare,
+)
+from corianderwall.model.verdict import Verdict
+from corianderwall.moves.agent import Members, MoveAgent
+from corianderwall.moves.control import HeldLease
+from corianderwall.moves.evidence import MoveEvidence
+from corianderwall.moves.judgement import Judge, choose_settings
+from corianderwall.moves.judgement import Verdict as Finding
+from corianderwall.moves.watch import WindowCutter
+
+SERVICE = "gazeti"
+MOVE_ID = "m1"
+START_UNIX_MS = 1_800_000_000_000
+SLICE_S = 0.1
+"""Step of the virtual clock; a message takes one, the spread of a snapshot two."""
+
+TICK_SLICES = 5
+ORACLE_SLICES = 2
+LOSS = 0.01
+NODES = tuple(f"n{index}" for index in range(8))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """Size and policy of a measured move."""
+
+    calls_per_s: float
+    duration_s: float
+    policy: MovePolicy
+
+    @property
+    def deadline_unix_ms(self) -> int:
+        """Return the deadline of the move."""
+        return START_UNIX_MS + int(self.duration_s * 1000)
+
+
+@dataclass(slots=True, kw_only=True)
+class Result:
+    """What became of one move; instants are seconds since its start, -1 for never."""
+
+    state: MoveState = MoveState.RUNNING
+    ended_s: float = -1.0
+    cause: str = ""
+    calls: int = 0
+    bad_calls: int = 0
+    last_bad_s: float = -1.0
+    detectable_s: float = -1.0
+    control_bytes: int = 0
+    ejected: tuple[str, ...] = ()
+
+
+class Steering(Protocol):
+    """What decides on a move: the nodes' agents or the baseline."""
+
+    def choose_version(self, node: int) -> str:
+        """Return the version for a call that enters at a node."""
+
+    def list_excluded(self) -> frozenset[str]:
+        """Return the endpoints that receive no calls."""
+
+    def record(self, node: int, outcome: AttemptOutcome) -> None:
+        """Count an outcome at a node."""
+
+    def advance(self, slice_index: int, world: "World") -> None:
+        """Do what is due in this slice."""
+
+
+@dataclass(slots=True)
+class World:
+    """The virtual clock, the platform's snapshot and the counters."""
+
+    scenario: Scenario
+    rng: random.Random
+    snapshot: Snapshot
+    now_s: float = 0.0
+    full_since_s: float = -1.0
+    result: Result = field(default_factory=Result)
+
+    @property
+    def unix_ms(self) -> int:
+        """Return the wall clock."""
+        return START_UNIX_MS + int(self.now_s * 1000)
+
+    @property
+    def move(self) -> Move:
+        """Return the move as the platform has it."""
+        return find_move(self.snapshot, MOVE_ID)
+
+
+def create_world(scenario: Scenario, rng: random.Random) -> World:
+    """Return a world in which the move has just started."""
+    service = Service(
+        name=SERVICE,
+        versions=(OLD_VERSION,),
+        split=(VersionShare(version=OLD_VERSION, permille=PERMILLE),),
+    )
+    snapshot = apply_change(EMPTY_SNAPSHOT, PutService(service))
+    snapshot = apply_change(snapshot, AddVersion(SERVICE, NEW_VERSION))
+    start = StartMove(
+        MOVE_ID,
+        SERVICE,
+        NEW_VERSION,
+        START_UNIX_MS,
+        scenario.deadline_unix_ms,
+        scenario.policy,
+    )
+    return World(scenario, rng, apply_change(snapshot, start))
+
+
+def run_move(
+    world: World, model: UpstreamModel, steering: Steering, *, with_oracle: bool
+) -> Result:
+    """Run a move to its statement, or to three seconds after its deadline."""
+    oracle = Oracle(world.move) if with_oracle else None
+    traffic = Traffic(world, model, steering, oracle)
+    slices = int((world.scenario.duration_s + 3) / SLICE_S)
+    after_end = 0
+    for index in range(slices):
+        world.now_s = index * SLICE_S
+        traffic.run_slice(index)
+        steering.advance(index, world)
+        if oracle is not None and index % ORACLE_SLICES == 0:
+            oracle.judge(world)
+        if world.move.state is not MoveState.RUNNING:
+            after_end += 1
+        if after_end > 5:
+            break
+    _close_result(world)
+    return world.result
+
+
+def _close_result(world: World) -> None:
+    move = world.move
+    world.result.state = move.state
+    world.result.cause = move.cause
+    if move.state is not MoveState.RUNNING:
+        world.result.ended_s = (move.ended_unix_ms - START_UNIX_MS) / 1000
+
+
+@dataclass(slots=True)
+class Oracle:
+    """The same tests with all evidence in one place, judged every 0.2 s, without any delay."""
+
+    move: Move
+    evidence: MoveEvidence = field(init=False)
+    judge_: Judge = field(init=False)
+    cutter: WindowCutter = field(init=False)
+
+    def __post_init__(self) -> None:
+        zones = {place.name: place.zone for place in PLACES}
+        new = {place.name: place.zone for place in PLACES if place.version == NEW_VERSION}
+        windows = (self.move.deadline_unix_ms - self.move.started_unix_ms) / 1000
+        settings = choose_settings(self.move.policy, windows / (ORACLE_SLICES * SLICE_S), 1)
+        self.evidence = MoveEvidence(self.move, zones)
+        self.judge_ = Judge(settings, new)
+        self.cutter = WindowCutter(self.evidence)
+
+    def judge(self, world: World) -> None:
+        """Note when the version's badness is detectable."""
+        if world.result.detectable_s >= 0:
+            return
+        self.judge_.take_window(self.cutter.close_window())
+        if self.judge_.judge().verdict in (Finding.BAD, Finding.BAD_ENDPOINTS):
+            world.result.detectable_s = world.now_s
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Callers that send at a rate which swings, and the calls that are under way."""
+
+    world: World
+    model: UpstreamModel
+    steering: Steering
+    oracle: Oracle | None
+    _outstanding: dict[str, int] = field(default_factory=lambda: {p.name: 0 for p in PLACES})
+    _due: dict[int, list[tuple[int, AttemptOutcome]]] = field(default_factory=dict)
+    _weights: list[float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._weights = [self.world.rng.uniform(0.2, 2.0) for _ in NODES]
+
+    def run_slice(self, index: int) -> None:
+        """Finish the calls that are due and start this slice's."""
+        for node, outcome in self._due.pop(index, ()):
+            self._outstanding[outcome.endpoint] -= 1
+            self.steering.record(node, outcome)
+            if self.oracle is not None:
+                self.oracle.evidence.record(outcome)
+        rng = self.world.rng
+        rate = self.world.scenario.calls_per_s * (1.6 if int(self.world.now_s / 15) % 2 else 0.7)
+        wanted = rate * SLICE_S
+        count = int(wanted) + (rng.random() < wanted % 1)
+        nodes = rng.choices(range(len(NODES)), self._weights, k=count)
+        routes = rng.choices(ROUTES, ROUTE_WEIGHTS, k=count)
+        subscribers = rng.choices(SUBSCRIBERS, k=count)
+        for node, route, subscriber in zip(nodes, routes, subscribers, strict=True):
+            self._send(index, node, route, subscriber)
+
+    def _send(self, index: int, node: int, route: str, subscriber: str) -> None:
+        world = self.world
+        version = self.steering.choose_version(node)
+        place = self._choose_place(version)
+        since_full = world.now_s - world.full_since_s if world.full_since_s >= 0 else -1.0
+        outstanding = self._outstanding[place.name]
+        request = Request(place, route, subscriber, outstanding, world.now_s, since_full)
+        answer = self.model.answer(request)
+        self._count(answer)
+        self._outstanding[place.name] += 1
+        outcome = AttemptOutcome(
+            service=SERVICE,
+            version=version,
+            route=route,
+            endpoint=place.name,
+            subscriber=subscriber,
+            verdict=Verdict.RAN,
+            status=answer.status,
+            latency_s=answer.latency_s,
+            refused=answer.is_refused,
+            outstanding=outstanding,
+        )
+        due = index + 1 + int(answer.latency_s / SLICE_S)
+        self._due.setdefault(due, []).append((node, outcome))
+
+    def _choose_place(self, version: str) -> Place:
+        excluded = self.steering.list_excluded()
+        offset = len(ZONES) if version == NEW_VERSION else 0
+        start = int(self.world.rng.random() * len(ZONES))
+        for step in range(len(ZONES)):
+            place = PLACES[offset + (start + step) % len(ZONES)]
+            if place.name not in excluded:
+                return place
+        return PLACES[offset + start]
+
+    def _count(self, answer: Answer) -> None:
+        result = self.world.result
+        if self.world.move.state is MoveState.RUNNING or answer.is_bad:
+            result.calls += 1
+        if answer.is_bad:
+            result.bad_calls += 1
+            result.last_bad_s = self.world.now_s
+
+
+@dataclass(slots=True)
+class AgentSteering:
+    """The nodes' agents, with messages that take a slice and are lost at times."""
+
+    world: World
+    agents: list[MoveAgent] = field(init=False)
+    _queue: list[Outgoing] = field(default_factory=list)
+    _committed: list[tuple[int, Snapshot]] = field(default_factory=list)
+    _excluded: frozenset[str] = frozenset()
+
+    def __post_init__(self) -> None:
+        members = Members(nodes=NODES, endpoints=tuple(_announce(place) for place in PLACES))
+        self.agents = []
+        for node in NODES:
+            agent = MoveAgent(node, 1, random.Random(self.world.rng.random()))
+            agent.update_members(members)
+            agent.update_snapshot(self.world.snapshot)
+            self.agents.append(agent)
+
+    def choose_version(self, node: int) -> str:
+        """Return the version that the node's gate chooses, else that of the split."""
+        version = self.agents[node].choose_version(SERVICE)
+        return version or self.world.snapshot.services[0].split[0].version
+
+    def list_excluded(self) -> frozenset[str]:
+        """Return the ejected endpoints."""
+        return self._excluded
+
+    def record(self, node: int, outcome: AttemptOutcome) -> None:
+        """Count an outcome at a node."""
+        self.agents[node].record(outcome)
+
+    def advance(self, slice_index: int, world: World) -> None:
+        """Deliver messages and snapshots, tick a part of the nodes and write a wanted change."""
+        self._deliver(world)
+        for due, snapshot in list(self._committed):
+            if due <= slice_index:
+                self._committed.remove((due, snapshot))
+                for agent in self.agents:
+                    agent.update_snapshot(snapshot)
+        for position, agent in enumerate(self.agents):
+            if (slice_index + position) % TICK_SLICES == 0:
+                self._queue.extend(agent.tick(world.now_s, world.unix_ms))
+                self._excluded |= agent.cuts.list_ejected(MOVE_ID)
+                self._steer(agent, slice_index, world)
+
+    def _deliver(self, world: World) -> None:
+        queue, self._queue = self._queue, []
+        for outgoing in queue:
+            world.result.control_bytes += len(msgspec.msgpack.encode(outgoing.message))
+            if world.rng.random() < LOSS:
+                continue
+            agent = self.agents[NODES.index(outgoing.peer)]
+            self._queue.extend(agent.take_message(outgoing.message))
+
+    def _steer(self, agent: MoveAgent, slice_index: int, world: World) -> None:
+        if agent.list_aggregators(MOVE_ID)[0] != agent.node or self._committed:
+            return
+        lease = HeldLease(fencing=1, expires_at=world.now_s + 10)
+        busy = world.scenario.calls_per_s * 0.05
+        change = agent.decide(MOVE_ID, lease, busy, world.now_s, world.unix_ms)
+        if change is None:
+            return
+        world.snapshot = apply_change(world.snapshot, change)
+        if world.move.share_permille >= PERMILLE and world.full_since_s < 0:
+            world.full_since_s = world.now_s
+        self._committed.append((slice_index + 2, world.snapshot))
+
+
+def _announce(place: Place) -> Endpoint:
+    return Endpoint(
+        name=place.name,
+        service=SERVICE,
+        version=place.version,
+        node="n0",
+        locality=Locality(region="r1", zone=place.zone),
+        address=Address(host="127.0.0.1", port=1),
+        slots=12,
+        connections=130,
+        started_unix_ms=START_UNIX_MS - 5000 if place.version == NEW_VERSION else 0,
+    )
+
+
+def find_percentile(values: Sequence[float], part: float) -> float:
+    """Return the value that `part` of the values do not exceed, -1 without values."""
+    if not values:
+        return -1.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
--- a/packages/model/tests/test_change.py
+++ b/packages/model/tests/test_change.py
@@ -91,3 +91,29 @@
     assert ended.services[0].split == (VersionShare(version=version, permille=1000),)
     assert find_move(ended, "m1").state is state
     expect_code(ended, end, ErrorCode.STALE_VERSION)
+
+
+def test_a_step_is_stamped_and_never_lowers_the_share(moving: Snapshot) -> None:
+    stepped = apply_change(moving, AdvanceMove("m1", 1, 50, fencing=4, unix_ms=1500))
+    assert find_move(stepped, "m1").stepped_unix_ms == 1500
+    expect_code(stepped, AdvanceMove("m1", 2, 49, fencing=4), ErrorCode.INVALID_ARGUMENT)
+
+
+def test_a_move_cannot_end_as_running(moving: Snapshot) -> None:
+    end = EndMove("m1", MoveState.RUNNING, "reason", "evidence", 5000, fencing=1)
+    expect_code(moving, end, ErrorCode.INVALID_ARGUMENT)
+
+
+@pytest.mark.parametrize(
+    "policy",
+    [
+        MovePolicy(tolerated_error_permille=1001),
+        MovePolicy(tolerated_error_permille=-1),
+        MovePolicy(tolerated_slowdown_percent=-1),
+    ],
+)
+def test_a_policy_with_tolerances_out_of_range_is_refused(
+    snapshot: Snapshot, policy: MovePolicy
+) -> None:
+    start = StartMove("m1", "placements", "v2", 1000, 9000, policy)
+    expect_code(snapshot, start, ErrorCode.INVALID_ARGUMENT)
--- a/packages/moves/src/corianderwall/moves/agent.py
+++ b/packages/moves/src/corianderwall/moves/agent.py
@@ -128,7 +128,7 @@
 
     def is_aggregator(self, move_id: str) -> bool:
         """Return whether this node merges the evidence of a move and may contend for its lease."""
-        return self.node in self._find_aggregators(move_id)
+        return self.node in self.list_aggregators(move_id)
 
     def decide(
         self,
@@ -205,13 +205,13 @@
 
     def _pass_on(self, message: Cut | Ejection) -> list[Outgoing]:
         self._apply_cut(message.move_id)
-        first = self._find_aggregators(message.move_id)
+        first = self.list_aggregators(message.move_id)
         return self.cuts.spread(message, self._members.nodes, first)
 
     def _tick_watch(self, move: Move, now: float, unix_ms: int) -> list[Outgoing]:
         watch = self._watches[move.id]
         watch.evidence.warming = self._list_warming(move, unix_ms)
-        reports = watch.tick(self._find_aggregators(move.id), self.cuts.list_ejected(move.id), now)
+        reports = watch.tick(self.list_aggregators(move.id), self.cuts.list_ejected(move.id), now)
         outgoing = self._act(move, watch.judgement, unix_ms)
         for aggregator, report in reports.items():
             if aggregator == self.node:
@@ -232,7 +232,8 @@
         learnt = self.cuts.take_judgement(move.id, judgement, unix_ms)
         return self._pass_on(learnt) if learnt is not None else []
 
-    def _find_aggregators(self, move_id: str) -> list[str]:
+    def list_aggregators(self, move_id: str) -> list[str]:
+        """Return the nodes that merge the evidence of a move; they contend for its lease."""
         held = self._aggregators.get(move_id)
         if held is None:
             held = self._aggregators[move_id] = place_aggregators(move_id, self._members.nodes)
--- a/packages/moves/src/corianderwall/moves/control.py
+++ b/packages/moves/src/corianderwall/moves/control.py
@@ -169,10 +169,15 @@
 
 
 def _has_route_proof(situation: Situation, judgement: Judgement) -> bool:
-    """Wait for proof on every route as long as the plan leaves time for it."""
-    if not judgement.unproven_routes:
-        return True
+    """Wait for proof on the routes as long as the plan leaves time for it.
+
+    While the share is small, only the main routes count: on the others it can't come in time.
+    """
     move = situation.move
+    is_small = move.share_permille < LEAST_PARTIAL_PERMILLE
+    waited = judgement.unproven_main_routes if is_small else judgement.unproven_routes
+    if not waited:
+        return True
     return situation.unix_ms >= _get_plan(move).find_next_by_unix_ms(move.share_permille)
 
 
--- a/packages/moves/src/corianderwall/moves/cut.py
+++ b/packages/moves/src/corianderwall/moves/cut.py
@@ -12,7 +12,7 @@
 FANOUT = 6
 """Peers that a node tells when it learns something; all but about 1 in 400 nodes then know."""
 
-REMINDER_FANOUT = 1
+REMINDER_FANOUT = 3
 """Peers told again in each later second, until the snapshot states the end of the move."""
 
 MAX_EARLY_CUTS = 64
--- a/packages/moves/src/corianderwall/moves/evidence.py
+++ b/packages/moves/src/corianderwall/moves/evidence.py
@@ -85,6 +85,7 @@
     zones: Mapping[str, str]
     warming: frozenset[str] = frozenset()
     ejected: frozenset[str] = frozenset()
+    new_failures: int = 0
     cells: dict[CellKey, Cell] = field(default_factory=dict)
     _routes: set[str] = field(default_factory=set)
     _places: set[str] = field(default_factory=set)
@@ -109,6 +110,7 @@
         cell.calls += 1
         if failed:
             cell.failures += 1
+            self.new_failures += is_new
         elif outcome.endpoint not in self.warming:
             cell.buckets[find_bucket(outcome.latency_s)] += 1
 
--- a/packages/moves/src/corianderwall/moves/histogram.py
+++ b/packages/moves/src/corianderwall/moves/histogram.py
@@ -16,6 +16,8 @@
 
 def find_bucket(latency_s: float) -> int:
     """Return the index of the bucket that holds `latency_s`; buckets are at most 25% wide."""
+    if latency_s <= 0:
+        return 0
     mantissa, exponent = frexp(latency_s)
     index = (exponent - LOWEST_EXPONENT) * BUCKETS_PER_OCTAVE + int((mantissa - 0.5) * 8)
     if index < 0:
--- a/packages/moves/src/corianderwall/moves/reference.py
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -51,8 +51,9 @@
     def add(self, other: "_Sparse", sign: int) -> None:
         self.calls += sign * other.calls
         self.failures += sign * other.failures
+        buckets = self.buckets
         for bucket, count in other.pairs:
-            self.buckets[bucket] += sign * count
+            buckets[bucket] += sign * count
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/moves/src/corianderwall/moves/scopes.py
+++ b/packages/moves/src/corianderwall/moves/scopes.py
@@ -24,6 +24,12 @@
 MATERIAL_FAILURE_RATE = 0.04
 """Rise of the failure rate over the tolerated one that a step must exclude."""
 
+MATERIAL_FAILURE_FACTOR = 0.5
+"""Added to that rise for each failure of the old version, as it then takes more to matter."""
+
+RATE_FLOOR = 0.002
+"""Least failure rate that a good version is granted."""
+
 MATERIAL_SLOW_RATE = 0.2
 """The same for the part of calls that are slow."""
 
--- a/packages/moves/src/corianderwall/moves/watch.py
+++ b/packages/moves/src/corianderwall/moves/watch.py
@@ -13,6 +13,9 @@
 WINDOW_S = 0.5
 """Length of the windows in which evidence is judged, in seconds."""
 
+CALM_WINDOW_S = 2.0
+"""The same at a node's own watch while none of its calls to the new version failed."""
+
 AGGREGATED_JUDGES = 4
 """Both aggregators together may spend half of a move's error rate."""
 
@@ -47,6 +50,8 @@
     reporter: Reporter
     judgement: Judgement = field(default_factory=lambda: Judgement(verdict=Verdict.UNDECIDED))
     _cutter: WindowCutter = field(init=False)
+    _seen_failures: int = 0
+    _next_calm_at: float = 0.0
 
     def __post_init__(self) -> None:
         self._cutter = WindowCutter(self.evidence)
@@ -61,13 +66,25 @@
         """
         self.evidence.ejected = ejected
         self.judge.eject(tuple(ejected))
-        window = self._cutter.close_window()
-        if window:
-            self.judge.take_window(window)
-            self.judgement = self.judge.judge()
-        is_urgent = bool(window) and self.judgement.is_suspicious
+        is_urgent = False
+        if self._is_due(now):
+            self._next_calm_at = now + CALM_WINDOW_S
+            is_urgent = self._judge_window()
         return self.reporter.collect_reports(aggregators, now, is_urgent=is_urgent)
 
+    def _is_due(self, now: float) -> bool:
+        return now >= self._next_calm_at or self.evidence.new_failures != self._seen_failures
+
+    def _judge_window(self) -> bool:
+        """Return whether the window leaves the version under suspicion."""
+        self._seen_failures = self.evidence.new_failures
+        window = self._cutter.close_window()
+        if not window:
+            return False
+        self.judge.take_window(window)
+        self.judgement = self.judge.judge()
+        return self.judgement.is_suspicious
+
 
 @dataclass(slots=True)
 class Aggregation:
