--- a/packages/app/src/corianderwall/app/main.py
+++ b/packages/app/src/corianderwall/app/main.py
@@ -3,6 +3,7 @@
 import click
 
 from corianderwall.app.command import demo
+from corianderwall.ctl.main import ctl
 from corianderwall.node.main import check, keys, node
 
 
@@ -16,6 +17,7 @@
 main.add_command(check)
 main.add_command(keys)
 main.add_command(demo)
+main.add_command(ctl)
 
 if __name__ == "__main__":
     main()
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -212,7 +212,7 @@
         tokens = self._settings.operators.tokens
         operators = OperatorApp(self._backend, tokens, self._timer, self._random)
         root = SiteRoot(operators=operators.build_resource(), admin=admin.app.resource())
-        site = OperatorSite(root)  # type: ignore[no-untyped-call]
+        site = OperatorSite(root)
         self._site_port = self._reactor.listenTCP(address.port, site, interface=address.host)
 
     async def _join(self) -> None:
