--- /dev/null
+++ b/packages/bench/src/corianderwall/bench/running.py
@@ -0,0 +1,52 @@
+"""Runs a measurement in the reactor of its own process."""
+
+import asyncio
+import sys
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import uvloop
+from twisted.internet import asyncioreactor
+from twisted.internet.defer import Deferred
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from twisted.python.failure import Failure
+
+Result = TypeVar("Result")
+
+
+def install_reactor() -> Any:
+    """Install Twisted's asyncio reactor on uvloop, unless there is one, and return it."""
+    if "twisted.internet.reactor" not in sys.modules:
+        loop = uvloop.new_event_loop()
+        asyncio.set_event_loop(loop)
+        install: Any = asyncioreactor.install
+        install(loop)
+    from twisted.internet import reactor
+
+    return reactor
+
+
+def run_session(session: "Callable[[], Coroutine[Any, Any, Result]]") -> Result:
+    """Run `session` in the reactor and return its result; once in a process."""
+    reactor = install_reactor()
+    results: list[Result] = []
+    failures: list[Failure] = []
+
+    def start() -> None:
+        ended = Deferred.fromCoroutine(session())
+        ended.addCallbacks(results.append, failures.append)
+        ended.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if failures:
+        failures[0].raiseException()
+    return results[0]
+
+
+async def pause(seconds: float) -> None:
+    """Let the reactor run for `seconds`."""
+    sleeping = asyncio.get_event_loop().create_task(asyncio.sleep(seconds))
+    await Deferred.fromFuture(sleeping)
--- a/packages/httpflow/src/corianderwall/httpflow/attempt.py
+++ b/packages/httpflow/src/corianderwall/httpflow/attempt.py
@@ -76,6 +76,22 @@
         """Take the result; a body without `complete` is truncated."""
 
 
+class NoReceiver:
+    """Stands in for the receiver of an attempt that has finished."""
+
+    def receive_head(self, head: AnswerHead) -> None:
+        """Ignore the head."""
+
+    def receive_body(self, data: bytes) -> None:
+        """Ignore the body."""
+
+    def finish(self, result: AttemptResult) -> None:
+        """Ignore the result."""
+
+
+NO_RECEIVER = NoReceiver()
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """The sink of the request's body and the source of the answer's body.
@@ -180,7 +196,11 @@
             head=head,
             complete=error is None and not self.refused,
         )
-        self.receiver.finish(result)
+        receiver = self.receiver
+        # Without reference cycles the collector finds nothing to do for a call.
+        self.receiver = NO_RECEIVER
+        self.connection = None
+        receiver.finish(result)
 
     def _judge(self) -> Verdict:
         if self.refused or not self.handed_over:
--- a/packages/httpflow/src/corianderwall/httpflow/call.py
+++ b/packages/httpflow/src/corianderwall/httpflow/call.py
@@ -196,7 +196,7 @@
         """Reset the connection, so that a truncated answer never looks whole."""
         connection = self._connection
         if connection is not None:
-            self._connection = None
+            self._release()
             connection.abort_call(self)
 
     def receive_chunk(self, data: bytes) -> None:
@@ -219,10 +219,11 @@
 
     def lose_caller(self) -> None:
         """Take note that the caller has left."""
-        self._connection = None
-        if self._sink is not None and not self.body_done:
-            self._sink.abort_body()
-        callback, self.on_hang_up = self.on_hang_up, None
+        sink = self._sink if not self.body_done else None
+        callback = self.on_hang_up
+        self._release()
+        if sink is not None:
+            sink.abort_body()
         if callback is not None:
             callback()
 
@@ -232,12 +233,17 @@
         self.answered = True
         return self._connection
 
+    def _release(self) -> None:
+        self._connection = None
+        self._sink = None
+        self.answer_source = None
+        self.on_hang_up = None
+
     def _keeps_alive(self, connection: "ServerConnection") -> bool:
         return self.keep_alive and self.body_done and not connection.draining
 
     def _end_call(self, connection: "ServerConnection", keep: bool) -> None:
-        self._connection = None
-        self.on_hang_up = None
+        self._release()
         connection.end_call(self, keep and self.body_done)
 
 
--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -173,7 +173,6 @@
         """Reset the connection in the middle of the answer to `call`."""
         self._active = None
         self._state.running_calls -= 1
-        call.on_hang_up = None
         self._drop_waiting()
         self._deaf = True
         self._transport.abort()
--- a/packages/httpflow/tests/test_server.py
+++ b/packages/httpflow/tests/test_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 
 import pytest
 import pytest_twisted
@@ -191,6 +192,36 @@
     assert server.running_calls == 0
 
 
+@pytest_twisted.ensureDeferred
+async def test_calls_leave_no_cycles_for_the_garbage_collector(opened, tools) -> None:
+    class Answerer:
+        def handle(self, call) -> None:
+            call.respond(200, [], b"ok")
+
+    _, inner = await open_server(opened, Answerer())
+    _, outer = await open_server(opened, Forwarder(inner, tools))
+
+    async def send_calls() -> None:
+        for method, body in ((b"GET", b""), (b"POST", b"abc")) * 20:
+            receiver = tools.Receiver()
+            outer.send(tools.make_call(method, body=body), receiver)
+            await receiver.done
+
+    await send_calls()
+    gc.collect()
+    gc.disable()
+    try:
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        await send_calls()
+        gc.collect()
+        kinds = {type(each).__name__ for each in gc.garbage}
+    finally:
+        gc.set_debug(0)
+        gc.garbage.clear()
+        gc.enable()
+    assert not kinds & {"IncomingCall", "Attempt", "OutgoingCall", "Relay", "RequestHead"}
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_truncated_answer_is_truncated_behind_the_relay(opened, tools) -> None:
     holder = Holder()
