--- a/packages/bench/src/corianderwall/bench/processes.py
+++ b/packages/bench/src/corianderwall/bench/processes.py
@@ -22,10 +22,19 @@
 
 
 class ChildProcess:
-    """One Python module run as a process; it is ended by its own id only."""
+    """One program run as a process; it is ended by its own id only."""
 
     def __init__(self, module: str, *arguments: str) -> None:
-        command = [sys.executable, "-m", module, *arguments]
+        self._start([sys.executable, "-m", module, *arguments])
+
+    @classmethod
+    def run(cls, *command: str) -> "ChildProcess":
+        """Start a program by its path."""
+        child = cls.__new__(cls)
+        child._start(list(command))
+        return child
+
+    def _start(self, command: list[str]) -> None:
         self._process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
 
     @property
