Test the call path of a node under faults and relay the owner's error code

Cause: an entry node told a caller that the upstream was overloaded when its endpoint had left, since the owner's refusal carried no code. Change: error answers of nodes carry x-error-code and the entry passes the code on; 17 tests of both hops on real sockets: lost answers, truncation, refusals, deadlines, hang-ups, full queues. Conclusion: verdict, code and effect of a failed call agree at both hops.

--- a/packages/node/src/corianderwall/node/answers.py
+++ b/packages/node/src/corianderwall/node/answers.py
@@ -7,9 +7,15 @@
 
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
 from corianderwall.model.verdict import Verdict
-from corianderwall.node.callhead import NOT_RUN_HEADER, RETRY_AFTER_HEADER, VERDICT_HEADER
+from corianderwall.node.callhead import (
+    ERROR_CODE_HEADER,
+    NOT_RUN_HEADER,
+    RETRY_AFTER_HEADER,
+    VERDICT_HEADER,
+)
 
 if TYPE_CHECKING:
+    from corianderwall.httpflow.attempt import AnswerHead
     from corianderwall.httpflow.call import IncomingCall
 
 STATUS_BY_CODE = {
@@ -53,7 +59,10 @@
     """Answer `call` with `error` at once and return the status."""
     status = STATUS_BY_CODE.get(error.code, 500)
     body = ErrorBody(error.code.value, error.sentence, error.effect.value)
-    headers = [(b"content-type", b"application/json")]
+    headers = [
+        (b"content-type", b"application/json"),
+        (ERROR_CODE_HEADER, error.code.value.encode("ascii")),
+    ]
     verdict = error.verdict if isinstance(error, CallError) else Verdict.NOT_RUN
     if verdict is Verdict.NOT_RUN:
         headers.append((NOT_RUN_HEADER, b"1"))
@@ -64,3 +73,12 @@
         headers.append((RETRY_AFTER_HEADER, str(seconds).encode("ascii")))
     call.respond(status, headers, msgspec.json.encode(body))
     return status
+
+
+def read_error_code(head: "AnswerHead | None") -> ErrorCode | None:
+    """Return the code in the error answer of another node, None if there is none."""
+    value = head.find_header(ERROR_CODE_HEADER) if head is not None else None
+    return None if value is None else _CODES.get(value)
+
+
+_CODES = {code.value.encode("ascii"): code for code in ErrorCode}
--- a/packages/node/src/corianderwall/node/callhead.py
+++ b/packages/node/src/corianderwall/node/callhead.py
@@ -21,6 +21,7 @@
 VERSION_HEADER = b"x-version"
 NOT_RUN_HEADER = b"x-not-run"
 VERDICT_HEADER = b"x-verdict"
+ERROR_CODE_HEADER = b"x-error-code"
 LOAD_HEADER = b"x-load"
 RETRY_AFTER_HEADER = b"retry-after"
 
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -7,7 +7,7 @@
 from corianderwall.model.outcome import AttemptOutcome
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.answerflow import AnswerFlow
-from corianderwall.node.answers import CallError, respond_error
+from corianderwall.node.answers import CallError, read_error_code, respond_error
 from corianderwall.node.callhead import (
     CALL_ID_HEADER,
     DEADLINE_HEADER,
@@ -234,7 +234,7 @@
 
     def _fail(self, result: AttemptResult, now: float) -> None:
         retry_after_s = read_retry_after(result.head)
-        match result.error:
+        match read_error_code(result.head) or result.error:
             case ErrorCode.DEADLINE_EXCEEDED:
                 code, sentence = ErrorCode.DEADLINE_EXCEEDED, "the deadline of the call has passed"
             case ErrorCode.OVERLOADED | ErrorCode.UPSTREAM_REFUSED:
--- /dev/null
+++ b/packages/node/tests/test_calls.py
@@ -0,0 +1,289 @@
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from random import Random
+
+import pytest
+import pytest_twisted
+import treq
+from twisted.internet import reactor
+from twisted.internet.task import deferLater
+from twisted.web.client import ResponseFailed
+
+from corianderwall.httpflow.server import CallServer
+from corianderwall.model.clock import SystemClock
+from corianderwall.model.endpoint import Address, Endpoint, Locality
+from corianderwall.model.errors import ErrorCode
+from corianderwall.model.resource import EMPTY_SNAPSHOT, Route, Service, Snapshot, VersionShare
+from corianderwall.node.callcontext import CallContext
+from corianderwall.node.desk import Desk
+from corianderwall.node.dispatcher import Dispatcher
+from corianderwall.node.metrics import CallMetrics
+from corianderwall.node.pools import Pools
+from corianderwall.standins.upstream import UpstreamStandin
+from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
+from corianderwall.traffic.balancer import Balancer
+from corianderwall.traffic.lease_holder import LeaseHolder
+from corianderwall.traffic.lease_issuer import LeaseIssuer
+from corianderwall.traffic.retries import RetryPolicy
+from corianderwall.traffic.shares import SubscriberShares
+
+HERE = Locality(region="midlands", zone="midlands-a")
+SNAPSHOT = Snapshot(
+    version=1,
+    services=(
+        Service(
+            name="placements",
+            versions=("v1",),
+            split=(VersionShare(version="v1", permille=1000),),
+        ),
+    ),
+    routes=(Route(name="all", service="placements", timeout_ms=2000),),
+)
+
+
+class NoMoves:
+    """Sees no running move."""
+
+    def choose_version(self, service, sticky=""):
+        return ""
+
+    def record(self, outcome):
+        return None
+
+    def list_ejected(self, service):
+        return frozenset()
+
+
+class Host:
+    """The call path of one node on real sockets, with its own upstream."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.addresses: dict[str, Address] = {}
+        clock, random, pools = SystemClock(), Random(1), Pools()
+        self.balancer = Balancer(HERE, random)
+        self.desk = Desk(
+            loop=asyncio.get_event_loop(),
+            clock=clock,
+            pools=pools,
+            issuer=LeaseIssuer(name, 1, HERE.zone, 0.0),
+            random=random,
+            shares=SubscriberShares(EMPTY_SNAPSHOT),
+            send=lambda outgoing: None,
+        )
+        context = CallContext(
+            node=name,
+            clock=clock,
+            random=random,
+            balancer=self.balancer,
+            leases=LeaseHolder(name, 1, HERE.zone),
+            pools=pools,
+            desk=self.desk,
+            moves=NoMoves(),
+            metrics=CallMetrics(),
+            retries=RetryPolicy(random),
+            call_later=asyncio.get_event_loop().call_later,
+            find_call_address=self.addresses.get,
+        )
+        self.dispatcher = Dispatcher(context, default_timeout_s=2.0)
+        self.server = CallServer(self.dispatcher)
+        self.upstream = UpstreamStandin(UpstreamSettings(slots=2, queue=2))
+
+    async def start(self) -> None:
+        self.address = await self.server.listen("127.0.0.1", 0)
+        await self.upstream.start()
+        self.endpoint = Endpoint(
+            name=f"{self.name}.1",
+            service="placements",
+            version="v1",
+            node=self.name,
+            locality=HERE,
+            address=self.upstream.address,
+            slots=2,
+            connections=20,
+        )
+        self.desk.set_endpoint(self.endpoint, time.monotonic())
+
+    def learn(self, other: "Host") -> None:
+        self.addresses[other.name] = other.address
+        self.balancer.upsert(other.endpoint, time.monotonic(), 10**9)
+
+    def stop(self) -> None:
+        self.server.stop_now()
+        self.upstream.stop()
+
+    async def call(self, method="GET", path="/x", **options):
+        return await treq.request(
+            method, f"http://{self.address}{path}", persistent=False, **options
+        )
+
+
+@pytest_twisted.async_yield_fixture
+async def entry() -> AsyncIterator[Host]:
+    host = Host("entry")
+    await host.start()
+    host.dispatcher.install(SNAPSHOT)
+    yield host
+    host.stop()
+
+
+@pytest_twisted.async_yield_fixture
+async def owner(entry: Host) -> AsyncIterator[Host]:
+    host = Host("owner")
+    await host.start()
+    entry.learn(host)
+    yield host
+    host.stop()
+
+
+async def expect_error(response, status: int, code: ErrorCode, effect: str) -> None:
+    body = await response.json()
+    assert (response.code, body["code"], body["effect"]) == (status, code.value, effect)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_call_reaches_the_endpoint_beside_its_entry(entry):
+    entry.learn(entry)
+    response = await entry.call(headers={"x-call-id": "own"})
+    assert (response.code, await response.content()) == (200, b"own." * 64)
+    assert entry.upstream.executions[b"own"] == 1
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_call_without_a_lease_goes_through_the_owner(entry, owner):
+    response = await entry.call(headers={"x-call-id": "remote"})
+    await response.content()
+    assert response.code == 200
+    assert owner.upstream.executions[b"remote"] == 1
+    assert owner.desk.running == 0
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_body_of_megabytes_passes_both_hops(entry, owner):
+    headers = {"x-call-id": "big"}
+    response = await entry.call(
+        "POST", "/bytes/3000000", headers=headers, data=b"abcdefgh" * 400_000
+    )
+    assert response.code == 200
+    assert await response.content() == b"big." * 750_000
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_call_whose_endpoint_has_left_is_tried_elsewhere(entry, owner):
+    owner.desk.clear_endpoint()
+    gone = await entry.call()
+    await expect_error(gone, 503, ErrorCode.NO_ENDPOINT, "none")
+    entry.learn(entry)
+    response = await entry.call()
+    assert response.code == 200
+
+
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize("fault", ["close-run", "hang-run"])
+async def test_a_lost_answer_of_an_unsafe_call_is_told_and_it_runs_once(entry, owner, fault):
+    headers = {"x-call-id": "once", "x-fault": fault}
+    response = await entry.call("POST", headers=headers, data=b"placement")
+    body = await response.json()
+    assert response.code in (502, 504)
+    assert body["effect"] == "unknown"
+    assert response.headers.getRawHeaders("x-verdict") == ["may_have_run"]
+    assert owner.upstream.executions[b"once"] == 1
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_lost_answer_of_an_idempotent_call_is_tried_again(entry, owner):
+    headers = {"x-call-id": "again", "x-fault": "close-run"}
+    response = await entry.call(headers=headers)
+    await response.content()
+    assert response.code == 502
+    assert owner.upstream.executions[b"again"] == 3
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_answer_cut_within_its_body_never_looks_whole(entry, owner):
+    response = await entry.call(path="/bytes/400000", headers={"x-fault": "truncate"})
+    assert response.code == 200
+    with pytest.raises(ResponseFailed):
+        await response.content()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_refusal_is_told_at_once_with_the_time_to_come_back(entry, owner):
+    headers = {"x-call-id": "refused", "x-fault": "refuse"}
+    response = await entry.call("POST", headers=headers, data=b"x")
+    await expect_error(response, 503, ErrorCode.OVERLOADED, "none")
+    assert response.headers.getRawHeaders("x-not-run") == ["1"]
+    assert int(response.headers.getRawHeaders("retry-after")[0]) >= 1
+    assert owner.upstream.executions[b"refused"] == 0
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_deadline_of_the_caller_ends_the_call_at_both_hops(entry, owner):
+    owner.upstream.set_switches(Switches(work_ms=10_000))
+    deadline = int((time.time() + 0.2) * 1000)
+    response = await entry.call(headers={"x-deadline-unix-ms": str(deadline)})
+    await expect_error(response, 504, ErrorCode.DEADLINE_EXCEEDED, "unknown")
+    await deferLater(reactor, 0.1)
+    assert owner.desk.running == 0
+    assert owner.upstream.queue.running == 0
+
+
+@pytest_twisted.ensureDeferred
+async def test_nothing_works_for_a_caller_that_has_left(entry, owner):
+    owner.upstream.set_switches(Switches(work_ms=10_000))
+    _, writer = await as_deferred(asyncio.open_connection(entry.address.host, entry.address.port))
+    writer.write(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+    while owner.upstream.queue.running == 0:
+        await deferLater(reactor, 0.01)
+    writer.transport.abort()
+    while owner.upstream.queue.running:
+        await deferLater(reactor, 0.01)
+    assert owner.desk.running == 0
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_full_queue_refuses_before_any_work(entry, owner):
+    owner.upstream.set_switches(Switches(work_ms=300))
+    calls = [entry.call("POST", data=b"x") for _ in range(40)]
+    responses = [await call for call in [start(call) for call in calls]]
+    statuses = [response.code for response in responses]
+    refused = statuses.count(503)
+    assert set(statuses) == {200, 503}
+    assert owner.upstream.counts.executions == len(statuses) - refused
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_node_without_configuration_refuses_calls(owner):
+    response = await owner.call()
+    await expect_error(response, 503, ErrorCode.NOT_READY, "none")
+
+
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize(
+    ("headers", "code"),
+    [
+        ({"x-deadline-unix-ms": "soon"}, ErrorCode.MALFORMED_REQUEST),
+        ({"x-call-id": "x" * 200}, ErrorCode.MALFORMED_REQUEST),
+        ({"x-subscriber": "caf\u00e9".encode()}, ErrorCode.NO_ENDPOINT),
+    ],
+)
+async def test_a_malformed_head_is_refused_with_its_code(entry, headers, code):
+    response = await entry.call(headers=headers)
+    assert (await response.json())["code"] == code.value
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_hop_for_an_endpoint_that_is_not_here_is_not_run(owner):
+    headers = {"x-hop": "owner", "x-endpoint": "other.1"}
+    response = await owner.call(headers=headers)
+    await expect_error(response, 503, ErrorCode.NO_ENDPOINT, "none")
+    assert owner.upstream.counts.executions == 0
+
+
+def as_deferred(coroutine):
+    return pytest_twisted.defer.Deferred.fromFuture(asyncio.ensure_future(coroutine))
+
+
+def start(coroutine):
+    return pytest_twisted.defer.Deferred.fromCoroutine(coroutine)
