Bound the calls of a node, count moves' ends and log calls of unknown effect

Cause: the setting max_running_calls had no effect, and nothing led from a call id to its fate. Change: refusal before any work beyond the limit; metric of moves ended; bounded log lines with call id, route, version and subscriber for calls that may have run. Conclusion: memory is bounded by calls, and an operator can look a call up.

--- a/packages/node/src/corianderwall/node/callcontext.py
+++ b/packages/node/src/corianderwall/node/callcontext.py
@@ -9,12 +9,16 @@
 from corianderwall.model.endpoint import Address
 from corianderwall.model.outcome import AttemptOutcome
 from corianderwall.node.desk import Desk
+from corianderwall.node.logs import LogBudget
 from corianderwall.node.metrics import CallMetrics
 from corianderwall.node.pools import Pools
 from corianderwall.traffic.balancer import Balancer
 from corianderwall.traffic.lease_holder import LeaseHolder
 from corianderwall.traffic.retries import RetryPolicy
 
+FAILURES_PER_S = 10
+"""Failed calls that one node logs in a second."""
+
 
 class MoveView(Protocol):
     """What the calls need to know of the running moves."""
@@ -45,4 +49,5 @@
     retries: RetryPolicy
     call_later: Callable[[float, Callable[[], None]], object]
     find_call_address: Callable[[str], Address | None]
-    max_attempts: int = field(default=3)
+    max_attempts: int = 3
+    log_budget: LogBudget = field(default_factory=lambda: LogBudget(FAILURES_PER_S))
--- a/packages/node/src/corianderwall/node/dispatcher.py
+++ b/packages/node/src/corianderwall/node/dispatcher.py
@@ -12,6 +12,8 @@
 from corianderwall.traffic.routing import RouteTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from corianderwall.httpflow.call import IncomingCall
     from corianderwall.model.resource import Route, Snapshot
     from corianderwall.node.callcontext import CallContext
@@ -24,9 +26,18 @@
 class Dispatcher:
     """The handler of the call server; without a snapshot it refuses every call."""
 
-    def __init__(self, context: "CallContext", default_timeout_s: float) -> None:
+    def __init__(
+        self,
+        context: "CallContext",
+        *,
+        default_timeout_s: float,
+        max_running_calls: int,
+        count_running: "Callable[[], int]",
+    ) -> None:
         self._context = context
         self._default_timeout_s = default_timeout_s
+        self._max_running_calls = max_running_calls
+        self._count_running = count_running
         self._table: RouteTable | None = None
         self._routes: dict[str, Route] = {}
 
@@ -46,6 +57,7 @@
         clock = self._context.clock
         now = clock.read_monotonic()
         try:
+            self._require_room()
             head = read_call_head(call, now=now, unix_s=clock.read_unix())
             if head.hop:
                 self._handle_hop(call, head, now)
@@ -55,6 +67,12 @@
             self._context.metrics.count_refusal(error.code)
             respond_error(call, error)
 
+    def _require_room(self) -> None:
+        if self._count_running() > self._max_running_calls:
+            raise CorianderwallError(
+                ErrorCode.OVERLOADED, "this node serves too many calls", retry_after_s=1.0
+            )
+
     def _handle_entry(self, call: "IncomingCall", head: "CallHead", now: float) -> None:
         if self._table is None:
             raise CorianderwallError(
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -20,6 +20,7 @@
     ROUTE_HEADER,
 )
 from corianderwall.node.desk import parse_load
+from corianderwall.node.logs import log_warning
 from corianderwall.traffic.retries import FailedAttempt
 
 if TYPE_CHECKING:
@@ -250,8 +251,23 @@
         error = CallError(code, sentence, self._verdict, retry_after_s=retry_after_s)
         status = respond_error(self._call, error)
         self._context.metrics.count_refusal(code)
+        self._log_failure(code, now)
         self._finish(status, now)
 
+    def _log_failure(self, code: ErrorCode, now: float) -> None:
+        """Log the calls whose effect an operator may have to look up."""
+        if self._verdict is Verdict.NOT_RUN or not self._context.log_budget.take(now):
+            return
+        log_warning(
+            "a call may have run without a whole answer",
+            call_id=self._head.call_id,
+            code=code.value,
+            route=self._choice.route,
+            service=self._choice.service,
+            service_version=self._version,
+            subscriber=self._head.subscriber,
+        )
+
     def _finish(self, status: int, now: float) -> None:
         self._done = True
         self._context.metrics.count_call(
--- a/packages/node/src/corianderwall/node/logs.py
+++ b/packages/node/src/corianderwall/node/logs.py
@@ -74,6 +74,27 @@
     globalLogPublisher.addObserver(cast("ILogObserver", _forward_twisted_event))
 
 
+class LogBudget:
+    """Lets a bounded number of lines pass in a second, and counts the others."""
+
+    def __init__(self, lines_per_s: int) -> None:
+        self._lines_per_s = lines_per_s
+        self._second = 0
+        self._lines = 0
+        self.suppressed = 0
+
+    def take(self, now: float) -> bool:
+        """Return whether a line may be written at the monotonic instant `now`."""
+        if int(now) != self._second:
+            self._second = int(now)
+            self._lines = 0
+        self._lines += 1
+        if self._lines <= self._lines_per_s:
+            return True
+        self.suppressed += 1
+        return False
+
+
 def log_event(level: int, message: str, **fields: object) -> None:
     """Log `message` with typed fields; keys and tokens are never given as fields."""
     absl_logging.log(level, message, extra={FIELDS_ATTRIBUTE: fields})
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -15,7 +15,7 @@
 from corianderwall.membership.membership import Membership
 from corianderwall.model.endpoint import EndpointState
 from corianderwall.model.errors import CorianderwallError
-from corianderwall.model.resource import EMPTY_SNAPSHOT
+from corianderwall.model.resource import EMPTY_SNAPSHOT, MoveState
 from corianderwall.model.settings import parse_address
 from corianderwall.moves.agent import MoveAgent
 from corianderwall.node.admin import AdminInterface, Announcement, Health
@@ -52,7 +52,7 @@
 if TYPE_CHECKING:
     from corianderwall.httpflow.server import DrainReport
     from corianderwall.model.endpoint import Address, Endpoint, Host
-    from corianderwall.model.resource import Snapshot
+    from corianderwall.model.resource import Move, Snapshot
     from corianderwall.node.settings import NodeSettings
     from corianderwall.store.commit import Committed
 
@@ -80,6 +80,7 @@
         self._ticker = LoopingCall(self._control.tick)
         self._role_ticker = LoopingCall(self._tick_roles)
         self._steering_busy = False
+        self._move_states: dict[str, MoveState] = {}
         self._site_port: Any = None
         self._server = CallServer(self._dispatcher)
 
@@ -144,6 +145,8 @@
         self._dispatcher = Dispatcher(
             self._context,
             default_timeout_s=self._settings.calls.default_timeout_ms / 1000,
+            max_running_calls=self._settings.calls.max_running_calls,
+            count_running=lambda: self._server.running_calls,
         )
         self._survey = LoadSurvey(
             node=host.name,
@@ -238,8 +241,17 @@
     def _note_version(self, snapshot: "Snapshot") -> None:
         self._metrics.version.set({}, snapshot.version)
         for move in snapshot.moves:
-            labels = {"service": move.service, "move": move.id}
-            self._metrics.move_share.set(labels, move.share_permille)
+            self._note_move(move)
+
+    def _note_move(self, move: "Move") -> None:
+        labels = {"service": move.service, "move": move.id}
+        self._metrics.move_share.set(labels, move.share_permille)
+        known = self._move_states.get(move.id, move.state)
+        self._move_states[move.id] = move.state
+        if known is MoveState.RUNNING and move.state is not MoveState.RUNNING:
+            outcome = {"service": move.service, "outcome": move.state.value}
+            self._metrics.moves_ended.inc(outcome)
+            log_info("a move has ended", move=move.id, outcome=move.state.value, cause=move.cause)
 
     # The upstream beside this node.
 
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -29,6 +29,7 @@
 from corianderwall.traffic.shares import SubscriberShares
 
 HERE = Locality(region="midlands", zone="midlands-a")
+MAX_RUNNING_CALLS = 50
 SNAPSHOT = Snapshot(
     version=1,
     services=(
@@ -86,7 +87,12 @@
             call_later=asyncio.get_event_loop().call_later,
             find_call_address=self.addresses.get,
         )
-        self.dispatcher = Dispatcher(context, default_timeout_s=2.0)
+        self.dispatcher = Dispatcher(
+            context,
+            default_timeout_s=2.0,
+            max_running_calls=MAX_RUNNING_CALLS,
+            count_running=lambda: self.server.running_calls,
+        )
         self.server = CallServer(self.dispatcher)
         self.upstream = UpstreamStandin(UpstreamSettings(slots=2, queue=2))
 
@@ -253,6 +259,15 @@
     assert owner.upstream.counts.executions == len(statuses) - refused
 
 
+@pytest_twisted.ensureDeferred
+async def test_calls_beyond_the_limit_of_the_node_are_refused_unread(entry, owner):
+    owner.upstream.set_switches(Switches(work_ms=300))
+    started = [start(entry.call("POST", data=b"x")) for _ in range(MAX_RUNNING_CALLS + 10)]
+    sentences = [(await (await call).content()).decode() for call in started]
+    assert any("this node serves too many calls" in sentence for sentence in sentences)
+    assert (await entry.call()).code == 200
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_node_without_configuration_refuses_calls(owner):
     response = await owner.call()
