--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -208,7 +208,12 @@
             outstanding=self._outstanding,
             cancelled=result.error is ErrorCode.CANCELLED,
         )
-        self._context.balancer.finish(outcome, now, read_retry_after(result.head))
+        self._context.balancer.finish(
+            outcome,
+            now,
+            retry_after_s=read_retry_after(result.head),
+            is_by_owner=read_error_code(result.head) is not None,
+        )
         self._context.moves.record(outcome)
         self._context.metrics.count_attempt(outcome)
 
