Ask for coarser proof at small shares and weigh each cell once

Cause: with an old version that fails 18% of its calls, a good new one got no proof at 10 per mille in 180 s (2.3 of 4.4) and was taken back at the deadline. Change: the rise of failures to be excluded is 20% at the smallest share and 4% from half of the calls on, plus half of the old version's rate; samples are weighed once per cell, not per scope.

--- a/packages/moves/src/corianderwall/moves/plan.py
+++ b/packages/moves/src/corianderwall/moves/plan.py
@@ -22,8 +22,11 @@
 CONTROL_PART = 0.5
 """Part of the soak that is first spent at the last partial share, beside the old version."""
 
-PROOF_CALLS = 90
-"""Calls that it takes to show that a version without failures is as good as the old one."""
+PROOF_CALLS = 110
+SMALL_SHARE_PROOF_CALLS = 30
+LARGE_SHARE_PERMILLE = 500
+"""Calls that it takes to show that a version without failures is as good as the old one, from
+the large share on and below it, where a coarser proof is enough."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,22 +107,26 @@
         raise _refuse("the service receives no calls, so no evidence can come")
     soak = compute_soak_ms(policy, duration)
     dwells = _list_dwells(policy.steps_permille, duration, soak)
-    calls = max(policy.min_calls_per_step, PROOF_CALLS)
     needed = compute_reserve_ms(duration)
-    slowest_share, slowest_ms = 0, 0
+    slowest_calls, slowest_share, slowest_ms = 0, 0, 0
     for share, dwell in zip(policy.steps_permille, dwells, strict=True):
+        calls = max(policy.min_calls_per_step, _count_proof_calls(share))
         waiting = math.ceil(calls * PERMILLE / (share * calls_per_s) * 1000)
         if waiting > slowest_ms:
-            slowest_share, slowest_ms = share, waiting
+            slowest_calls, slowest_share, slowest_ms = calls, share, waiting
         needed += max(dwell, waiting)
     if needed > duration:
         raise _refuse(
             f"the move needs at least {needed / 1000:.1f} s and has {duration / 1000:.1f} s; "
-            f"{calls} calls at {slowest_share} per mille of {calls_per_s:.1f} calls/s "
+            f"{slowest_calls} calls at {slowest_share} per mille of {calls_per_s:.1f} calls/s "
             f"take {slowest_ms / 1000:.1f} s"
         )
 
 
+def _count_proof_calls(share_permille: int) -> int:
+    return PROOF_CALLS if share_permille >= LARGE_SHARE_PERMILLE else SMALL_SHARE_PROOF_CALLS
+
+
 def _refuse(reason: str) -> CorianderwallError:
     return CorianderwallError(ErrorCode.DEADLINE_UNREACHABLE, reason)
 
--- a/packages/moves/src/corianderwall/moves/reference.py
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -76,6 +76,8 @@
     _recent: dict[Stratum, _Tally] = field(default_factory=dict)
     _windows: deque[list[_Sparse]] = field(default_factory=deque)
     _quantiles: dict[_QuantileKey, int] = field(default_factory=dict)
+    _latency_shifts: dict[_QuantileKey, int] = field(default_factory=dict)
+    _failure_shifts: dict[Stratum, float] = field(default_factory=dict)
 
     def take_window(self, window: Window) -> None:
         """Count the old version's calls of a window."""
@@ -87,6 +89,8 @@
         if not added:
             return
         self._quantiles.clear()
+        self._latency_shifts.clear()
+        self._failure_shifts.clear()
         self._windows.append(added)
         for sparse in added:
             _add(self._whole, sparse, 1)
@@ -166,7 +170,13 @@
         return rate, weight
 
     def _find_failure_shift(self, stratum: Stratum) -> float:
-        return max(self._measure_failure_shift(group) for group in _list_shift_groups(stratum))
+        shift = 0.0
+        for group in _list_shift_groups(stratum):
+            measured = self._failure_shifts.get(group)
+            if measured is None:
+                measured = self._failure_shifts[group] = self._measure_failure_shift(group)
+            shift = max(shift, measured)
+        return shift
 
     def _measure_failure_shift(self, group: Stratum) -> float:
         recent = self._recent.get(group)
@@ -179,9 +189,15 @@
         return max(0.0, (excess + spread) / recent.calls) if excess > 1.5 * spread else 0.0
 
     def _find_latency_shift(self, stratum: Stratum, quantile: float) -> int:
-        return max(
-            self._measure_latency_shift(group, quantile) for group in _list_shift_groups(stratum)
-        )
+        shift = 0
+        for group in _list_shift_groups(stratum):
+            key = _QuantileKey(group, quantile)
+            measured = self._latency_shifts.get(key)
+            if measured is None:
+                measured = self._measure_latency_shift(group, quantile)
+                self._latency_shifts[key] = measured
+            shift = max(shift, measured)
+        return shift
 
     def _measure_latency_shift(self, group: Stratum, quantile: float) -> int:
         recent = self._recent.get(group)
--- a/packages/moves/src/corianderwall/moves/scopes.py
+++ b/packages/moves/src/corianderwall/moves/scopes.py
@@ -1,7 +1,7 @@
 """The parts of a version's calls that are tested on their own, and what is tested of them."""
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from corianderwall.moves.detector import (
@@ -16,13 +16,16 @@
 from corianderwall.moves.histogram import scale_bucket
 from corianderwall.moves.reference import Reference, Stratum
 
-SLOW_QUANTILE = 0.75
-TAIL_QUANTILE = 0.95
 SLOW_MARGIN = 0.03
 """Granted to the rates over a latency threshold, as the threshold itself is estimated."""
 
 MATERIAL_FAILURE_RATE = 0.04
-"""Rise of the failure rate over the tolerated one that a step must exclude."""
+"""Rise of the failure rate over the tolerated one that must be excluded at large shares."""
+
+SMALL_SHARE_FAILURE_RATE = 0.2
+"""The same at the smallest shares, where few calls come and few are at risk."""
+
+LARGE_SHARE_PERMILLE = 500
 
 MATERIAL_FAILURE_FACTOR = 0.5
 """Added to that rise for each failure of the old version, as it then takes more to matter."""
@@ -45,6 +48,9 @@
     TAIL = "very slow calls"
 
 
+QUANTILES: Mapping[Metric, float] = {Metric.SLOW: 0.75, Metric.TAIL: 0.95}
+"""The old version's quantiles from which the latency thresholds are made."""
+
 EXCESSES: Mapping[Metric, tuple[float, ...]] = {
     Metric.FAILURES: FAILURE_EXCESSES,
     Metric.SLOW: SLOW_EXCESSES,
@@ -61,28 +67,71 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CellSamples:
-    """The samples of one cell of the new version, by metric, and the usual rates."""
-
-    samples: Mapping[Metric, Sample]
-    usual_failure_rate: float
+class CellEvidence:
+    """What the calls of one cell say: samples and log likelihood ratios by metric.
 
+    The clearances are log likelihood ratios for "as good as the old version" against
+    "materially worse".
+    """
 
-def draw_samples(
-    key: CellKey, cell: Cell, zone: str, reference: Reference, tolerance: Tolerance
-) -> CellSamples:
-    """Return the samples of a cell against the old version in the same stratum."""
+    samples: Mapping[Metric, Sample]
+    log_ratios: Mapping[Metric, Sequence[float]]
+    failure_clearance: float
+    slow_clearance: float
+
+
+def choose_material_rate(share_permille: int) -> float:
+    """Return the rise of the failure rate that must be excluded before the share is raised."""
+    rest = max(0.0, 1 - share_permille / LARGE_SHARE_PERMILLE)
+    return MATERIAL_FAILURE_RATE + rest * (SMALL_SHARE_FAILURE_RATE - MATERIAL_FAILURE_RATE)
+
+
+def weigh_cell(
+    key: CellKey,
+    cell: Cell,
+    zone: str,
+    reference: Reference,
+    tolerance: Tolerance,
+    material_rate: float,
+) -> CellEvidence:
+    """Return what a cell says against the old version in the same stratum."""
     stratum = Stratum(key.route, zone, key.level)
-    usual = reference.estimate_failure_rate(stratum)
-    null = reference.bound_failure_rate(stratum) + tolerance.failure_rate
-    samples = {Metric.FAILURES: Sample(cell.calls, cell.failures, null)}
+    samples = {Metric.FAILURES: _draw_failures(cell, stratum, reference, tolerance)}
     answered = sum(cell.buckets)
-    for metric, quantile in ((Metric.SLOW, SLOW_QUANTILE), (Metric.TAIL, TAIL_QUANTILE)):
+    for metric, quantile in QUANTILES.items():
         bucket = reference.find_latency_bucket(stratum, quantile)
         if answered and bucket >= 0:
             over = sum(cell.buckets[scale_bucket(bucket, tolerance.slowdown) :])
             samples[metric] = Sample(answered, over, 1 - quantile + SLOW_MARGIN)
-    return CellSamples(samples, usual)
+    usual = reference.estimate_failure_rate(stratum)
+    return CellEvidence(
+        samples=samples,
+        log_ratios={
+            metric: compute_log_ratios(sample, EXCESSES[metric])
+            for metric, sample in samples.items()
+        },
+        failure_clearance=_clear_failures(samples[Metric.FAILURES], usual, material_rate),
+        slow_clearance=_clear_slow(samples.get(Metric.SLOW)),
+    )
+
+
+def _draw_failures(
+    cell: Cell, stratum: Stratum, reference: Reference, tolerance: Tolerance
+) -> Sample:
+    null = reference.bound_failure_rate(stratum) + tolerance.failure_rate
+    return Sample(cell.calls, cell.failures, null)
+
+
+def _clear_failures(sample: Sample, usual_rate: float, material_rate: float) -> float:
+    worse = sample.null_rate + material_rate + MATERIAL_FAILURE_FACTOR * usual_rate
+    return compute_log_clearance(Sample(sample.calls, sample.hits, worse), usual_rate + RATE_FLOOR)
+
+
+def _clear_slow(sample: Sample | None) -> float:
+    if sample is None:
+        return 0.0
+    worse = Sample(sample.calls, sample.hits, sample.null_rate + MATERIAL_SLOW_RATE)
+    return compute_log_clearance(worse, sample.null_rate)
 
 
 @dataclass(slots=True)
@@ -135,8 +184,7 @@
 class ScopeTest:
     """The tests of one scope: the whole version, one route or one endpoint.
 
-    The clearances are log likelihood ratios for "as good as the old version" against
-    "materially worse", since the last step.
+    The clearances and `step_calls` count from the last step.
     """
 
     detectors: dict[Metric, Detector] = field(default_factory=_start_detectors)
@@ -145,15 +193,18 @@
     step_calls: int = 0
     _pending: dict[Metric, list[float]] = field(default_factory=dict)
 
-    def take_cell(self, drawn: CellSamples) -> None:
-        """Count the samples of a cell within the window that is open."""
-        for metric, sample in drawn.samples.items():
-            ratios = compute_log_ratios(sample, EXCESSES[metric])
+    def take_cell(self, weighed: CellEvidence) -> None:
+        """Count the evidence of a cell within the window that is open."""
+        for metric, ratios in weighed.log_ratios.items():
             before = self._pending.get(metric)
-            if before is not None:
-                ratios = [old + new for old, new in zip(before, ratios, strict=True)]
-            self._pending[metric] = ratios
-        self._take_clearance(drawn)
+            if before is None:
+                self._pending[metric] = list(ratios)
+            else:
+                for index, ratio in enumerate(ratios):
+                    before[index] += ratio
+        self.step_calls += weighed.samples[Metric.FAILURES].calls
+        self.failure_clearance += weighed.failure_clearance
+        self.slow_clearance += weighed.slow_clearance
 
     def close_window(self) -> None:
         """Give the window's evidence to the detectors."""
@@ -166,13 +217,3 @@
         self.failure_clearance = 0.0
         self.slow_clearance = 0.0
         self.step_calls = 0
-
-    def _take_clearance(self, drawn: CellSamples) -> None:
-        failures = drawn.samples[Metric.FAILURES]
-        self.step_calls += failures.calls
-        material = Sample(failures.calls, failures.hits, failures.null_rate + MATERIAL_FAILURE_RATE)
-        self.failure_clearance += compute_log_clearance(material, drawn.usual_failure_rate + 0.002)
-        slow = drawn.samples.get(Metric.SLOW)
-        if slow is not None:
-            material = Sample(slow.calls, slow.hits, slow.null_rate + MATERIAL_SLOW_RATE)
-            self.slow_clearance += compute_log_clearance(material, slow.null_rate)
--- a/packages/moves/src/corianderwall/moves/watch.py
+++ b/packages/moves/src/corianderwall/moves/watch.py
@@ -100,7 +100,7 @@
 
     def tick(self, move: Move, ejected: frozenset[str]) -> Judgement:
         """Judge the reports that came since the last tick."""
-        self.judge.start_step(move.step)
+        self.judge.start_step(move.step, move.share_permille)
         self.judge.eject(tuple(ejected))
         window = self.pool.close_window()
         if window:
