--- /dev/null
+++ b/packages/bench/src/corianderwall/bench/mesh.py
@@ -0,0 +1,191 @@
+"""A mesh for measurements: node processes with upstreams beside them and a stand-in platform."""
+
+import json
+import socket
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import treq
+
+from corianderwall.bench.processes import ChildProcess
+from corianderwall.bench.running import pause
+from corianderwall.links.keys import generate_key_ring
+from corianderwall.model.endpoint import Address
+from corianderwall.standins.platform import PlatformStandin
+
+LOOPBACK = "127.0.0.1"
+OPERATOR = "bench"
+TOKEN = "token-of-the-bench-operator"
+SERVICE = "measured"
+VERSION = "v1"
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.1
+PROGRAM = "corianderwall.app.main"
+
+_SETTINGS = """
+[host]
+name = "{name}"
+region = "midlands"
+zone = "{zone}"
+call_address = "{call}"
+peer_address = "{peer}"
+admin_address = "{admin}"
+[mesh]
+public_key = '{public}'
+secret_key = '{secret}'
+[platform]
+url = "http://127.0.0.1:{platform}"
+[operators]
+tokens = {{ {operator} = "{token}" }}
+[calls]
+default_timeout_ms = {timeout_ms}
+[log]
+level = "error"
+"""
+
+
+class MeshNotReadyError(Exception):
+    """The mesh did not become ready in time."""
+
+
+@dataclass(slots=True)
+class MeshNode:
+    """One node process with its addresses; `settings` is its file."""
+
+    name: str
+    call: Address
+    admin: Address
+    settings: Path
+    process: ChildProcess
+
+    def start_again(self) -> None:
+        """Start the process anew after its end, as a host that comes back."""
+        self.process = start_node(self.settings)
+
+
+class Mesh:
+    """Starts the platform in this process and every node as a process of its own."""
+
+    def __init__(self, *, timeout_ms: int = 15_000) -> None:
+        self.nodes: list[MeshNode] = []
+        self._platform = PlatformStandin()
+        self._platform_port = 0
+        self._keys = generate_key_ring()
+        self._timeout_ms = timeout_ms
+        self._directory = tempfile.TemporaryDirectory()
+
+    async def start(self, zones: list[str]) -> None:
+        """Start one node in each of `zones`."""
+        self._platform_port = await self._platform.start()
+        for number, zone in enumerate(zones):
+            self.nodes.append(self._start_node(f"host-{number}", zone))
+
+    async def configure(self) -> None:
+        """Create the service with one route for all paths, and wait until it is in force."""
+        await self.wait_until_answered("/health", anything=True)
+        service = {
+            "name": SERVICE,
+            "versions": [VERSION],
+            "split": [{"version": VERSION, "permille": 1000}],
+        }
+        await self._operate_until_done("PutService", {"service": service})
+        route = {
+            "name": "all",
+            "service": SERVICE,
+            "path_prefix": "/",
+            "timeout_ms": self._timeout_ms,
+        }
+        await self._operate_until_done("PutRoute", {"route": route})
+
+    async def wait_until_serving(self) -> None:
+        """Wait until every node answers calls from an upstream."""
+        for node in self.nodes:
+            await wait_for_answer(f"http://{node.call}/bytes/1", anything=False)
+
+    async def wait_until_answered(self, path: str, *, anything: bool) -> None:
+        """Wait until every node answers `path` on its local address."""
+        for node in self.nodes:
+            await wait_for_answer(f"http://{node.admin}{path}", anything=anything)
+
+    async def stop(self) -> None:
+        """End all processes and the platform."""
+        for node in self.nodes:
+            node.process.kill()
+        await self._platform.stop()
+        self._directory.cleanup()
+
+    def _start_node(self, name: str, zone: str) -> MeshNode:
+        call, peer, admin = find_free_addresses(3)
+        path = Path(self._directory.name) / f"{name}.toml"
+        path.write_text(
+            _SETTINGS.format(
+                name=name,
+                zone=zone,
+                call=call,
+                peer=peer,
+                admin=admin,
+                public=self._keys.public,
+                secret=self._keys.secret,
+                platform=self._platform_port,
+                operator=OPERATOR,
+                token=TOKEN,
+                timeout_ms=self._timeout_ms,
+            )
+        )
+        return MeshNode(name, call, admin, path, start_node(path))
+
+    async def _operate_until_done(self, method: str, body: dict[str, Any]) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while True:
+            answer = await self._operate(method, body)
+            if "code" not in answer:
+                return
+            if time.monotonic() > deadline:
+                raise MeshNotReadyError(f"{method} failed: {answer}")
+            await pause(POLL_S)
+
+    async def _operate(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
+        response = await treq.post(
+            f"http://{self.nodes[0].admin}/corianderwall.v1.Operators/{method}",
+            json.dumps(body).encode(),
+            headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
+        )
+        answer: dict[str, Any] = json.loads(await response.text())
+        return answer
+
+
+async def wait_for_answer(url: str, *, anything: bool) -> None:
+    """Wait until `url` is answered with 200, or with `anything`."""
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    why = "no answer"
+    while time.monotonic() < deadline:
+        try:
+            response = await treq.get(url, persistent=False)
+            await response.content()
+        except Exception as error:
+            why = str(error)
+        else:
+            if anything or response.code == 200:
+                return
+            why = f"status {response.code}"
+        await pause(POLL_S)
+    raise MeshNotReadyError(f"{url}: {why}")
+
+
+def start_node(settings: Path) -> ChildProcess:
+    """Start the program with a settings file."""
+    return ChildProcess(PROGRAM, "node", str(settings))
+
+
+def find_free_addresses(count: int) -> list[Address]:
+    """Return addresses on loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((LOOPBACK, 0))
+    ports = [int(each.getsockname()[1]) for each in sockets]
+    for each in sockets:
+        each.close()
+    return [Address(host=LOOPBACK, port=port) for port in ports]
--- a/packages/bench/src/corianderwall/bench/processes.py
+++ b/packages/bench/src/corianderwall/bench/processes.py
@@ -1,5 +1,6 @@
 """Processes that a measurement starts and ends: stand-ins, nodes, load generators."""
 
+import atexit
 import os
 import signal
 import subprocess
@@ -27,6 +28,8 @@
     def __init__(self, module: str, *arguments: str) -> None:
         command = [sys.executable, "-m", module, *arguments]
         self._process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        # An interrupted measurement leaves no process behind.
+        atexit.register(self.kill)
 
     @property
     def process_id(self) -> int:
--- a/packages/bench/src/corianderwall/bench/running.py
+++ b/packages/bench/src/corianderwall/bench/running.py
@@ -17,7 +17,10 @@
 
 
 def install_reactor() -> Any:
-    """Install Twisted's asyncio reactor on uvloop, unless there is one, and return it."""
+    """Install Twisted's asyncio reactor on uvloop, unless there is one, and return it.
+
+    To be called before anything imports the reactor, as `treq` and `klein` do.
+    """
     if "twisted.internet.reactor" not in sys.modules:
         loop = uvloop.new_event_loop()
         asyncio.set_event_loop(loop)
@@ -25,6 +28,8 @@
         install(loop)
     from twisted.internet import reactor
 
+    if not isinstance(reactor, asyncioreactor.AsyncioSelectorReactor):
+        raise RuntimeError("another reactor was installed before")
     return reactor
 
 
@@ -43,6 +48,8 @@
     reactor.run()
     if failures:
         failures[0].raiseException()
+    if not results:
+        raise RuntimeError("the session was interrupted")
     return results[0]
 
 
--- a/packages/standins/src/corianderwall/standins/upstream.py
+++ b/packages/standins/src/corianderwall/standins/upstream.py
@@ -34,6 +34,7 @@
     cancelled: int = 0
     expired: int = 0
     ran_twice: int = 0
+    faults: int = 0
     connections: int = 0
 
 
--- a/packages/standins/src/corianderwall/standins/upstream_job.py
+++ b/packages/standins/src/corianderwall/standins/upstream_job.py
@@ -69,6 +69,7 @@
             path, upstream.queue.running, upstream.loop.time(), _read_fault(self._call)
         )
         fault = self._plan.fault
+        upstream.counts.faults += fault is not None
         if fault is Fault.HANG:
             return
         if fault is Fault.CLOSE_UNRUN:
