Prove the whole path by scenarios on processes

Cause: nothing showed that the parts hold together under kills, pauses and outages. Change: 13 behave scenarios on node and upstream processes: outage of the platform, lost answers, racing operators, restarts of one and all nodes, a paused node, graceful stops, kills with calls in flight, an upstream that goes silent; the stand-in platform as a process; one template of settings for tests and the demo. A node that comes back while the platform is down finds nobody to join through; the step for lost answers named a switch that is not there. Conclusion: the first is a fault of the product: seeds of the settings and of the platform exclude each other.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,11 @@
+"""Starts a fleet of processes for each scenario and ends it afterwards."""
+
+from fleet import Fleet
+
+
+def before_scenario(context, scenario):
+    context.fleet = Fleet()
+
+
+def after_scenario(context, scenario):
+    context.fleet.stop()
--- /dev/null
+++ b/features/fleet.py
@@ -0,0 +1,201 @@
+"""Processes of one scenario: the stand-in platform, nodes, and upstreams beside them."""
+
+import json
+import os
+import tempfile
+import threading
+import time
+import urllib.error
+import urllib.request
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from signal import SIGCONT, SIGSTOP, SIGTERM
+
+from corianderwall.bench.processes import ChildProcess
+from corianderwall.links.keys import generate_key_ring
+from corianderwall.model.endpoint import Address
+from corianderwall.standins.node_file import TOKEN, NodeFile, find_free_addresses
+
+POLL_S = 0.05
+WAIT_S = 20.0
+"""Longest wait for anything; no scenario asserts how long it took."""
+SERVICE = "placements"
+
+
+@dataclass
+class FleetHost:
+    """One node, with its settings file and the upstream beside it."""
+
+    file: NodeFile
+    path: Path
+    node: ChildProcess
+    upstream: ChildProcess | None = None
+    upstream_address: Address | None = None
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An HTTP answer; status 0 means that there was none."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    @property
+    def json(self):
+        return json.loads(self.body or b"{}")
+
+
+class Fleet:
+    def __init__(self):
+        self.hosts: dict[str, FleetHost] = {}
+        self.folder = tempfile.TemporaryDirectory()
+        self.keys = generate_key_ring()
+        self.platform = ChildProcess("corianderwall.standins", "platform")
+        self.platform_address = self.platform.read_address()
+        self.versions_seen: dict[str, list[int]] = {}
+
+    def start_host(self, name, *, zone, region="midlands"):
+        call, peer, admin = find_free_addresses(3)
+        file = NodeFile(
+            name=name,
+            region=region,
+            zone=zone,
+            call=call,
+            peer=peer,
+            admin=admin,
+            public_key=self.keys.public,
+            secret_key=self.keys.secret,
+            platform_url=f"http://{self.platform_address}",
+            timeout_ms=5000,
+            log_level="error",
+        )
+        path = Path(self.folder.name) / f"{name}.toml"
+        path.write_text(file.render())
+        self.hosts[name] = FleetHost(file, path, run_node(path))
+
+    def restart_node(self, name):
+        host = self.hosts[name]
+        host.node.kill()
+        host.node = run_node(host.path)
+
+    def start_upstream(self, name, version, *options):
+        host = self.hosts[name]
+        host.upstream = ChildProcess(
+            "corianderwall.standins",
+            "upstream",
+            *("--service", SERVICE, "--version", version),
+            *("--node-port", str(host.file.admin.port)),
+            *options,
+        )
+        host.upstream_address = host.upstream.read_address()
+
+    def pause_node(self, name):
+        self.hosts[name].node.signal(SIGSTOP)
+
+    def resume_node(self, name):
+        self.hosts[name].node.signal(SIGCONT)
+
+    def terminate_node(self, name):
+        self.hosts[name].node.signal(SIGTERM)
+
+    def switch_platform(self, **switches):
+        body = json.dumps(switches).encode()
+        answer = fetch(f"http://{self.platform_address}/switches", method="PUT", body=body)
+        assert answer.status in (200, 204), answer
+
+    def operate(self, name, method, body, *, token=TOKEN):
+        address = self.hosts[name].file.admin
+        return fetch(
+            f"http://{address}/corianderwall.v1.Operators/{method}",
+            method="POST",
+            body=json.dumps(body).encode(),
+            headers={"authorization": f"Bearer {token}", "content-type": "application/json"},
+        )
+
+    def call(self, name, path="/placements/1", **options):
+        return fetch(f"http://{self.hosts[name].file.call}{path}", **options)
+
+    def read_version(self, name):
+        answer = fetch(f"http://{self.hosts[name].file.admin}/ready")
+        version = answer.json.get("version", 0) if answer.status == 200 else None
+        if version is not None:
+            self.versions_seen.setdefault(name, []).append(version)
+        return version
+
+    def read_counts(self, name):
+        return fetch(f"http://{self.hosts[name].upstream_address}/standin/counts").json
+
+    def wait(self, condition, what):
+        deadline = time.monotonic() + WAIT_S
+        while not condition():
+            assert time.monotonic() < deadline, f"waited in vain: {what}"
+            time.sleep(POLL_S)
+
+    def wait_ready(self, names=None):
+        for name in names or self.hosts:
+            self.wait(lambda name=name: self.read_version(name) is not None, f"{name} ready")
+
+    def wait_version(self, version, names=None):
+        for name in names or self.hosts:
+            self.wait(
+                lambda name=name: (self.read_version(name) or 0) >= version,
+                f"version {version} at {name}",
+            )
+
+    def stop(self):
+        for host in self.hosts.values():
+            host.node.signal(SIGCONT)
+            host.node.kill()
+            if host.upstream is not None:
+                host.upstream.kill()
+        self.platform.kill()
+        self.folder.cleanup()
+
+
+class Callers:
+    """Calls all entries in turn from threads until stopped, and keeps every answer."""
+
+    def __init__(self, fleet, names, *, threads=8, method="GET"):
+        self.answers = []
+        self._fleet = fleet
+        self._names = names
+        self._method = method
+        self._stopped = threading.Event()
+        self._pool = ThreadPoolExecutor(threads)
+        for number in range(threads):
+            self._pool.submit(self._run, number)
+
+    def stop(self):
+        self._stopped.set()
+        self._pool.shutdown()
+        return self.answers
+
+    def _run(self, number):
+        while not self._stopped.is_set():
+            number += 1
+            name = self._names[number % len(self._names)]
+            self.answers.append(self._fleet.call(name, method=self._method))
+
+
+def run_node(path):
+    return ChildProcess("corianderwall.app.main", "node", str(path))
+
+
+def fetch(url, *, method="GET", body=None, headers=None):
+    request = urllib.request.Request(url, data=body, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=WAIT_S) as response:
+            return Answer(response.status, response.read(), dict(response.headers))
+    except urllib.error.HTTPError as error:
+        return Answer(error.code, error.read(), dict(error.headers))
+    except OSError as error:
+        return Answer(0, str(error).encode(), {})
+
+
+def split_words(text):
+    return [word for word in text.replace(",", " ").split() if word != "and"]
+
+
+os.environ.setdefault("PYTHONUNBUFFERED", "1")
--- /dev/null
+++ b/features/steps/call_steps.py
@@ -0,0 +1,111 @@
+import json
+import time
+from signal import SIGSTOP, SIGTERM
+
+from behave import then, when
+from fleet import Callers, fetch, split_words
+
+STREAM_S = 1.0
+"""How long callers call before and after a fault."""
+
+
+@when("callers call nodes {names} without a pause")
+def start_calling(context, names):
+    context.callers = Callers(context.fleet, split_words(names))
+    time.sleep(STREAM_S)
+
+
+@when("callers post to nodes {names} without a pause")
+def start_posting(context, names):
+    context.callers = Callers(context.fleet, split_words(names), method="POST")
+    time.sleep(STREAM_S)
+
+
+@when("node {name} is told to stop")
+def terminate_node(context, name):
+    context.fleet.terminate_node(name)
+
+
+@then("node {name} exits with {code:d}")
+def check_node_exit(context, name, code):
+    assert context.fleet.hosts[name].node.wait() == code
+
+
+@when("the upstream beside node {name} is told to stop")
+def terminate_upstream(context, name):
+    context.fleet.hosts[name].upstream.signal(SIGTERM)
+
+
+@then("the upstream beside node {name} exits with {code:d}")
+def check_upstream_exit(context, name, code):
+    assert context.fleet.hosts[name].upstream.wait() == code
+
+
+@then("every call was answered with {status:d}")
+def check_statuses(context, status):
+    answers = context.callers.stop()
+    wrong = [answer for answer in answers if answer.status != status]
+    assert len(answers) > 100, len(answers)
+    assert not wrong, (len(wrong), wrong[:3])
+
+
+@when("node {name} is killed")
+def kill_node(context, name):
+    context.fleet.hosts[name].node.kill()
+    time.sleep(STREAM_S)
+
+
+@when("the upstream beside node {name} is killed")
+def kill_upstream(context, name):
+    context.fleet.hosts[name].upstream.kill()
+    time.sleep(STREAM_S)
+
+
+@then("every answer says truly whether the call ran")
+def check_verdicts(context):
+    context.answers = context.callers.stop()
+    for answer in context.answers:
+        assert answer.status in (200, 502, 503, 504), answer
+        if answer.status == 200:
+            continue
+        said_not_run = answer.headers.get("x-not-run") == "1"
+        said_unknown = answer.headers.get("x-verdict") == "may_have_run"
+        assert said_not_run != said_unknown, answer
+    assert sum(answer.status == 200 for answer in context.answers) > 100
+
+
+@then("nothing ran twice")
+def check_executions(context):
+    executions = {}
+    for host in context.fleet.hosts.values():
+        answer = fetch(f"http://{host.upstream_address}/standin/executions")
+        for call_id, count in (json.loads(answer.body) if answer.status == 200 else {}).items():
+            executions[call_id] = executions.get(call_id, 0) + count
+    twice = {call_id: count for call_id, count in executions.items() if count > 1}
+    assert executions
+    assert not twice, twice
+
+
+@then("calls are answered with {status:d} again")
+def check_recovered(context, status):
+    for name in ("a", "b"):
+        context.fleet.wait(
+            lambda name=name: all(context.fleet.call(name).status == status for _ in range(5)),
+            f"{name} answers {status}",
+        )
+
+
+@when("the upstream beside node {name} stops to announce itself")
+def freeze_upstream(context, name):
+    context.fleet.hosts[name].upstream.signal(SIGSTOP)
+
+
+@then("calls no longer reach the upstream beside node {name}")
+def check_unreached(context, name):
+    def lists_endpoint():
+        answer = context.fleet.operate("a", "ListEndpoints", {})
+        return any(each["node"] == name for each in answer.json["endpoints"])
+
+    context.fleet.wait(lambda: not lists_endpoint(), "the endpoint is withdrawn")
+    answers = [context.fleet.call(entry) for entry in ("a", "b") for _ in range(20)]
+    assert {answer.status for answer in answers} == {200}
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,188 @@
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from fleet import SERVICE, split_words
+
+
+@given("nodes {names} in zones {zones}")
+def start_nodes(context, names, zones):
+    context.names = split_words(names)
+    for name, zone in zip(context.names, split_words(zones), strict=True):
+        context.fleet.start_host(name, zone=f"zone-{zone}")
+
+
+@given("an upstream of version {version} beside each")
+def start_upstreams(context, version):
+    for name in context.names:
+        context.fleet.start_upstream(name, version)
+
+
+@given("the service and its route are in force")
+def configure(context):
+    context.fleet.wait_ready()
+    service = {
+        "name": SERVICE,
+        "versions": ["v1", "v2"],
+        "split": [{"version": "v1", "permille": 1000}],
+    }
+    change(context, "PutService", {"service": service})
+    route = {"name": "all", "service": SERVICE, "path_prefix": "/"}
+    context.version = change(context, "PutRoute", {"route": route}).json["version"]
+    context.fleet.wait_version(context.version)
+    for name in context.names:
+        context.fleet.wait(lambda name=name: context.fleet.call(name).status == 200, "first call")
+
+
+@when("a caller calls every node")
+def call_every_node(context):
+    context.answers = [context.fleet.call(name) for name in context.names for _ in range(5)]
+
+
+@then("every call is answered by version {version}")
+def check_version(context, version):
+    found = {(answer.status, answer.headers.get("x-version")) for answer in context.answers}
+    assert found == {(200, version)}, found
+
+
+@when("the platform goes down")
+def stop_platform(context):
+    context.fleet.switch_platform(down=True)
+
+
+@when("the platform comes back")
+def resume_platform(context):
+    context.fleet.switch_platform(down=False)
+
+
+@when("the platform loses its next {count:d} answers to writes")
+def lose_answers(context, count):
+    context.fleet.switch_platform(lose_answers=count)
+
+
+@then("a change through node {name} fails without effect")
+def check_refused_change(context, name):
+    answer = put_subscriber(context, name, "refused")
+    assert answer.status == 503, answer
+    assert answer.json["effect"] == "EFFECT_NONE", answer
+
+
+@then("a change through node {name} is in force at every node")
+def check_change(context, name):
+    context.fleet.wait(
+        lambda: put_subscriber(context, name, "accepted").status == 200, "the change is accepted"
+    )
+    context.version += 1
+    context.fleet.wait_version(context.version)
+
+
+@when("a change is made through node {name}")
+def make_change(context, name):
+    answer = put_subscriber(context, name, "accepted")
+    assert answer.status == 200, answer
+    context.version = answer.json["version"]
+
+
+@when("node {name} is killed and comes back")
+def restart_node(context, name):
+    context.fleet.read_version(name)
+    context.fleet.restart_node(name)
+
+
+@when("all nodes are killed and come back")
+def restart_all(context):
+    for name in context.names:
+        context.fleet.read_version(name)
+        context.fleet.hosts[name].node.kill()
+    for name in context.names:
+        context.fleet.restart_node(name)
+
+
+@then("node {name} serves the version it had")
+def check_node_version(context, name):
+    context.fleet.wait_ready([name])
+    context.fleet.wait(lambda: context.fleet.call(name).status == 200, f"{name} serves calls")
+
+
+@then("every node serves the version it had")
+def check_all_versions(context):
+    for name in context.names:
+        check_node_version(context, name)
+
+
+@then("no node ever showed an older version")
+def check_monotonic(context):
+    for name, versions in context.fleet.versions_seen.items():
+        assert versions == sorted(versions), (name, versions)
+        assert versions[-1] >= context.version, (name, versions)
+
+
+@then("the change stands in the audit trail once")
+def check_audit_once(context):
+    records = read_audit(context)
+    kinds = [record["summary"] for record in records if "accepted" in record["summary"]]
+    assert len(kinds) == 1, records
+
+
+@when("{count:d} operators change the configuration through all nodes at once")
+def race_operators(context, count):
+    def race(number):
+        name = context.names[number % len(context.names)]
+        return put_subscriber(context, name, f"racer-{number}")
+
+    with ThreadPoolExecutor(count) as pool:
+        context.results = list(pool.map(race, range(count)))
+
+
+@then("every accepted change stands in the audit trail once")
+def check_race(context):
+    accepted = [result.json["operation_id"] for result in context.results if result.status == 200]
+    audited = [record["operation_id"] for record in read_audit(context)]
+    assert accepted
+    assert all(audited.count(operation) == 1 for operation in accepted), (accepted, audited)
+    versions = [record["to_version"] for record in read_audit(context)]
+    assert versions == list(range(len(versions), 0, -1)), versions
+    context.version = versions[0]
+
+
+@then("the newest version is in force at every node")
+def check_newest(context):
+    context.fleet.wait_version(context.version)
+
+
+@when("node {name} is paused")
+def pause_node(context, name):
+    context.fleet.read_version(name)
+    context.fleet.pause_node(name)
+
+
+@when("node {name} wakes up")
+def resume_node(context, name):
+    context.fleet.resume_node(name)
+
+
+@when("a stranger with another token makes a change through node {name}")
+def make_foreign_change(context, name):
+    body = {"subscriber": {"name": "stranger", "share": 1}}
+    context.answer = context.fleet.operate(
+        name, "PutSubscriber", body, token="a-token-of-somebody-else"
+    )
+
+
+@then("it is refused as unauthenticated")
+def check_unauthenticated(context):
+    assert (context.answer.status, context.answer.json["code"]) == (401, "CW200"), context.answer
+
+
+def change(context, method, body):
+    answer = context.fleet.operate(context.names[0], method, body)
+    assert answer.status == 200, answer
+    return answer
+
+
+def put_subscriber(context, node, name):
+    return context.fleet.operate(node, "PutSubscriber", {"subscriber": {"name": name, "share": 2}})
+
+
+def read_audit(context):
+    answer = context.fleet.operate(context.names[0], "ListAudit", {"limit": 100})
+    return answer.json["records"]
--- a/packages/app/src/corianderwall/app/demo.py
+++ b/packages/app/src/corianderwall/app/demo.py
@@ -9,7 +9,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from corianderwall.app.scene import LOOPBACK, Placement, Scene
+from corianderwall.app.scene import Placement, Scene
+from corianderwall.model.endpoint import Address
 from corianderwall.standins.upstream_settings import BadKind, BadRule, Switches
 
 ZONES = ("midlands-a", "midlands-b", "midlands-c")
@@ -111,8 +112,8 @@
         return answer
 
     async def _call_once(self) -> None:
-        port = self._scene.hosts[0].call_port
-        response = await treq.get(f"http://{LOOPBACK}:{port}/placements/1")
+        address = self._scene.hosts[0].call
+        response = await treq.get(f"http://{address}/placements/1")
         await response.content()
         _require(response.code == 200, f"the first call was answered {response.code}")
         version = (response.headers.getRawHeaders("x-version") or ["?"])[0]
@@ -127,11 +128,11 @@
     def _send_call(self) -> None:
         hosts = self._scene.hosts
         self._next += 1
-        port = hosts[self._next % len(hosts)].call_port
-        Deferred.fromCoroutine(self._call(port, self._next))
+        address = hosts[self._next % len(hosts)].call
+        Deferred.fromCoroutine(self._call(address, self._next))
 
-    async def _call(self, port: int, number: int) -> None:
-        response = await treq.get(f"http://{LOOPBACK}:{port}/placements/{number}")
+    async def _call(self, address: Address, number: int) -> None:
+        response = await treq.get(f"http://{address}/placements/{number}")
         await response.content()
         self._tally.add(response.code)
 
--- a/packages/app/src/corianderwall/app/scene.py
+++ b/packages/app/src/corianderwall/app/scene.py
@@ -1,7 +1,6 @@
 """A whole mesh on loopback in one process: stand-ins, nodes and callers."""
 
 import json
-import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -10,8 +9,10 @@
 from twisted.internet.task import deferLater
 
 from corianderwall.links.keys import generate_key_ring
+from corianderwall.model.endpoint import Address
 from corianderwall.node.session import Node
 from corianderwall.node.settings import parse_node_settings
+from corianderwall.standins.node_file import LOOPBACK, TOKEN, NodeFile, find_free_addresses
 from corianderwall.standins.platform import PlatformStandin
 from corianderwall.standins.upstream import UpstreamStandin
 from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
@@ -19,31 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from corianderwall.links.keys import KeyRing
-
-LOOPBACK = "127.0.0.1"
-TOKEN = "token-of-the-demo-operator"
-OPERATOR = "demo"
-PORTS_PER_NODE = 3
+ADDRESSES_PER_NODE = 3
 POLL_S = 0.1
 
-_SETTINGS = """
-[host]
-name = "{name}"
-region = "{region}"
-zone = "{zone}"
-call_address = "127.0.0.1:{call}"
-peer_address = "127.0.0.1:{peer}"
-admin_address = "127.0.0.1:{admin}"
-[mesh]
-public_key = '{public}'
-secret_key = '{secret}'
-[platform]
-url = "http://127.0.0.1:{platform}"
-[operators]
-tokens = {{ {operator} = "{token}" }}
-"""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Placement:
@@ -62,8 +41,8 @@
     """A node with its ports and the upstream beside it."""
 
     node: Node
-    call_port: int
-    admin_port: int
+    call: Address
+    admin: Address
     upstream: UpstreamStandin | None
 
 
@@ -85,9 +64,20 @@
 
     async def start_host(self, placement: Placement) -> RunningHost:
         """Start one node, and the upstream beside it if there is one."""
-        call, peer, admin = find_free_ports(PORTS_PER_NODE)
-        text = _render(placement, call, peer, admin, self._keys, self._platform_port)
-        node = Node(parse_node_settings(text.encode(), placement.name), self.reactor)
+        call, peer, admin = find_free_addresses(ADDRESSES_PER_NODE)
+        file = NodeFile(
+            name=placement.name,
+            region=placement.region,
+            zone=placement.zone,
+            call=call,
+            peer=peer,
+            admin=admin,
+            public_key=self._keys.public,
+            secret_key=self._keys.secret,
+            platform_url=f"http://{LOOPBACK}:{self._platform_port}",
+        )
+        settings = parse_node_settings(file.render().encode(), placement.name)
+        node = Node(settings, self.reactor)
         await node.start()
         upstream = None
         if placement.service:
@@ -96,7 +86,7 @@
                     service=placement.service,
                     version=placement.version,
                     node_host=LOOPBACK,
-                    node_port=admin,
+                    node_port=admin.port,
                     switches=placement.switches or Switches(work_ms=2),
                 )
             )
@@ -116,9 +106,9 @@
 
     async def call_operator(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
         """Make one operators' call at the first node; return the answer, an error too."""
-        port = self.hosts[0].admin_port
+        address = self.hosts[0].admin
         response = await treq.post(
-            f"http://{LOOPBACK}:{port}/corianderwall.v1.Operators/{method}",
+            f"http://{address}/corianderwall.v1.Operators/{method}",
             json.dumps(body).encode(),
             headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
         )
@@ -137,32 +127,3 @@
     async def pause(self, seconds: float) -> None:
         """Wait."""
         await deferLater(self.reactor, seconds)
-
-
-def find_free_ports(count: int) -> list[int]:
-    """Return ports on loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((LOOPBACK, 0))
-    ports = [int(each.getsockname()[1]) for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
-def _render(
-    placement: Placement, call: int, peer: int, admin: int, keys: "KeyRing", platform: int
-) -> str:
-    return _SETTINGS.format(
-        name=placement.name,
-        region=placement.region,
-        zone=placement.zone,
-        call=call,
-        peer=peer,
-        admin=admin,
-        public=keys.public,
-        secret=keys.secret,
-        platform=platform,
-        operator=OPERATOR,
-        token=TOKEN,
-    )
--- a/packages/bench/src/corianderwall/bench/mesh.py
+++ b/packages/bench/src/corianderwall/bench/mesh.py
@@ -157,7 +157,7 @@
         return answer
 
 
-async def wait_for_answer(url: str, *, anything: bool) -> None:
+async def wait_for_answer(url: str, *, anything: bool, poll_s: float = POLL_S) -> None:
     """Wait until `url` is answered with 200, or with `anything`."""
     deadline = time.monotonic() + READY_TIMEOUT_S
     why = "no answer"
@@ -171,7 +171,7 @@
             if anything or response.code == 200:
                 return
             why = f"status {response.code}"
-        await pause(POLL_S)
+        await pause(poll_s)
     raise MeshNotReadyError(f"{url}: {why}")
 
 
--- a/packages/standins/src/corianderwall/standins/__main__.py
+++ b/packages/standins/src/corianderwall/standins/__main__.py
@@ -2,6 +2,7 @@
 
 import click
 
+from corianderwall.standins.platform_command import platform
 from corianderwall.standins.upstream_command import upstream
 
 
@@ -11,6 +12,7 @@
 
 
 main.add_command(upstream)
+main.add_command(platform)
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/packages/standins/src/corianderwall/standins/node_file.py
@@ -0,0 +1,86 @@
+"""Settings files of nodes on loopback, for tests, the demo and measurements."""
+
+import socket
+from dataclasses import dataclass
+
+from corianderwall.model.endpoint import Address
+
+LOOPBACK = "127.0.0.1"
+OPERATOR = "tester"
+TOKEN = "token-of-the-tester"
+
+_TEMPLATE = """
+[host]
+name = "{name}"
+region = "{region}"
+zone = "{zone}"
+rack = "{rack}"
+call_address = "{call}"
+peer_address = "{peer}"
+admin_address = "{admin}"
+[mesh]
+public_key = '{public_key}'
+secret_key = '{secret_key}'
+[platform]
+url = "{platform_url}"
+reads_per_s = {reads_per_s}
+writes_per_s = {writes_per_s}
+[operators]
+tokens = {{ {operator} = "{token}" }}
+[calls]
+default_timeout_ms = {timeout_ms}
+[log]
+level = "{log_level}"
+"""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NodeFile:
+    """What differs between the nodes of a test."""
+
+    name: str
+    zone: str
+    call: Address
+    peer: Address
+    admin: Address
+    public_key: str
+    secret_key: str
+    platform_url: str
+    region: str = "midlands"
+    rack: str = ""
+    timeout_ms: int = 15_000
+    log_level: str = "warning"
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 300.0
+
+    def render(self) -> str:
+        """Return the text of the file."""
+        return _TEMPLATE.format(
+            name=self.name,
+            zone=self.zone,
+            call=self.call,
+            peer=self.peer,
+            admin=self.admin,
+            public_key=self.public_key,
+            secret_key=self.secret_key,
+            platform_url=self.platform_url,
+            region=self.region,
+            rack=self.rack,
+            timeout_ms=self.timeout_ms,
+            log_level=self.log_level,
+            reads_per_s=self.reads_per_s,
+            writes_per_s=self.writes_per_s,
+            operator=OPERATOR,
+            token=TOKEN,
+        )
+
+
+def find_free_addresses(count: int) -> list[Address]:
+    """Return addresses on loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((LOOPBACK, 0))
+    ports = [int(each.getsockname()[1]) for each in sockets]
+    for each in sockets:
+        each.close()
+    return [Address(host=LOOPBACK, port=port) for port in ports]
