Join through the nodes of the settings and those of the platform

Cause: a node with seeds in its settings never asked the platform, and one without never got anywhere while the platform was down; a scenario showed it (a node that comes back in an outage). Change: settings first, the platform's list after 1 s without an answer; scenarios name seeds.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -56,24 +56,28 @@
         self.platform_address = self.platform.read_address()
         self.versions_seen: dict[str, list[int]] = {}
 
-    def start_host(self, name, *, zone, region="midlands"):
-        call, peer, admin = find_free_addresses(3)
-        file = NodeFile(
-            name=name,
-            region=region,
-            zone=zone,
-            call=call,
-            peer=peer,
-            admin=admin,
-            public_key=self.keys.public,
-            secret_key=self.keys.secret,
-            platform_url=f"http://{self.platform_address}",
-            timeout_ms=5000,
-            log_level="error",
-        )
-        path = Path(self.folder.name) / f"{name}.toml"
-        path.write_text(file.render())
-        self.hosts[name] = FleetHost(file, path, run_node(path))
+    def start_hosts(self, zones):
+        """Start a node for each name in `zones`; each knows all others as seeds."""
+        addresses = {name: find_free_addresses(3) for name in zones}
+        seeds = {name: f"{name}@{peer}" for name, (_, peer, _) in addresses.items()}
+        for name, zone in zones.items():
+            call, peer, admin = addresses[name]
+            file = NodeFile(
+                name=name,
+                zone=zone,
+                call=call,
+                peer=peer,
+                admin=admin,
+                public_key=self.keys.public,
+                secret_key=self.keys.secret,
+                platform_url=f"http://{self.platform_address}",
+                seeds=tuple(seed for other, seed in seeds.items() if other != name),
+                timeout_ms=5000,
+                log_level="error",
+            )
+            path = Path(self.folder.name) / f"{name}.toml"
+            path.write_text(file.render())
+            self.hosts[name] = FleetHost(file, path, run_node(path))
 
     def restart_node(self, name):
         host = self.hosts[name]
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -7,8 +7,8 @@
 @given("nodes {names} in zones {zones}")
 def start_nodes(context, names, zones):
     context.names = split_words(names)
-    for name, zone in zip(context.names, split_words(zones), strict=True):
-        context.fleet.start_host(name, zone=f"zone-{zone}")
+    placed = zip(context.names, split_words(zones), strict=True)
+    context.fleet.start_hosts({name: f"zone-{zone}" for name, zone in placed})
 
 
 @given("an upstream of version {version} beside each")
@@ -56,7 +56,7 @@
 
 @when("the platform loses its next {count:d} answers to writes")
 def lose_answers(context, count):
-    context.fleet.switch_platform(lose_answers=count)
+    context.fleet.switch_platform(lost_answers=count)
 
 
 @then("a change through node {name} fails without effect")
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -56,6 +56,9 @@
     from corianderwall.node.settings import NodeSettings
     from corianderwall.store.commit import Committed
 
+SEED_WAIT_S = 1.0
+"""How long the nodes named in the settings are awaited before the platform is asked for others."""
+
 ROLE_INTERVAL_S = 1.0
 """Time between two looks at the roles that this node holds and the work they need."""
 
@@ -221,9 +224,13 @@
     async def _join(self) -> None:
         seeds = [parse_seed(text) for text in self._settings.mesh.seeds]
         hosts = tuple(make_seed_host(seed.name, seed.address) for seed in seeds)
-        if not hosts:
-            hosts = await self._platform.find_seeds()
-        self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
+        if hosts:
+            self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
+            await self._timer.sleep(SEED_WAIT_S)
+        if not self.membership.has_joined:
+            known = await self._platform.find_seeds()
+            hosts = (*hosts, *known)
+            self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
 
     # What the platform and operators bring.
 
--- a/packages/standins/src/corianderwall/standins/node_file.py
+++ b/packages/standins/src/corianderwall/standins/node_file.py
@@ -21,6 +21,7 @@
 [mesh]
 public_key = '{public_key}'
 secret_key = '{secret_key}'
+seeds = [{seeds}]
 [platform]
 url = "{platform_url}"
 reads_per_s = {reads_per_s}
@@ -48,6 +49,7 @@
     platform_url: str
     region: str = "midlands"
     rack: str = ""
+    seeds: tuple[str, ...] = ()
     timeout_ms: int = 15_000
     log_level: str = "warning"
     reads_per_s: float = 2000.0
@@ -66,6 +68,7 @@
             platform_url=self.platform_url,
             region=self.region,
             rack=self.rack,
+            seeds=", ".join(f'"{seed}"' for seed in self.seeds),
             timeout_ms=self.timeout_ms,
             log_level=self.log_level,
             reads_per_s=self.reads_per_s,
