Void the suspicions of hosts that restarted, and repair lost ones

Cause: the state machine over the cores found that a host restarted without memory left its old accusations behind: others kept a live host as unreachable for 150 s.

Change: suspicions of an earlier session or of a dead accuser are dropped; heartbeats carry a digest of the active suspicions, and what stays different is sent again.

--- a/packages/distribution/tests/conftest.py
+++ b/packages/distribution/tests/conftest.py
@@ -208,3 +208,8 @@
         return fleet
 
     return build
+
+
+@pytest.fixture
+def fleet_type() -> type[Fleet]:
+    return Fleet
--- a/packages/membership/src/corianderwall/membership/antientropy.py
+++ b/packages/membership/src/corianderwall/membership/antientropy.py
@@ -1,6 +1,6 @@
 """Repair of views that differ for longer than gossip takes."""
 
-from corianderwall.membership.messages import BucketKeys, RecordsWanted, ViewSummary
+from corianderwall.membership.messages import BucketKeys, Heartbeat, RecordsWanted, ViewSummary
 from corianderwall.membership.records import BUCKETS
 from corianderwall.membership.view import View
 from corianderwall.model.message import Outgoing
@@ -14,18 +14,28 @@
 
     def __init__(self, view: View) -> None:
         self._view = view
-        self._differing: dict[str, int] = {}
-
-    def note_digest(self, peer: str, digest: int) -> list[Outgoing]:
-        """Take the digest of a peer's view; start a comparison when it stays different."""
-        if digest == self._view.table.digest:
-            self._differing.pop(peer, None)
-            return []
-        self._differing[peer] = self._differing.get(peer, 0) + 1
-        if self._differing[peer] < DIFFERING_HEARTBEATS:
-            return []
-        del self._differing[peer]
-        return [Outgoing(peer, ViewSummary(self._view.table.buckets))]
+        self._differing: dict[tuple[str, str], int] = {}
+
+    def note_digests(self, peer: str, heartbeat: Heartbeat) -> list[Outgoing]:
+        """Take the digests of a peer; repair what stays different."""
+        table, suspicions = self._view.table, self._view.suspicions
+        if self._stays(peer, "suspicions", heartbeat.suspicion_digest != suspicions.digest):
+            for suspicion in suspicions.list_all():
+                self._view.queues.add_suspicion(peer, suspicion)
+        if self._stays(peer, "records", heartbeat.view_digest != table.digest):
+            return [Outgoing(peer, ViewSummary(table.buckets))]
+        return []
+
+    def _stays(self, peer: str, subject: str, is_different: bool) -> bool:
+        key = (peer, subject)
+        if not is_different:
+            self._differing.pop(key, None)
+            return False
+        self._differing[key] = self._differing.get(key, 0) + 1
+        if self._differing[key] < DIFFERING_HEARTBEATS:
+            return False
+        del self._differing[key]
+        return True
 
     def compare_buckets(self, peer: str, summary: ViewSummary) -> list[Outgoing]:
         """Answer with the keys of the buckets that differ."""
--- a/packages/membership/src/corianderwall/membership/membership.py
+++ b/packages/membership/src/corianderwall/membership/membership.py
@@ -178,7 +178,7 @@
             outgoing.append(Outgoing(peer, RecordsWanted((peer,))))
         elif record.life is not Life.LIVE:
             outgoing.append(Outgoing(peer, Gossip(records=pack_records([record]))))
-        outgoing += self._repair.note_digest(peer, message.view_digest)
+        outgoing += self._repair.note_digests(peer, message)
         return outgoing
 
     def _handle_gossip(self, peer: str, message: Gossip, now: float) -> list[Outgoing]:
--- a/packages/membership/src/corianderwall/membership/messages.py
+++ b/packages/membership/src/corianderwall/membership/messages.py
@@ -69,12 +69,13 @@
     rename={
         "incarnation": "i",
         "view_digest": "v",
+        "suspicion_digest": "s",
         "hears_you": "h",
         "wants_reply": "r",
         "advert": "a",
     },
 ):
-    """A sign of life with the digest of the sender's view.
+    """A sign of life with the digests of the sender's view.
 
     `hears_you` tells whether the sender heard the receiver lately. `advert` is a short value
     that the membership carries for the distribution of configuration.
@@ -82,6 +83,7 @@
 
     incarnation: int
     view_digest: int
+    suspicion_digest: int = 0
     hears_you: bool = True
     wants_reply: bool = False
     advert: bytes = b""
--- a/packages/membership/src/corianderwall/membership/suspicions.py
+++ b/packages/membership/src/corianderwall/membership/suspicions.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import xxhash
+
 from corianderwall.membership.messages import Suspicion
 
 
@@ -18,6 +20,8 @@
     def __init__(self, life_s: float) -> None:
         self._life_s = life_s
         self._by_subject: dict[str, dict[str, _Entry]] = {}
+        self.digest = 0
+        """Digest of the suspicions that have not been taken back: 64 bits, 0 for none."""
 
     def store(self, suspicion: Suspicion, now: float) -> bool:
         """Store a suspicion and return whether it was news."""
@@ -25,9 +29,20 @@
         held = entries.get(suspicion.accuser)
         if held is not None and held.suspicion.sequence >= suspicion.sequence:
             return False
+        if held is not None:
+            self._toggle(held.suspicion)
+        self._toggle(suspicion)
         entries[suspicion.accuser] = _Entry(suspicion, now + self._life_s)
         return True
 
+    def forget_accuser(self, accuser: str, before_sequence: int) -> None:
+        """Forget what a host said in an earlier session, or before it was gone."""
+        for entries in self._by_subject.values():
+            entry = entries.get(accuser)
+            if entry is not None and entry.suspicion.sequence < before_sequence:
+                self._toggle(entry.suspicion)
+                del entries[accuser]
+
     def list_accusers(self, subject: str, incarnation: int) -> list[str]:
         """Return who now suspects this incarnation of a host."""
         entries = self._by_subject.get(subject, {})
@@ -41,13 +56,10 @@
         """Iterate over the hosts that somebody has spoken of."""
         return iter(list(self._by_subject))
 
-    def list_active(self) -> list[Suspicion]:
-        """Return all suspicions that have not been taken back."""
+    def list_all(self) -> list[Suspicion]:
+        """Return the newest word of each accuser about each subject, also if taken back."""
         return [
-            entry.suspicion
-            for entries in self._by_subject.values()
-            for entry in entries.values()
-            if entry.suspicion.active
+            entry.suspicion for entries in self._by_subject.values() for entry in entries.values()
         ]
 
     def expire(self, now: float) -> bool:
@@ -56,8 +68,14 @@
         for subject, entries in list(self._by_subject.items()):
             lapsed = [accuser for accuser, entry in entries.items() if entry.expires_at <= now]
             for accuser in lapsed:
+                self._toggle(entries[accuser].suspicion)
                 del entries[accuser]
                 forgotten = True
             if not entries:
                 del self._by_subject[subject]
         return forgotten
+
+    def _toggle(self, suspicion: Suspicion) -> None:
+        if suspicion.active:
+            key = f"{suspicion.accuser}/{suspicion.subject}/{suspicion.sequence}"
+            self.digest ^= xxhash.xxh3_64_intdigest(key.encode())
--- a/packages/membership/src/corianderwall/membership/view.py
+++ b/packages/membership/src/corianderwall/membership/view.py
@@ -1,5 +1,6 @@
 """The replicated view of one node: records, suspicions, and what follows from them."""
 
+import sys
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -135,6 +136,9 @@
 
     def store_suspicion(self, suspicion: Suspicion, source: str, now: float) -> None:
         """Take a suspicion over if it is news, refute it if it is about this host."""
+        accuser = self.table.get(suspicion.accuser)
+        if accuser is not None and suspicion.sequence < _find_first_sequence(accuser):
+            return
         if not self.suspicions.store(suspicion, now):
             return
         self._are_statuses_stale = True
@@ -199,6 +203,7 @@
         self._note_endpoints(before.endpoints if before else (), after.endpoints)
         if after.life is not Life.LIVE:
             self.statuses.forget(after.host.name)
+        self.suspicions.forget_accuser(after.host.name, _find_first_sequence(after))
         self._note_life(before, after)
 
     def _note_life(self, before: Record | None, after: Record) -> None:
@@ -268,3 +273,8 @@
 
 def _has_moved(before: Record, after: Record) -> bool:
     return before.host.locality != after.host.locality
+
+
+def _find_first_sequence(accuser: Record) -> int:
+    """Return the least sequence of suspicions that still count; sequences begin at the session."""
+    return accuser.session if accuser.life is Life.LIVE else sys.maxsize
--- a/packages/membership/src/corianderwall/membership/watching.py
+++ b/packages/membership/src/corianderwall/membership/watching.py
@@ -72,6 +72,7 @@
             Heartbeat(
                 incarnation=self._view.me.incarnation,
                 view_digest=self._view.table.digest,
+                suspicion_digest=self._view.suspicions.digest,
                 hears_you=self.detector.hears(peer, now),
                 wants_reply=wants_reply,
                 advert=self.advert,
