--- a/packages/distribution/tests/test_distributor.py
+++ b/packages/distribution/tests/test_distributor.py
@@ -188,6 +188,25 @@
     assert core.read_rollout(1).is_complete
 
 
+def test_a_restarted_host_is_not_counted_before_it_is_ready(build_fleet: Build) -> None:
+    fleet = build_fleet(10)
+    put_services(fleet, 1)
+    fleet.run(1.0)
+    fleet.is_platform_up = False
+    fleet.is_cut = lambda sender, receiver: False
+    fleet.stop("host-007")
+    fleet.start("host-007")
+    fleet.step()
+    assert not fleet.nodes["host-007"].distributor.is_ready
+    fleet.run(0.3)
+    core = fleet.nodes["host-001"].distributor
+    fleet.send("host-001", core.start_wait(1, fleet.now + 10.0, fleet.now))
+    fleet.run(0.3)
+    assert core.read_rollout(1).lacking == ("host-007",)
+    fleet.run(6.0)
+    assert core.read_rollout(1).is_complete
+
+
 def test_regions_apart_converge_when_they_meet(build_fleet: Build) -> None:
     fleet = build_fleet(20)
     regions = {name: host.locality.region for name, host in fleet.hosts.items()}
