--- a/Makefile
+++ b/Makefile
@@ -18,14 +18,14 @@
 setup: $(VENV)/ready
 
 demo: setup
-	@$(RUN) -m corianderwall.bench demo
+	@$(RUN) -m corianderwall.app.main demo
 
 test: setup
 	@$(RUN) -m pytest
 	@$(RUN) -m behave --no-capture --format progress features
 
 measure: setup
-	@$(RUN) -m corianderwall.bench measure $(WHAT) $(ARGS)
+	@$(RUN) -m corianderwall.bench $(WHAT) $(ARGS)
 
 format: setup
 	@$(BIN)/black -q .
