Let seeds be named later without undoing the joining

Cause: the node names further seeds while it runs; each call made has_joined false again, and before the first call it was true, so that every node of a herd would have watched the platform.

Change: join adds seeds; a host has joined once one answered or it was given none.

--- a/packages/membership/src/corianderwall/membership/seeding.py
+++ b/packages/membership/src/corianderwall/membership/seeding.py
@@ -15,6 +15,7 @@
 EARLY_ASKS = 10
 """How often each seed is asked at the shorter interval."""
 
+MAX_SEEDS = 32
 SAMPLE_SIZE = 32
 """Hosts in the answer of a seed that has given out enough whole views; anti-entropy with
 those brings the rest."""
@@ -32,7 +33,7 @@
         self._seeds: list[Host] = []
         self._asked = 0
         self._next_ask_at = 0.0
-        self._is_answered = True
+        self._is_answered = False
         self._window_ends_at = 0.0
         self._whole_views_left = 0
 
@@ -46,9 +47,12 @@
         return next((seed for seed in self._seeds if seed.name == name), None)
 
     def start(self, seeds: Iterable[Host], now: float) -> list[Outgoing]:
-        """Ask the first seed."""
-        self._seeds = [seed for seed in seeds if seed.name != self._view.me.name]
-        self._is_answered = not self._seeds
+        """Add seeds and ask the next one; without any seed this host is the first."""
+        added = {seed.name: seed for seed in seeds if seed.name != self._view.me.name}
+        kept = [seed for seed in self._seeds if seed.name not in added]
+        self._seeds = [*kept, *added.values()][-MAX_SEEDS:]
+        self._is_answered = self._is_answered or not self._seeds
+        self._next_ask_at = now
         return self.tick(now)
 
     def tick(self, now: float) -> list[Outgoing]:
--- a/packages/membership/tests/test_membership.py
+++ b/packages/membership/tests/test_membership.py
@@ -1,3 +1,4 @@
+import random
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -15,12 +16,19 @@
     HostUnreachable,
     LinkSilent,
 )
+from corianderwall.membership.membership import Membership
 from corianderwall.membership.status import Status
-from corianderwall.model.endpoint import Address, Endpoint, EndpointState, Host
+from corianderwall.model.endpoint import Address, Endpoint, EndpointState, Host, Locality
 
 Build = Callable[..., Any]
 
 
+def make_host(index: int) -> Host:
+    address = Address(host="127.0.0.1", port=7000 + index)
+    locality = Locality(region="r", zone="z")
+    return Host(name=f"host-{index}", locality=locality, peer_address=address, call_address=address)
+
+
 def make_endpoint(host: Host, **changes: Any) -> Endpoint:
     endpoint = Endpoint(
         name=f"{host.name}-a",
@@ -204,6 +212,22 @@
     assert {len(core.list_live_hosts()) for core in net.cores.values()} == {20}
 
 
+def test_a_seed_that_is_named_later_does_not_undo_the_joining(build_net: Build) -> None:
+    net = build_net(3)
+    core = net.cores["host-001"]
+    stranger = replace(net.hosts["host-000"], name="stranger")
+    assert [each.peer for each in core.join([stranger], net.now)] == ["stranger"]
+    assert core.has_joined
+
+
+def test_a_host_has_not_joined_before_it_knows_its_seeds() -> None:
+    core = Membership(make_host(0), rng=random.Random(1), now=0.0)
+    core.tick(0.1)
+    assert not core.has_joined
+    core.join([], 0.2)
+    assert core.has_joined
+
+
 @pytest.mark.parametrize("count", [1, 2, 3])
 def test_few_hosts_see_each_other(build_net: Build, count: int) -> None:
     net = build_net(count)
