--- a/packages/node/src/corianderwall/node/desk.py
+++ b/packages/node/src/corianderwall/node/desk.py
@@ -8,7 +8,8 @@
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.callhead import ERROR_CODE_HEADER, LOAD_HEADER, RETRY_AFTER_HEADER
 from corianderwall.node.serviceload import LoadMeter
-from corianderwall.traffic.admission import Admission, Admitted, Queued, Refused
+from corianderwall.traffic.admission import Admission
+from corianderwall.traffic.decisions import Admitted, Queued, Refused
 from corianderwall.traffic.draining import EndpointDrain
 
 if TYPE_CHECKING:
