Keep the head object below the platform's limit and let the stand-in drop leases

Change: the split goes by the size of the whole object; summaries have at most 240 characters and reasons 500; DELETE /objects?prefix= makes the stand-in drop leases; the command-line client is tested against the server. Conclusion: no field of the head grows with what an operator writes.

--- a/packages/node/src/corianderwall/node/operator_changes.py
+++ b/packages/node/src/corianderwall/node/operator_changes.py
@@ -25,6 +25,7 @@
 OPERATOR_FENCING = (1 << 63) - 1
 """Token of an operator who cancels a move; it outranks every lease."""
 
+MAX_REASON_CHARACTERS = 500
 CANCELLED_CAUSE = "cancelled by operator"
 
 
@@ -60,6 +61,10 @@
 
 
 def _build_cancel_move(request: pb.CancelMoveRequest, context: ChangeContext) -> Change:
+    if len(request.reason) > MAX_REASON_CHARACTERS:
+        raise CorianderwallError(
+            ErrorCode.INVALID_ARGUMENT, f"a reason has at most {MAX_REASON_CHARACTERS} characters"
+        )
     return EndMove(
         move_id=request.move_id,
         state=MoveState.TAKEN_BACK,
--- a/packages/node/tests/test_operators.py
+++ b/packages/node/tests/test_operators.py
@@ -6,14 +6,17 @@
 import pytest
 import pytest_twisted
 import treq
+from click.testing import CliRunner
 from google.protobuf import json_format
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.threads import deferToThread
 
 from corianderwall.ctl import rpc_pb2 as pb
 from corianderwall.ctl.convert import read_error
+from corianderwall.ctl.main import ctl
 from corianderwall.model.endpoint import Address, Endpoint, Host, Locality
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
 from corianderwall.node.operator_backend import (
@@ -184,6 +187,22 @@
     assert (code, error.code) == (422, ErrorCode.DEADLINE_UNREACHABLE)
 
 
+@pytest_twisted.ensureDeferred
+async def test_the_command_line_client_speaks_with_the_server(server) -> None:
+    address = f"127.0.0.1:{server.listener.getHost().port}"
+    environment = {"CORIANDERWALL_NODES": address, "CORIANDERWALL_TOKEN": TOKEN}
+
+    async def run(command: str):
+        return await deferToThread(CliRunner().invoke, ctl, command.split(), env=environment)
+
+    assert (await run("service put placements --version v1 --version v2")).exit_code == 0
+    assert (await run("move start placements v2 --by 2030-01-01 --id spring")).exit_code == 0
+    shown = await run("--output json move status spring")
+    assert json.loads(shown.stdout)["state"] == "MOVE_STATE_RUNNING"
+    assert "asha" in (await run("audit")).stdout
+    assert "there is no service 'hifadhi'" in (await run("service delete hifadhi")).stderr
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_route_keeps_its_fields_and_the_difference_is_shown(server) -> None:
     await server.call("PutService", build_put_service(), pb.ChangeResult)
--- a/packages/standins/src/corianderwall/standins/platform.py
+++ b/packages/standins/src/corianderwall/standins/platform.py
@@ -80,6 +80,7 @@
         app.route("/objects/<path:key>", methods=["PUT"])(self._serve_write)
         app.route("/objects/<path:key>", methods=["DELETE"])(self._serve_delete)
         app.route("/objects", methods=["GET"])(self._serve_list)
+        app.route("/objects", methods=["DELETE"])(self._serve_drop)
         app.route("/switches", methods=["PUT"])(self._serve_switches)
         app.route("/counters", methods=["GET"])(self._serve_counters)
         return app
@@ -94,6 +95,20 @@
             return str(error).encode()
         return msgspec.json.encode(self.switches)
 
+    def drop_objects(self, prefix: str) -> int:
+        """Delete all objects under the prefix, leases for instance; return their number."""
+        keys = self.objects.list_keys(prefix)
+        for key in keys:
+            self.objects.delete(key, self.objects.read_revision(key))
+        return len(keys)
+
+    def _serve_drop(self, request: Any) -> bytes:
+        prefix = request.args.get(b"prefix", [b""])[0].decode()
+        if not prefix:
+            request.setResponseCode(400)
+            return b"a prefix is required"
+        return json.dumps(self.drop_objects(prefix)).encode()
+
     def _serve_counters(self, request: Any) -> bytes:
         request.setHeader("content-type", "application/json")
         return msgspec.json.encode(self.counters)
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -109,6 +109,15 @@
     assert (await put(platform, "a", b"x" * (1 << 20), 0))[0].code == 200
 
 
+@pytest_twisted.ensureDeferred
+async def test_leases_can_be_made_to_lapse(platform) -> None:
+    for key in ("leases/a", "leases/b", "config/head"):
+        await put(platform, key, b"x", 0)
+    assert (await call(platform, "DELETE", "/objects"))[0].code == 400
+    assert (await call(platform, "DELETE", "/objects?prefix=leases/"))[1] == b"2"
+    assert platform.objects.list_keys("") == ["config/head"]
+
+
 def test_the_limiter_refills_with_time() -> None:
     limiter = RateLimiter()
     assert [limiter.admit(0, 2) for _ in range(3)] == [True, True, False]
--- a/packages/store/src/corianderwall/store/document.py
+++ b/packages/store/src/corianderwall/store/document.py
@@ -14,8 +14,8 @@
 HEAD_KEY = "config/head"
 PARTS_PREFIX = "config/parts/"
 AUDIT_PREFIX = "audit/"
-MAX_INLINE_BYTES = 700 << 10
-"""Longest snapshot that is kept inside the head object, whose other fields need room too."""
+MAX_INLINE_BYTES = 900 << 10
+"""Longest head object that holds its snapshot; a longer one refers to parts."""
 
 MAX_PART_BYTES = 900 << 10
 MAX_PARTS = 64
@@ -96,19 +96,20 @@
 
 def encode_head(head: Head, undo: Delta, known_parts: tuple[Part, ...]) -> EncodedHead:
     """Return the head object of `head`; pieces equal to known parts are referred to again."""
-    body = encode_snapshot(head.snapshot)
-    pieces: tuple[Piece, ...] = ()
-    if len(body) > MAX_INLINE_BYTES:
-        pieces = _split_body(body, head.version, known_parts)
     document = HeadDocument(
         version=head.version,
         digest=head.digest,
         recent=head.recent,
-        snapshot=None if pieces else head.snapshot,
-        parts=tuple(piece.part for piece in pieces),
+        snapshot=head.snapshot,
         undo=undo,
     )
-    return EncodedHead(value=_encoder.encode(document), pieces=pieces)
+    value = _encoder.encode(document)
+    if len(value) <= MAX_INLINE_BYTES:
+        return EncodedHead(value=value, pieces=())
+    pieces = _split_body(encode_snapshot(head.snapshot), head.version, known_parts)
+    parts = tuple(piece.part for piece in pieces)
+    split = msgspec.structs.replace(document, snapshot=None, parts=parts)
+    return EncodedHead(value=_encoder.encode(split), pieces=pieces)
 
 
 def decode_head(value: bytes) -> HeadDocument:
--- a/packages/store/src/corianderwall/store/operation.py
+++ b/packages/store/src/corianderwall/store/operation.py
@@ -8,6 +8,9 @@
 from corianderwall.model.change import Change
 
 _IDENTITY = re.compile(r"([0-9a-f]{12})-[0-9a-f]{16}")
+MAX_SUMMARY_CHARACTERS = 240
+"""Longest summary, as every head carries the summaries of its newest changes."""
+
 _ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
 
@@ -36,7 +39,7 @@
     """Return one line that names the kind and the fields of a change."""
     fields = msgspec.to_builtins(change)
     words = [f"{name}={_summarise(value)}" for name, value in fields.items() if name != "type"]
-    return " ".join([read_kind(change), *words])
+    return " ".join([read_kind(change), *words])[:MAX_SUMMARY_CHARACTERS]
 
 
 def _summarise(value: object) -> str:
--- a/packages/store/tests/test_head.py
+++ b/packages/store/tests/test_head.py
@@ -6,15 +6,33 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred, succeed
 
-from corianderwall.model.change import AddVersion, Change, Operation, PutRoute, PutService
+from corianderwall.model.change import (
+    AddVersion,
+    Change,
+    EndMove,
+    Operation,
+    PutRoute,
+    PutService,
+)
 from corianderwall.model.codec import compute_digest
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
-from corianderwall.model.resource import EMPTY_SNAPSHOT, HeaderMatch, Route, Service, VersionShare
+from corianderwall.model.resource import (
+    EMPTY_SNAPSHOT,
+    HeaderMatch,
+    MoveState,
+    Route,
+    Service,
+    VersionShare,
+)
 from corianderwall.standins.memory import Fault, ManualTimer, MemoryObjectApi
 from corianderwall.store.commit import Committed
 from corianderwall.store.document import HEAD_KEY, MAX_RECENT, PARTS_PREFIX, decode_head
 from corianderwall.store.head import HeadStore, OperationState, Resolution
-from corianderwall.store.operation import make_operation_id
+from corianderwall.store.operation import (
+    MAX_SUMMARY_CHARACTERS,
+    make_operation_id,
+    summarise_change,
+)
 from corianderwall.store.sweep import sweep_objects
 
 FAR = 1e9
@@ -127,7 +145,7 @@
     operation = Operation("op-1", "asha", AddVersion("placements", "v2"))
     Deferred.fromCoroutine(bench.store.commit(operation, deadline=FAR)).addCallback(results.append)
     other.add_versions(100, MAX_RECENT + 5)
-    while not results:
+    for _ in range(100):
         bench.timer.clock.advance(0.5)
     assert results[0].version == 2
     assert results[0].head.version == MAX_RECENT + 7
@@ -205,8 +223,8 @@
     assert bench.run(bench.store.read_snapshot_at(0, deadline=FAR)) == EMPTY_SNAPSHOT
 
 
-def build_large_route(number: int) -> PutRoute:
-    values = tuple(HeaderMatch(name=f"h{each}", value="x" * 900) for each in range(300))
+def build_large_route(number: int, value: str = "x" * 900) -> PutRoute:
+    values = tuple(HeaderMatch(name=f"h{each}", value=value) for each in range(300))
     return PutRoute(Route(name=f"route-{number}", service="placements", headers=values))
 
 
@@ -223,6 +241,20 @@
     assert bench.run(bench.store.read_head(deadline=FAR)) == stored
 
 
+def test_a_large_resource_can_be_replaced(bench: Bench) -> None:
+    bench.commit("op-0", CREATE)
+    for letter in "xyz":
+        committed = bench.commit(f"op-{letter}", build_large_route(1, letter * 1750))
+    assert len(bench.api.table.read_value(HEAD_KEY)) <= 1 << 20
+    older = bench.run(bench.store.read_snapshot_at(committed.version - 1, deadline=FAR))
+    assert older.routes[0].headers[0].value == "y" * 1750
+
+
+def test_a_long_text_in_a_change_does_not_fill_the_head() -> None:
+    end = EndMove("m1", MoveState.TAKEN_BACK, "cause", "e" * 100_000, 1, 1)
+    assert len(summarise_change(end)) <= MAX_SUMMARY_CHARACTERS
+
+
 def test_a_sweep_spares_the_parts_of_a_head_that_is_being_written(bench: Bench) -> None:
     bench.commit("op-0", CREATE)
     for number in range(3):
