--- a/packages/store/src/corianderwall/store/lease.py
+++ b/packages/store/src/corianderwall/store/lease.py
@@ -23,6 +23,7 @@
 
     holder: str
     nonce: str
+    written_unix_ms: int
     deadline_unix_ms: int
 
 
@@ -202,13 +203,19 @@
         return self.lease.is_held(self._timer.read_monotonic())
 
     async def release(self) -> None:
-        """Give the lease up; the object is deleted if it still is this node's."""
+        """Give the lease up at once.
+
+        The object stays with a deadline that has passed: a platform that numbers a new object
+        from the beginning would otherwise hand out an older token again.
+        """
         grant = self.lease.grant
         self.lease.release()
         if grant is None:
             return
+        document = self._build_document(deadline_unix_s=0)
+        value = msgspec.json.encode(document)
         try:
-            await self._api.delete_if(self._key, expected_revision=grant.revision)
+            await self._api.write_if(self._key, value, expected_revision=grant.revision)
         except CorianderwallError as error:
             if error.code is not ErrorCode.CONFLICT:
                 raise
@@ -229,12 +236,7 @@
         # Both deadlines are taken before the write is sent, so a pause can only shorten them.
         deadline = self._timer.read_monotonic() + self._ttl_s
         deadline_unix_s = self._timer.read_unix() + self._ttl_s
-        self._attempts += 1
-        document = LeaseDocument(
-            holder=self._holder,
-            nonce=f"{self._attempts}-{deadline!r}",
-            deadline_unix_ms=int(deadline_unix_s * 1000),
-        )
+        document = self._build_document(deadline_unix_s=deadline_unix_s)
         revision = await self._write_document(document, expected_revision)
         grant = Grant(
             fencing=revision if fencing is None else fencing,
@@ -244,6 +246,15 @@
         )
         self.lease.accept(grant, self._timer.read_monotonic())
 
+    def _build_document(self, *, deadline_unix_s: float) -> LeaseDocument:
+        self._attempts += 1
+        return LeaseDocument(
+            holder=self._holder,
+            nonce=f"{self._attempts}-{self._timer.read_monotonic()!r}",
+            written_unix_ms=int(self._timer.read_unix() * 1000),
+            deadline_unix_ms=int(deadline_unix_s * 1000),
+        )
+
     async def _write_document(self, document: LeaseDocument, expected_revision: int) -> int:
         value = msgspec.json.encode(document)
         try:
--- a/packages/store/src/corianderwall/store/sweep.py
+++ b/packages/store/src/corianderwall/store/sweep.py
@@ -1,12 +1,16 @@
-"""Deletes the objects that no head refers to any more and the oldest archived versions."""
+"""Deletes the objects that nothing refers to any more and the oldest archived versions."""
+
+import msgspec
 
 from corianderwall.model.errors import CorianderwallError, ErrorCode
 from corianderwall.store.api import ObjectApi
 from corianderwall.store.document import AUDIT_PREFIX, PARTS_PREFIX, StoredHead, name_audit_key
+from corianderwall.store.lease import LEASES_PREFIX, LeaseDocument
 
 MAX_DELETIONS = 50
 """Objects deleted in one sweep, so that a sweep stays within the node's share."""
 
+ABANDONED_AFTER_MS = 7 * 24 * 3_600_000
 ARCHIVED_VERSIONS = 260_000
 """Versions kept in the audit trail: a year at 710 changes a day."""
 
@@ -27,6 +31,27 @@
     return await _delete(api, keys[:MAX_DELETIONS])
 
 
+async def sweep_leases(api: ObjectApi, *, unix_ms: int) -> int:
+    """Delete leases that expired long ago; return their number.
+
+    Nobody contends for them any more, so that no token can be handed out twice.
+    """
+    deleted = 0
+    for key in (await api.list_keys(LEASES_PREFIX))[:MAX_DELETIONS]:
+        stored = await api.read(key)
+        if stored is not None and _is_abandoned(stored.value, unix_ms):
+            deleted += await _delete_one(api, key, stored.revision)
+    return deleted
+
+
+def _is_abandoned(value: bytes, unix_ms: int) -> bool:
+    try:
+        document = msgspec.json.decode(value, type=LeaseDocument)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return document.written_unix_ms < unix_ms - ABANDONED_AFTER_MS
+
+
 def find_superfluous(keys: tuple[str, ...], stored: StoredHead) -> list[str]:
     """Return the keys of parts that neither this head nor any later one can refer to."""
     used = {part.key for part in stored.parts}
@@ -38,13 +63,16 @@
     deleted = 0
     for key in keys:
         stored = await api.read(key)
-        if stored is None:
-            continue
-        try:
-            await api.delete_if(key, expected_revision=stored.revision)
-        except CorianderwallError as error:
-            if error.code is not ErrorCode.CONFLICT:
-                raise
-            continue
-        deleted += 1
+        if stored is not None:
+            deleted += await _delete_one(api, key, stored.revision)
     return deleted
+
+
+async def _delete_one(api: ObjectApi, key: str, revision: int) -> int:
+    try:
+        await api.delete_if(key, expected_revision=revision)
+    except CorianderwallError as error:
+        if error.code is not ErrorCode.CONFLICT:
+            raise
+        return 0
+    return 1
--- a/packages/store/tests/test_lease.py
+++ b/packages/store/tests/test_lease.py
@@ -9,6 +9,7 @@
 from corianderwall.standins.memory import Fault, ManualTimer, MemoryObjectApi
 from corianderwall.standins.objects import ObjectTable
 from corianderwall.store.lease import MAX_CLOCK_SKEW_S, LeaseKeeper
+from corianderwall.store.sweep import ABANDONED_AFTER_MS, sweep_leases
 
 TTL_S = 10.0
 
@@ -122,6 +123,14 @@
     rivals.run(rivals.keepers[0].release())
     expect_lost(rivals, 0)
     assert rivals.run(rivals.keepers[1].acquire())
+    assert [len(api.table.list_keys("leases/")) for api in rivals.apis] == [1, 1]
+
+
+def test_an_abandoned_lease_is_swept_and_a_recent_one_is_not(rivals: Rivals) -> None:
+    rivals.run(rivals.keepers[0].acquire())
+    unix_ms = int(rivals.timer.read_unix() * 1000)
+    assert rivals.run(sweep_leases(rivals.apis[0], unix_ms=unix_ms + ABANDONED_AFTER_MS)) == 0
+    assert rivals.run(sweep_leases(rivals.apis[0], unix_ms=unix_ms + ABANDONED_AFTER_MS + 1)) == 1
 
 
 def test_a_damaged_lease_object_can_be_taken(rivals: Rivals) -> None:
