Say that an outcome is unknown where a repeated change could not be searched for

Cause: a repeated call whose search ended at the limit was retried until the deadline and then reported as without effect, though an earlier attempt may have been applied; a search began again from the newest record after each failed read. Change: a search says whether it is complete; an incomplete one ends the commit as unknown, and so does any failure of a repeated call before its search is done. Conclusion: no answer to a repeated call speaks for the first attempt.

--- a/packages/store/src/corianderwall/store/archive.py
+++ b/packages/store/src/corianderwall/store/archive.py
@@ -1,5 +1,7 @@
 """The audit trail and the history behind the records that the head itself carries."""
 
+from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from corianderwall.model.delta import apply_delta
@@ -17,6 +19,7 @@
     from corianderwall.model.resource import Snapshot
     from corianderwall.store.api import ObjectApi
     from corianderwall.store.document import StoredHead
+    from corianderwall.store.retry import Retrier
 
 MAX_SEARCHED = 256
 """Archived records that a search for one operation reads at most."""
@@ -25,6 +28,14 @@
 MAX_CLOCK_SKEW_MS = 300_000
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Search:
+    """The record that was found; without one, `is_complete` tells that there is none."""
+
+    is_complete: bool
+    record: "AuditRecord | None" = None
+
+
 class Archive:
     """Writes and reads `audit/VERSION`; an archived version never changes."""
 
@@ -50,28 +61,20 @@
         return None if stored is None else decode_archived(stored.value)
 
     async def find_operation(
-        self, operation_id: str, *, before_version: int
-    ) -> "AuditRecord | None":
-        """Return the record of an operation from the versions before this one, newest first.
-
-        Raises `OUTCOME_UNKNOWN` if the search ends before the operation's own time is reached.
-        """
+        self, operation_id: str, *, before_version: int, retrier: "Retrier", deadline: float
+    ) -> "Search":
+        """Search the versions before this one, newest first, back to the operation's own time."""
         created = read_created_unix_ms(operation_id)
-        floor = max(0, before_version - MAX_SEARCHED)
+        floor = max(0, before_version - 1 - MAX_SEARCHED)
         for version in range(before_version - 1, floor, -1):
-            archived = await self.read(version)
+            archived = await retrier.run(partial(self.read, version), deadline=deadline)
             if archived is None:
-                return None
+                return Search(is_complete=False)
             if archived.record.operation_id == operation_id:
-                return archived.record
+                return Search(is_complete=True, record=archived.record)
             if is_older(archived.record, created):
-                return None
-        if floor == 0:
-            return None
-        raise CorianderwallError(
-            ErrorCode.OUTCOME_UNKNOWN,
-            f"operation {operation_id!r} is not among the {MAX_SEARCHED} changes searched",
-        )
+                return Search(is_complete=True)
+        return Search(is_complete=floor == 0)
 
     async def read_records(
         self, stored: "StoredHead", *, before_version: int, limit: int
--- a/packages/store/src/corianderwall/store/commit.py
+++ b/packages/store/src/corianderwall/store/commit.py
@@ -35,6 +35,8 @@
         self._operation = operation
         self._deadline = deadline
         self._repeated = repeated
+        """Whether an earlier attempt may have taken effect that was not searched for yet."""
+        self._is_undecidable = False
         self._unresolved_base: int | None = None
         """Version on which a write with a lost answer was based."""
 
@@ -50,6 +52,8 @@
                     raise self._judge_effect(error) from error
 
     async def _may_repeat(self, error: CorianderwallError, attempt: int) -> bool:
+        if self._is_undecidable:
+            return False
         if error.code not in RETRYABLE and error.code is not ErrorCode.CONFLICT:
             return False
         return await self._store.pause(attempt, error, deadline=self._deadline)
@@ -76,12 +80,22 @@
         operation_id = self._operation.operation_id
         record = find_record(base.head.recent, operation_id)
         if record is None and self._repeated:
-            record = await self._store.find_archived(base, operation_id, deadline=self._deadline)
-            self._repeated = False
+            record = await self._search(base)
         if record is None and self._unresolved_base is not None:
             record = await self._resolve_write(base, self._unresolved_base)
         return record
 
+    async def _search(self, base: StoredHead) -> AuditRecord | None:
+        """Return the record of an earlier attempt at this or another node."""
+        search = await self._store.find_archived(
+            base, self._operation.operation_id, deadline=self._deadline
+        )
+        if search.record is None and not search.is_complete:
+            self._is_undecidable = True
+            raise _outcome_unknown(self._operation.operation_id)
+        self._repeated = False
+        return search.record
+
     async def _resolve_write(self, base: StoredHead, unresolved: int) -> AuditRecord | None:
         # A write based on version n can only have made n + 1, so that record alone decides.
         # While the head still is n the write may be under way; one more on n is safe, as the
@@ -95,7 +109,7 @@
         return record if record.operation_id == self._operation.operation_id else None
 
     def _judge_effect(self, error: CorianderwallError) -> CorianderwallError:
-        if self._unresolved_base is not None:
+        if self._repeated or self._unresolved_base is not None:
             return _outcome_unknown(self._operation.operation_id)
         if error.code is ErrorCode.OUTCOME_UNKNOWN:
             # Only the writes that prepare the change were lost, so the head is as before.
--- a/packages/store/src/corianderwall/store/head.py
+++ b/packages/store/src/corianderwall/store/head.py
@@ -12,7 +12,7 @@
 from corianderwall.model.errors import CorianderwallError, ErrorCode
 from corianderwall.model.resource import Snapshot
 from corianderwall.store.api import ObjectApi, StoredObject
-from corianderwall.store.archive import Archive, is_older
+from corianderwall.store.archive import Archive, Search, is_older
 from corianderwall.store.backoff import Backoff
 from corianderwall.store.commit import Commit, Committed, find_record
 from corianderwall.store.document import (
@@ -91,14 +91,16 @@
         """Return what became of an operation whose outcome was unknown."""
         stored = await self.read_head(deadline=deadline)
         record = find_record(stored.head.recent, operation_id)
-        if record is None:
-            record = await self.find_archived(stored, operation_id, deadline=deadline)
         if record is not None:
             return Resolution(state=OperationState.APPLIED, record=record)
+        search = await self.find_archived(stored, operation_id, deadline=deadline)
+        if search.record is not None:
+            return Resolution(state=OperationState.APPLIED, record=search.record)
         created = read_created_unix_ms(operation_id)
-        if created is None or self.read_unix_ms() - created < SETTLED_AFTER_MS:
-            return Resolution(state=OperationState.UNKNOWN)
-        return Resolution(state=OperationState.NOT_APPLIED)
+        is_settled = created is not None and self.read_unix_ms() - created >= SETTLED_AFTER_MS
+        if is_settled and search.is_complete:
+            return Resolution(state=OperationState.NOT_APPLIED)
+        return Resolution(state=OperationState.UNKNOWN)
 
     async def read_snapshot_at(self, version: int, *, deadline: float) -> Snapshot:
         """Return the snapshot of a version that is still kept, or raise `NOT_FOUND`."""
@@ -120,13 +122,15 @@
 
     async def find_archived(
         self, stored: StoredHead, operation_id: str, *, deadline: float
-    ) -> AuditRecord | None:
-        """Return the record of an operation that is older than the head's own records."""
+    ) -> Search:
+        """Search the records that are older than the head's own."""
         recent = stored.head.recent
         if not recent or is_older(recent[0], read_created_unix_ms(operation_id)):
-            return None
-        return await self._retrier.run(
-            lambda: self.archive.find_operation(operation_id, before_version=recent[0].to_version),
+            return Search(is_complete=True)
+        return await self.archive.find_operation(
+            operation_id,
+            before_version=recent[0].to_version,
+            retrier=self._retrier,
             deadline=deadline,
         )
 
--- a/packages/store/tests/test_head.py
+++ b/packages/store/tests/test_head.py
@@ -26,7 +26,13 @@
 )
 from corianderwall.standins.memory import Fault, ManualTimer, MemoryObjectApi
 from corianderwall.store.commit import Committed
-from corianderwall.store.document import HEAD_KEY, MAX_RECENT, PARTS_PREFIX, decode_head
+from corianderwall.store.document import (
+    HEAD_KEY,
+    MAX_RECENT,
+    PARTS_PREFIX,
+    decode_head,
+    name_audit_key,
+)
 from corianderwall.store.head import HeadStore, OperationState, Resolution
 from corianderwall.store.operation import (
     MAX_SUMMARY_CHARACTERS,
@@ -180,6 +186,42 @@
     assert bench.resolve(operation_id).state is OperationState.NOT_APPLIED
 
 
+def send_again(bench: Bench, operation_id: str) -> Committed:
+    operation = Operation(operation_id, "asha", AddVersion("placements", "v2"))
+    return bench.run(bench.store.commit(operation, deadline=FAR, repeated=True))
+
+
+def test_an_operation_sent_again_much_later_is_found_in_the_archive(bench: Bench) -> None:
+    operation_id = make_operation_id(int(bench.timer.read_unix() * 1000), Random(1))
+    bench.commit("op-0", CREATE)
+    bench.commit(operation_id, AddVersion("placements", "v2"))
+    bench.add_versions(100, MAX_RECENT + 20)
+    assert send_again(bench, operation_id).version == 2
+
+
+def test_an_operation_that_cannot_be_searched_for_is_not_applied_again(bench: Bench) -> None:
+    bench.commit("op-0", CREATE)
+    bench.add_versions(100, MAX_RECENT + 20)
+    oldest = name_audit_key(1)
+    bench.api.table.delete(oldest, bench.api.table.read_revision(oldest))
+    with pytest.raises(CorianderwallError) as caught:
+        send_again(bench, "an-id-without-a-time")
+    assert caught.value.effect is Effect.UNKNOWN
+    assert len(bench.read_trail()) == MAX_RECENT + 20
+    assert bench.resolve("an-id-without-a-time").state is OperationState.UNKNOWN
+
+
+def test_a_repeat_that_fails_does_not_speak_for_the_first_attempt(bench: Bench) -> None:
+    async def gate(kind: str, key: str) -> Fault:
+        return Fault.DOWN
+
+    bench.api.gate = gate
+    operation = Operation("op-1", "asha", CREATE)
+    with pytest.raises(CorianderwallError) as caught:
+        bench.run(bench.store.commit(operation, deadline=10, repeated=True))
+    assert caught.value.effect is Effect.UNKNOWN
+
+
 @pytest.mark.parametrize(
     ("fault", "code"),
     [
