Build a change on the head that the same node has just written

Change: a head written within the last 5 s is built on once without a read; a conflict or a refusal leads to a read before anything is said.

--- a/packages/store/src/corianderwall/store/commit.py
+++ b/packages/store/src/corianderwall/store/commit.py
@@ -37,6 +37,7 @@
         self._repeated = repeated
         """Whether an earlier attempt may have taken effect that was not searched for yet."""
         self._is_undecidable = False
+        self._must_read = repeated
         self._unresolved_base: int | None = None
         """Version on which a write with a lost answer was based."""
 
@@ -59,7 +60,18 @@
         return await self._store.pause(attempt, error, deadline=self._deadline)
 
     async def _attempt(self) -> Committed:
-        base = await self._store.read_head(deadline=self._deadline)
+        known = None if self._must_read else self._store.take_known()
+        self._must_read = True
+        if known is not None:
+            try:
+                return await self._build_on(known)
+            except CorianderwallError as error:
+                if error.code in RETRYABLE or error.code is ErrorCode.CONFLICT:
+                    raise
+        # A refusal that an older head gave says nothing about the newest.
+        return await self._build_on(await self._store.read_head(deadline=self._deadline))
+
+    async def _build_on(self, base: StoredHead) -> Committed:
         record = await self._find_earlier(base)
         if record is not None:
             return Committed(version=record.to_version, record=record, head=base.head)
@@ -68,11 +80,13 @@
         encoded = encode_head(head, undo, base.parts)
         await self._store.prepare(base, encoded.pieces, deadline=self._deadline)
         try:
-            await self._store.replace_head(base, encoded.value)
+            revision = await self._store.replace_head(base, encoded.value)
         except CorianderwallError as error:
             if error.code is ErrorCode.OUTCOME_UNKNOWN:
                 self._unresolved_base = base.head.version
             raise
+        parts = tuple(piece.part for piece in encoded.pieces)
+        self._store.keep_known(StoredHead(revision=revision, head=head, parts=parts, undo=undo))
         return Committed(version=head.version, record=head.recent[-1], head=head)
 
     async def _find_earlier(self, base: StoredHead) -> AuditRecord | None:
--- a/packages/store/src/corianderwall/store/head.py
+++ b/packages/store/src/corianderwall/store/head.py
@@ -31,6 +31,9 @@
 """Age from which no write of an operation can still be under way."""
 
 RETRY_BACKOFF = Backoff(base_s=0.02, cap_s=2.0)
+KNOWN_FOR_S = 5.0
+"""Time for which a head that this node wrote is worth building on without a read."""
+
 CONFLICT_BACKOFF = Backoff(base_s=0.01, cap_s=0.1)
 """Spreads racing operators; a long delay would only let the others win again."""
 
@@ -61,6 +64,8 @@
         self._retrier = Retrier(timer, random, RETRY_BACKOFF)
         self._conflict_retrier = Retrier(timer, random, CONFLICT_BACKOFF)
         self._lock = DeferredLock()
+        self._known: StoredHead | None = None
+        self._known_until = 0.0
 
     async def read_head(self, *, deadline: float) -> StoredHead:
         """Return the newest head, an empty one if nothing was ever written."""
@@ -153,6 +158,16 @@
                 await self._retrier.run(partial(self._write_piece, piece), deadline=deadline)
         await self._retrier.run(lambda: self.archive.archive_head(base), deadline=deadline)
 
+    def keep_known(self, stored: StoredHead) -> None:
+        """Keep a head that was just written for the next change through this node to build on."""
+        self._known = stored
+        self._known_until = self._timer.read_monotonic() + KNOWN_FOR_S
+
+    def take_known(self) -> StoredHead | None:
+        """Return the head that this node wrote a moment ago, once; it may have been replaced."""
+        known, self._known = self._known, None
+        return known if self._timer.read_monotonic() < self._known_until else None
+
     async def replace_head(self, base: StoredHead, value: bytes) -> int:
         """Write the next head if the base still is the newest; return its revision."""
         return await self._api.write_if(HEAD_KEY, value, expected_revision=base.revision)
--- a/packages/store/tests/test_head.py
+++ b/packages/store/tests/test_head.py
@@ -186,6 +186,23 @@
     assert bench.resolve(operation_id).state is OperationState.NOT_APPLIED
 
 
+def test_changes_in_a_row_read_the_head_once(bench: Bench) -> None:
+    bench.commit("op-0", CREATE)
+    bench.add_versions(2, 5)
+    assert bench.api.calls.count(f"read {HEAD_KEY}") == 1
+
+
+def test_a_head_that_another_node_replaced_is_not_built_on(bench: Bench) -> None:
+    other = Bench(MemoryObjectApi(bench.api.table))
+    bench.commit("op-0", CREATE)
+    other.commit("op-1", AddVersion("placements", "v2"))
+    pinned = Route(name="accept", service="placements", pinned_version="v2")
+    assert bench.commit("op-2", PutRoute(pinned)).version == 3
+    other.commit("op-3", AddVersion("placements", "v3"))
+    assert bench.commit("op-3", AddVersion("placements", "v3")).version == 4
+    assert [entry[2] for entry in bench.read_trail()] == ["op-3", "op-2", "op-1", "op-0"]
+
+
 def send_again(bench: Bench, operation_id: str) -> Committed:
     operation = Operation(operation_id, "asha", AddVersion("placements", "v2"))
     return bench.run(bench.store.commit(operation, deadline=FAR, repeated=True))
