--- a/packages/store/src/corianderwall/store/commit.py
+++ b/packages/store/src/corianderwall/store/commit.py
@@ -35,6 +35,9 @@
         self._operation = operation
         self._deadline = deadline
         self._repeated = repeated
+        """Whether an earlier attempt may have taken effect that was not searched for yet."""
+        self._is_undecidable = False
+        self._must_read = repeated
         self._unresolved_base: int | None = None
         """Version on which a write with a lost answer was based."""
 
@@ -50,12 +53,25 @@
                     raise self._judge_effect(error) from error
 
     async def _may_repeat(self, error: CorianderwallError, attempt: int) -> bool:
+        if self._is_undecidable:
+            return False
         if error.code not in RETRYABLE and error.code is not ErrorCode.CONFLICT:
             return False
         return await self._store.pause(attempt, error, deadline=self._deadline)
 
     async def _attempt(self) -> Committed:
-        base = await self._store.read_head(deadline=self._deadline)
+        known = None if self._must_read else self._store.take_known()
+        self._must_read = True
+        if known is not None:
+            try:
+                return await self._build_on(known)
+            except CorianderwallError as error:
+                if error.code in RETRYABLE or error.code is ErrorCode.CONFLICT:
+                    raise
+        # A refusal that an older head gave says nothing about the newest.
+        return await self._build_on(await self._store.read_head(deadline=self._deadline))
+
+    async def _build_on(self, base: StoredHead) -> Committed:
         record = await self._find_earlier(base)
         if record is not None:
             return Committed(version=record.to_version, record=record, head=base.head)
@@ -64,11 +80,13 @@
         encoded = encode_head(head, undo, base.parts)
         await self._store.prepare(base, encoded.pieces, deadline=self._deadline)
         try:
-            await self._store.replace_head(base, encoded.value)
+            revision = await self._store.replace_head(base, encoded.value)
         except CorianderwallError as error:
             if error.code is ErrorCode.OUTCOME_UNKNOWN:
                 self._unresolved_base = base.head.version
             raise
+        parts = tuple(piece.part for piece in encoded.pieces)
+        self._store.keep_known(StoredHead(revision=revision, head=head, parts=parts, undo=undo))
         return Committed(version=head.version, record=head.recent[-1], head=head)
 
     async def _find_earlier(self, base: StoredHead) -> AuditRecord | None:
@@ -76,12 +94,22 @@
         operation_id = self._operation.operation_id
         record = find_record(base.head.recent, operation_id)
         if record is None and self._repeated:
-            record = await self._store.find_archived(base, operation_id, deadline=self._deadline)
-            self._repeated = False
+            record = await self._search(base)
         if record is None and self._unresolved_base is not None:
             record = await self._resolve_write(base, self._unresolved_base)
         return record
 
+    async def _search(self, base: StoredHead) -> AuditRecord | None:
+        """Return the record of an earlier attempt at this or another node."""
+        search = await self._store.find_archived(
+            base, self._operation.operation_id, deadline=self._deadline
+        )
+        if search.record is None and not search.is_complete:
+            self._is_undecidable = True
+            raise _outcome_unknown(self._operation.operation_id)
+        self._repeated = False
+        return search.record
+
     async def _resolve_write(self, base: StoredHead, unresolved: int) -> AuditRecord | None:
         # A write based on version n can only have made n + 1, so that record alone decides.
         # While the head still is n the write may be under way; one more on n is safe, as the
@@ -95,7 +123,7 @@
         return record if record.operation_id == self._operation.operation_id else None
 
     def _judge_effect(self, error: CorianderwallError) -> CorianderwallError:
-        if self._unresolved_base is not None:
+        if self._repeated or self._unresolved_base is not None:
             return _outcome_unknown(self._operation.operation_id)
         if error.code is ErrorCode.OUTCOME_UNKNOWN:
             # Only the writes that prepare the change were lost, so the head is as before.
--- a/packages/store/src/corianderwall/store/head.py
+++ b/packages/store/src/corianderwall/store/head.py
@@ -12,7 +12,7 @@
 from corianderwall.model.errors import CorianderwallError, ErrorCode
 from corianderwall.model.resource import Snapshot
 from corianderwall.store.api import ObjectApi, StoredObject
-from corianderwall.store.archive import Archive, is_older
+from corianderwall.store.archive import Archive, Search, is_older
 from corianderwall.store.backoff import Backoff
 from corianderwall.store.commit import Commit, Committed, find_record
 from corianderwall.store.document import (
@@ -31,6 +31,9 @@
 """Age from which no write of an operation can still be under way."""
 
 RETRY_BACKOFF = Backoff(base_s=0.02, cap_s=2.0)
+KNOWN_FOR_S = 5.0
+"""Time for which a head that this node wrote is worth building on without a read."""
+
 CONFLICT_BACKOFF = Backoff(base_s=0.01, cap_s=0.1)
 """Spreads racing operators; a long delay would only let the others win again."""
 
@@ -61,6 +64,8 @@
         self._retrier = Retrier(timer, random, RETRY_BACKOFF)
         self._conflict_retrier = Retrier(timer, random, CONFLICT_BACKOFF)
         self._lock = DeferredLock()
+        self._known: StoredHead | None = None
+        self._known_until = 0.0
 
     async def read_head(self, *, deadline: float) -> StoredHead:
         """Return the newest head, an empty one if nothing was ever written."""
@@ -91,14 +96,16 @@
         """Return what became of an operation whose outcome was unknown."""
         stored = await self.read_head(deadline=deadline)
         record = find_record(stored.head.recent, operation_id)
-        if record is None:
-            record = await self.find_archived(stored, operation_id, deadline=deadline)
         if record is not None:
             return Resolution(state=OperationState.APPLIED, record=record)
+        search = await self.find_archived(stored, operation_id, deadline=deadline)
+        if search.record is not None:
+            return Resolution(state=OperationState.APPLIED, record=search.record)
         created = read_created_unix_ms(operation_id)
-        if created is None or self.read_unix_ms() - created < SETTLED_AFTER_MS:
-            return Resolution(state=OperationState.UNKNOWN)
-        return Resolution(state=OperationState.NOT_APPLIED)
+        is_settled = created is not None and self.read_unix_ms() - created >= SETTLED_AFTER_MS
+        if is_settled and search.is_complete:
+            return Resolution(state=OperationState.NOT_APPLIED)
+        return Resolution(state=OperationState.UNKNOWN)
 
     async def read_snapshot_at(self, version: int, *, deadline: float) -> Snapshot:
         """Return the snapshot of a version that is still kept, or raise `NOT_FOUND`."""
@@ -120,13 +127,15 @@
 
     async def find_archived(
         self, stored: StoredHead, operation_id: str, *, deadline: float
-    ) -> AuditRecord | None:
-        """Return the record of an operation that is older than the head's own records."""
+    ) -> Search:
+        """Search the records that are older than the head's own."""
         recent = stored.head.recent
         if not recent or is_older(recent[0], read_created_unix_ms(operation_id)):
-            return None
-        return await self._retrier.run(
-            lambda: self.archive.find_operation(operation_id, before_version=recent[0].to_version),
+            return Search(is_complete=True)
+        return await self.archive.find_operation(
+            operation_id,
+            before_version=recent[0].to_version,
+            retrier=self._retrier,
             deadline=deadline,
         )
 
@@ -149,6 +158,16 @@
                 await self._retrier.run(partial(self._write_piece, piece), deadline=deadline)
         await self._retrier.run(lambda: self.archive.archive_head(base), deadline=deadline)
 
+    def keep_known(self, stored: StoredHead) -> None:
+        """Keep a head that was just written for the next change through this node to build on."""
+        self._known = stored
+        self._known_until = self._timer.read_monotonic() + KNOWN_FOR_S
+
+    def take_known(self) -> StoredHead | None:
+        """Return the head that this node wrote a moment ago, once; it may have been replaced."""
+        known, self._known = self._known, None
+        return known if self._timer.read_monotonic() < self._known_until else None
+
     async def replace_head(self, base: StoredHead, value: bytes) -> int:
         """Write the next head if the base still is the newest; return its revision."""
         return await self._api.write_if(HEAD_KEY, value, expected_revision=base.revision)
