--- a/packages/traffic/src/corianderwall/traffic/lease_issuer.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_issuer.py
@@ -1,6 +1,5 @@
 """The owner's side of connection leases: no more calls than connections, over all nodes."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from corianderwall.model.message import Outgoing
@@ -15,10 +14,11 @@
     Pressure,
     SubscriberUsage,
 )
+from corianderwall.traffic.notices import NoticeBudget
 
 LOCAL_WEIGHT = 3.0
 """Weight of a demand from the owner's zone against one from elsewhere."""
-REAPPORTION_S = 0.25
+REAPPORTION_S = 0.5
 """Shortest time between two divisions of one endpoint's budget."""
 
 
@@ -50,13 +50,19 @@
 
 @dataclass(slots=True)
 class _LeasedEndpoint:
-    """The budget of one endpoint and the accounts of its holders."""
+    """The budget of one endpoint and the accounts of its holders.
+
+    `charged` sums what the accounts were last counted at, which is never too little.
+    """
 
     budget: int
     pressure: Pressure
     accounts: dict[tuple[str, int], LeaseAccount] = field(default_factory=dict)
     targets: dict[str, int] = field(default_factory=dict)
     next_division: float = float("-inf")
+    charged: int = 0
+    told_sequence: int = 0
+    notices: NoticeBudget = field(default_factory=NoticeBudget)
 
 
 class LeaseIssuer:
@@ -88,26 +94,27 @@
     def count_charge(self, endpoint: str, now: float) -> int:
         """Return the most connections that holders may have in use."""
         leased = self._endpoints.get(endpoint)
-        return 0 if leased is None else _sum_charges(leased.accounts.values(), now)
+        if leased is None:
+            return 0
+        return sum(account.count_charge(now) for account in leased.accounts.values())
 
     def set_pressure(
         self, endpoint: str, *, saturated: bool, over_share: tuple[str, ...], now: float
     ) -> list[Outgoing]:
-        """Change which calls come through the owner; return the notices to the holders."""
+        """Change which calls come through the owner; return the notices to the holders.
+
+        To be called often: a change that had to wait for its notices is told by a later call.
+        """
         leased = self._endpoints.get(endpoint)
         if leased is None:
             return []
         known = leased.pressure
-        if (known.saturated, known.over_share) == (saturated, over_share):
-            return []
-        leased.pressure = Pressure(self._session, known.sequence + 1, saturated, over_share)
-        return self.repeat_notices(endpoint, now)
-
-    def repeat_notices(self, endpoint: str, now: float) -> list[Outgoing]:
-        """Return notices of the present pressure to every holder that may have leases."""
-        leased = self._endpoints.get(endpoint)
-        if leased is None:
+        if (known.saturated, known.over_share) != (saturated, over_share):
+            leased.pressure = Pressure(self._session, known.sequence + 1, saturated, over_share)
+        is_told = leased.told_sequence == leased.pressure.sequence
+        if is_told or not leased.notices.take(now):
             return []
+        leased.told_sequence = leased.pressure.sequence
         notice = LeaseNotice(owner=self._node, endpoint=endpoint, pressure=leased.pressure)
         holders = {account.node for account in leased.accounts.values() if account.current}
         return [Outgoing(holder, notice) for holder in sorted(holders)]
@@ -137,7 +144,7 @@
         for leased in self._endpoints.values():
             settled = [key for key, account in leased.accounts.items() if _is_settled(account, now)]
             for key in settled:
-                del leased.accounts[key]
+                leased.charged -= leased.accounts.pop(key).counted
 
     def _answer(
         self, request: LeaseRequest, demand: LeaseDemand, now: float
@@ -154,6 +161,7 @@
         count = self._decide_count(leased, account, now)
         policy = self._policy
         account.grant(request.serial, count, now + policy.term_s + policy.call_s)
+        leased.charged += account.recount(now)
         return EndpointGrant(
             endpoint=demand.endpoint,
             count=count,
@@ -176,12 +184,13 @@
             return 0
         if now >= leased.next_division:
             self._divide(leased, now)
-        charges = _sum_charges(leased.accounts.values(), now)
-        free = leased.budget - (charges - account.count_charge(now))
+        leased.charged += account.recount(now)
+        free = leased.budget - (leased.charged - account.counted)
         return max(0, min(account.wanted, leased.targets.get(account.node, 0), free))
 
     def _divide(self, leased: _LeasedEndpoint, now: float) -> None:
         claims = [_make_claim(account) for account in _list_newest(leased.accounts).values()]
+        leased.charged += sum(account.recount(now) for account in leased.accounts.values())
         leased.targets = apportion_whole(claims, leased.budget)
         leased.next_division = now + REAPPORTION_S
 
@@ -198,7 +207,3 @@
 
 def _is_settled(account: LeaseAccount, now: float) -> bool:
     return account.settled_at <= now
-
-
-def _sum_charges(accounts: Iterable[LeaseAccount], now: float) -> int:
-    return sum(account.count_charge(now) for account in accounts)
