Cut nothing at the end of a drain

Cause: drain measured 1 cut call of 6,655: at the end of a drain the server closed connections that had just been opened and whose request was on its way, and closing the listener reset the ones that the kernel held ready to be accepted. Change: connections used or opened less than 0.5 s ago stay open, and the rest of the backlog is accepted before the listener goes.

--- a/packages/httpflow/src/corianderwall/httpflow/server.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server.py
@@ -1,6 +1,8 @@
 """The listening side: accepts callers, enforces deadlines, drains."""
 
 import asyncio
+import os
+import socket
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
@@ -12,6 +14,8 @@
 
 SWEEP_INTERVAL_S = 0.25
 BACKLOG = 1024
+QUIET_GRACE_S = 0.5
+"""The request of a connection that was opened or used last may be on its way for this long."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +34,7 @@
         self._loop = asyncio.get_event_loop()
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._late: set[asyncio.Task[tuple[asyncio.Transport, ServerConnection]]] = set()
         self._quiet_deadline = 0.0
         self._ended_before_drain = 0
         self._drained: Deferred[DrainReport] | None = None
@@ -86,9 +91,10 @@
         if self._loop.time() < self._quiet_deadline:
             return
         self._close_listener()
+        since = self._loop.time() - QUIET_GRACE_S
         for connection in list(self.connections):
-            connection.close_if_quiet()
-        if not self.connections:
+            connection.close_if_quiet(since)
+        if not self._late and not self.connections:
             self._stop_sweep()
             ended = self.ended_calls - self._ended_before_drain
             self._report(DrainReport(ended=ended, cut=0))
@@ -110,9 +116,26 @@
             self._sweep_timer.cancel()
 
     def _close_listener(self) -> None:
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        server, self._server = self._server, None
+        if server is None:
+            return
+        # Closing would reset the connections that the kernel holds ready to be accepted.
+        listener = socket.socket(fileno=os.dup(server.sockets[0].fileno()))
+        listener.setblocking(False)
+        server.close()
+        self._accept_rest(listener)
+        listener.close()
+
+    def _accept_rest(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                accepted, _ = listener.accept()
+            except BlockingIOError:
+                return
+            taking = self._loop.connect_accepted_socket(self._make_connection, accepted)
+            task = self._loop.create_task(taking)
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
 
     def _report(self, report: DrainReport) -> None:
         drained = self._drained
--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -35,6 +35,7 @@
     def __init__(self, state: ServerState, loop: asyncio.AbstractEventLoop) -> None:
         self.deadline = math.inf
         self.write_paused = False
+        self.quiet_since = loop.time()
         self._state = state
         self._loop = loop
         self._limits = state.limits
@@ -186,9 +187,9 @@
         else:
             self._close(linger=False)
 
-    def close_if_quiet(self) -> None:
-        """Close unless a request is under way."""
-        if self.is_quiet and not self._deaf:
+    def close_if_quiet(self, since: float) -> None:
+        """Close unless a request is under way or may be: none has been since `since`."""
+        if self.is_quiet and self.quiet_since <= since and not self._deaf:
             self.close()
 
     def close(self) -> None:
@@ -280,4 +281,5 @@
         elif self._parser.in_message:
             self.deadline = min(self.deadline, self._loop.time() + limits.head_timeout_s)
         else:
-            self.deadline = self._loop.time() + limits.idle_timeout_s
+            self.quiet_since = self._loop.time()
+            self.deadline = self.quiet_since + limits.idle_timeout_s
--- a/packages/httpflow/tests/test_server.py
+++ b/packages/httpflow/tests/test_server.py
@@ -1,5 +1,6 @@
 import asyncio
 import gc
+import socket
 
 import pytest
 import pytest_twisted
@@ -81,6 +82,25 @@
     assert (report.ended, report.cut) == (6, 0)
 
 
+@pytest_twisted.ensureDeferred
+async def test_connections_that_wait_to_be_accepted_are_served_by_a_drain(opened, tools) -> None:
+    class Answerer:
+        def handle(self, call) -> None:
+            call.respond(200, [], b"ok")
+
+    server, pool = await open_server(opened, Answerer())
+    sockets = [socket.create_connection((pool.address.host, pool.address.port)) for _ in range(5)]
+    opened.extend(each.close for each in sockets)
+    # The reactor has not run since: the kernel holds all five.
+    drained = server.drain(now())
+    await tools.pause(0.05)
+    for each in sockets:
+        each.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    report = await drained
+    assert (report.ended, report.cut) == (5, 0)
+    assert all(each.recv(100).endswith(b"ok") for each in sockets)
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_forced_stop_reports_what_it_cut(opened, tools) -> None:
     holder = Holder()
--- a/packages/httpflow/tests/test_server_connection.py
+++ b/packages/httpflow/tests/test_server_connection.py
@@ -99,6 +99,13 @@
     assert b"HTTP/1.1 %d " % status in side.written
 
 
+def test_a_large_head_is_refused_even_if_it_comes_at_once(make_server_side) -> None:
+    side = make_server_side(max_head_bytes=100)
+    side.feed(HEAD + b"A: " + b"b" * 60 + b"\r\nC: " + b"d" * 60 + b"\r\n\r\n")
+    assert side.written.startswith(b"HTTP/1.1 431 ")
+    assert side.calls == []
+
+
 def test_pipelined_calls_are_answered_in_order(side) -> None:
     side.feed(b"".join(GET.replace(b"/a", b"/%d" % i) for i in range(3)))
     assert [call.target for call in side.calls] == [b"/0"]
--- a/packages/standins/src/corianderwall/standins/upstream_path.py
+++ b/packages/standins/src/corianderwall/standins/upstream_path.py
@@ -101,7 +101,12 @@
         if target is None:
             return
         back = PathEnd(self)
-        await self._loop.create_connection(lambda: back, target.host, target.port)
+        try:
+            await self._loop.create_connection(lambda: back, target.host, target.port)
+        except OSError:
+            if front.transport is not None:
+                front.transport.abort()
+            return
         front.join(back)
         gone = front.transport is None or front.transport.is_closing()
         if gone and back.transport is not None:
