--- a/packages/node/src/corianderwall/node/desk.py
+++ b/packages/node/src/corianderwall/node/desk.py
@@ -6,9 +6,10 @@
 from corianderwall.httpflow.attempt import AnswerHead, Attempt, AttemptResult
 from corianderwall.model.errors import ErrorCode
 from corianderwall.model.verdict import Verdict
-from corianderwall.node.callhead import LOAD_HEADER, RETRY_AFTER_HEADER
+from corianderwall.node.callhead import ERROR_CODE_HEADER, LOAD_HEADER, RETRY_AFTER_HEADER
 from corianderwall.node.serviceload import LoadMeter
-from corianderwall.traffic.admission import Admission, Admitted, Queued, Refused
+from corianderwall.traffic.admission import Admission
+from corianderwall.traffic.decisions import Admitted, Queued, Refused
 from corianderwall.traffic.draining import EndpointDrain
 
 if TYPE_CHECKING:
@@ -70,7 +71,8 @@
     def refuse(self, code: ErrorCode, retry_after_s: float) -> None:
         """Finish without having run the call."""
         seconds = str(math.ceil(retry_after_s)).encode("ascii")
-        head = AnswerHead(503, [(RETRY_AFTER_HEADER, seconds)], 0)
+        headers = [(RETRY_AFTER_HEADER, seconds), (ERROR_CODE_HEADER, code.value.encode("ascii"))]
+        head = AnswerHead(503, headers, 0)
         result = AttemptResult(
             verdict=Verdict.NOT_RUN, status=503, error=code, refused=True, head=head
         )
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -7,7 +7,7 @@
 from corianderwall.model.outcome import AttemptOutcome
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.answerflow import AnswerFlow
-from corianderwall.node.answers import CallError, respond_error
+from corianderwall.node.answers import CallError, read_error_code, respond_error
 from corianderwall.node.callhead import (
     CALL_ID_HEADER,
     DEADLINE_HEADER,
@@ -20,6 +20,7 @@
     ROUTE_HEADER,
 )
 from corianderwall.node.desk import parse_load
+from corianderwall.node.logs import log_warning
 from corianderwall.traffic.retries import FailedAttempt
 
 if TYPE_CHECKING:
@@ -207,7 +208,12 @@
             outstanding=self._outstanding,
             cancelled=result.error is ErrorCode.CANCELLED,
         )
-        self._context.balancer.finish(outcome, now, read_retry_after(result.head))
+        self._context.balancer.finish(
+            outcome,
+            now,
+            retry_after_s=read_retry_after(result.head),
+            is_by_owner=read_error_code(result.head) is not None,
+        )
         self._context.moves.record(outcome)
         self._context.metrics.count_attempt(outcome)
 
@@ -234,7 +240,7 @@
 
     def _fail(self, result: AttemptResult, now: float) -> None:
         retry_after_s = read_retry_after(result.head)
-        match result.error:
+        match read_error_code(result.head) or result.error:
             case ErrorCode.DEADLINE_EXCEEDED:
                 code, sentence = ErrorCode.DEADLINE_EXCEEDED, "the deadline of the call has passed"
             case ErrorCode.OVERLOADED | ErrorCode.UPSTREAM_REFUSED:
@@ -250,8 +256,23 @@
         error = CallError(code, sentence, self._verdict, retry_after_s=retry_after_s)
         status = respond_error(self._call, error)
         self._context.metrics.count_refusal(code)
+        self._log_failure(code, now)
         self._finish(status, now)
 
+    def _log_failure(self, code: ErrorCode, now: float) -> None:
+        """Log the calls whose effect an operator may have to look up."""
+        if self._verdict is Verdict.NOT_RUN or not self._context.log_budget.take(now):
+            return
+        log_warning(
+            "a call may have run without a whole answer",
+            call_id=self._head.call_id,
+            code=code.value,
+            route=self._choice.route,
+            service=self._choice.service,
+            service_version=self._version,
+            subscriber=self._head.subscriber,
+        )
+
     def _finish(self, status: int, now: float) -> None:
         self._done = True
         self._context.metrics.count_call(
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -15,7 +15,7 @@
 from corianderwall.membership.membership import Membership
 from corianderwall.model.endpoint import EndpointState
 from corianderwall.model.errors import CorianderwallError
-from corianderwall.model.resource import EMPTY_SNAPSHOT
+from corianderwall.model.resource import EMPTY_SNAPSHOT, MoveState
 from corianderwall.model.settings import parse_address
 from corianderwall.moves.agent import MoveAgent
 from corianderwall.node.admin import AdminInterface, Announcement, Health
@@ -52,10 +52,13 @@
 if TYPE_CHECKING:
     from corianderwall.httpflow.server import DrainReport
     from corianderwall.model.endpoint import Address, Endpoint, Host
-    from corianderwall.model.resource import Snapshot
+    from corianderwall.model.resource import Move, Snapshot
     from corianderwall.node.settings import NodeSettings
     from corianderwall.store.commit import Committed
 
+SEED_WAIT_S = 1.0
+"""How long the nodes named in the settings are awaited before the platform is asked for others."""
+
 ROLE_INTERVAL_S = 1.0
 """Time between two looks at the roles that this node holds and the work they need."""
 
@@ -80,6 +83,7 @@
         self._ticker = LoopingCall(self._control.tick)
         self._role_ticker = LoopingCall(self._tick_roles)
         self._steering_busy = False
+        self._move_states: dict[str, MoveState] = {}
         self._site_port: Any = None
         self._server = CallServer(self._dispatcher)
 
@@ -144,6 +148,8 @@
         self._dispatcher = Dispatcher(
             self._context,
             default_timeout_s=self._settings.calls.default_timeout_ms / 1000,
+            max_running_calls=self._settings.calls.max_running_calls,
+            count_running=lambda: self._server.running_calls,
         )
         self._survey = LoadSurvey(
             node=host.name,
@@ -212,15 +218,19 @@
         tokens = self._settings.operators.tokens
         operators = OperatorApp(self._backend, tokens, self._timer, self._random)
         root = SiteRoot(operators=operators.build_resource(), admin=admin.app.resource())
-        site = OperatorSite(root)  # type: ignore[no-untyped-call]
+        site = OperatorSite(root)
         self._site_port = self._reactor.listenTCP(address.port, site, interface=address.host)
 
     async def _join(self) -> None:
         seeds = [parse_seed(text) for text in self._settings.mesh.seeds]
         hosts = tuple(make_seed_host(seed.name, seed.address) for seed in seeds)
-        if not hosts:
-            hosts = await self._platform.find_seeds()
-        self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
+        if hosts:
+            self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
+            await self._timer.sleep(SEED_WAIT_S)
+        if not self.membership.has_joined:
+            known = await self._platform.find_seeds()
+            hosts = (*hosts, *known)
+            self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
 
     # What the platform and operators bring.
 
@@ -238,8 +248,17 @@
     def _note_version(self, snapshot: "Snapshot") -> None:
         self._metrics.version.set({}, snapshot.version)
         for move in snapshot.moves:
-            labels = {"service": move.service, "move": move.id}
-            self._metrics.move_share.set(labels, move.share_permille)
+            self._note_move(move)
+
+    def _note_move(self, move: "Move") -> None:
+        labels = {"service": move.service, "move": move.id}
+        self._metrics.move_share.set(labels, move.share_permille)
+        known = self._move_states.get(move.id, move.state)
+        self._move_states[move.id] = move.state
+        if known is MoveState.RUNNING and move.state is not MoveState.RUNNING:
+            outcome = {"service": move.service, "outcome": move.state.value}
+            self._metrics.moves_ended.inc(outcome)
+            log_info("a move has ended", move=move.id, outcome=move.state.value, cause=move.cause)
 
     # The upstream beside this node.
 
--- a/packages/traffic/src/corianderwall/traffic/shares.py
+++ b/packages/traffic/src/corianderwall/traffic/shares.py
@@ -9,16 +9,18 @@
 
 UNKNOWN = ""
 """The flow of all subscribers that the snapshot lacks; it has the share 1."""
-MEMORY_S = 1.0
+MEMORY_S = 0.5
 """Time in which a past use loses all but 1/e of its weight."""
 SERVICE_GAIN = 0.1
 TOLERANCE = 1.1
 """Use, relative to the level of fair shares, from which a subscriber is over its share."""
 RETURN_TOLERANCE = 0.9
-MIN_PERIOD_S = 0.25
+SHARED_USE = 0.7
+"""Part of the limit that is lent beyond shares, so that queues at the endpoint stay short."""
+MIN_PERIOD_S = 0.1
 MAX_PERIOD_S = 5.0
 """Bounds of the time that one report of direct use is taken to cover."""
-NEGLIGIBLE = 0.01
+NEGLIGIBLE = 0.002
 """Mean running calls below which a use is forgotten."""
 
 
@@ -61,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _DirectReport:
-    """The mean running calls of one holder's flows over its last period."""
+    """The mean running calls of one holder's flows, smoothed over `MEMORY_S`."""
 
     rates: Mapping[str, float]
     at: float
@@ -84,10 +86,15 @@
     def report_direct(self, node: str, busy_s: Mapping[str, float], now: float) -> None:
         """Take the seconds that one holder's flows used by direct calls since its last report."""
         known = self._reports.get(node)
-        period_s = MAX_PERIOD_S if known is None else now - known.at
-        period_s = min(MAX_PERIOD_S, max(MIN_PERIOD_S, period_s))
-        rates = {flow: seconds / period_s for flow, seconds in busy_s.items()}
-        self._reports[node] = _DirectReport(rates, now)
+        if known is None:
+            known = _DirectReport({}, now - MAX_PERIOD_S)
+        period_s = min(MAX_PERIOD_S, max(MIN_PERIOD_S, now - known.at))
+        gain = 1.0 - exp(-period_s / MEMORY_S)
+        rates = {flow: rate * (1.0 - gain) for flow, rate in known.rates.items()}
+        for flow, seconds in busy_s.items():
+            rates[flow] = rates.get(flow, 0.0) + gain * seconds / period_s
+        kept = {flow: rate for flow, rate in rates.items() if rate >= NEGLIGIBLE}
+        self._reports[node] = _DirectReport(kept, now)
 
     def learn_service(self, flow: str, busy_s: float, now: float) -> None:
         """Learn how long the calls of a flow run."""
@@ -118,11 +125,16 @@
         return demands
 
     def find_over_share(
-        self, demands: Mapping[str, float], shares: SubscriberShares, capacity: float
+        self, demands: Mapping[str, float], shares: SubscriberShares, limit: float
     ) -> frozenset[str]:
-        """Return the flows whose demand exceeds the level at which fair shares fill `capacity`."""
+        """Return the flows whose demand exceeds both their share of `limit` and what is lent.
+
+        Lent is what max-min fair shares of `SHARED_USE` of the limit leave to them.
+        """
         claims = [Claim(flow, rate, shares.read_share(flow)) for flow, rate in demands.items()]
-        level = find_level(claims, capacity)
+        weight = sum(claim.weight for claim in claims)
+        level = find_level(claims, limit * SHARED_USE)
+        level = max(level, limit / weight if weight else level)
         self._over = frozenset(
             claim.name
             for claim in claims
