Ask further witnesses at once where the neighbours do not suffice

Change: such a node asks other hosts when it takes a version over; a host that fetched from one that is not its neighbour tells it. Nodes that have not joined do not ask for the head.

--- a/packages/distribution/src/corianderwall/distribution/distributor.py
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -65,6 +65,7 @@
         self._events: list[DistributionEvent] = []
         self._next_witness_ask_at = now
         self._witness_asks = 0
+        self._asked_version = NO_VERSION
         self._retries = 0
         self._current: Snapshot | None = None
 
@@ -114,14 +115,15 @@
         self._floor.note_platform(snapshot.version)
         if asked_at is not None:
             outgoing += self._reads.answer(snapshot.version, asked_at)
-        return outgoing + self._advance(now)
+        return outgoing + self._advance(now) + self._ask_witnesses_early()
 
     def handle(self, peer: str, message: PeerMessage, now: float) -> list[Outgoing]:
         """Take a message of a peer and return the answers."""
         handler = _HANDLERS.get(type(message))
         if handler is None:
             return []
-        return handler(self, peer, message, now) + self._advance(now)
+        outgoing = handler(self, peer, message, now) + self._advance(now)
+        return outgoing + self._ask_witnesses_early()
 
     def handle_advert(self, peer: str, data: bytes, now: float) -> list[Outgoing]:
         """Take the advert of a peer's heartbeat."""
@@ -196,8 +198,17 @@
         self._retries += 1
         return self._replica.catch_up.request(newer[self._retries % len(newer)], now)
 
+    def _ask_witnesses_early(self) -> list[Outgoing]:
+        """Ask other hosts at once when the neighbours can't be all the witnesses."""
+        if self.held_version <= self._asked_version:
+            return []
+        self._asked_version = self.held_version
+        if self._witnesses.is_covered_by(self._members.neighbours):
+            return []
+        return self._make_witness_asks()
+
     def _ask_witnesses(self, now: float) -> list[Outgoing]:
-        """Ask hosts beyond the neighbours when the neighbours do not suffice as witnesses."""
+        """Ask other hosts again when too few have given word."""
         if self.held_version == NO_VERSION or now < self._next_witness_ask_at:
             return []
         if now - self._replica.held_since < self._settings.witness_ask_interval_s:
@@ -205,6 +216,9 @@
         if self._find_witnessed(now) >= self.held_version:
             return []
         self._next_witness_ask_at = now + self._settings.witness_ask_interval_s
+        return self._make_witness_asks()
+
+    def _make_witness_asks(self) -> list[Outgoing]:
         self._witness_asks += 1
         message = self._replica.make_held(wants_reply=True)
         helpers = self._witnesses.choose_helpers(self._witness_asks)
--- a/packages/distribution/src/corianderwall/distribution/floor.py
+++ b/packages/distribution/src/corianderwall/distribution/floor.py
@@ -70,7 +70,8 @@
         inquiries = Inquiries([], [])
         if self.is_known:
             return inquiries
-        if now >= self._next_head_ask_at:
+        is_alone = now - self._started_at >= self._settings.join_wait_s
+        if now >= self._next_head_ask_at and (self._members.has_joined or is_alone):
             self._next_head_ask_at = now + self._settings.head_ask_interval_s
             self._ask_watcher(inquiries)
         if now >= self._next_query_at:
--- a/packages/distribution/src/corianderwall/distribution/replica.py
+++ b/packages/distribution/src/corianderwall/distribution/replica.py
@@ -73,7 +73,10 @@
         self._parts = ()
         self.catch_up.finish()
         update = self._make_eager_update(base_digest)
-        return [self._pass_on(peer, source, update) for peer in self._members.neighbours]
+        peers = dict.fromkeys(self._members.neighbours)
+        if source != PLATFORM:
+            peers[source] = None
+        return [self._pass_on(peer, source, update) for peer in peers]
 
     def handle_update(self, peer: str, message: Update, now: float) -> list[Outgoing]:
         """Apply a delta to the snapshot that it is bound to, or ask for what is lacking."""
--- a/packages/distribution/src/corianderwall/distribution/witnesses.py
+++ b/packages/distribution/src/corianderwall/distribution/witnesses.py
@@ -62,6 +62,16 @@
             return NO_VERSION
         return min(held_version, versions[required - 1])
 
+    def is_covered_by(self, names: Iterable[str]) -> bool:
+        """Return whether these hosts can be all the witnesses that are needed."""
+        self._refresh_others()
+        known = set(names)
+        able = [host for host in self._others if host.name in known]
+        zones = {host.locality.zone for host in self._others}
+        able_zones = {host.locality.zone for host in able}
+        required = min(self._settings.required_witnesses, len(self._others))
+        return len(able) >= required and len(able_zones) >= min(required, len(zones))
+
     def choose_helpers(self, attempt: int) -> list[str]:
         """Return hosts to ask for their word, others with each attempt."""
         self._refresh_others()
