Keep the tick of the distributor free of walks over the fleet

Cause: each tick ranked all hosts for the watchers and weighed all witnesses, also at rest.

Change: watchers are worked out once per view, witnesses only while a version waits.

--- a/packages/distribution/src/corianderwall/distribution/distributor.py
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from corianderwall.distribution.advert import decode_advert, encode_advert
 from corianderwall.distribution.events import (
@@ -37,6 +37,9 @@
 from corianderwall.model.message import Outgoing, PeerMessage
 from corianderwall.model.resource import Snapshot
 
+if TYPE_CHECKING:
+    from corianderwall.model.endpoint import Host
+
 
 class Distributor:
     """Puts a held version in force once its floor is known and enough other hosts hold it.
@@ -67,6 +70,8 @@
         self._witness_asks = 0
         self._asked_version = NO_VERSION
         self._retries = 0
+        self._watchers: tuple[Host, ...] = ()
+        self._watchers_digest: int | None = None
         self._current: Snapshot | None = None
 
     @property
@@ -87,10 +92,12 @@
     @property
     def is_watcher(self) -> bool:
         """Whether this node is to watch the platform's head."""
-        watchers = choose_watchers(
-            self._members.list_hosts(), per_region=self._settings.watchers_per_region
-        )
-        return any(host.name == self._members.me.name for host in watchers)
+        if self._members.view_digest != self._watchers_digest:
+            self._watchers_digest = self._members.view_digest
+            self._watchers = choose_watchers(
+                self._members.list_hosts(), per_region=self._settings.watchers_per_region
+            )
+        return any(host.name == self._members.me.name for host in self._watchers)
 
     def make_advert(self) -> bytes:
         """Return the value that heartbeats are to carry."""
@@ -157,7 +164,7 @@
 
     def _advance(self, now: float) -> list[Outgoing]:
         """Put the newest version in force that this node may."""
-        current_version = NO_VERSION if self._current is None else self._current.version
+        current_version = self._read_current_version()
         if self.held_version <= current_version or not self._may_serve(now):
             return []
         snapshot = self._replica.history.find_at_most(self._find_witnessed(now))
@@ -169,6 +176,9 @@
         self._events.append(VersionInForce(snapshot))
         return self._ledger.report(snapshot.version, now)
 
+    def _read_current_version(self) -> int:
+        return NO_VERSION if self._current is None else self._current.version
+
     def _may_serve(self, now: float) -> bool:
         is_alone = now - self._started_at >= self._settings.join_wait_s
         return self._floor.is_known and (self._members.has_joined or is_alone)
@@ -185,6 +195,8 @@
     def _fetch_newer(self, now: float) -> list[Outgoing]:
         """Ask a holder of a newer version again when no answer came."""
         holders = self._replica.holders
+        if holders.highest <= self.held_version:
+            return []
         newer = [
             name
             for name in holders.iterate_names()
@@ -209,7 +221,7 @@
 
     def _ask_witnesses(self, now: float) -> list[Outgoing]:
         """Ask other hosts again when too few have given word."""
-        if self.held_version == NO_VERSION or now < self._next_witness_ask_at:
+        if self.held_version <= self._read_current_version() or now < self._next_witness_ask_at:
             return []
         if now - self._replica.held_since < self._settings.witness_ask_interval_s:
             return []
--- a/packages/distribution/src/corianderwall/distribution/witnesses.py
+++ b/packages/distribution/src/corianderwall/distribution/witnesses.py
@@ -17,9 +17,12 @@
 
     def __init__(self) -> None:
         self._words: dict[str, tuple[int, int]] = {}
+        self.highest = NO_VERSION
+        """The highest version that any host ever said it holds."""
 
     def note(self, name: str, session: int, version: int) -> None:
         """Record a host's word; words of an earlier session or of a lower version are old."""
+        self.highest = max(self.highest, version)
         self._words[name] = max((session, version), self._words.get(name, (0, NO_VERSION)))
 
     def get_version(self, name: str, *, session: int) -> int:
