--- a/packages/distribution/src/corianderwall/distribution/replica.py
+++ b/packages/distribution/src/corianderwall/distribution/replica.py
@@ -83,7 +83,7 @@
         delta = message.delta
         self.holders.note(peer, message.session, delta.changed.version)
         if self._is_old(peer, delta.changed.version, delta.result_digest):
-            return []
+            return self._confirm(peer)
         if self.history.newest is None or delta.base_digest != self.history.digest:
             return self.catch_up.request(peer, now)
         try:
@@ -164,6 +164,12 @@
             self._events.append(DigestConflict(peer, version))
         return version <= self.history.version
 
+    def _confirm(self, peer: str) -> list[Outgoing]:
+        """Give word to a peer that is no neighbour and thus has not had it."""
+        if peer in self._members.neighbours:
+            return []
+        return [Outgoing(peer, self.make_held())]
+
     def _refuse(self, peer: str, error: CorianderwallError, now: float) -> list[Outgoing]:
         self._events.append(UpdateRefused(peer, error.code, error.sentence))
         self._assembly.clear()
