Interpolate latencies within buckets and heed only real shifts of the old version

Cause: the threshold of slow calls was rounded up by up to two buckets and raised by the noise of the old version's recent quantiles, so slowdowns of 2 to 4 were found late. Change: quantiles and exceedances are interpolated; a recent shift counts from 1.5 standard errors. The measurement's oracle leaves out warming endpoints as the nodes do.

--- a/packages/bench/src/corianderwall/bench/moves.py
+++ b/packages/bench/src/corianderwall/bench/moves.py
@@ -73,11 +73,7 @@
     handled = [move for move in bad if _is_taken_back(move)]
     ejected = [move for move in handled if move.result.state is not MoveState.TAKEN_BACK]
     completed = [move for move in good if move.result.state is MoveState.COMPLETED]
-    delays = [
-        max(0.0, move.result.last_bad_s - move.result.detectable_s)
-        for move in bad
-        if move.result.detectable_s >= 0
-    ]
+    delays = [_measure_delay(move.result) for move in bad]
     shares = [move.result.bad_calls / max(1, move.result.calls) for move in bad]
     return Summary(
         good_total=len(good),
@@ -96,6 +92,13 @@
     )
 
 
+def _measure_delay(result: Result) -> float:
+    """Return the seconds from detectable to zero; none if the nodes stopped it before."""
+    if result.detectable_s < 0:
+        return 0.0
+    return max(0.0, result.last_bad_s - result.detectable_s)
+
+
 def _is_taken_back(move: Measured) -> bool:
     if move.result.state is MoveState.TAKEN_BACK:
         return True
--- a/packages/bench/src/corianderwall/bench/moves_world.py
+++ b/packages/bench/src/corianderwall/bench/moves_world.py
@@ -35,7 +35,7 @@
     VersionShare,
 )
 from corianderwall.model.verdict import Verdict
-from corianderwall.moves.agent import Members, MoveAgent
+from corianderwall.moves.agent import WARMUP_S, Members, MoveAgent
 from corianderwall.moves.control import HeldLease
 from corianderwall.moves.evidence import MoveEvidence
 from corianderwall.moves.judgement import Judge, choose_settings
@@ -51,6 +51,10 @@
 TICK_SLICES = 5
 ORACLE_SLICES = 2
 LOSS = 0.01
+AGE_AT_START_S = 5
+"""Age of the new version's endpoints when the move starts."""
+
+WARM_AFTER_S = WARMUP_S - AGE_AT_START_S
 NODES = tuple(f"n{index}" for index in range(8))
 
 
@@ -177,24 +181,28 @@
 
     move: Move
     evidence: MoveEvidence = field(init=False)
-    judge_: Judge = field(init=False)
+    new_endpoints: frozenset[str] = field(init=False)
+    judge_of_all: Judge = field(init=False)
     cutter: WindowCutter = field(init=False)
 
     def __post_init__(self) -> None:
         zones = {place.name: place.zone for place in PLACES}
         new = {place.name: place.zone for place in PLACES if place.version == NEW_VERSION}
+        self.new_endpoints = frozenset(new)
         windows = (self.move.deadline_unix_ms - self.move.started_unix_ms) / 1000
         settings = choose_settings(self.move.policy, windows / (ORACLE_SLICES * SLICE_S), 1)
         self.evidence = MoveEvidence(self.move, zones)
-        self.judge_ = Judge(settings, new)
+        self.judge_of_all = Judge(settings, new)
         self.cutter = WindowCutter(self.evidence)
 
     def judge(self, world: World) -> None:
         """Note when the version's badness is detectable."""
         if world.result.detectable_s >= 0:
             return
-        self.judge_.take_window(self.cutter.close_window())
-        if self.judge_.judge().verdict in (Finding.BAD, Finding.BAD_ENDPOINTS):
+        is_warming = world.now_s < WARM_AFTER_S
+        self.evidence.warming = self.new_endpoints if is_warming else frozenset()
+        self.judge_of_all.take_window(self.cutter.close_window())
+        if self.judge_of_all.judge().verdict in (Finding.BAD, Finding.BAD_ENDPOINTS):
             world.result.detectable_s = world.now_s
 
 
@@ -353,7 +361,9 @@
         address=Address(host="127.0.0.1", port=1),
         slots=12,
         connections=130,
-        started_unix_ms=START_UNIX_MS - 5000 if place.version == NEW_VERSION else 0,
+        started_unix_ms=(
+            START_UNIX_MS - AGE_AT_START_S * 1000 if place.version == NEW_VERSION else 0
+        ),
     )
 
 
--- a/packages/moves/src/corianderwall/moves/detector.py
+++ b/packages/moves/src/corianderwall/moves/detector.py
@@ -23,10 +23,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """`hits` of `calls` independent calls, and the highest rate that is still tolerable."""
+    """`hits` of `calls` independent calls, and the highest rate that is still tolerable.
+
+    Calls in the bucket of a latency threshold are hits in part.
+    """
 
     calls: int
-    hits: int
+    hits: float
     null_rate: float
 
 
--- a/packages/moves/src/corianderwall/moves/histogram.py
+++ b/packages/moves/src/corianderwall/moves/histogram.py
@@ -31,22 +31,28 @@
     return float((0.5 + part / 8) * 2.0 ** (octave + LOWEST_EXPONENT))
 
 
-def find_quantile(counts: Sequence[int], quantile: float) -> int:
-    """Return the bucket in which `quantile` of the calls ends, -1 without calls."""
+def find_quantile(counts: Sequence[int], quantile: float) -> float:
+    """Return the latency in seconds below which `quantile` of the calls lie, 0 without calls.
+
+    Within a bucket the calls are taken as spread evenly.
+    """
     total = sum(counts)
     if not total:
-        return -1
+        return 0.0
     wanted = total * quantile
     seen = 0
     for bucket, count in enumerate(counts):
+        if count and seen + count >= wanted:
+            lower = find_lower_bound(bucket)
+            return lower + (wanted - seen) / count * (find_lower_bound(bucket + 1) - lower)
         seen += count
-        if seen >= wanted:
-            return bucket
-    return _LAST_BUCKET
+    return find_lower_bound(BUCKET_COUNT)
 
 
-def scale_bucket(bucket: int, factor: float) -> int:
-    """Return the first bucket that lies wholly above `factor` times the bucket's upper bound."""
-    upper = find_lower_bound(bucket + 1) * factor
-    # A hair under the bound keeps an exact power of two in the bucket that it closes.
-    return find_bucket(upper * 0.999_999) + 1
+def count_above(counts: Sequence[int], latency_s: float) -> float:
+    """Return how many calls took longer than `latency_s`, a part of those in its bucket."""
+    bucket = find_bucket(latency_s)
+    lower = find_lower_bound(bucket)
+    upper = find_lower_bound(bucket + 1)
+    part = min(max((upper - latency_s) / (upper - lower), 0.0), 1.0)
+    return sum(counts[bucket + 1 :]) + part * counts[bucket]
--- a/packages/moves/src/corianderwall/moves/reference.py
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from corianderwall.moves.evidence import LOAD_LEVELS, CellKey, Window
-from corianderwall.moves.histogram import BUCKET_COUNT, find_quantile
+from corianderwall.moves.histogram import BUCKET_COUNT, count_above, find_quantile
 
 RECENT_WINDOWS = 6
 """Windows with calls of the old version over which a change of its behaviour is looked for."""
@@ -19,8 +19,11 @@
 
 MIN_QUANTILE_CALLS = 40
 MIN_SHIFT_CALLS = 12
-LEVEL_GAP_BUCKETS = 2
-"""Buckets of latency granted for each load level at which the old version was not seen."""
+LEVEL_GAP_FACTOR = 1.4
+"""Factor of latency granted for each load level at which the old version was not seen."""
+
+SIGNIFICANT_ERRORS = 1.5
+"""Standard errors from which a recent change of the old version is taken as real."""
 
 ANY = "*"
 ANY_LEVEL = -1
@@ -75,8 +78,8 @@
     _whole: dict[Stratum, _Tally] = field(default_factory=dict)
     _recent: dict[Stratum, _Tally] = field(default_factory=dict)
     _windows: deque[list[_Sparse]] = field(default_factory=deque)
-    _quantiles: dict[_QuantileKey, int] = field(default_factory=dict)
-    _latency_shifts: dict[_QuantileKey, int] = field(default_factory=dict)
+    _quantiles: dict[_QuantileKey, float] = field(default_factory=dict)
+    _latency_shifts: dict[_QuantileKey, float] = field(default_factory=dict)
     _failure_shifts: dict[Stratum, float] = field(default_factory=dict)
 
     def take_window(self, window: Window) -> None:
@@ -116,40 +119,34 @@
         margin = MARGIN_ERRORS * sqrt(rate * (1 - rate) / (weight + PRIOR_CALLS))
         return min(1.0, rate + margin + self._find_failure_shift(stratum))
 
-    def find_latency_bucket(self, stratum: Stratum, quantile: float) -> int:
-        """Return the bucket of the old version's quantile, -1 while too little is known."""
+    def find_latency(self, stratum: Stratum, quantile: float) -> float:
+        """Return the old version's quantile in seconds, 0 while too little is known."""
         key = _QuantileKey(stratum, quantile)
         cached = self._quantiles.get(key)
         if cached is None:
-            cached = self._compute_latency_bucket(stratum, quantile)
+            cached = self._compute_latency(stratum, quantile)
             self._quantiles[key] = cached
         return cached
 
-    def _compute_latency_bucket(self, stratum: Stratum, quantile: float) -> int:
-        best = -1
+    def _compute_latency(self, stratum: Stratum, quantile: float) -> float:
+        usual = 0.0
         for level in range(stratum.level, -1, -1):
-            gap = stratum.level - level
-            bucket = self._find_level_bucket(stratum._replace(level=level), quantile)
-            if bucket >= 0:
-                best = bucket + gap * LEVEL_GAP_BUCKETS
+            usual = self._find_level_latency(stratum._replace(level=level), quantile)
+            if usual > 0:
+                usual *= LEVEL_GAP_FACTOR ** (stratum.level - level)
                 break
-        if best < 0:
-            best = self._find_quantile_bucket(Stratum(ANY, ANY, ANY_LEVEL), quantile)
-        if best < 0:
-            return -1
-        return min(best + self._find_latency_shift(stratum, quantile), BUCKET_COUNT - 1)
-
-    def _find_level_bucket(self, stratum: Stratum, quantile: float) -> int:
-        for candidate in (stratum, stratum._replace(zone=ANY)):
-            bucket = self._find_quantile_bucket(candidate, quantile)
-            if bucket >= 0:
-                return bucket
-        return -1
-
-    def _find_quantile_bucket(self, stratum: Stratum, quantile: float) -> int:
+        if usual == 0:
+            usual = self._find_group_latency(WHOLE, quantile)
+        return usual * self._find_latency_shift(stratum, quantile)
+
+    def _find_level_latency(self, stratum: Stratum, quantile: float) -> float:
+        narrow = self._find_group_latency(stratum, quantile)
+        return narrow or self._find_group_latency(stratum._replace(zone=ANY), quantile)
+
+    def _find_group_latency(self, stratum: Stratum, quantile: float) -> float:
         tally = self._whole.get(stratum)
         if tally is None or tally.calls < MIN_QUANTILE_CALLS:
-            return -1
+            return 0.0
         return find_quantile(tally.buckets, quantile)
 
     def _estimate(self, stratum: Stratum) -> tuple[float, float]:
@@ -186,10 +183,14 @@
         usual = whole.failures / whole.calls
         spread = sqrt(max(recent.calls * usual * (1 - usual), 0.25))
         excess = recent.failures - recent.calls * usual
-        return max(0.0, (excess + spread) / recent.calls) if excess > 1.5 * spread else 0.0
-
-    def _find_latency_shift(self, stratum: Stratum, quantile: float) -> int:
-        shift = 0
+        return (
+            max(0.0, (excess + spread) / recent.calls)
+            if excess > SIGNIFICANT_ERRORS * spread
+            else 0.0
+        )
+
+    def _find_latency_shift(self, stratum: Stratum, quantile: float) -> float:
+        shift = 1.0
         for group in _list_shift_groups(stratum):
             key = _QuantileKey(group, quantile)
             measured = self._latency_shifts.get(key)
@@ -199,15 +200,20 @@
             shift = max(shift, measured)
         return shift
 
-    def _measure_latency_shift(self, group: Stratum, quantile: float) -> int:
+    def _measure_latency_shift(self, group: Stratum, quantile: float) -> float:
+        """Return the factor by which the old version has become slower lately, at least 1."""
         recent = self._recent.get(group)
         if recent is None or recent.calls < MIN_SHIFT_CALLS:
-            return 0
-        usual = self._find_quantile_bucket(group, quantile)
-        now = find_quantile(recent.buckets, quantile)
-        if usual < 0 or now < 0:
-            return 0
-        return max(0, now - usual)
+            return 1.0
+        usual = self._find_group_latency(group, quantile)
+        if usual == 0:
+            return 1.0
+        calls = sum(recent.buckets)
+        expected = calls * (1 - quantile)
+        spread = sqrt(expected * quantile + 0.25)
+        if count_above(recent.buckets, usual) - expected <= SIGNIFICANT_ERRORS * spread:
+            return 1.0
+        return max(1.0, find_quantile(recent.buckets, quantile) / usual)
 
 
 def _list_shift_groups(stratum: Stratum) -> tuple[Stratum, Stratum, Stratum]:
--- a/packages/moves/src/corianderwall/moves/scopes.py
+++ b/packages/moves/src/corianderwall/moves/scopes.py
@@ -13,7 +13,7 @@
     compute_log_ratios,
 )
 from corianderwall.moves.evidence import Cell, CellKey
-from corianderwall.moves.histogram import scale_bucket
+from corianderwall.moves.histogram import count_above
 from corianderwall.moves.reference import Reference, Stratum
 
 SLOW_MARGIN = 0.03
@@ -99,9 +99,9 @@
     samples = {Metric.FAILURES: _draw_failures(cell, stratum, reference, tolerance)}
     answered = sum(cell.buckets)
     for metric, quantile in QUANTILES.items():
-        bucket = reference.find_latency_bucket(stratum, quantile)
-        if answered and bucket >= 0:
-            over = sum(cell.buckets[scale_bucket(bucket, tolerance.slowdown) :])
+        usual_latency_s = reference.find_latency(stratum, quantile)
+        if answered and usual_latency_s > 0:
+            over = count_above(cell.buckets, usual_latency_s * tolerance.slowdown)
             samples[metric] = Sample(answered, over, 1 - quantile + SLOW_MARGIN)
     usual = reference.estimate_failure_rate(stratum)
     return CellEvidence(
