Compare the old version's shifts over three horizons and report faster at large shares

Cause: when both versions change at once the recent tally lagged by 3 s; half of the reporting delay of 1 s went into the calls of a version that turns bad at a large share. Change: shifts are sought over the last 1, 2 and 6 windows at 2 standard errors; reports every 0.5 s from half of the calls on; the aggregators spend 0.8 of the error rate, since both see the same evidence.

--- a/packages/moves/src/corianderwall/moves/judgement.py
+++ b/packages/moves/src/corianderwall/moves/judgement.py
@@ -77,8 +77,8 @@
     clearance_error: float
 
 
-def choose_settings(policy: MovePolicy, windows: float, judges: int) -> JudgeSettings:
-    """Return the settings of one of `judges` equal judges of a move under `policy`.
+def choose_settings(policy: MovePolicy, windows: float, part: float) -> JudgeSettings:
+    """Return the settings of a judge that may spend `part` of the error rate of a move.
 
     A cautious policy accepts more false alarms and asks for more proof before a step.
     """
@@ -89,7 +89,7 @@
             slowdown=1 + policy.tolerated_slowdown_percent / 100,
         ),
         windows=windows,
-        alarm_error=alarm_error / judges,
+        alarm_error=alarm_error * part,
         clearance_error=0.02 - 0.015 * policy.caution,
     )
 
--- a/packages/moves/src/corianderwall/moves/reference.py
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -8,8 +8,8 @@
 from corianderwall.moves.evidence import LOAD_LEVELS, CellKey, Window
 from corianderwall.moves.histogram import BUCKET_COUNT, count_above, find_quantile
 
-RECENT_WINDOWS = 6
-"""Windows with calls of the old version over which a change of its behaviour is looked for."""
+HORIZONS = (1, 2, 6)
+"""Last windows with calls of the old version over which changes of its behaviour are looked for."""
 
 PRIOR_CALLS = 20.0
 """Weight of the wider group's rate in that of a narrower one."""
@@ -18,11 +18,11 @@
 """Standard errors that are added to an estimated rate."""
 
 MIN_QUANTILE_CALLS = 40
-MIN_SHIFT_CALLS = 12
+MIN_SHIFT_CALLS = 8
 LEVEL_GAP_FACTOR = 1.4
 """Factor of latency granted for each load level at which the old version was not seen."""
 
-SIGNIFICANT_ERRORS = 1.5
+SIGNIFICANT_ERRORS = 2.0
 """Standard errors from which a recent change of the old version is taken as real."""
 
 ANY = "*"
@@ -62,6 +62,7 @@
 @dataclass(frozen=True, slots=True)
 class _Sparse:
     strata: tuple[Stratum, ...]
+    groups: tuple[Stratum, ...]
     calls: int
     failures: int
     pairs: tuple[tuple[int, int], ...]
@@ -76,7 +77,9 @@
     """
 
     _whole: dict[Stratum, _Tally] = field(default_factory=dict)
-    _recent: dict[Stratum, _Tally] = field(default_factory=dict)
+    _recent: tuple[dict[Stratum, _Tally], ...] = field(
+        default_factory=lambda: tuple({} for _ in HORIZONS)
+    )
     _windows: deque[list[_Sparse]] = field(default_factory=deque)
     _quantiles: dict[_QuantileKey, float] = field(default_factory=dict)
     _latency_shifts: dict[_QuantileKey, float] = field(default_factory=dict)
@@ -96,11 +99,15 @@
         self._failure_shifts.clear()
         self._windows.append(added)
         for sparse in added:
-            _add(self._whole, sparse, 1)
-            _add(self._recent, sparse, 1)
-        if len(self._windows) > RECENT_WINDOWS:
-            for sparse in self._windows.popleft():
-                _add(self._recent, sparse, -1)
+            _add(self._whole, sparse.strata, sparse, 1)
+        for horizon, recent in zip(HORIZONS, self._recent, strict=True):
+            for sparse in added:
+                _add(recent, sparse.groups, sparse, 1)
+            if len(self._windows) > horizon:
+                for sparse in self._windows[-horizon - 1]:
+                    _add(recent, sparse.groups, sparse, -1)
+        if len(self._windows) > HORIZONS[-1]:
+            self._windows.popleft()
 
     @property
     def calls(self) -> int:
@@ -176,18 +183,22 @@
         return shift
 
     def _measure_failure_shift(self, group: Stratum) -> float:
-        recent = self._recent.get(group)
+        """Return by how much the old version's failure rate has risen lately, at least 0."""
         whole = self._whole.get(group)
-        if recent is None or whole is None or recent.calls < MIN_SHIFT_CALLS:
+        if whole is None or not whole.calls:
             return 0.0
         usual = whole.failures / whole.calls
-        spread = sqrt(max(recent.calls * usual * (1 - usual), 0.25))
-        excess = recent.failures - recent.calls * usual
-        return (
-            max(0.0, (excess + spread) / recent.calls)
-            if excess > SIGNIFICANT_ERRORS * spread
-            else 0.0
-        )
+        shift = 0.0
+        for tally in self._list_recent(group):
+            spread = sqrt(max(tally.calls * usual * (1 - usual), 0.25))
+            excess = tally.failures - tally.calls * usual
+            if excess > SIGNIFICANT_ERRORS * spread:
+                shift = max(shift, (excess + spread) / tally.calls)
+        return shift
+
+    def _list_recent(self, group: Stratum) -> list[_Tally]:
+        tallies = [recent.get(group) for recent in self._recent]
+        return [each for each in tallies if each is not None and each.calls >= MIN_SHIFT_CALLS]
 
     def _find_latency_shift(self, stratum: Stratum, quantile: float) -> float:
         shift = 1.0
@@ -202,18 +213,16 @@
 
     def _measure_latency_shift(self, group: Stratum, quantile: float) -> float:
         """Return the factor by which the old version has become slower lately, at least 1."""
-        recent = self._recent.get(group)
-        if recent is None or recent.calls < MIN_SHIFT_CALLS:
-            return 1.0
         usual = self._find_group_latency(group, quantile)
         if usual == 0:
             return 1.0
-        calls = sum(recent.buckets)
-        expected = calls * (1 - quantile)
-        spread = sqrt(expected * quantile + 0.25)
-        if count_above(recent.buckets, usual) - expected <= SIGNIFICANT_ERRORS * spread:
-            return 1.0
-        return max(1.0, find_quantile(recent.buckets, quantile) / usual)
+        shift = 1.0
+        for tally in self._list_recent(group):
+            expected = sum(tally.buckets) * (1 - quantile)
+            spread = sqrt(expected * quantile + 0.25)
+            if count_above(tally.buckets, usual) - expected > SIGNIFICANT_ERRORS * spread:
+                shift = max(shift, find_quantile(tally.buckets, quantile) / usual)
+        return shift
 
 
 def _list_shift_groups(stratum: Stratum) -> tuple[Stratum, Stratum, Stratum]:
@@ -234,11 +243,14 @@
         Stratum(key.route, key.place, level),
     )
     pairs = tuple((bucket, count) for bucket, count in enumerate(buckets) if count)
-    return _Sparse(strata, calls, failures, pairs)
+    groups = _list_shift_groups(strata[-1])
+    return _Sparse(strata, groups, calls, failures, pairs)
 
 
-def _add(tallies: dict[Stratum, _Tally], sparse: _Sparse, sign: int) -> None:
-    for stratum in sparse.strata:
+def _add(
+    tallies: dict[Stratum, _Tally], strata: tuple[Stratum, ...], sparse: _Sparse, sign: int
+) -> None:
+    for stratum in strata:
         tally = tallies.get(stratum)
         if tally is None:
             tally = tallies[stratum] = _Tally()
--- a/packages/moves/src/corianderwall/moves/reporting.py
+++ b/packages/moves/src/corianderwall/moves/reporting.py
@@ -15,8 +15,13 @@
 MAX_REPORT_BYTES = 4096
 """No report is larger once encoded; a typical cell takes about 40 bytes."""
 
-REPORT_PERIODS_S = (1.0, 3.0)
-"""Time between two reports to the first and to the second aggregator."""
+REPORT_PERIOD_S = 1.0
+LARGE_SHARE_PERIOD_S = 0.5
+LARGE_SHARE_PERMILLE = 500
+"""Time between two reports to the first aggregator, and from this share on."""
+
+SECOND_PERIOD_S = 3.0
+"""Time between two reports to the second aggregator."""
 
 _FIXED_BYTES = 400
 _CELL_BYTES = 30
@@ -59,12 +64,18 @@
             progress = self._progress.setdefault(aggregator, _Progress())
             if now < progress.next_unforced_at and not is_urgent:
                 continue
-            progress.next_unforced_at = now + REPORT_PERIODS_S[min(rank, 1)]
+            progress.next_unforced_at = now + self._choose_period(rank)
             report = self._build_report(progress)
             if report is not None:
                 reports[aggregator] = report
         return reports
 
+    def _choose_period(self, rank: int) -> float:
+        if rank > 0:
+            return SECOND_PERIOD_S
+        is_large = self.evidence.move.share_permille >= LARGE_SHARE_PERMILLE
+        return LARGE_SHARE_PERIOD_S if is_large else REPORT_PERIOD_S
+
     def take_ack(self, ack: EvidenceAck) -> None:
         """Note what an aggregator has counted; acknowledgements of older reports are ignored."""
         progress = self._progress.get(ack.aggregator)
--- a/packages/moves/src/corianderwall/moves/watch.py
+++ b/packages/moves/src/corianderwall/moves/watch.py
@@ -16,8 +16,9 @@
 CALM_WINDOW_S = 2.0
 """The same at a node's own watch while none of its calls to the new version failed."""
 
-AGGREGATED_JUDGES = 4
-"""Both aggregators together may spend half of a move's error rate."""
+AGGREGATED_PART = 0.8
+"""Part of a move's error rate for the merged evidence; both aggregators see the same of it, so
+that their false alarms coincide. The nodes' own watches share the rest."""
 
 
 @dataclass(slots=True)
@@ -112,10 +113,9 @@
 def start_watch(
     evidence: MoveEvidence, node: str, incarnation: int, zones: Mapping[str, str], nodes: int
 ) -> LocalWatch:
-    """Return the watch of one of `nodes` nodes; all of them share half of the error rate."""
-    settings = choose_settings(
-        evidence.move.policy, _count_windows(evidence.move), 2 * max(nodes, 1)
-    )
+    """Return the watch of one of `nodes` nodes; which share a part of the error rate."""
+    part = (1 - AGGREGATED_PART) / max(nodes, 1)
+    settings = choose_settings(evidence.move.policy, _count_windows(evidence.move), part)
     return LocalWatch(
         evidence=evidence,
         judge=Judge(settings, zones),
@@ -125,7 +125,7 @@
 
 def start_aggregation(move: Move, node: str, zones: Mapping[str, str]) -> Aggregation:
     """Return the aggregation of a move at `node`."""
-    settings = choose_settings(move.policy, _count_windows(move), AGGREGATED_JUDGES)
+    settings = choose_settings(move.policy, _count_windows(move), AGGREGATED_PART)
     return Aggregation(pool=EvidencePool(move.id, node), judge=Judge(settings, zones))
 
 
