--- a/packages/moves/src/corianderwall/moves/reference.py
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -6,10 +6,10 @@
 from typing import NamedTuple
 
 from corianderwall.moves.evidence import LOAD_LEVELS, CellKey, Window
-from corianderwall.moves.histogram import BUCKET_COUNT, find_quantile
+from corianderwall.moves.histogram import BUCKET_COUNT, count_above, find_quantile
 
-RECENT_WINDOWS = 6
-"""Windows with calls of the old version over which a change of its behaviour is looked for."""
+HORIZONS = (1, 2, 6)
+"""Last windows with calls of the old version over which changes of its behaviour are looked for."""
 
 PRIOR_CALLS = 20.0
 """Weight of the wider group's rate in that of a narrower one."""
@@ -18,9 +18,12 @@
 """Standard errors that are added to an estimated rate."""
 
 MIN_QUANTILE_CALLS = 40
-MIN_SHIFT_CALLS = 12
-LEVEL_GAP_BUCKETS = 2
-"""Buckets of latency granted for each load level at which the old version was not seen."""
+MIN_SHIFT_CALLS = 8
+LEVEL_GAP_FACTOR = 1.4
+"""Factor of latency granted for each load level at which the old version was not seen."""
+
+SIGNIFICANT_ERRORS = 2.0
+"""Standard errors from which a recent change of the old version is taken as real."""
 
 ANY = "*"
 ANY_LEVEL = -1
@@ -59,6 +62,7 @@
 @dataclass(frozen=True, slots=True)
 class _Sparse:
     strata: tuple[Stratum, ...]
+    groups: tuple[Stratum, ...]
     calls: int
     failures: int
     pairs: tuple[tuple[int, int], ...]
@@ -73,10 +77,12 @@
     """
 
     _whole: dict[Stratum, _Tally] = field(default_factory=dict)
-    _recent: dict[Stratum, _Tally] = field(default_factory=dict)
+    _recent: tuple[dict[Stratum, _Tally], ...] = field(
+        default_factory=lambda: tuple({} for _ in HORIZONS)
+    )
     _windows: deque[list[_Sparse]] = field(default_factory=deque)
-    _quantiles: dict[_QuantileKey, int] = field(default_factory=dict)
-    _latency_shifts: dict[_QuantileKey, int] = field(default_factory=dict)
+    _quantiles: dict[_QuantileKey, float] = field(default_factory=dict)
+    _latency_shifts: dict[_QuantileKey, float] = field(default_factory=dict)
     _failure_shifts: dict[Stratum, float] = field(default_factory=dict)
 
     def take_window(self, window: Window) -> None:
@@ -93,11 +99,15 @@
         self._failure_shifts.clear()
         self._windows.append(added)
         for sparse in added:
-            _add(self._whole, sparse, 1)
-            _add(self._recent, sparse, 1)
-        if len(self._windows) > RECENT_WINDOWS:
-            for sparse in self._windows.popleft():
-                _add(self._recent, sparse, -1)
+            _add(self._whole, sparse.strata, sparse, 1)
+        for horizon, recent in zip(HORIZONS, self._recent, strict=True):
+            for sparse in added:
+                _add(recent, sparse.groups, sparse, 1)
+            if len(self._windows) > horizon:
+                for sparse in self._windows[-horizon - 1]:
+                    _add(recent, sparse.groups, sparse, -1)
+        if len(self._windows) > HORIZONS[-1]:
+            self._windows.popleft()
 
     @property
     def calls(self) -> int:
@@ -116,40 +126,34 @@
         margin = MARGIN_ERRORS * sqrt(rate * (1 - rate) / (weight + PRIOR_CALLS))
         return min(1.0, rate + margin + self._find_failure_shift(stratum))
 
-    def find_latency_bucket(self, stratum: Stratum, quantile: float) -> int:
-        """Return the bucket of the old version's quantile, -1 while too little is known."""
+    def find_latency(self, stratum: Stratum, quantile: float) -> float:
+        """Return the old version's quantile in seconds, 0 while too little is known."""
         key = _QuantileKey(stratum, quantile)
         cached = self._quantiles.get(key)
         if cached is None:
-            cached = self._compute_latency_bucket(stratum, quantile)
+            cached = self._compute_latency(stratum, quantile)
             self._quantiles[key] = cached
         return cached
 
-    def _compute_latency_bucket(self, stratum: Stratum, quantile: float) -> int:
-        best = -1
+    def _compute_latency(self, stratum: Stratum, quantile: float) -> float:
+        usual = 0.0
         for level in range(stratum.level, -1, -1):
-            gap = stratum.level - level
-            bucket = self._find_level_bucket(stratum._replace(level=level), quantile)
-            if bucket >= 0:
-                best = bucket + gap * LEVEL_GAP_BUCKETS
+            usual = self._find_level_latency(stratum._replace(level=level), quantile)
+            if usual > 0:
+                usual *= LEVEL_GAP_FACTOR ** (stratum.level - level)
                 break
-        if best < 0:
-            best = self._find_quantile_bucket(Stratum(ANY, ANY, ANY_LEVEL), quantile)
-        if best < 0:
-            return -1
-        return min(best + self._find_latency_shift(stratum, quantile), BUCKET_COUNT - 1)
-
-    def _find_level_bucket(self, stratum: Stratum, quantile: float) -> int:
-        for candidate in (stratum, stratum._replace(zone=ANY)):
-            bucket = self._find_quantile_bucket(candidate, quantile)
-            if bucket >= 0:
-                return bucket
-        return -1
-
-    def _find_quantile_bucket(self, stratum: Stratum, quantile: float) -> int:
+        if usual == 0:
+            usual = self._find_group_latency(WHOLE, quantile)
+        return usual * self._find_latency_shift(stratum, quantile)
+
+    def _find_level_latency(self, stratum: Stratum, quantile: float) -> float:
+        narrow = self._find_group_latency(stratum, quantile)
+        return narrow or self._find_group_latency(stratum._replace(zone=ANY), quantile)
+
+    def _find_group_latency(self, stratum: Stratum, quantile: float) -> float:
         tally = self._whole.get(stratum)
         if tally is None or tally.calls < MIN_QUANTILE_CALLS:
-            return -1
+            return 0.0
         return find_quantile(tally.buckets, quantile)
 
     def _estimate(self, stratum: Stratum) -> tuple[float, float]:
@@ -179,17 +183,25 @@
         return shift
 
     def _measure_failure_shift(self, group: Stratum) -> float:
-        recent = self._recent.get(group)
+        """Return by how much the old version's failure rate has risen lately, at least 0."""
         whole = self._whole.get(group)
-        if recent is None or whole is None or recent.calls < MIN_SHIFT_CALLS:
+        if whole is None or not whole.calls:
             return 0.0
         usual = whole.failures / whole.calls
-        spread = sqrt(max(recent.calls * usual * (1 - usual), 0.25))
-        excess = recent.failures - recent.calls * usual
-        return max(0.0, (excess + spread) / recent.calls) if excess > 1.5 * spread else 0.0
+        shift = 0.0
+        for tally in self._list_recent(group):
+            spread = sqrt(max(tally.calls * usual * (1 - usual), 0.25))
+            excess = tally.failures - tally.calls * usual
+            if excess > SIGNIFICANT_ERRORS * spread:
+                shift = max(shift, (excess + spread) / tally.calls)
+        return shift
 
-    def _find_latency_shift(self, stratum: Stratum, quantile: float) -> int:
-        shift = 0
+    def _list_recent(self, group: Stratum) -> list[_Tally]:
+        tallies = [recent.get(group) for recent in self._recent]
+        return [each for each in tallies if each is not None and each.calls >= MIN_SHIFT_CALLS]
+
+    def _find_latency_shift(self, stratum: Stratum, quantile: float) -> float:
+        shift = 1.0
         for group in _list_shift_groups(stratum):
             key = _QuantileKey(group, quantile)
             measured = self._latency_shifts.get(key)
@@ -199,15 +211,18 @@
             shift = max(shift, measured)
         return shift
 
-    def _measure_latency_shift(self, group: Stratum, quantile: float) -> int:
-        recent = self._recent.get(group)
-        if recent is None or recent.calls < MIN_SHIFT_CALLS:
-            return 0
-        usual = self._find_quantile_bucket(group, quantile)
-        now = find_quantile(recent.buckets, quantile)
-        if usual < 0 or now < 0:
-            return 0
-        return max(0, now - usual)
+    def _measure_latency_shift(self, group: Stratum, quantile: float) -> float:
+        """Return the factor by which the old version has become slower lately, at least 1."""
+        usual = self._find_group_latency(group, quantile)
+        if usual == 0:
+            return 1.0
+        shift = 1.0
+        for tally in self._list_recent(group):
+            expected = sum(tally.buckets) * (1 - quantile)
+            spread = sqrt(expected * quantile + 0.25)
+            if count_above(tally.buckets, usual) - expected > SIGNIFICANT_ERRORS * spread:
+                shift = max(shift, find_quantile(tally.buckets, quantile) / usual)
+        return shift
 
 
 def _list_shift_groups(stratum: Stratum) -> tuple[Stratum, Stratum, Stratum]:
@@ -228,11 +243,14 @@
         Stratum(key.route, key.place, level),
     )
     pairs = tuple((bucket, count) for bucket, count in enumerate(buckets) if count)
-    return _Sparse(strata, calls, failures, pairs)
+    groups = _list_shift_groups(strata[-1])
+    return _Sparse(strata, groups, calls, failures, pairs)
 
 
-def _add(tallies: dict[Stratum, _Tally], sparse: _Sparse, sign: int) -> None:
-    for stratum in sparse.strata:
+def _add(
+    tallies: dict[Stratum, _Tally], strata: tuple[Stratum, ...], sparse: _Sparse, sign: int
+) -> None:
+    for stratum in strata:
         tally = tallies.get(stratum)
         if tally is None:
             tally = tallies[stratum] = _Tally()
