--- a/packages/bench/src/corianderwall/bench/runner.py
+++ b/packages/bench/src/corianderwall/bench/runner.py
@@ -5,6 +5,8 @@
 
 import click
 
+from corianderwall.bench.running import install_reactor
+
 MODULES = {
     name: f"corianderwall.bench.{name.replace('-', '_')}"
     for name in (
@@ -35,5 +37,7 @@
 
     Example: make -s measure WHAT=footprint ARGS="--seed 7"
     """
+    # Some modules import libraries that would install another reactor.
+    install_reactor()
     module = importlib.import_module(MODULES[name])
     click.echo(json.dumps(module.measure(list(arguments))))
--- a/packages/node/src/corianderwall/node/logs.py
+++ b/packages/node/src/corianderwall/node/logs.py
@@ -110,6 +110,11 @@
     log_event(absl_logging.WARNING, message, **fields)
 
 
+def log_error(message: str, **fields: object) -> None:
+    """Log an event after which this process can't do its work."""
+    log_event(absl_logging.ERROR, message, **fields)
+
+
 def _forward_twisted_event(event: LogEvent) -> None:
     level = _LEVELS.get(event.get("log_level", LogLevel.info), logging.DEBUG)
     if level < logging.WARNING:
--- a/packages/node/src/corianderwall/node/platformtask.py
+++ b/packages/node/src/corianderwall/node/platformtask.py
@@ -101,7 +101,7 @@
         while True:
             try:
                 seeds = await self._board.read()
-                if seeds or await self._board.enter_if_empty():
+                if seeds or await self._board.enter_if_alone():
                     return seeds
             except CorianderwallError as error:
                 log_warning("no seeds yet", code=error.code.value, why=error.sentence)
--- a/packages/node/src/corianderwall/node/seedboard.py
+++ b/packages/node/src/corianderwall/node/seedboard.py
@@ -52,12 +52,13 @@
         seeds = _decode(await self._api.read(SEEDS_KEY)).seeds
         return tuple(_make_host(seed) for seed in seeds if seed.name != self._me.name)
 
-    async def enter_if_empty(self) -> bool:
+    async def enter_if_alone(self) -> bool:
         """Name this node as the first one; False if another was faster."""
         stored = await self._api.read(SEEDS_KEY)
-        if _decode(stored).seeds:
-            return False
-        return await self._write(stored, [self._me])
+        seeds = _decode(stored).seeds
+        if not seeds:
+            return await self._write(stored, [self._me])
+        return all(seed.name == self._me.name for seed in seeds)
 
     async def refresh(self, list_live: Callable[[], Iterable[Host]]) -> tuple[Host, ...]:
         """Write the object anew if too few of its nodes live; return the nodes not in view."""
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -25,7 +25,7 @@
 from corianderwall.node.desk import Desk
 from corianderwall.node.dispatcher import Dispatcher
 from corianderwall.node.lifecycle import CycleActions, create_cycle
-from corianderwall.node.logs import log_info, log_warning, start_logs
+from corianderwall.node.logs import log_error, log_info, log_warning, start_logs
 from corianderwall.node.metrics import CallMetrics, Metrics
 from corianderwall.node.moveview import AgentView
 from corianderwall.node.operators import OperatorApp, OperatorSite
@@ -56,6 +56,8 @@
     from corianderwall.node.settings import NodeSettings
     from corianderwall.store.commit import Committed
 
+EXIT_CANNOT_START = 1
+
 SEED_WAIT_S = 1.0
 """How long the nodes named in the settings are awaited before the platform is asked for others."""
 
@@ -407,6 +409,7 @@
 
     def __init__(self, settings: "NodeSettings", reactor: Any) -> None:
         self._reactor = reactor
+        self._exit_code = 0
         self.node = Node(settings, reactor)
         self._cycle = create_cycle(CycleActions(self._drain, self._cut, self._stop))
 
@@ -414,7 +417,7 @@
         """Serve until stopped; return the exit code."""
         self._reactor.callWhenRunning(self._begin)
         self._reactor.run(installSignalHandlers=False)
-        return 0
+        return self._exit_code
 
     def _begin(self) -> None:
         loop = asyncio.get_event_loop()
@@ -424,7 +427,8 @@
         started.addCallbacks(lambda _: self._cycle.begin_serving(), self._fail)
 
     def _fail(self, failure: Any) -> None:
-        log_warning("can't start", why=failure.getErrorMessage())
+        log_error("can't start", why=failure.getErrorMessage())
+        self._exit_code = EXIT_CANNOT_START
         self._cycle.signal()
 
     def _drain(self) -> None:
--- a/packages/node/tests/test_seedboard.py
+++ b/packages/node/tests/test_seedboard.py
@@ -23,20 +23,26 @@
 
 @pytest_twisted.ensureDeferred
 async def test_only_one_of_two_first_nodes_enters_an_empty_board(api):
-    assert await make_board(api, "a").enter_if_empty()
-    assert not await make_board(api, "b").enter_if_empty()
+    assert await make_board(api, "a").enter_if_alone()
+    assert not await make_board(api, "b").enter_if_alone()
     assert [host.name for host in await make_board(api, "b").read()] == ["a"]
 
 
+@pytest_twisted.ensureDeferred
+async def test_the_only_node_need_not_wait_for_itself_after_a_restart(api):
+    await make_board(api, "a").enter_if_alone()
+    assert await make_board(api, "a").enter_if_alone()
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_node_is_no_seed_of_its_own(api):
-    await make_board(api, "a").enter_if_empty()
+    await make_board(api, "a").enter_if_alone()
     assert await make_board(api, "a").read() == ()
 
 
 @pytest_twisted.ensureDeferred
 async def test_dead_seeds_are_replaced_and_unseen_ones_reported(api):
-    await make_board(api, "gone").enter_if_empty()
+    await make_board(api, "gone").enter_if_alone()
     live = [make_host(name) for name in ("a", "b", "c")]
     unseen = await make_board(api, "a").refresh(lambda: live)
     assert [host.name for host in unseen] == ["gone"]
