Refuse to begin versions again, and pace watches that return at once

Cause: after the head object was deleted the next change would have made version 1 anew; a change that had queued past its deadline was still begun; a platform that answers a watch at once would have been asked as fast as the node's share allows; the watcher had no test. Change: each of these is refused or paced, with tests; a deadline that passed in the queue of one node is tried at the next by the client. Conclusion: a lost head stops changes, and nodes keep what is in force.

--- a/packages/ctl/src/corianderwall/ctl/client.py
+++ b/packages/ctl/src/corianderwall/ctl/client.py
@@ -26,6 +26,7 @@
 TRY_ELSEWHERE = frozenset(
     {
         ErrorCode.NOT_READY,
+        ErrorCode.DEADLINE_EXCEEDED,
         ErrorCode.PLATFORM_UNAVAILABLE,
         ErrorCode.PLATFORM_THROTTLED,
         ErrorCode.CONFLICT,
--- a/packages/store/src/corianderwall/store/commit.py
+++ b/packages/store/src/corianderwall/store/commit.py
@@ -43,6 +43,11 @@
 
     async def run(self) -> Committed:
         """Return what the operation made, or raise the error that is true of its effect."""
+        if self._store.is_past(self._deadline):
+            late = CorianderwallError(
+                ErrorCode.DEADLINE_EXCEEDED, "other changes through this node took too long"
+            )
+            raise self._judge_effect(late)
         attempt = 0
         while True:
             try:
@@ -75,6 +80,8 @@
         record = await self._find_earlier(base)
         if record is not None:
             return Committed(version=record.to_version, record=record, head=base.head)
+        if base.revision == 0:
+            await self._store.require_unused(deadline=self._deadline)
         head = make_next_head(base.head, self._operation, self._store.read_unix_ms())
         undo = compute_delta(head.snapshot, base.head.snapshot)
         encoded = encode_head(head, undo, base.parts)
--- a/packages/store/src/corianderwall/store/head.py
+++ b/packages/store/src/corianderwall/store/head.py
@@ -178,6 +178,18 @@
         retrier = self._conflict_retrier if is_conflict else self._retrier
         return await retrier.pause(attempt, error.retry_after_s, deadline=deadline)
 
+    async def require_unused(self, *, deadline: float) -> None:
+        """Raise `DAMAGED_UPDATE` if versions were made before, so that the head was lost."""
+        first = await self._retrier.run(lambda: self.archive.read(1), deadline=deadline)
+        if first is not None:
+            raise CorianderwallError(
+                ErrorCode.DAMAGED_UPDATE, "the head object is missing though versions were made"
+            )
+
+    def is_past(self, deadline: float) -> bool:
+        """Return whether the deadline has passed."""
+        return self._timer.read_monotonic() >= deadline
+
     def read_unix_ms(self) -> int:
         """Return the wall clock in milliseconds."""
         return int(self._timer.read_unix() * 1000)
--- a/packages/store/src/corianderwall/store/watcher.py
+++ b/packages/store/src/corianderwall/store/watcher.py
@@ -11,6 +11,7 @@
 from corianderwall.store.timer import Timer
 
 WATCH_S = 25.0
+MIN_POLL_S = 1.0
 WATCH_BACKOFF = Backoff(base_s=0.1, cap_s=5.0)
 
 
@@ -40,6 +41,7 @@
 
     async def poll(self) -> None:
         """Make one long poll, or wait for the next attempt after an error."""
+        started = self._timer.read_monotonic()
         try:
             stored = await self._api.watch(
                 HEAD_KEY, after_revision=self._newest.revision, wait_s=WATCH_S
@@ -52,6 +54,14 @@
             await self._timer.sleep(max(delay, error.retry_after_s))
             return
         self._failures = 0
-        if newer is not None and newer.head.version > self._newest.head.version:
+        if newer is None:
+            await self._pace(started)
+        elif newer.head.version > self._newest.head.version:
             self._newest = newer
             self._deliver(newer)
+
+    async def _pace(self, started: float) -> None:
+        """Keep a platform that answers without waiting from being asked all the time."""
+        pause_s = started + MIN_POLL_S - self._timer.read_monotonic()
+        if pause_s > 0:
+            await self._timer.sleep(pause_s)
--- a/packages/store/tests/test_head.py
+++ b/packages/store/tests/test_head.py
@@ -186,6 +186,23 @@
     assert bench.resolve(operation_id).state is OperationState.NOT_APPLIED
 
 
+def test_a_change_that_waited_past_its_deadline_is_not_begun(bench: Bench) -> None:
+    with pytest.raises(CorianderwallError) as caught:
+        bench.commit("op-0", CREATE, deadline=bench.timer.read_monotonic())
+    assert (caught.value.code, caught.value.effect) == (ErrorCode.DEADLINE_EXCEEDED, Effect.NONE)
+    assert bench.api.calls == []
+
+
+def test_versions_do_not_begin_again_when_the_head_was_deleted(bench: Bench) -> None:
+    bench.commit("op-0", CREATE)
+    bench.add_versions(2, 2)
+    bench.api.table.delete(HEAD_KEY, bench.api.table.read_revision(HEAD_KEY))
+    with pytest.raises(CorianderwallError) as caught:
+        Bench(bench.api).commit("op-9", CREATE)
+    assert caught.value.code is ErrorCode.DAMAGED_UPDATE
+    assert HEAD_KEY not in bench.api.table.list_keys("")
+
+
 def test_changes_in_a_row_read_the_head_once(bench: Bench) -> None:
     bench.commit("op-0", CREATE)
     bench.add_versions(2, 5)
@@ -263,7 +280,7 @@
     with pytest.raises(CorianderwallError) as caught:
         bench.commit("op-1", PutRoute(Route(name="accept", service="placements")))
     assert caught.value.code is ErrorCode.DANGLING_REFERENCE
-    assert bench.api.calls == [f"read {HEAD_KEY}"]
+    assert bench.api.calls == [f"read {HEAD_KEY}", f"read {name_audit_key(1)}"]
 
 
 def test_the_trail_reaches_behind_the_head_without_a_gap(bench: Bench) -> None:
--- /dev/null
+++ b/packages/store/tests/test_watcher.py
@@ -0,0 +1,96 @@
+from random import Random
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from corianderwall.model.change import AddVersion, Operation, PutService
+from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import Service, VersionShare
+from corianderwall.standins.memory import Fault, ManualTimer, MemoryObjectApi
+from corianderwall.store.document import HEAD_KEY, StoredHead
+from corianderwall.store.head import HeadStore
+from corianderwall.store.watcher import HeadWatcher
+
+WHOLE = (VersionShare(version="v1", permille=1000),)
+FAR = 1e9
+
+
+class Watched:
+    """A watcher of a head that a store on the same table changes."""
+
+    def __init__(self) -> None:
+        self.timer = ManualTimer()
+        self.api = MemoryObjectApi()
+        self.delivered: list[StoredHead] = []
+        self.errors: list[CorianderwallError] = []
+        self.changes = 0
+        self.store = HeadStore(MemoryObjectApi(self.api.table), self.timer, Random(1))
+        watcher = HeadWatcher(
+            self.api, self.timer, Random(2), self.delivered.append, self.errors.append
+        )
+        self.running = Deferred.fromCoroutine(watcher.run())
+        self.running.addErrback(lambda _: None)
+
+    def change(self) -> None:
+        self.changes += 1
+        service = Service(name="placements", versions=("v1",), split=WHOLE)
+        change = AddVersion("placements", f"x{self.changes}")
+        operation = Operation(f"op-{self.changes}", "asha", change)
+        if self.changes == 1:
+            operation = Operation("op-1", "asha", PutService(service))
+        Deferred.fromCoroutine(self.store.commit(operation, deadline=FAR))
+
+    def list_versions(self) -> list[int]:
+        return [each.head.version for each in self.delivered]
+
+
+@pytest.fixture
+def watched() -> Watched:
+    return Watched()
+
+
+def test_each_newer_head_is_delivered_once(watched: Watched) -> None:
+    for _ in range(3):
+        watched.change()
+        watched.timer.clock.advance(3)
+        watched.timer.clock.advance(3)
+    assert watched.list_versions() == [1, 2, 3]
+
+
+def test_a_watch_goes_on_from_its_revision_after_an_outage_without_reading(
+    watched: Watched,
+) -> None:
+    watched.change()
+    watched.timer.clock.advance(3)
+
+    async def gate(kind: str, key: str) -> Fault:
+        return Fault.DOWN
+
+    working, watched.api.gate = watched.api.gate, gate
+    for _ in range(50):
+        watched.timer.clock.advance(1)
+    watched.change()
+    watched.api.gate = working
+    for _ in range(10):
+        watched.timer.clock.advance(1)
+    assert watched.list_versions() == [1, 2]
+    assert {error.code for error in watched.errors} == {ErrorCode.PLATFORM_UNAVAILABLE}
+    assert set(watched.api.calls) == {f"watch {HEAD_KEY}"}
+
+
+def test_an_outage_and_a_platform_that_does_not_wait_cost_few_calls(watched: Watched) -> None:
+    for _ in range(600):
+        watched.timer.clock.advance(0.1)
+    assert len(watched.api.calls) <= 61
+
+
+def test_a_head_that_is_no_head_is_reported_and_the_watch_goes_on(watched: Watched) -> None:
+    watched.api.table.write(HEAD_KEY, b"\xff", 0)
+    for _ in range(20):
+        watched.timer.clock.advance(1)
+    assert {error.code for error in watched.errors} == {ErrorCode.DAMAGED_UPDATE}
+    watched.api.table.delete(HEAD_KEY, watched.api.table.read_revision(HEAD_KEY))
+    watched.change()
+    for _ in range(20):
+        watched.timer.clock.advance(1)
+    assert watched.list_versions() == [1]
