Share the list of errors that precede a connection

Cause: the platform's client and the operators' client each had their own. Change: the latter takes the former's. Conclusion: one list.

--- a/packages/ctl/src/corianderwall/ctl/client.py
+++ b/packages/ctl/src/corianderwall/ctl/client.py
@@ -5,7 +5,6 @@
 import treq
 from google.protobuf.message import DecodeError, Message
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.task import deferLater
 from twisted.web.client import readBody
 
@@ -13,6 +12,7 @@
 from corianderwall.ctl.convert import read_error
 from corianderwall.ctl.failures import NodesUnreachableError
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
+from corianderwall.store.http_api import NOT_SENT_ERRORS
 
 Answer = TypeVar("Answer", bound=Message)
 
@@ -22,7 +22,6 @@
 ROUND_PAUSE_S = 0.5
 """Time between two rounds over all nodes."""
 
-NOT_SENT_ERRORS = (ConnectError, ConnectingCancelledError)
 TRY_ELSEWHERE = frozenset(
     {
         ErrorCode.NOT_READY,
