Notice a silent watch within the bound of a change

Cause: a watch waited 25 s, so a connection that had gone silent for good held a watcher back for 28 s, four times the bound of a change. Change: a watch waits 2 s; a test over sockets makes a connection silent and goes on with a new one. Figures: none measured; four watchers make two calls a second by arithmetic. Conclusion: a silent connection costs at most 5 s.

--- a/packages/store/src/corianderwall/store/watcher.py
+++ b/packages/store/src/corianderwall/store/watcher.py
@@ -10,7 +10,9 @@
 from corianderwall.store.head import load_head
 from corianderwall.store.timer import Timer
 
-WATCH_S = 25.0
+WATCH_S = 2.0
+"""Longest wait of one poll; short, so that a connection that went silent is noticed in time."""
+
 MIN_POLL_S = 1.0
 WATCH_BACKOFF = Backoff(base_s=0.1, cap_s=5.0)
 
--- a/packages/store/tests/test_http_api.py
+++ b/packages/store/tests/test_http_api.py
@@ -68,6 +68,21 @@
     )
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_watch_on_a_connection_that_went_silent_is_made_anew(api, platform) -> None:
+    revision = await api.write_if("a", b"one", expected_revision=0)
+    platform.switches.silent = True
+    await expect(
+        api.watch("a", after_revision=revision, wait_s=0.05),
+        ErrorCode.PLATFORM_UNAVAILABLE,
+        Effect.NONE,
+    )
+    platform.switches.silent = False
+    await api.write_if("a", b"two", expected_revision=revision)
+    stored = await api.watch("a", after_revision=revision, wait_s=0.05)
+    assert stored.value == b"two"
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_platform_that_is_down_has_done_nothing(api, platform) -> None:
     platform.switches.down = True
--- a/packages/store/tests/test_watcher.py
+++ b/packages/store/tests/test_watcher.py
@@ -9,7 +9,11 @@
 from corianderwall.standins.memory import Fault, ManualTimer, MemoryObjectApi
 from corianderwall.store.document import HEAD_KEY, StoredHead
 from corianderwall.store.head import HeadStore
-from corianderwall.store.watcher import HeadWatcher
+from corianderwall.store.http_api import CALL_TIMEOUT_S
+from corianderwall.store.watcher import WATCH_S, HeadWatcher
+
+BOUND_S = 7.0
+"""Time in which the users want a change in force everywhere."""
 
 WHOLE = (VersionShare(version="v1", permille=1000),)
 FAR = 1e9
@@ -94,3 +98,7 @@
     for _ in range(20):
         watched.timer.clock.advance(1)
     assert watched.list_versions() == [1]
+
+
+def test_a_silent_connection_is_given_up_within_the_bound_of_a_change() -> None:
+    assert WATCH_S + CALL_TIMEOUT_S < BOUND_S
