--- a/packages/distribution/src/corianderwall/distribution/distributor.py
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from corianderwall.distribution.advert import decode_advert, encode_advert
 from corianderwall.distribution.events import (
@@ -37,6 +37,9 @@
 from corianderwall.model.message import Outgoing, PeerMessage
 from corianderwall.model.resource import Snapshot
 
+if TYPE_CHECKING:
+    from corianderwall.model.endpoint import Host
+
 
 class Distributor:
     """Puts a held version in force once its floor is known and enough other hosts hold it.
@@ -65,7 +68,10 @@
         self._events: list[DistributionEvent] = []
         self._next_witness_ask_at = now
         self._witness_asks = 0
+        self._asked_version = NO_VERSION
         self._retries = 0
+        self._watchers: tuple[Host, ...] = ()
+        self._watchers_digest: int | None = None
         self._current: Snapshot | None = None
 
     @property
@@ -86,10 +92,12 @@
     @property
     def is_watcher(self) -> bool:
         """Whether this node is to watch the platform's head."""
-        watchers = choose_watchers(
-            self._members.list_hosts(), per_region=self._settings.watchers_per_region
-        )
-        return any(host.name == self._members.me.name for host in watchers)
+        if self._members.view_digest != self._watchers_digest:
+            self._watchers_digest = self._members.view_digest
+            self._watchers = choose_watchers(
+                self._members.list_hosts(), per_region=self._settings.watchers_per_region
+            )
+        return any(host.name == self._members.me.name for host in self._watchers)
 
     def make_advert(self) -> bytes:
         """Return the value that heartbeats are to carry."""
@@ -114,14 +122,15 @@
         self._floor.note_platform(snapshot.version)
         if asked_at is not None:
             outgoing += self._reads.answer(snapshot.version, asked_at)
-        return outgoing + self._advance(now)
+        return outgoing + self._advance(now) + self._ask_witnesses_early()
 
     def handle(self, peer: str, message: PeerMessage, now: float) -> list[Outgoing]:
         """Take a message of a peer and return the answers."""
         handler = _HANDLERS.get(type(message))
         if handler is None:
             return []
-        return handler(self, peer, message, now) + self._advance(now)
+        outgoing = handler(self, peer, message, now) + self._advance(now)
+        return outgoing + self._ask_witnesses_early()
 
     def handle_advert(self, peer: str, data: bytes, now: float) -> list[Outgoing]:
         """Take the advert of a peer's heartbeat."""
@@ -155,7 +164,7 @@
 
     def _advance(self, now: float) -> list[Outgoing]:
         """Put the newest version in force that this node may."""
-        current_version = NO_VERSION if self._current is None else self._current.version
+        current_version = self._read_current_version()
         if self.held_version <= current_version or not self._may_serve(now):
             return []
         snapshot = self._replica.history.find_at_most(self._find_witnessed(now))
@@ -167,6 +176,9 @@
         self._events.append(VersionInForce(snapshot))
         return self._ledger.report(snapshot.version, now)
 
+    def _read_current_version(self) -> int:
+        return NO_VERSION if self._current is None else self._current.version
+
     def _may_serve(self, now: float) -> bool:
         is_alone = now - self._started_at >= self._settings.join_wait_s
         return self._floor.is_known and (self._members.has_joined or is_alone)
@@ -183,6 +195,8 @@
     def _fetch_newer(self, now: float) -> list[Outgoing]:
         """Ask a holder of a newer version again when no answer came."""
         holders = self._replica.holders
+        if holders.highest <= self.held_version:
+            return []
         newer = [
             name
             for name in holders.iterate_names()
@@ -196,15 +210,27 @@
         self._retries += 1
         return self._replica.catch_up.request(newer[self._retries % len(newer)], now)
 
+    def _ask_witnesses_early(self) -> list[Outgoing]:
+        """Ask other hosts at once when the neighbours can't be all the witnesses."""
+        if self.held_version <= self._asked_version:
+            return []
+        self._asked_version = self.held_version
+        if self._witnesses.is_covered_by(self._members.neighbours):
+            return []
+        return self._make_witness_asks()
+
     def _ask_witnesses(self, now: float) -> list[Outgoing]:
-        """Ask hosts beyond the neighbours when the neighbours do not suffice as witnesses."""
-        if self.held_version == NO_VERSION or now < self._next_witness_ask_at:
+        """Ask other hosts again when too few have given word."""
+        if self.held_version <= self._read_current_version() or now < self._next_witness_ask_at:
             return []
         if now - self._replica.held_since < self._settings.witness_ask_interval_s:
             return []
         if self._find_witnessed(now) >= self.held_version:
             return []
         self._next_witness_ask_at = now + self._settings.witness_ask_interval_s
+        return self._make_witness_asks()
+
+    def _make_witness_asks(self) -> list[Outgoing]:
         self._witness_asks += 1
         message = self._replica.make_held(wants_reply=True)
         helpers = self._witnesses.choose_helpers(self._witness_asks)
