--- /dev/null
+++ b/packages/bench/src/corianderwall/bench/node_fleet.py
@@ -0,0 +1,202 @@
+"""Node processes in regions and availability zones, with a stand-in platform in this process."""
+
+import contextlib
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import treq
+
+from corianderwall.bench.mesh import (
+    LOOPBACK,
+    OPERATOR,
+    PROGRAM,
+    TOKEN,
+    find_free_addresses,
+    wait_for_answer,
+)
+from corianderwall.bench.processes import ChildProcess
+from corianderwall.bench.running import pause
+from corianderwall.links.keys import generate_key_ring
+from corianderwall.standins.platform import PlatformStandin
+
+MAX_NODES = 110
+POLL_S = 0.1
+STARTS_AT_ONCE = 10
+IN_FORCE = "a version is in force"
+
+_SETTINGS = """
+[host]
+name = "{name}"
+region = "{region}"
+zone = "{zone}"
+call_address = "{addresses[0]}"
+peer_address = "{addresses[1]}"
+admin_address = "{addresses[2]}"
+[mesh]
+public_key = '{public}'
+secret_key = '{secret}'
+[platform]
+url = "http://{host}:{platform}"
+[operators]
+tokens = {{ {operator} = "{token}" }}
+[log]
+level = "info"
+"""
+
+
+class LoggedProcess(ChildProcess):
+    """A node process that writes its log to a file."""
+
+    def __init__(self, settings: Path, log: Path) -> None:
+        self._log = log
+        self._start([sys.executable, "-m", PROGRAM, "node", str(settings)])
+
+    def _start(self, command: list[str]) -> None:
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                command, stdout=subprocess.DEVNULL, stderr=log, text=True
+            )
+
+
+@dataclass(slots=True)
+class FleetNode:
+    """One node process, its addresses and its files."""
+
+    name: str
+    admin: str
+    settings: Path
+    log: Path
+    process: LoggedProcess
+
+    def start_again(self) -> None:
+        """Start the process anew, without memory."""
+        self.process = LoggedProcess(self.settings, self.log)
+
+
+class NodeFleet:
+    """Starts `count` node processes; every other zone lies in the second region."""
+
+    def __init__(self, count: int, *, regions: int = 2, zones: int = 5) -> None:
+        if count > MAX_NODES:
+            raise ValueError(f"at most {MAX_NODES} processes are started on one machine")
+        self.platform = PlatformStandin()
+        self.nodes: list[FleetNode] = []
+        self._count = count
+        self._regions = regions
+        self._zones = zones
+        self._keys = generate_key_ring()
+        self._directory = tempfile.TemporaryDirectory()
+
+    async def start(self) -> None:
+        """Start the platform and all nodes, and wait until all answer."""
+        port = await self.platform.start()
+        for index in range(self._count):
+            self.nodes.append(self._create_node(index, port))
+            if index % STARTS_AT_ONCE == STARTS_AT_ONCE - 1:
+                await wait_for_answer(f"http://{self.nodes[-1].admin}/health", anything=True)
+        for node in self.nodes:
+            await wait_for_answer(f"http://{node.admin}/health", anything=True)
+
+    async def stop(self) -> None:
+        """End all processes and the platform."""
+        for node in self.nodes:
+            node.process.kill()
+        await self.platform.stop()
+        self._directory.cleanup()
+
+    async def configure(self) -> int:
+        """Create a service and a route; return the version once it is in force everywhere."""
+        split = [{"version": "v1", "permille": 1000}]
+        service = {"name": "measured", "versions": ["v1"], "split": split}
+        await self._operate_until_done("PutService", {"service": service})
+        return await self.put_route(1000)
+
+    async def put_route(self, timeout_ms: int) -> int:
+        """Change the route and return the version that the change made."""
+        route = {"name": "all", "service": "measured", "path_prefix": "/"}
+        answer = await self._operate_until_done(
+            "PutRoute", {"route": {**route, "timeout_ms": timeout_ms}}
+        )
+        return int(answer["version"])
+
+    async def wait_for_version(self, version: int, *, limit_s: float) -> bool:
+        """Wait until every running node has logged this version, or a newer one, in force."""
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline:
+            if all(self._has_version(node, version) for node in self.nodes):
+                return True
+            await pause(POLL_S)
+        return False
+
+    def read_versions(self, node: FleetNode, *, since: float = 0.0) -> list[tuple[float, int]]:
+        """Return the unix time and number of each version that came into force at a node."""
+        found = []
+        for line in node.log.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                entry = json.loads(line)
+                if entry["message"] == IN_FORCE and entry["time"] >= since:
+                    found.append((float(entry["time"]), int(entry["to_version"])))
+        return found
+
+    async def read_metric(self, node: FleetNode, name: str) -> dict[str, float]:
+        """Return the values of a metric by its labels."""
+        response = await treq.get(f"http://{node.admin}/metrics", persistent=False)
+        text = await response.text()
+        values = {}
+        for line in text.splitlines():
+            if line.startswith(name) and line[len(name)] in "{ ":
+                labels, _, value = line[len(name) :].rpartition(" ")
+                values[labels] = float(value)
+        return values
+
+    def _has_version(self, node: FleetNode, version: int) -> bool:
+        return any(known >= version for _, known in self.read_versions(node))
+
+    def _create_node(self, index: int, platform: int) -> FleetNode:
+        name = f"host-{index:03d}"
+        zone = index % self._zones
+        directory = Path(self._directory.name)
+        addresses = find_free_addresses(3)
+        settings, log = directory / f"{name}.toml", directory / f"{name}.log"
+        settings.write_text(
+            _SETTINGS.format(
+                name=name,
+                region=f"region-{zone % self._regions}",
+                zone=f"zone-{zone}",
+                addresses=addresses,
+                public=self._keys.public,
+                secret=self._keys.secret,
+                host=LOOPBACK,
+                platform=platform,
+                operator=OPERATOR,
+                token=TOKEN,
+            )
+        )
+        process = LoggedProcess(settings, log)
+        return FleetNode(name, str(addresses[2]), settings, log, process)
+
+    async def _operate_until_done(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
+        deadline = time.monotonic() + 30.0
+        while True:
+            answer = await self._operate(method, body)
+            if "code" not in answer:
+                return answer
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"{method} failed: {answer}")
+            await pause(POLL_S)
+
+    async def _operate(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
+        response = await treq.post(
+            f"http://{self.nodes[0].admin}/corianderwall.v1.Operators/{method}",
+            json.dumps(body).encode(),
+            headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
+            persistent=False,
+        )
+        answer: dict[str, Any] = json.loads(await response.text())
+        return answer
--- a/packages/bench/src/corianderwall/bench/virtual_fleet.py
+++ b/packages/bench/src/corianderwall/bench/virtual_fleet.py
@@ -93,6 +93,7 @@
         head: Snapshot,
         extra_messages: tuple[type[PeerMessage], ...] = (),
         make: DistributorFactory = make_distributor,
+        apply_s: float = APPLY_S,
     ) -> None:
         self.now = 0.0
         self.rng = random.Random(seed)
@@ -106,7 +107,9 @@
         self.deaths: list[tuple[str, str]] = []
         self.nodes: dict[str, VirtualNode] = {}
         self.are_regions_apart = False
+        self.cut_off_platform: set[str] = set()
         self._make = make
+        self._apply_s = apply_s
         self._decoder: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(
             functools.reduce(operator.or_, extra_messages, _types)
         )
@@ -233,7 +236,7 @@
         if node.distributor.held_version == held:
             self.send(name, outgoing)
         else:
-            self.call_after(APPLY_S, functools.partial(self.send, name, outgoing))
+            self.call_after(self._apply_s, functools.partial(self.send, name, outgoing))
 
     def _tick(self, name: str, node: VirtualNode) -> None:
         if self.nodes.get(name) is not node:
@@ -253,16 +256,20 @@
 
     def _watch(self, name: str, node: VirtualNode) -> None:
         is_current = node.watched_version >= self.head.version
-        if self.nodes.get(name) is node and self.is_platform_up and not is_current:
+        if self._reaches_platform(name, node) and not is_current:
             node.watched_version = self.head.version
             self._count_read()
             self._offer(name, asked_at=None)
 
     def _read(self, name: str, node: VirtualNode, asked_at: float) -> None:
-        if self.nodes.get(name) is node and self.is_platform_up:
+        if self._reaches_platform(name, node):
             self._count_read()
             self._offer(name, asked_at=asked_at)
 
+    def _reaches_platform(self, name: str, node: VirtualNode) -> bool:
+        is_running = self.nodes.get(name) is node
+        return is_running and self.is_platform_up and name not in self.cut_off_platform
+
     def _count_read(self) -> None:
         self.traffic.platform_reads += 1
         self.read_times.append(self.now)
@@ -270,7 +277,7 @@
     def _offer(self, name: str, asked_at: float | None) -> None:
         node = self.nodes[name]
         outgoing = node.distributor.offer(self.head, self.now, asked_at=asked_at)
-        self.call_after(APPLY_S, functools.partial(self.send, name, outgoing))
+        self.call_after(self._apply_s, functools.partial(self.send, name, outgoing))
         self._dispatch(name, node)
 
     def _dispatch(self, name: str, node: VirtualNode) -> None:
