--- a/packages/distribution/src/corianderwall/distribution/distributor.py
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -40,6 +40,8 @@
 if TYPE_CHECKING:
     from corianderwall.model.endpoint import Host
 
+ASKS_OF_SAME_HELPERS = 3
+
 
 class Distributor:
     """Puts a held version in force once its floor is known and enough other hosts hold it.
@@ -215,6 +217,7 @@
         if self.held_version <= self._asked_version:
             return []
         self._asked_version = self.held_version
+        self._witness_asks = 0
         if self._witnesses.is_covered_by(self._members.neighbours):
             return []
         return self._make_witness_asks()
@@ -231,9 +234,10 @@
         return self._make_witness_asks()
 
     def _make_witness_asks(self) -> list[Outgoing]:
-        self._witness_asks += 1
         message = self._replica.make_held(wants_reply=True)
-        helpers = self._witnesses.choose_helpers(self._witness_asks)
+        # The same hosts are asked first each time, since their connections are open already.
+        helpers = self._witnesses.choose_helpers(self._witness_asks // ASKS_OF_SAME_HELPERS)
+        self._witness_asks += 1
         return [Outgoing(name, message) for name in helpers]
 
     def _handle_update(self, peer: str, message: Update, now: float) -> list[Outgoing]:
--- a/packages/distribution/src/corianderwall/distribution/settings.py
+++ b/packages/distribution/src/corianderwall/distribution/settings.py
@@ -16,7 +16,7 @@
     join_wait_s: float = 10.0
     """How long a seed is awaited before this node trusts the platform alone."""
 
-    witness_ask_interval_s: float = 0.3
+    witness_ask_interval_s: float = 0.1
     catch_up_wait_s: float = 1.0
     head_ask_interval_s: float = 0.5
     head_request_life_s: float = 5.0
