Test the search for the floor alone

Cause: putting a version below the floor in force was caught by no test when its check was removed.

Change: unit tests of the search and of the floor's clause in the distributor.

--- a/packages/distribution/tests/conftest.py
+++ b/packages/distribution/tests/conftest.py
@@ -6,7 +6,7 @@
 import operator
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import msgspec
 import pytest
@@ -17,6 +17,7 @@
 from corianderwall.membership.events import AdvertHeard
 from corianderwall.membership.membership import Membership
 from corianderwall.membership.messages import MESSAGES as MEMBERSHIP_MESSAGES
+from corianderwall.membership.status import Status
 from corianderwall.model.endpoint import Address, Host, Locality
 from corianderwall.model.message import Outgoing, PeerMessage
 from corianderwall.model.resource import EMPTY_SNAPSHOT, Snapshot
@@ -213,3 +214,43 @@
 @pytest.fixture
 def fleet_type() -> type[Fleet]:
     return Fleet
+
+
+def make_zone_host(name: str, zone: str) -> Host:
+    address = Address(host="127.0.0.1", port=7000)
+    locality = Locality(region="r", zone=zone)
+    return Host(name=name, locality=locality, peer_address=address, call_address=address)
+
+
+@dataclass
+class FixedMembers:
+    hosts: tuple[Host, ...]
+    sessions: dict[str, int] = field(default_factory=dict)
+    neighbours: tuple[str, ...] = ()
+    has_joined: bool = True
+    view_digest: int = 1
+
+    @property
+    def me(self) -> Host:
+        return self.hosts[0]
+
+    def find_host(self, name: str) -> Host | None:
+        return next((host for host in self.hosts if host.name == name), None)
+
+    def list_hosts(self) -> tuple[Host, ...]:
+        return self.hosts
+
+    def get_status(self, name: str) -> Status:
+        return Status.LIVE
+
+    def get_session(self, name: str) -> int:
+        return self.sessions.get(name, 1)
+
+
+@pytest.fixture
+def build_members() -> Callable[[str], FixedMembers]:
+    def build(zones: str) -> FixedMembers:
+        hosts = (make_zone_host(f"h{index}", zone) for index, zone in enumerate(zones))
+        return FixedMembers(tuple(hosts))
+
+    return build
--- /dev/null
+++ b/packages/distribution/tests/test_floor.py
@@ -0,0 +1,87 @@
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from corianderwall.distribution.distributor import Distributor
+from corianderwall.distribution.floor import FloorSearch
+from corianderwall.distribution.messages import (
+    NO_VERSION,
+    FloorAnswer,
+    FloorQuery,
+    HeadAnswer,
+    HeadRequest,
+    Held,
+)
+from corianderwall.distribution.parts import split_snapshot
+from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.model.codec import compute_digest
+from corianderwall.model.resource import Snapshot
+
+
+@pytest.fixture
+def members(build_members: Callable[[str], Any]) -> Any:
+    return build_members("aab")
+
+
+@pytest.fixture
+def search(members: Any) -> FloorSearch:
+    return FloorSearch(members, DistributionSettings(), random.Random(1), 0.0)
+
+
+def ask_region(search: FloorSearch) -> int:
+    asked = [each.message for each in search.tick(1.5).outgoing]
+    queries = [message for message in asked if isinstance(message, FloorQuery)]
+    assert len(queries) == 2
+    return queries[0].nonce
+
+
+def make_answer(nonce: int, version: int, **changes: Any) -> FloorAnswer:
+    fields = {"is_recovering": False, "view_digest": 1, **changes}
+    return FloorAnswer(nonce=nonce, version=version, **fields)
+
+
+def test_the_floor_is_the_highest_of_all_hosts_of_the_region(search: FloorSearch) -> None:
+    nonce = ask_region(search)
+    search.note_answer("h1", make_answer(nonce, 4))
+    assert not search.is_known
+    search.note_answer("h2", make_answer(nonce, 5))
+    assert search.floor == 5
+
+
+def test_hosts_without_memory_alone_do_not_settle_the_floor(search: FloorSearch) -> None:
+    nonce = ask_region(search)
+    search.note_answer("h1", make_answer(nonce, NO_VERSION, is_recovering=True))
+    search.note_answer("h2", make_answer(nonce, NO_VERSION, is_recovering=True))
+    assert not search.is_known
+
+
+def test_a_host_that_sees_another_fleet_does_not_settle_the_floor(search: FloorSearch) -> None:
+    nonce = ask_region(search)
+    search.note_answer("h1", make_answer(nonce, 4, view_digest=2))
+    search.note_answer("h2", make_answer(nonce, 4, view_digest=2))
+    assert not search.is_known
+
+
+def test_an_answer_to_an_earlier_process_is_ignored(search: FloorSearch) -> None:
+    nonce = ask_region(search)
+    search.note_head(nonce + 1, 3)
+    search.note_answer("h1", make_answer(nonce + 1, 4))
+    search.note_answer("h2", make_answer(nonce, 4))
+    assert not search.is_known
+
+
+def test_a_version_below_the_floor_is_not_put_in_force(members: Any) -> None:
+    distributor = Distributor(members, rng=random.Random(1), now=0.0)
+    asked = [each.message for now in (0.5, 1.1, 1.7) for each in distributor.tick(now)]
+    nonce = next(message.nonce for message in asked if isinstance(message, HeadRequest))
+    distributor.handle("h1", HeadAnswer(nonce, 5), 2.0)
+    for version in (4, 5):
+        snapshot = Snapshot(version=version)
+        digest = compute_digest(snapshot)
+        for part in split_snapshot(snapshot, digest, session=1, part_bytes=1000):
+            distributor.handle("h1", part, 2.1)
+        distributor.handle("h2", Held(1, version), 2.1)
+        assert distributor.held_version == version
+        assert distributor.is_ready == (version == 5)
