--- a/packages/bench/src/corianderwall/bench/control_cost.py
+++ b/packages/bench/src/corianderwall/bench/control_cost.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
 from corianderwall.bench.configuration import make_snapshot
@@ -14,6 +14,8 @@
     from corianderwall.bench.node_fleet import FleetNode, NodeFleet
 
 SETTLE_S = 10.0
+EVENTS = 4
+EVENT_INTERVAL_S = 2.0
 MIB = 1024 * 1024
 BOUNDS = {"cpu_percent": 1.1, "rss_mb": 256.0, "bytes_per_s": 9000.0}
 
@@ -26,6 +28,7 @@
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args(arguments)
+    points: Sequence[Mapping[str, object]]
     if options.mode == "virtual":
         points = [_run_virtual(nodes, options) for nodes in options.nodes]
     else:
@@ -48,7 +51,7 @@
     return {name: round((last[name] - first[name]) / width, 5) for name in BOUNDS if name in first}
 
 
-def _run_virtual(nodes: int, options: argparse.Namespace) -> dict[str, object]:
+def _run_virtual(nodes: int, options: argparse.Namespace) -> dict[str, float]:
     """Measure the cores alone: processor time of this process, encoded bytes with overhead."""
     fleet = VirtualFleet(nodes, seed=options.seed, head=make_snapshot())
     fleet.start_all()
@@ -57,12 +60,34 @@
     messages = fleet.traffic.messages
     fleet.run(options.seconds)
     share = nodes * options.seconds
-    return {
+    point: dict[str, float] = {
         "nodes": nodes,
         "cpu_percent": round((time.process_time() - busy) / share * 100, 3),
         "bytes_per_s": round(2 * (fleet.traffic.wire_bytes - before) / share),
         "messages_per_s": round(2 * (fleet.traffic.messages - messages) / share, 1),
     }
+    point["bytes_per_endpoint_event"] = _measure_events(fleet, point["bytes_per_s"], fleet.announce)
+    point["bytes_per_restart"] = _measure_events(
+        fleet, point["bytes_per_s"], lambda name: _restart(fleet, name)
+    )
+    return point
+
+
+def _restart(fleet: VirtualFleet, name: str) -> None:
+    fleet.stop(name)
+    fleet.start(name)
+
+
+def _measure_events(
+    fleet: VirtualFleet, rest_bytes_per_s: float, cause: Callable[[str], None]
+) -> int:
+    """Return the bytes, sent plus received, that an event costs each node beyond rest."""
+    before, start = fleet.traffic.wire_bytes, fleet.now
+    for name in fleet.rng.sample(sorted(fleet.nodes), EVENTS):
+        cause(name)
+        fleet.run(EVENT_INTERVAL_S)
+    spent = 2 * (fleet.traffic.wire_bytes - before) / len(fleet.nodes)
+    return round((spent - rest_bytes_per_s * (fleet.now - start)) / EVENTS)
 
 
 async def _run_processes(options: argparse.Namespace) -> list[dict[str, object]]:
