Grant a margin while the old version is no control

Change: a fourth horizon of 30 s; 3% of failures and a fifth of latency are granted without control.

--- a/packages/moves/src/corianderwall/moves/reference.py
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -8,7 +8,7 @@
 from corianderwall.moves.evidence import LOAD_LEVELS, CellKey, Window
 from corianderwall.moves.histogram import BUCKET_COUNT, count_above, find_quantile
 
-HORIZONS = (1, 2, 6)
+HORIZONS = (1, 2, 6, 60)
 """Last windows with calls of the old version over which changes of its behaviour are looked for."""
 
 PRIOR_CALLS = 20.0
@@ -17,6 +17,13 @@
 MARGIN_ERRORS = 1.5
 """Standard errors that are added to an estimated rate."""
 
+STALE_WINDOWS = 4
+"""Windows without a call of the old version, from which on it is no control any more."""
+
+UNCONTROLLED_FAILURE_RATE = 0.03
+UNCONTROLLED_LATENCY_FACTOR = 1.2
+"""Granted while the old version is no control, since what changes then may concern both."""
+
 MIN_QUANTILE_CALLS = 40
 MIN_SHIFT_CALLS = 8
 LEVEL_GAP_FACTOR = 1.4
@@ -80,6 +87,7 @@
     _recent: tuple[dict[Stratum, _Tally], ...] = field(
         default_factory=lambda: tuple({} for _ in HORIZONS)
     )
+    _stale_windows: int = 0
     _windows: deque[list[_Sparse]] = field(default_factory=deque)
     _quantiles: dict[_QuantileKey, float] = field(default_factory=dict)
     _latency_shifts: dict[_QuantileKey, float] = field(default_factory=dict)
@@ -92,7 +100,10 @@
             for key, cell in window.items()
             if not key.is_new and cell.calls
         ]
+        self._stale_windows = 0 if added else self._stale_windows + 1
         if not added:
+            if self._stale_windows == STALE_WINDOWS:
+                self._quantiles.clear()
             return
         self._quantiles.clear()
         self._latency_shifts.clear()
@@ -115,6 +126,11 @@
         whole = self._whole.get(WHOLE)
         return whole.calls if whole else 0
 
+    @property
+    def is_control(self) -> bool:
+        """Return whether the old version still has calls, as it hardly has at full share."""
+        return self._stale_windows < STALE_WINDOWS
+
     def estimate_failure_rate(self, stratum: Stratum) -> float:
         """Return the old version's failure rate in `stratum`, with its recent rise."""
         rate, _ = self._estimate(stratum)
@@ -124,7 +140,8 @@
         """Return a rate above which the old version hardly is in `stratum`."""
         rate, weight = self._estimate(stratum)
         margin = MARGIN_ERRORS * sqrt(rate * (1 - rate) / (weight + PRIOR_CALLS))
-        return min(1.0, rate + margin + self._find_failure_shift(stratum))
+        granted = 0.0 if self.is_control else UNCONTROLLED_FAILURE_RATE
+        return min(1.0, rate + margin + granted + self._find_failure_shift(stratum))
 
     def find_latency(self, stratum: Stratum, quantile: float) -> float:
         """Return the old version's quantile in seconds, 0 while too little is known."""
@@ -144,7 +161,8 @@
                 break
         if usual == 0:
             usual = self._find_group_latency(WHOLE, quantile)
-        return usual * self._find_latency_shift(stratum, quantile)
+        granted = 1.0 if self.is_control else UNCONTROLLED_LATENCY_FACTOR
+        return usual * granted * self._find_latency_shift(stratum, quantile)
 
     def _find_level_latency(self, stratum: Stratum, quantile: float) -> float:
         narrow = self._find_group_latency(stratum, quantile)
