Confirm alarms against the old version at the same time

Cause: when a zone changes for both versions, the standard lags and an endpoint there is blamed. Change: an alarm counts only if the old version, over the same decaying seconds and zone by zone, is not as bad (log likelihood ratio of at least 3); without control it counts by itself.

--- a/packages/moves/src/corianderwall/moves/attribution.py
+++ b/packages/moves/src/corianderwall/moves/attribution.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Mapping
 
+from corianderwall.moves.contrast import RecentTally, add_tallies
 from corianderwall.moves.detector import Sample, compute_log_clearance, compute_log_ratios
-from corianderwall.moves.scopes import EXCESSES, Metric, RecentTally, add_tallies
+from corianderwall.moves.scopes import EXCESSES, Metric
 
 SUSPECT_LOG_RATIO = 2.5
 """Least log likelihood ratio against an endpoint that is held responsible."""
--- a/packages/moves/src/corianderwall/moves/judgement.py
+++ b/packages/moves/src/corianderwall/moves/judgement.py
@@ -7,21 +7,21 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from math import log
-from typing import NamedTuple
 
 from corianderwall.model.resource import PERMILLE, MovePolicy
+from corianderwall.moves.alarm import Alarm, Part, create_alarm
 from corianderwall.moves.attribution import find_bad_minority
-from corianderwall.moves.detector import compute_log_threshold
+from corianderwall.moves.contrast import Contrast, Origin, add_tallies
+from corianderwall.moves.detector import Sample, compute_log_threshold
 from corianderwall.moves.evidence import OTHERS, Cell, CellKey, Window
-from corianderwall.moves.reference import Reference
+from corianderwall.moves.reference import Reference, Stratum
 from corianderwall.moves.scopes import (
     MATERIAL_FAILURE_RATE,
-    CellEvidence,
     Metric,
-    RecentTally,
     ScopeTest,
     Tolerance,
     choose_material_rate,
+    draw_samples,
     weigh_cell,
 )
 
@@ -34,6 +34,9 @@
 
 LEAST_ROUTES = 4
 LEAST_ENDPOINTS = 8
+CONTRAST_LOG_RATIO = 3.0
+"""Least log likelihood ratio, over the last seconds, for the old version not being as bad."""
+
 SUSPICION_PART = 0.4
 """Part of the way to an alarm from which no step up is made and reports become urgent."""
 
@@ -94,22 +97,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class _Alarm:
-    metric: Metric
-    scope: str
-    route: str
-    log_value: float
-    log_threshold: float
-
-
-class Origin(NamedTuple):
-    """Where calls were answered: an endpoint and the route by which they came."""
-
-    endpoint: str
-    route: str
-
-
 @dataclass(slots=True)
 class Judge:
     """Takes windows and gives judgements on one move.
@@ -126,18 +113,21 @@
     _whole: ScopeTest = field(default_factory=ScopeTest)
     _routes: dict[str, ScopeTest] = field(default_factory=dict)
     _endpoints: dict[str, ScopeTest] = field(default_factory=dict)
-    _recent: dict[Metric, dict[Origin, RecentTally]] = field(
-        default_factory=lambda: {metric: {} for metric in Metric}
+    _contrasts: dict[Metric, Contrast] = field(
+        default_factory=lambda: {metric: Contrast() for metric in Metric}
     )
 
     def take_window(self, window: Window) -> None:
         """Count the calls of both versions in one window."""
         self.reference.take_window(window)
-        for tallies in self._recent.values():
-            for tally in tallies.values():
-                tally.decay()
+        for contrast in self._contrasts.values():
+            contrast.decay()
         for key, cell in window.items():
-            if key.is_new and cell.calls and key.place not in self.ejected:
+            if not cell.calls:
+                continue
+            if not key.is_new:
+                self._take_control(key, cell)
+            elif key.place not in self.ejected:
                 self._take_cell(key, cell)
         for scope in self._list_scopes():
             scope.close_window()
@@ -162,9 +152,8 @@
         calls = self._whole.step_calls
         self._whole = ScopeTest(step_calls=calls)
         self._routes = {route: ScopeTest() for route in self._routes}
-        for tallies in self._recent.values():
-            for place in [place for place in tallies if place.endpoint in self.ejected]:
-                del tallies[place]
+        for contrast in self._contrasts.values():
+            contrast.forget(new)
 
     def judge(self) -> Judgement:
         """Return what the evidence says now."""
@@ -197,16 +186,17 @@
         self._whole.take_cell(weighed)
         _find_scope(self._routes, key.route).take_cell(weighed)
         _find_scope(self._endpoints, key.place).take_cell(weighed)
-        self._take_recent(key, weighed)
+        self._take_recent(key, weighed.samples)
 
-    def _take_recent(self, key: CellKey, weighed: CellEvidence) -> None:
-        for metric, sample in weighed.samples.items():
-            tallies = self._recent[metric]
-            place = Origin(key.place, key.route)
-            tally = tallies.get(place)
-            if tally is None:
-                tally = tallies[place] = RecentTally()
-            tally.add(sample)
+    def _take_control(self, key: CellKey, cell: Cell) -> None:
+        stratum = Stratum(key.route, key.place, key.level)
+        samples = draw_samples(cell, stratum, self.reference, self.settings.tolerance)
+        self._take_recent(key, samples)
+
+    def _take_recent(self, key: CellKey, samples: Mapping[Metric, Sample]) -> None:
+        origin = Origin(key.place, key.route)
+        for metric, sample in samples.items():
+            self._contrasts[metric].take(origin, sample, is_new=key.is_new)
 
     def _list_scopes(self) -> list[ScopeTest]:
         return [self._whole, *self._routes.values(), *self._endpoints.values()]
@@ -218,29 +208,33 @@
         wanted = -log(self.settings.clearance_error)
         return scope.failure_clearance >= wanted and scope.slow_clearance >= wanted
 
-    def _find_alarms(self) -> tuple[list[_Alarm], bool]:
-        alarms: list[_Alarm] = []
+    def _find_alarms(self) -> tuple[list[Alarm], bool]:
+        alarms: list[Alarm] = []
         is_suspicious = False
         routes = max(LEAST_ROUTES, len(self._routes))
         endpoints = max(LEAST_ENDPOINTS, len(self._endpoints))
         groups = (
-            ({"": self._whole}, 1 / WHOLE_PART, "all calls", False),
-            (self._routes, routes / GROUP_PART, "route", True),
-            (self._endpoints, endpoints / GROUP_PART, "endpoint", False),
+            (Part.WHOLE, {"": self._whole}, 1 / WHOLE_PART),
+            (Part.ROUTE, self._routes, routes / GROUP_PART),
+            (Part.ENDPOINT, self._endpoints, endpoints / GROUP_PART),
         )
-        for scopes, tests, kind, is_route in groups:
+        for part, scopes, tests in groups:
             threshold = self._compute_threshold(tests * len(Metric))
             suspicion = self._compute_suspicion(threshold)
             for name, scope in scopes.items():
                 for metric, detector in scope.detectors.items():
                     value = detector.log_value
-                    if value >= suspicion:
-                        is_suspicious = True
+                    is_suspicious = is_suspicious or value >= suspicion
                     if value >= threshold:
-                        label = f"{kind} {name}".strip()
-                        route = name if is_route else ""
-                        alarms.append(_Alarm(metric, label, route, value, threshold))
-        return alarms, is_suspicious
+                        alarms.append(create_alarm(metric, part, name, value, threshold))
+        return [alarm for alarm in alarms if self._is_confirmed(alarm)], is_suspicious
+
+    def _is_confirmed(self, alarm: Alarm) -> bool:
+        """Return whether the old version, where it has calls, is not as bad at the same time."""
+        if not self.reference.is_control:
+            return True
+        contrast = self._contrasts[alarm.metric]
+        return contrast.measure(self.zones, alarm.route, alarm.endpoint) >= CONTRAST_LOG_RATIO
 
     def _compute_threshold(self, tests: float) -> float:
         return compute_log_threshold(self.settings.windows, tests, self.settings.alarm_error)
@@ -249,7 +243,7 @@
         usual = log(max(self.settings.windows, 1))
         return usual + SUSPICION_PART * (threshold - usual)
 
-    def _judge_alarms(self, alarms: list[_Alarm]) -> Judgement:
+    def _judge_alarms(self, alarms: list[Alarm]) -> Judgement:
         alarm = max(alarms, key=lambda each: each.log_value - each.log_threshold)
         bad = self._attribute(alarm)
         return Judgement(
@@ -258,24 +252,18 @@
             step_calls=self._whole.step_calls,
             is_suspicious=True,
             bad_endpoints=bad,
-            cause=f"{alarm.metric.value} at {alarm.scope}",
+            cause=f"{alarm.metric.value} at {alarm.label}",
             evidence=self._describe_alarm(alarm),
         )
 
-    def _attribute(self, alarm: _Alarm) -> tuple[str, ...]:
-        by_endpoint: dict[str, RecentTally] = {}
-        for (endpoint, route), tally in self._recent[alarm.metric].items():
-            if not alarm.route or route == alarm.route:
-                by_endpoint.setdefault(endpoint, RecentTally()).add(tally)
+    def _attribute(self, alarm: Alarm) -> tuple[str, ...]:
+        by_endpoint = self._contrasts[alarm.metric].sum_endpoints(alarm.route)
         known = len({*self.zones, *self._endpoints, *self.ejected})
         bad = find_bad_minority(by_endpoint, alarm.metric)
         return bad if 2 * (len(bad) + len(self.ejected)) < known else ()
 
-    def _describe_alarm(self, alarm: _Alarm) -> str:
-        total = RecentTally()
-        for (_, route), tally in self._recent[alarm.metric].items():
-            if not alarm.route or route == alarm.route:
-                total.add(tally)
+    def _describe_alarm(self, alarm: Alarm) -> str:
+        total = add_tallies(self._contrasts[alarm.metric].sum_endpoints(alarm.route).values())
         return (
             f"recent {alarm.metric.value} {total.rate:.1%} of {total.calls:.0f} calls, "
             f"tolerable {total.null_rate:.1%}; log e-value {alarm.log_value:.1f} "
--- a/packages/moves/src/corianderwall/moves/scopes.py
+++ b/packages/moves/src/corianderwall/moves/scopes.py
@@ -1,7 +1,7 @@
 """The parts of a version's calls that are tested on their own, and what is tested of them."""
 
 import enum
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from corianderwall.moves.detector import (
@@ -36,9 +36,6 @@
 MATERIAL_SLOW_RATE = 0.2
 """The same for the part of calls that are slow."""
 
-RECENT_DECAY = 0.85
-"""Factor per window of the tallies that tell where failures come from."""
-
 
 class Metric(enum.Enum):
     """What is tested of the new version against the old one."""
@@ -96,13 +93,7 @@
 ) -> CellEvidence:
     """Return what a cell says against the old version in the same stratum."""
     stratum = Stratum(key.route, zone, key.level)
-    samples = {Metric.FAILURES: _draw_failures(cell, stratum, reference, tolerance)}
-    answered = sum(cell.buckets)
-    for metric, quantile in QUANTILES.items():
-        usual_latency_s = reference.find_latency(stratum, quantile)
-        if answered and usual_latency_s > 0:
-            over = count_above(cell.buckets, usual_latency_s * tolerance.slowdown)
-            samples[metric] = Sample(answered, over, 1 - quantile + SLOW_MARGIN)
+    samples = draw_samples(cell, stratum, reference, tolerance)
     usual = reference.estimate_failure_rate(stratum)
     return CellEvidence(
         samples=samples,
@@ -115,6 +106,20 @@
     )
 
 
+def draw_samples(
+    cell: Cell, stratum: Stratum, reference: Reference, tolerance: Tolerance
+) -> dict[Metric, Sample]:
+    """Return the samples of a cell of either version by the standard of `stratum`."""
+    samples = {Metric.FAILURES: _draw_failures(cell, stratum, reference, tolerance)}
+    answered = sum(cell.buckets)
+    for metric, quantile in QUANTILES.items():
+        usual_latency_s = reference.find_latency(stratum, quantile)
+        if answered and usual_latency_s > 0:
+            over = count_above(cell.buckets, usual_latency_s * tolerance.slowdown)
+            samples[metric] = Sample(answered, over, 1 - quantile + SLOW_MARGIN)
+    return samples
+
+
 def _draw_failures(
     cell: Cell, stratum: Stratum, reference: Reference, tolerance: Tolerance
 ) -> Sample:
@@ -134,48 +139,6 @@
     return compute_log_clearance(worse, sample.null_rate)
 
 
-@dataclass(slots=True)
-class RecentTally:
-    """Decaying counts of one endpoint's calls on one route."""
-
-    calls: float = 0.0
-    hits: float = 0.0
-    tolerable_hits: float = 0.0
-
-    def add(self, other: "RecentTally | Sample") -> None:
-        """Add the counts of a tally or a sample."""
-        self.calls += other.calls
-        self.hits += other.hits
-        if isinstance(other, Sample):
-            self.tolerable_hits += other.calls * other.null_rate
-        else:
-            self.tolerable_hits += other.tolerable_hits
-
-    def decay(self) -> None:
-        """Let the counts fade by one window."""
-        self.calls *= RECENT_DECAY
-        self.hits *= RECENT_DECAY
-        self.tolerable_hits *= RECENT_DECAY
-
-    @property
-    def rate(self) -> float:
-        """Return the part of the calls that were hits."""
-        return self.hits / self.calls if self.calls else 0.0
-
-    @property
-    def null_rate(self) -> float:
-        """Return the rate that is tolerable."""
-        return self.tolerable_hits / self.calls if self.calls else 0.0
-
-
-def add_tallies(tallies: Iterable[RecentTally]) -> RecentTally:
-    """Return the sum of `tallies`."""
-    total = RecentTally()
-    for tally in tallies:
-        total.add(tally)
-    return total
-
-
 def _start_detectors() -> dict[Metric, Detector]:
     return {metric: Detector() for metric in Metric}
 
