Retry a call at endpoints that it has not tried yet

Cause: an owner's refusal does not count against the endpoint any more, so the retries of a call whose endpoint had left went to the same endpoint and failed (a test showed it). Change: a call prefers endpoints it has not tried; only refusals of the admission leave the endpoint's record as it is; roles are taken up as soon as a node has joined. Conclusion: one endpoint that left costs a call one attempt.

--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -37,6 +37,9 @@
 REPLAY_BODY_BYTES = 64 * 1024
 """Largest request body that is kept so that the call can be tried again."""
 
+_ADMISSION_CODES = frozenset((ErrorCode.OVERLOADED, ErrorCode.DEADLINE_EXCEEDED))
+"""Refusals by which an owner's admission judges the call and not the endpoint."""
+
 OWNER_CONNECTIONS = 128
 """Connections to another node for the calls that its endpoint takes through it."""
 
@@ -52,14 +55,14 @@
         "_context",
         "_deadline",
         "_done",
+        "_ejected",
         "_endpoint",
-        "_excluded",
         "_head",
-        "_on_end",
         "_outstanding",
         "_passage",
         "_sent_at",
         "_started_at",
+        "_tried",
         "_tries",
         "_verdict",
         "_version",
@@ -87,7 +90,8 @@
         self._attempt: RunningAttempt | None = None
         self._endpoint: Endpoint | None = None
         self._passage: Passage | None = None
-        self._excluded = context.moves.list_ejected(choice.service)
+        self._ejected = context.moves.list_ejected(choice.service)
+        self._tried: set[str] = set()
         self._outstanding = 0
         self._tries = 0
         self._verdict = Verdict.NOT_RUN
@@ -128,13 +132,12 @@
         if self._done:
             return
         now = self._context.clock.read_monotonic()
-        endpoint = self._context.balancer.choose(
-            self._choice.service, self._version, now, self._excluded
-        )
+        endpoint = self._choose(now)
         if endpoint is None:
             self._respond(ErrorCode.NO_ENDPOINT, "no endpoint of the service takes calls", 1.0, now)
             return
         self._tries += 1
+        self._tried.add(endpoint.name)
         self._sent_at = now
         self._endpoint = endpoint
         self._outstanding = self._context.balancer.start(endpoint.name)
@@ -144,6 +147,16 @@
         if self._body is None:
             self._call.read_body(attempt)
 
+    def _choose(self, now: float) -> "Endpoint | None":
+        """Return an endpoint that this call has not tried yet, if there is one."""
+        choose = self._context.balancer.choose
+        service, version = self._choice.service, self._version
+        if self._tried:
+            endpoint = choose(service, version, now, self._ejected | self._tried)
+            if endpoint is not None:
+                return endpoint
+        return choose(service, version, now, self._ejected)
+
     def _prepare(self, endpoint: "Endpoint", now: float) -> "tuple[Carrier, OutgoingCall]":
         context = self._context
         headers = self._make_headers(now)
@@ -212,7 +225,7 @@
             outcome,
             now,
             retry_after_s=read_retry_after(result.head),
-            is_by_owner=read_error_code(result.head) is not None,
+            is_by_owner=read_error_code(result.head) in _ADMISSION_CODES,
         )
         self._context.moves.record(outcome)
         self._context.metrics.count_attempt(outcome)
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -233,6 +233,8 @@
             known = await self._platform.find_seeds()
             hosts = (*hosts, *known)
             self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
+        # A node that is alone may take up its roles now.
+        self._tick_roles()
 
     # What the platform and operators bring.
 
