--- a/packages/store/src/corianderwall/store/watcher.py
+++ b/packages/store/src/corianderwall/store/watcher.py
@@ -56,11 +56,11 @@
             await self._timer.sleep(max(delay, error.retry_after_s))
             return
         self._failures = 0
-        if newer is None:
+        if newer is None or newer.head.version <= self._newest.head.version:
             await self._pace(started)
-        elif newer.head.version > self._newest.head.version:
-            self._newest = newer
-            self._deliver(newer)
+            return
+        self._newest = newer
+        self._deliver(newer)
 
     async def _pace(self, started: float) -> None:
         """Keep a platform that answers without waiting from being asked all the time."""
--- a/packages/store/tests/test_watcher.py
+++ b/packages/store/tests/test_watcher.py
@@ -44,6 +44,9 @@
             operation = Operation("op-1", "asha", PutService(service))
         Deferred.fromCoroutine(self.store.commit(operation, deadline=FAR))
 
+    def watched_revisions(self) -> list[int]:
+        return list(dict.fromkeys(self.api.watched_from))
+
     def list_versions(self) -> list[int]:
         return [each.head.version for each in self.delivered]
 
@@ -59,6 +62,19 @@
         watched.timer.clock.advance(3)
         watched.timer.clock.advance(3)
     assert watched.list_versions() == [1, 2, 3]
+    assert watched.watched_revisions() == [0, *(each.revision for each in watched.delivered)]
+
+
+def test_an_older_head_under_a_newer_revision_is_not_delivered(watched: Watched) -> None:
+    table = watched.api.table
+    watched.change()
+    older = table.read_value(HEAD_KEY)
+    watched.change()
+    watched.timer.clock.advance(3)
+    table.write(HEAD_KEY, older, table.read_revision(HEAD_KEY))
+    for _ in range(10):
+        watched.timer.clock.advance(1)
+    assert watched.list_versions() == [2]
 
 
 def test_a_watch_goes_on_from_its_revision_after_an_outage_without_reading(
