--- a/packages/model/src/corianderwall/model/codec.py
+++ b/packages/model/src/corianderwall/model/codec.py
@@ -16,11 +16,14 @@
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
-    """Return the snapshot in `data`, or raise `DAMAGED_UPDATE`."""
+    """Return the snapshot of which `data` is the canonical form, or raise `DAMAGED_UPDATE`."""
     try:
-        return _decoder.decode(data)
+        snapshot = _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise CorianderwallError(ErrorCode.DAMAGED_UPDATE, f"not a snapshot: {error}") from error
+    if encode_snapshot(snapshot) != data:
+        raise CorianderwallError(ErrorCode.DAMAGED_UPDATE, "not the canonical form of a snapshot")
+    return snapshot
 
 
 def compute_digest(snapshot: Snapshot) -> str:
--- a/packages/model/tests/test_delta.py
+++ b/packages/model/tests/test_delta.py
@@ -54,6 +54,13 @@
     assert caught.value.code is ErrorCode.DAMAGED_UPDATE
 
 
+@pytest.mark.parametrize("data", [b"{}", b'{"version":1}', b' {"version":1,"services":[]}'])
+def test_json_that_is_not_canonical_is_no_snapshot(data: bytes) -> None:
+    with pytest.raises(CorianderwallError) as caught:
+        decode_snapshot(data)
+    assert caught.value.code is ErrorCode.DAMAGED_UPDATE
+
+
 def test_equal_snapshots_have_equal_digests() -> None:
     subscriber = Subscriber(name="a", share=2)
     first = Snapshot(version=1, subscribers=(subscriber,))
--- a/packages/node/src/corianderwall/node/platformtask.py
+++ b/packages/node/src/corianderwall/node/platformtask.py
@@ -6,6 +6,7 @@
 
 from corianderwall.model.errors import CorianderwallError
 from corianderwall.node.logs import log_info, log_warning
+from corianderwall.store.sweep import sweep_leases, sweep_objects
 from corianderwall.store.watcher import HeadWatcher
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 
 READ_TIMEOUT_S = 5.0
 SEED_INTERVAL_S = 30.0
+SWEEP_INTERVAL_S = 600.0
 BOOTSTRAP_RETRY_S = 1.0
 BOOTSTRAP_RETRY_CAP_S = 5.0
 
@@ -49,6 +51,7 @@
         self._reading = False
         self._next_refresh = 0.0
         self._refreshing = False
+        self._next_sweep = timer.read_monotonic() + SWEEP_INTERVAL_S * random.uniform(0.5, 1.5)
 
     @property
     def is_watching(self) -> bool:
@@ -92,6 +95,13 @@
         self._next_refresh = now + SEED_INTERVAL_S * self._random.uniform(0.5, 1.5)
         Deferred.fromCoroutine(self._refresh(list_live, join))
 
+    def sweep(self) -> None:
+        """Delete superfluous objects now and then; two sweepers do no harm."""
+        now = self._timer.read_monotonic()
+        if now >= self._next_sweep:
+            self._next_sweep = now + SWEEP_INTERVAL_S * self._random.uniform(0.5, 1.5)
+            Deferred.fromCoroutine(self._sweep(now))
+
     async def find_seeds(self) -> "tuple[Host, ...]":
         """Return the nodes to join through, none if this node is the first of the mesh.
 
@@ -119,6 +129,15 @@
         finally:
             self._reading = False
 
+    async def _sweep(self, now: float) -> None:
+        try:
+            stored = await self._store.read_head(deadline=now + READ_TIMEOUT_S)
+            objects = await sweep_objects(self._api, stored)
+            leases = await sweep_leases(self._api, unix_ms=int(self._timer.read_unix() * 1000))
+            log_info("swept the platform", objects=objects, leases=leases)
+        except CorianderwallError as error:
+            self._report_watch(error)
+
     async def _refresh(
         self, list_live: "Callable[[], tuple[Host, ...]]", join: "Callable[[Host], None]"
     ) -> None:
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -320,6 +320,7 @@
         )
         if is_watcher:
             self._platform.refresh_seeds(self.membership.list_live_hosts, self._join_one)
+            self._platform.sweep()
         self._retain_pools()
         snapshot = self.distributor.current
         if snapshot is not None and not self._steering_busy:
