Send the last word of a host that leaves at once

Cause: news to one peer is batched for 50 ms, and a host that left right after draining never sent the record that it had left.

Change: leaving flushes all queues. Recovery also measures how soon the loss of a host, a zone and half of the fleet is known.

Conclusion: the test of leaving fails without the change and passes with it.

--- a/packages/bench/src/corianderwall/bench/recovery.py
+++ b/packages/bench/src/corianderwall/bench/recovery.py
@@ -18,6 +18,7 @@
 SETTLE_S = 9.0
 CHANGES_BEFORE = 3
 LIMIT_S = 60.0
+LOSS_LIMIT_S = 180.0
 STEP_S = 0.05
 SHARES = (0.0, 0.5, 1.0)
 """Parts of the fleet that restart; 0 stands for one node."""
@@ -33,6 +34,7 @@
     if options.mode == "virtual":
         points = [_run_virtual(options.nodes, share, options.seed) for share in SHARES]
         points.append(_run_virtual(options.nodes, 0.5, options.seed, is_platform_up=False))
+        points += [_lose(options.nodes, lost, options.seed) for lost in ("host", "zone", "half")]
     else:
         install_reactor()
         points = run_session(lambda: _run_processes(options.nodes))
@@ -82,6 +84,31 @@
     }
 
 
+def _lose(nodes: int, lost: str, seed: int) -> dict[str, object]:
+    """Let hosts fail for good; return when all others hold exactly these to be dead."""
+    fleet = VirtualFleet(nodes, seed=seed, head=make_snapshot())
+    fleet.start_all()
+    fleet.run(SETTLE_S)
+    zone = [name for name, host in fleet.hosts.items() if host.locality.zone == "zone-0"]
+    half = fleet.rng.sample(sorted(fleet.nodes), nodes // 2)
+    names = {"host": zone[:1], "zone": zone, "half": half}[lost]
+    for name in names:
+        fleet.stop(name)
+    seconds = fleet.run_until(
+        lambda: all(
+            len(node.membership.list_hosts()) == len(fleet.nodes) for node in fleet.nodes.values()
+        ),
+        limit_s=LOSS_LIMIT_S,
+        step_s=STEP_S,
+    )
+    return {
+        "lost": lost,
+        "hosts": len(names),
+        "seconds_until_all_know": round(seconds, 2),
+        "false_dead": sum(subject not in names for _, subject in fleet.deaths),
+    }
+
+
 async def _run_processes(nodes: int) -> list[dict[str, object]]:
     # Imports the reactor, which must be installed before.
     from corianderwall.bench.node_fleet import NodeFleet
--- a/packages/bench/tests/test_fleet_measurements.py
+++ b/packages/bench/tests/test_fleet_measurements.py
@@ -62,8 +62,12 @@
 
 
 def test_restarted_nodes_return_without_reverting() -> None:
-    points: Any = measure_recovery(["--nodes", "10"])["points"]
-    assert all(point["is_converged"] and point["versions_reverted"] == 0 for point in points)
+    points: Any = measure_recovery(["--nodes", "20"])["points"]
+    restarts = [point for point in points if "restarted" in point]
+    assert len(restarts) == 4
+    assert all(point["is_converged"] and point["versions_reverted"] == 0 for point in restarts)
+    losses = [point for point in points if "lost" in point]
+    assert [point["false_dead"] for point in losses] == [0, 0, 0]
 
 
 def test_the_peak_is_that_of_the_busiest_second() -> None:
--- a/packages/membership/src/corianderwall/membership/gossip.py
+++ b/packages/membership/src/corianderwall/membership/gossip.py
@@ -52,11 +52,12 @@
             if queued is not None and queued.order <= record.order:
                 del queue.records[record.host.name]
 
-    def flush(self, now: float) -> list[Outgoing]:
-        """Return at most one batch for each peer whose turn has come."""
+    def flush(self, now: float, *, is_last: bool = False) -> list[Outgoing]:
+        """Return at most one batch for each peer whose turn has come, for all if it is the last."""
         outgoing = []
         for peer, queue in self._queues.items():
-            if now < queue.next_flush_at or not (queue.records or queue.suspicions):
+            is_due = is_last or now >= queue.next_flush_at
+            if not is_due or not (queue.records or queue.suspicions):
                 continue
             queue.next_flush_at = now + FLUSH_INTERVAL_S
             outgoing.append(Outgoing(peer, self._take_batch(queue)))
--- a/packages/membership/src/corianderwall/membership/membership.py
+++ b/packages/membership/src/corianderwall/membership/membership.py
@@ -143,7 +143,7 @@
     def leave(self, now: float) -> list[Outgoing]:
         """Announce that this host is gone; call it after `drain`, when all work is done."""
         self._view.depart(now)
-        return self._view.queues.flush(now)
+        return self._view.queues.flush(now, is_last=True)
 
     def handle(self, peer: str, message: PeerMessage, now: float) -> list[Outgoing]:
         """Take a message of a peer and return the answers."""
--- a/packages/membership/tests/test_membership.py
+++ b/packages/membership/tests/test_membership.py
@@ -164,7 +164,10 @@
 
 def test_a_host_that_leaves_is_gone_at_once(build_net: Build) -> None:
     net = build_net(20)
-    net.send("host-007", net.cores["host-007"].leave(net.now))
+    core = net.cores["host-007"]
+    net.send("host-007", core.announce(make_endpoint(core.me), net.now))
+    net.send("host-007", core.drain(net.now))
+    net.send("host-007", core.leave(net.now))
     net.stop("host-007")
     net.run(1.0)
     assert len(list_events(net, HostLeft)) == 19
