Ask seeds every half second until one answers

Cause: of 15 nodes that restarted together some were in force only 3 to 4 s after their process had started, since several seeds asked in turn were restarting too.

Change: seeds are asked every 0.5 s; recovery tells the start of the process and the rest apart.

--- a/packages/bench/src/corianderwall/bench/node_fleet.py
+++ b/packages/bench/src/corianderwall/bench/node_fleet.py
@@ -136,12 +136,17 @@
 
     def read_versions(self, node: FleetNode, *, since: float = 0.0) -> list[tuple[float, int]]:
         """Return the unix time and number of each version that came into force at a node."""
+        entries = self.read_log(node, IN_FORCE, since=since)
+        return [(float(entry["time"]), int(entry["to_version"])) for entry in entries]
+
+    def read_log(self, node: FleetNode, message: str, *, since: float) -> list[dict[str, Any]]:
+        """Return the log lines of a node with this message."""
         found = []
         for line in node.log.read_text().splitlines():
             with contextlib.suppress(ValueError):
                 entry = json.loads(line)
-                if entry["message"] == IN_FORCE and entry["time"] >= since:
-                    found.append((float(entry["time"]), int(entry["to_version"])))
+                if entry["message"] == message and entry["time"] >= since:
+                    found.append(entry)
         return found
 
     async def read_metric(self, node: FleetNode, name: str) -> dict[str, float]:
--- a/packages/bench/src/corianderwall/bench/recovery.py
+++ b/packages/bench/src/corianderwall/bench/recovery.py
@@ -16,6 +16,9 @@
     from corianderwall.bench.node_fleet import FleetNode, NodeFleet
 
 SETTLE_S = 9.0
+STARTED = "started"
+"""The log line of a node whose sockets are open."""
+
 CHANGES_BEFORE = 3
 LIMIT_S = 60.0
 LOSS_LIMIT_S = 180.0
@@ -143,6 +146,7 @@
         await pause(1.0)
         peak, calls = max(peak, _count_calls(fleet) - calls), _count_calls(fleet)
     serving = [seen[0] for seen in _list_returns(fleet, restarted, since)]
+    started = [_find_start(fleet, node, since) for node in restarted]
     reverted = [
         node.name
         for node, seen in zip(restarted, _list_returns(fleet, restarted, since), strict=True)
@@ -152,11 +156,23 @@
         "restarted": len(restarted),
         "platform": "up",
         "seconds_to_all_serving": round(max(serving) - since, 2),
+        "slowest_process_start_s": round(max(started) - since, 2),
+        "slowest_after_its_start_s": round(max(_subtract(serving, started)), 2),
         "platform_calls_peak_per_s": peak,
         "versions_reverted": len(reverted),
     }
 
 
+def _find_start(fleet: "NodeFleet", node: "FleetNode", since: float) -> float:
+    """Return when the process opened its sockets."""
+    entries = fleet.read_log(node, STARTED, since=since)
+    return float(entries[0]["time"]) if entries else math.inf
+
+
+def _subtract(later: Iterable[float], earlier: Iterable[float]) -> list[float]:
+    return [end - start for end, start in zip(later, earlier, strict=True)]
+
+
 def _are_serving(fleet: "NodeFleet", restarted: "list[FleetNode]", since: float) -> bool:
     return all(fleet.read_versions(node, since=since) for node in restarted)
 
--- a/packages/membership/src/corianderwall/membership/seeding.py
+++ b/packages/membership/src/corianderwall/membership/seeding.py
@@ -10,9 +10,9 @@
 from corianderwall.model.endpoint import Host
 from corianderwall.model.message import Outgoing
 
-ASK_INTERVAL_S = 1.0
+ASK_INTERVAL_S = 0.5
 LATE_ASK_INTERVAL_S = 10.0
-EARLY_ASKS = 10
+EARLY_ASKS = 20
 """How often each seed is asked at the shorter interval."""
 
 MAX_SEEDS = 32
