--- a/packages/bench/src/corianderwall/bench/recovery.py
+++ b/packages/bench/src/corianderwall/bench/recovery.py
@@ -16,8 +16,12 @@
     from corianderwall.bench.node_fleet import FleetNode, NodeFleet
 
 SETTLE_S = 9.0
+STARTED = "started"
+"""The log line of a node whose sockets are open."""
+
 CHANGES_BEFORE = 3
 LIMIT_S = 60.0
+LOSS_LIMIT_S = 180.0
 STEP_S = 0.05
 SHARES = (0.0, 0.5, 1.0)
 """Parts of the fleet that restart; 0 stands for one node."""
@@ -33,6 +37,7 @@
     if options.mode == "virtual":
         points = [_run_virtual(options.nodes, share, options.seed) for share in SHARES]
         points.append(_run_virtual(options.nodes, 0.5, options.seed, is_platform_up=False))
+        points += [_lose(options.nodes, lost, options.seed) for lost in ("host", "zone", "half")]
     else:
         install_reactor()
         points = run_session(lambda: _run_processes(options.nodes))
@@ -82,6 +87,31 @@
     }
 
 
+def _lose(nodes: int, lost: str, seed: int) -> dict[str, object]:
+    """Let hosts fail for good; return when all others hold exactly these to be dead."""
+    fleet = VirtualFleet(nodes, seed=seed, head=make_snapshot())
+    fleet.start_all()
+    fleet.run(SETTLE_S)
+    zone = [name for name, host in fleet.hosts.items() if host.locality.zone == "zone-0"]
+    half = fleet.rng.sample(sorted(fleet.nodes), nodes // 2)
+    names = {"host": zone[:1], "zone": zone, "half": half}[lost]
+    for name in names:
+        fleet.stop(name)
+    seconds = fleet.run_until(
+        lambda: all(
+            len(node.membership.list_hosts()) == len(fleet.nodes) for node in fleet.nodes.values()
+        ),
+        limit_s=LOSS_LIMIT_S,
+        step_s=STEP_S,
+    )
+    return {
+        "lost": lost,
+        "hosts": len(names),
+        "seconds_until_all_know": round(seconds, 2),
+        "false_dead": sum(subject not in names for _, subject in fleet.deaths),
+    }
+
+
 async def _run_processes(nodes: int) -> list[dict[str, object]]:
     # Imports the reactor, which must be installed before.
     from corianderwall.bench.node_fleet import NodeFleet
@@ -116,6 +146,7 @@
         await pause(1.0)
         peak, calls = max(peak, _count_calls(fleet) - calls), _count_calls(fleet)
     serving = [seen[0] for seen in _list_returns(fleet, restarted, since)]
+    started = [_find_start(fleet, node, since) for node in restarted]
     reverted = [
         node.name
         for node, seen in zip(restarted, _list_returns(fleet, restarted, since), strict=True)
@@ -125,11 +156,23 @@
         "restarted": len(restarted),
         "platform": "up",
         "seconds_to_all_serving": round(max(serving) - since, 2),
+        "slowest_process_start_s": round(max(started) - since, 2),
+        "slowest_after_its_start_s": round(max(_subtract(serving, started)), 2),
         "platform_calls_peak_per_s": peak,
         "versions_reverted": len(reverted),
     }
 
 
+def _find_start(fleet: "NodeFleet", node: "FleetNode", since: float) -> float:
+    """Return when the process opened its sockets."""
+    entries = fleet.read_log(node, STARTED, since=since)
+    return float(entries[0]["time"]) if entries else math.inf
+
+
+def _subtract(later: Iterable[float], earlier: Iterable[float]) -> list[float]:
+    return [end - start for end, start in zip(later, earlier, strict=True)]
+
+
 def _are_serving(fleet: "NodeFleet", restarted: "list[FleetNode]", since: float) -> bool:
     return all(fleet.read_versions(node, since=since) for node in restarted)
 
