Take out endpoints whose own tests stand apart

Cause: a zone that changes at full share, without control, took the whole move back: the recent tally was too diluted to name the one endpoint whose test had raised the alarm. Change: the endpoints under suspicion are ejected if the tests of all others are calm.

--- a/packages/moves/src/corianderwall/moves/judgement.py
+++ b/packages/moves/src/corianderwall/moves/judgement.py
@@ -37,6 +37,9 @@
 CONTRAST_LOG_RATIO = 3.0
 """Least log likelihood ratio, over the last seconds, for the old version not being as bad."""
 
+CALM_LOG_VALUE = 1.5
+"""Log value below which an endpoint's test speaks for the endpoint rather than against it."""
+
 SUSPICION_PART = 0.4
 """Part of the way to an alarm from which no step up is made and reports become urgent."""
 
@@ -219,7 +222,9 @@
             (Part.ENDPOINT, self._endpoints, endpoints / GROUP_PART),
         )
         for part, scopes, tests in groups:
-            threshold = self._compute_threshold(tests * len(Metric))
+            threshold = compute_log_threshold(
+                self.settings.windows, tests * len(Metric), self.settings.alarm_error
+            )
             suspicion = self._compute_suspicion(threshold)
             for name, scope in scopes.items():
                 for metric, detector in scope.detectors.items():
@@ -236,9 +241,6 @@
         contrast = self._contrasts[alarm.metric]
         return contrast.measure(self.zones, alarm.route, alarm.endpoint) >= CONTRAST_LOG_RATIO
 
-    def _compute_threshold(self, tests: float) -> float:
-        return compute_log_threshold(self.settings.windows, tests, self.settings.alarm_error)
-
     def _compute_suspicion(self, threshold: float) -> float:
         usual = log(max(self.settings.windows, 1))
         return usual + SUSPICION_PART * (threshold - usual)
@@ -257,13 +259,29 @@
         )
 
     def _attribute(self, alarm: Alarm) -> tuple[str, ...]:
-        by_endpoint = self._contrasts[alarm.metric].sum_endpoints(alarm.route)
+        """Return the endpoints that alone are bad, none if it is the version."""
+        if alarm.route:
+            by_endpoint = self._contrasts[alarm.metric].sum_endpoints(alarm.route)
+            bad = find_bad_minority(by_endpoint, alarm.metric)
+        else:
+            bad = self._find_outliers(alarm)
         known = len({*self.zones, *self._endpoints, *self.ejected})
-        bad = find_bad_minority(by_endpoint, alarm.metric)
         return bad if 2 * (len(bad) + len(self.ejected)) < known else ()
 
+    def _find_outliers(self, alarm: Alarm) -> tuple[str, ...]:
+        """Return the endpoints under suspicion if the tests of all others are calm."""
+        suspicion = self._compute_suspicion(alarm.log_threshold)
+        values = {
+            name: scope.detectors[alarm.metric].log_value for name, scope in self._endpoints.items()
+        }
+        outliers = tuple(sorted(name for name, value in values.items() if value >= suspicion))
+        rest = [value for name, value in values.items() if name not in outliers]
+        return outliers if rest and max(rest) < CALM_LOG_VALUE else ()
+
     def _describe_alarm(self, alarm: Alarm) -> str:
-        total = add_tallies(self._contrasts[alarm.metric].sum_endpoints(alarm.route).values())
+        tallies = self._contrasts[alarm.metric].sum_endpoints(alarm.route)
+        chosen = [each for name, each in tallies.items() if alarm.endpoint in ("", name)]
+        total = add_tallies(chosen)
         return (
             f"recent {alarm.metric.value} {total.rate:.1%} of {total.calls:.0f} calls, "
             f"tolerable {total.null_rate:.1%}; log e-value {alarm.log_value:.1f} "
