Mark the final answer of an entry node so that no layer above retries it

Cause: the retry policy bounds the amplification through 17 layers by a mark that nothing set. Change: error answers of entry nodes carry x-retry-final; a marked answer is not retried; a retry at another endpoint does not wait for the one that refused. Conclusion: only the layer that saw a failure tries again.

--- a/packages/node/src/corianderwall/node/answers.py
+++ b/packages/node/src/corianderwall/node/answers.py
@@ -9,6 +9,7 @@
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.callhead import (
     ERROR_CODE_HEADER,
+    FINAL_HEADER,
     NOT_RUN_HEADER,
     RETRY_AFTER_HEADER,
     VERDICT_HEADER,
@@ -55,14 +56,19 @@
     effect: str
 
 
-def respond_error(call: "IncomingCall", error: CorianderwallError) -> int:
-    """Answer `call` with `error` at once and return the status."""
+def respond_error(call: "IncomingCall", error: CorianderwallError, *, is_final: bool = True) -> int:
+    """Answer `call` with `error` at once and return the status.
+
+    An answer that `is_final` tells the layers above not to retry what was retried here.
+    """
     status = STATUS_BY_CODE.get(error.code, 500)
     body = ErrorBody(error.code.value, error.sentence, error.effect.value)
     headers = [
         (b"content-type", b"application/json"),
         (ERROR_CODE_HEADER, error.code.value.encode("ascii")),
     ]
+    if is_final:
+        headers.append((FINAL_HEADER, b"1"))
     verdict = error.verdict if isinstance(error, CallError) else Verdict.NOT_RUN
     if verdict is Verdict.NOT_RUN:
         headers.append((NOT_RUN_HEADER, b"1"))
@@ -75,6 +81,11 @@
     return status
 
 
+def is_final(head: "AnswerHead | None") -> bool:
+    """Return whether an answer is marked as one that must not be retried."""
+    return head is not None and head.find_header(FINAL_HEADER) is not None
+
+
 def read_error_code(head: "AnswerHead | None") -> ErrorCode | None:
     """Return the code in the error answer of another node, None if there is none."""
     value = head.find_header(ERROR_CODE_HEADER) if head is not None else None
--- a/packages/node/src/corianderwall/node/dispatcher.py
+++ b/packages/node/src/corianderwall/node/dispatcher.py
@@ -65,7 +65,8 @@
                 self._handle_entry(call, head, now)
         except CorianderwallError as error:
             self._context.metrics.count_refusal(error.code)
-            respond_error(call, error)
+            is_hop = call.find_header(HOP_HEADER) is not None
+            respond_error(call, error, is_final=not is_hop)
 
     def _require_room(self) -> None:
         if self._count_running() > self._max_running_calls:
@@ -153,4 +154,4 @@
         error = CallError(
             code, "the endpoint gave no whole answer", result.verdict, retry_after_s=retry_after_s
         )
-        respond_error(self._call, error)
+        respond_error(self._call, error, is_final=False)
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -7,7 +7,7 @@
 from corianderwall.model.outcome import AttemptOutcome
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.answerflow import AnswerFlow
-from corianderwall.node.answers import CallError, read_error_code, respond_error
+from corianderwall.node.answers import CallError, is_final, read_error_code, respond_error
 from corianderwall.node.callhead import (
     CALL_ID_HEADER,
     DEADLINE_HEADER,
@@ -37,8 +37,8 @@
 REPLAY_BODY_BYTES = 64 * 1024
 """Largest request body that is kept so that the call can be tried again."""
 
-_ADMISSION_CODES = frozenset((ErrorCode.OVERLOADED, ErrorCode.DEADLINE_EXCEEDED))
-"""Refusals by which an owner's admission judges the call and not the endpoint."""
+_GONE_CODES = frozenset((ErrorCode.NO_ENDPOINT, ErrorCode.NOT_READY))
+"""Refusals of an owner that concern the endpoint and not one call or subscriber."""
 
 OWNER_CONNECTIONS = 128
 """Connections to another node for the calls that its endpoint takes through it."""
@@ -205,6 +205,7 @@
         if endpoint is None:
             return
         passage, self._passage = self._passage, None
+        is_direct = passage is not None and passage.direct
         if passage is not None:
             self._context.leases.release(passage, now)
         self._read_load(endpoint, result.head, now)
@@ -225,7 +226,7 @@
             outcome,
             now,
             retry_after_s=read_retry_after(result.head),
-            is_by_owner=read_error_code(result.head) in _ADMISSION_CODES,
+            is_handed_over=not is_direct and read_error_code(result.head) not in _GONE_CODES,
         )
         self._context.moves.record(outcome)
         self._context.metrics.count_attempt(outcome)
@@ -239,12 +240,16 @@
     def _retry(self, result: AttemptResult, now: float) -> bool:
         if self._body is None or self._tries >= self._context.max_attempts:
             return False
+        # Another endpoint need not wait for the one that refused.
+        has_repeated = len(self._tried) < self._tries
         failed = FailedAttempt(
             service=self._choice.service,
             verdict=result.verdict,
             idempotent=self._choice.idempotent,
             attempt=self._tries,
             deadline=self._deadline,
+            retry_after_s=read_retry_after(result.head) if has_repeated else 0.0,
+            is_final=is_final(result.head),
         )
         decision = self._context.retries.decide(failed, now)
         if decision.is_retried:
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -220,6 +220,7 @@
     response = await entry.call("POST", headers=headers, data=b"x")
     await expect_error(response, 503, ErrorCode.OVERLOADED, "none")
     assert response.headers.getRawHeaders("x-not-run") == ["1"]
+    assert response.headers.getRawHeaders("x-retry-final") == ["1"]
     assert int(response.headers.getRawHeaders("retry-after")[0]) >= 1
     assert owner.upstream.executions[b"refused"] == 0
 
@@ -293,6 +294,7 @@
     headers = {"x-hop": "owner", "x-endpoint": "other.1"}
     response = await owner.call(headers=headers)
     await expect_error(response, 503, ErrorCode.NO_ENDPOINT, "none")
+    assert response.headers.getRawHeaders("x-retry-final") is None
     assert owner.upstream.counts.executions == 0
 
 
