--- a/packages/bench/src/corianderwall/bench/node_fleet.py
+++ b/packages/bench/src/corianderwall/bench/node_fleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import os
 import subprocess
 import sys
 import tempfile
@@ -17,17 +18,20 @@
     OPERATOR,
     PROGRAM,
     TOKEN,
-    find_free_addresses,
     wait_for_answer,
 )
 from corianderwall.bench.processes import ChildProcess
 from corianderwall.bench.running import pause
 from corianderwall.links.keys import generate_key_ring
+from corianderwall.model.endpoint import Address
 from corianderwall.standins.platform import PlatformStandin
 
 MAX_NODES = 110
 POLL_S = 0.1
 STARTS_AT_ONCE = 10
+PORTS = (7000, 7001, 7002)
+"""Of calls, peers and operators."""
+
 IN_FORCE = "a version is in force"
 
 _SETTINGS = """
@@ -64,6 +68,11 @@
             )
 
 
+def _choose_ip(index: int) -> str:
+    """Return a loopback address of its own, since free ports are soon taken by connections."""
+    return f"127.{2 + os.getpid() % 250}.{index // 250}.{index % 250 + 1}"
+
+
 @dataclass(slots=True)
 class FleetNode:
     """One node process, its addresses and its files."""
@@ -167,7 +176,7 @@
         name = f"host-{index:03d}"
         zone = index % self._zones
         directory = Path(self._directory.name)
-        addresses = find_free_addresses(3)
+        addresses = [Address(host=_choose_ip(index), port=port) for port in PORTS]
         settings, log = directory / f"{name}.toml", directory / f"{name}.log"
         settings.write_text(
             _SETTINGS.format(
