Keep a holder's connections and flows within what the owner granted

Cause: idle connections stayed open when a lease ended, against the endpoint's budget; the calls of subscribers without a share of their own were not known as one flow; endpoints where a subscriber is over its share were preferred like any other. Change: a lower limit closes idle connections at once, on each tick; flows, not names, go to leases, desk and balancer; endpoints at which the flow is over its share are avoided.

--- a/packages/httpflow/src/corianderwall/httpflow/pool.py
+++ b/packages/httpflow/src/corianderwall/httpflow/pool.py
@@ -25,7 +25,7 @@
         self, address: Address, max_connections: int, limits: ClientLimits | None = None
     ) -> None:
         self.address = address
-        self.max_connections = max_connections
+        self._max_connections = max_connections
         self.limits = limits or ClientLimits()
         self._loop = asyncio.get_event_loop()
         self._connections: set[ClientConnection] = set()
@@ -37,6 +37,17 @@
         self._tick_timer: asyncio.TimerHandle | None = None
         self._watch = SilenceWatch(self, self.limits, self._loop)
 
+    @property
+    def max_connections(self) -> int:
+        """The connections that may be open at once; lowering it closes idle ones at once."""
+        return self._max_connections
+
+    @max_connections.setter
+    def max_connections(self, limit: int) -> None:
+        self._max_connections = limit
+        while self._idle and self.open_connections > limit:
+            self._idle[0].close()
+
     @property
     def open_connections(self) -> int:
         """Return the number of connections that are open or being opened."""
--- a/packages/httpflow/tests/test_pool.py
+++ b/packages/httpflow/tests/test_pool.py
@@ -407,3 +407,12 @@
 def test_an_unbound_pool_counts_nothing() -> None:
     pool = UpstreamPool(Address(host="127.0.0.1", port=1), 3)
     assert (pool.open_connections, pool.idle_connections, pool.busy_connections) == (0, 0, 0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_lower_limit_closes_idle_connections_at_once(pool_side, tools) -> None:
+    pool = await pool_side.open(tools.keep_answering(OK))
+    await pool_side.call(pool)
+    assert pool.idle_connections == 1
+    pool.max_connections = 0
+    assert (pool.idle_connections, pool.open_connections) == (0, 0)
--- a/packages/node/src/corianderwall/node/control.py
+++ b/packages/node/src/corianderwall/node/control.py
@@ -49,6 +49,7 @@
     from corianderwall.node.desk import Desk
     from corianderwall.node.dispatcher import Dispatcher
     from corianderwall.node.moveview import AgentView
+    from corianderwall.node.pools import Pools
     from corianderwall.node.serviceload import LoadSurvey
     from corianderwall.traffic.balancer import Balancer
     from corianderwall.traffic.lease_holder import LeaseHolder
@@ -84,6 +85,7 @@
         holder: "LeaseHolder",
         issuer: "LeaseIssuer",
         desk: "Desk",
+        pools: "Pools",
         agent: "MoveAgent",
         moves: "AgentView",
         dispatcher: "Dispatcher",
@@ -99,6 +101,7 @@
         self._holder = holder
         self._issuer = issuer
         self._desk = desk
+        self._pools = pools
         self._agent = agent
         self._moves = moves
         self._dispatcher = dispatcher
@@ -180,6 +183,9 @@
             self._balancer.set_leased(name, leased=False)
         for name in known:
             self._balancer.set_leased(name, leased=self._holder.has_free_lease(name, now))
+            endpoint = self._endpoints.get(name)
+            if endpoint is not None:
+                self._pools.limit(endpoint.address, self._holder.read_limit(name, now))
         self._leased = set(known)
 
     def _tick_moves(self, now: float) -> None:
--- a/packages/node/src/corianderwall/node/dispatcher.py
+++ b/packages/node/src/corianderwall/node/dispatcher.py
@@ -4,12 +4,14 @@
 
 from corianderwall.httpflow.attempt import AttemptResult, OutgoingCall
 from corianderwall.model.errors import CorianderwallError, ErrorCode
+from corianderwall.model.resource import EMPTY_SNAPSHOT
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.answerflow import AnswerFlow
 from corianderwall.node.answers import CallError, respond_error
 from corianderwall.node.callhead import ENDPOINT_HEADER, HOP_HEADER, read_call_head
 from corianderwall.node.entry import EntryCall, read_retry_after
 from corianderwall.traffic.routing import RouteTable
+from corianderwall.traffic.shares import SubscriberShares
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +42,7 @@
         self._count_running = count_running
         self._table: RouteTable | None = None
         self._routes: dict[str, Route] = {}
+        self._shares = SubscriberShares(EMPTY_SNAPSHOT)
 
     @property
     def table(self) -> RouteTable | None:
@@ -50,6 +53,7 @@
         """Route all later calls by `snapshot`."""
         table = RouteTable.compile(snapshot)
         self._routes = {route.name: route for route in snapshot.routes}
+        self._shares = SubscriberShares(snapshot)
         self._table = table
 
     def handle(self, call: "IncomingCall") -> None:
@@ -86,7 +90,8 @@
         if deadline <= now:
             raise CallError(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", Verdict.NOT_RUN)
         version = self._choose_version(choice, head)
-        EntryCall(self._context, call, head, choice, version, deadline, now).start()
+        flow = self._shares.find_flow(head.subscriber)
+        EntryCall(self._context, call, head, choice, version, flow, deadline, now).start()
 
     def _choose_version(self, choice: "RouteChoice", head: "CallHead") -> str:
         route = self._routes[choice.route]
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -57,6 +57,7 @@
         "_done",
         "_ejected",
         "_endpoint",
+        "_flow",
         "_head",
         "_outstanding",
         "_passage",
@@ -75,6 +76,7 @@
         head: "CallHead",
         choice: "RouteChoice",
         version: str,
+        flow: str,
         deadline: float,
         now: float,
     ) -> None:
@@ -83,6 +85,7 @@
         self._head = head
         self._choice = choice
         self._version = version
+        self._flow = flow
         self._deadline = deadline
         self._started_at = now
         self._sent_at = now
@@ -151,22 +154,21 @@
         """Return an endpoint that this call has not tried yet, if there is one."""
         choose = self._context.balancer.choose
         service, version = self._choice.service, self._version
+        avoid = self._context.leases.find_over_share(self._flow)
         if self._tried:
-            endpoint = choose(service, version, now, self._ejected | self._tried)
+            endpoint = choose(service, version, now, self._ejected | self._tried, avoid)
             if endpoint is not None:
                 return endpoint
-        return choose(service, version, now, self._ejected)
+        return choose(service, version, now, self._ejected, avoid)
 
     def _prepare(self, endpoint: "Endpoint", now: float) -> "tuple[Carrier, OutgoingCall]":
         context = self._context
         headers = self._make_headers(now)
         carrier: Carrier
         if endpoint.node == context.node:
-            carrier = context.desk.open_carrier(self._head.subscriber)
+            carrier = context.desk.open_carrier(self._flow)
         else:
-            self._passage = context.leases.acquire(
-                endpoint, self._head.subscriber, self._deadline, now
-            )
+            self._passage = context.leases.acquire(endpoint, self._flow, self._deadline, now)
             if self._passage.direct:
                 limit = context.leases.read_limit(endpoint.name, now)
                 carrier = context.pools.find(endpoint.address, max(1, limit))
--- a/packages/node/src/corianderwall/node/pools.py
+++ b/packages/node/src/corianderwall/node/pools.py
@@ -23,6 +23,12 @@
             pool.max_connections = max_connections
         return pool
 
+    def limit(self, address: "Address", max_connections: int) -> None:
+        """Let the pool of `address`, if there is one, keep so many connections at most."""
+        pool = self._pools.get(address)
+        if pool is not None and pool.max_connections != max_connections:
+            pool.max_connections = max_connections
+
     def retain(self, addresses: "set[Address]") -> None:
         """Close the pools of all other addresses; their running calls end first."""
         for address in [address for address in self._pools if address not in addresses]:
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -171,6 +171,7 @@
             holder=holder,
             issuer=issuer,
             desk=self._desk,
+            pools=self._pools,
             agent=self._agent,
             moves=moves,
             dispatcher=self._dispatcher,
