--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/reference.py
@@ -0,0 +1,275 @@
+"""What the old version does at the same time, route, zone and load: the standard of a move."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from math import sqrt
+from typing import NamedTuple
+
+from corianderwall.moves.evidence import LOAD_LEVELS, CellKey, Window
+from corianderwall.moves.histogram import BUCKET_COUNT, count_above, find_quantile
+
+HORIZONS = (1, 2, 6, 60)
+"""Last windows with calls of the old version over which changes of its behaviour are looked for."""
+
+PRIOR_CALLS = 20.0
+"""Weight of the wider group's rate in that of a narrower one."""
+
+MARGIN_ERRORS = 1.5
+"""Standard errors that are added to an estimated rate."""
+
+STALE_WINDOWS = 4
+"""Windows without a call of the old version, from which on it is no control any more."""
+
+UNCONTROLLED_FAILURE_RATE = 0.03
+UNCONTROLLED_LATENCY_FACTOR = 1.2
+"""Granted while the old version is no control, since what changes then may concern both."""
+
+MIN_QUANTILE_CALLS = 40
+MIN_SHIFT_CALLS = 8
+LEVEL_GAP_FACTOR = 1.4
+"""Factor of latency granted for each load level at which the old version was not seen."""
+
+SIGNIFICANT_ERRORS = 2.0
+"""Standard errors from which a recent change of the old version is taken as real."""
+
+ANY = "*"
+ANY_LEVEL = -1
+
+
+class Stratum(NamedTuple):
+    """A group of the old version's calls; `ANY` and `ANY_LEVEL` leave a dimension open."""
+
+    route: str
+    zone: str
+    level: int
+
+
+class _QuantileKey(NamedTuple):
+    stratum: Stratum
+    quantile: float
+
+
+WHOLE = Stratum(ANY, ANY, ANY_LEVEL)
+
+
+@dataclass(slots=True)
+class _Tally:
+    calls: int = 0
+    failures: int = 0
+    buckets: list[int] = field(default_factory=lambda: [0] * BUCKET_COUNT)
+
+    def add(self, other: "_Sparse", sign: int) -> None:
+        self.calls += sign * other.calls
+        self.failures += sign * other.failures
+        buckets = self.buckets
+        for bucket, count in other.pairs:
+            buckets[bucket] += sign * count
+
+
+@dataclass(frozen=True, slots=True)
+class _Sparse:
+    strata: tuple[Stratum, ...]
+    groups: tuple[Stratum, ...]
+    calls: int
+    failures: int
+    pairs: tuple[tuple[int, int], ...]
+
+
+@dataclass(slots=True)
+class Reference:
+    """Counts of the old version since the move's start, and of its last few windows.
+
+    Without recent calls of the old version, as at full share, the last ones that were seen
+    remain the standard.
+    """
+
+    _whole: dict[Stratum, _Tally] = field(default_factory=dict)
+    _recent: tuple[dict[Stratum, _Tally], ...] = field(
+        default_factory=lambda: tuple({} for _ in HORIZONS)
+    )
+    _stale_windows: int = 0
+    _windows: deque[list[_Sparse]] = field(default_factory=deque)
+    _quantiles: dict[_QuantileKey, float] = field(default_factory=dict)
+    _latency_shifts: dict[_QuantileKey, float] = field(default_factory=dict)
+    _failure_shifts: dict[Stratum, float] = field(default_factory=dict)
+
+    def take_window(self, window: Window) -> None:
+        """Count the old version's calls of a window."""
+        added = [
+            _make_sparse(key, cell.calls, cell.failures, cell.buckets)
+            for key, cell in window.items()
+            if not key.is_new and cell.calls
+        ]
+        self._stale_windows = 0 if added else self._stale_windows + 1
+        if not added:
+            if self._stale_windows == STALE_WINDOWS:
+                self._quantiles.clear()
+            return
+        self._quantiles.clear()
+        self._latency_shifts.clear()
+        self._failure_shifts.clear()
+        self._windows.append(added)
+        for sparse in added:
+            _add(self._whole, sparse.strata, sparse, 1)
+        for horizon, recent in zip(HORIZONS, self._recent, strict=True):
+            for sparse in added:
+                _add(recent, sparse.groups, sparse, 1)
+            if len(self._windows) > horizon:
+                for sparse in self._windows[-horizon - 1]:
+                    _add(recent, sparse.groups, sparse, -1)
+        if len(self._windows) > HORIZONS[-1]:
+            self._windows.popleft()
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls of the old version were counted."""
+        whole = self._whole.get(WHOLE)
+        return whole.calls if whole else 0
+
+    @property
+    def is_control(self) -> bool:
+        """Return whether the old version still has calls, as it hardly has at full share."""
+        return self._stale_windows < STALE_WINDOWS
+
+    def estimate_failure_rate(self, stratum: Stratum) -> float:
+        """Return the old version's failure rate in `stratum`, with its recent rise."""
+        rate, _ = self._estimate(stratum)
+        return min(1.0, rate + self._find_failure_shift(stratum))
+
+    def bound_failure_rate(self, stratum: Stratum) -> float:
+        """Return a rate above which the old version hardly is in `stratum`."""
+        rate, weight = self._estimate(stratum)
+        margin = MARGIN_ERRORS * sqrt(rate * (1 - rate) / (weight + PRIOR_CALLS))
+        granted = 0.0 if self.is_control else UNCONTROLLED_FAILURE_RATE
+        return min(1.0, rate + margin + granted + self._find_failure_shift(stratum))
+
+    def find_latency(self, stratum: Stratum, quantile: float) -> float:
+        """Return the old version's quantile in seconds, 0 while too little is known."""
+        key = _QuantileKey(stratum, quantile)
+        cached = self._quantiles.get(key)
+        if cached is None:
+            cached = self._compute_latency(stratum, quantile)
+            self._quantiles[key] = cached
+        return cached
+
+    def _compute_latency(self, stratum: Stratum, quantile: float) -> float:
+        usual = 0.0
+        for level in range(stratum.level, -1, -1):
+            usual = self._find_level_latency(stratum._replace(level=level), quantile)
+            if usual > 0:
+                usual *= LEVEL_GAP_FACTOR ** (stratum.level - level)
+                break
+        if usual == 0:
+            usual = self._find_group_latency(WHOLE, quantile)
+        granted = 1.0 if self.is_control else UNCONTROLLED_LATENCY_FACTOR
+        return usual * granted * self._find_latency_shift(stratum, quantile)
+
+    def _find_level_latency(self, stratum: Stratum, quantile: float) -> float:
+        narrow = self._find_group_latency(stratum, quantile)
+        return narrow or self._find_group_latency(stratum._replace(zone=ANY), quantile)
+
+    def _find_group_latency(self, stratum: Stratum, quantile: float) -> float:
+        tally = self._whole.get(stratum)
+        if tally is None or tally.calls < MIN_QUANTILE_CALLS:
+            return 0.0
+        return find_quantile(tally.buckets, quantile)
+
+    def _estimate(self, stratum: Stratum) -> tuple[float, float]:
+        """Return the rate shrunk towards wider groups, and the calls that it rests on."""
+        rate = 0.0
+        weight = 0.0
+        for group in (
+            WHOLE,
+            Stratum(stratum.route, ANY, ANY_LEVEL),
+            Stratum(stratum.route, ANY, stratum.level),
+            stratum,
+        ):
+            tally = self._whole.get(group)
+            if tally is None:
+                continue
+            rate = (tally.failures + PRIOR_CALLS * rate) / (tally.calls + PRIOR_CALLS)
+            weight = max(weight, tally.calls) if group is WHOLE else tally.calls
+        return rate, weight
+
+    def _find_failure_shift(self, stratum: Stratum) -> float:
+        shift = 0.0
+        for group in _list_shift_groups(stratum):
+            measured = self._failure_shifts.get(group)
+            if measured is None:
+                measured = self._failure_shifts[group] = self._measure_failure_shift(group)
+            shift = max(shift, measured)
+        return shift
+
+    def _measure_failure_shift(self, group: Stratum) -> float:
+        """Return by how much the old version's failure rate has risen lately, at least 0."""
+        whole = self._whole.get(group)
+        if whole is None or not whole.calls:
+            return 0.0
+        usual = whole.failures / whole.calls
+        shift = 0.0
+        for tally in self._list_recent(group):
+            spread = sqrt(max(tally.calls * usual * (1 - usual), 0.25))
+            excess = tally.failures - tally.calls * usual
+            if excess > SIGNIFICANT_ERRORS * spread:
+                shift = max(shift, (excess + spread) / tally.calls)
+        return shift
+
+    def _list_recent(self, group: Stratum) -> list[_Tally]:
+        tallies = [recent.get(group) for recent in self._recent]
+        return [each for each in tallies if each is not None and each.calls >= MIN_SHIFT_CALLS]
+
+    def _find_latency_shift(self, stratum: Stratum, quantile: float) -> float:
+        shift = 1.0
+        for group in _list_shift_groups(stratum):
+            key = _QuantileKey(group, quantile)
+            measured = self._latency_shifts.get(key)
+            if measured is None:
+                measured = self._measure_latency_shift(group, quantile)
+                self._latency_shifts[key] = measured
+            shift = max(shift, measured)
+        return shift
+
+    def _measure_latency_shift(self, group: Stratum, quantile: float) -> float:
+        """Return the factor by which the old version has become slower lately, at least 1."""
+        usual = self._find_group_latency(group, quantile)
+        if usual == 0:
+            return 1.0
+        shift = 1.0
+        for tally in self._list_recent(group):
+            expected = sum(tally.buckets) * (1 - quantile)
+            spread = sqrt(expected * quantile + 0.25)
+            if count_above(tally.buckets, usual) - expected > SIGNIFICANT_ERRORS * spread:
+                shift = max(shift, find_quantile(tally.buckets, quantile) / usual)
+        return shift
+
+
+def _list_shift_groups(stratum: Stratum) -> tuple[Stratum, Stratum, Stratum]:
+    return (
+        WHOLE,
+        Stratum(stratum.route, ANY, ANY_LEVEL),
+        Stratum(ANY, stratum.zone, ANY_LEVEL),
+    )
+
+
+def _make_sparse(key: CellKey, calls: int, failures: int, buckets: list[int]) -> _Sparse:
+    level = min(key.level, LOAD_LEVELS - 1)
+    strata = (
+        WHOLE,
+        Stratum(key.route, ANY, ANY_LEVEL),
+        Stratum(key.route, ANY, level),
+        Stratum(ANY, key.place, ANY_LEVEL),
+        Stratum(key.route, key.place, level),
+    )
+    pairs = tuple((bucket, count) for bucket, count in enumerate(buckets) if count)
+    groups = _list_shift_groups(strata[-1])
+    return _Sparse(strata, groups, calls, failures, pairs)
+
+
+def _add(
+    tallies: dict[Stratum, _Tally], strata: tuple[Stratum, ...], sparse: _Sparse, sign: int
+) -> None:
+    for stratum in strata:
+        tally = tallies.get(stratum)
+        if tally is None:
+            tally = tallies[stratum] = _Tally()
+        tally.add(sparse, sign)
