Count direct calls by the holders' reports when the endpoint tells nothing

Cause: an owner whose calls are all direct sees no answers, so no load reports, and took its endpoint for idle. Change: without a fresh report the mean of the holders' reports counts. The test of lent share states the endpoint's report, as its holders' reports now fill two places; its assertions stay.

--- a/packages/traffic/src/corianderwall/traffic/admission.py
+++ b/packages/traffic/src/corianderwall/traffic/admission.py
@@ -18,7 +18,7 @@
 MAX_WAITING = 256
 """Calls of one subscriber that wait at one endpoint."""
 LOAD_LIFE_S = 1.0
-"""Age at which a reported load counts nothing."""
+"""Age at which a load that the endpoint reports counts nothing."""
 SATURATED_USE = 0.9
 """Part of the limit from which an endpoint is saturated by demands within their shares."""
 RELEASE_USE = 0.7
@@ -65,6 +65,7 @@
         self._saturated = False
         self._calm_since = now
         self._reported_direct = 0
+        self._mean_direct = 0
         self._reported_at = float("-inf")
         self._last_ticket = 0
 
@@ -165,6 +166,7 @@
     def assess(self, now: float) -> EndpointPressure:
         """Weigh demands against the limit; to be called every 20 ms while calls run."""
         limit = self._limit.value
+        self._mean_direct = round(self._meter.read_direct(now))
         demands = self._meter.measure_demands(now)
         shares = self._queue.shares
         over = self._meter.find_over_share(demands, shares, limit)
@@ -198,8 +200,9 @@
         return len(self._running) + self._estimate_direct(now) < self._limit.value
 
     def _estimate_direct(self, now: float) -> int:
+        """Return the direct calls by the endpoint's report, or by the holders' if that is old."""
         is_fresh = now - self._reported_at < LOAD_LIFE_S
-        return self._reported_direct if is_fresh else 0
+        return self._reported_direct if is_fresh else self._mean_direct
 
     def _start(self, call: WaitingCall, *, is_lent: bool) -> Admitted:
         charged_s = self._meter.mean_service_s
--- a/packages/traffic/src/corianderwall/traffic/shares.py
+++ b/packages/traffic/src/corianderwall/traffic/shares.py
@@ -124,6 +124,11 @@
             self._uses.pop(flow, None)
         return demands
 
+    def read_direct(self, now: float) -> float:
+        """Return the mean direct calls that holders have reported lately."""
+        fresh = (report for report in self._reports.values() if now - report.at <= MAX_PERIOD_S)
+        return sum(sum(report.rates.values()) for report in fresh)
+
     def find_over_share(
         self, demands: Mapping[str, float], shares: SubscriberShares, limit: float
     ) -> frozenset[str]:
--- a/packages/traffic/tests/test_admission.py
+++ b/packages/traffic/tests/test_admission.py
@@ -59,6 +59,19 @@
     assert isinstance(admission.offer("a", 9.0, 2.0), Admitted)
 
 
+def test_holders_tell_of_direct_calls_while_the_endpoint_reports_nothing(
+    admission: Admission,
+) -> None:
+    usage = tuple(SubscriberUsage(name, 9, 5_000) for name in NAMES)
+    admission.report_usage(EndpointUsage("e", "n1", usage, 4), 5.0)
+    admission.assess(5.0)
+    assert isinstance(admission.offer("a", 9.0, 5.0), Queued)
+    admission.report_load(0, 5.1)
+    assert len(admission.admit(5.1)) == 1
+    admission.assess(11.0)
+    assert isinstance(admission.offer("a", 19.0, 11.0), Admitted)
+
+
 def test_a_call_that_cannot_end_in_time_is_refused_before_work(admission: Admission) -> None:
     teach_service_time(admission)
     decision = admission.offer("a", 1.0 + SERVICE_S / 2, 1.0)
@@ -134,6 +147,7 @@
         offer_many(admission, "heavy", 10, 19.0 + step / 50)
         admission.assess(19.0 + step / 50)
     assert admission.assess(21.0).over_share == ("heavy",)
+    admission.report_load(admission.running, 21.0)
     for ticket in range(len(NAMES) + 1, len(NAMES) + SLOTS + 1):
         admission.finish(ticket, SERVICE_S, 21.0, refused=False)
     assert admission.running == 2, "one place of its own share and one that is lent"
