Refuse connections above the limit with a true 'not run'

Cause: a reset left it open whether the request on such a connection had run, so that one that may not be repeated failed for its caller.

--- a/packages/httpflow/src/corianderwall/httpflow/client_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -9,6 +9,7 @@
 from corianderwall.httpflow.headers import (
     CHUNKED,
     LAST_CHUNK,
+    NOT_RUN_HEADER,
     encode_chunk,
     encode_request_head,
 )
@@ -18,7 +19,6 @@
     from corianderwall.httpflow.limits import ClientLimits
 
 REFUSAL_STATUS = 503
-NOT_RUN_HEADER = (b"x-not-run", b"1")
 
 
 class ConnectionOwner(Protocol):
--- a/packages/httpflow/src/corianderwall/httpflow/headers.py
+++ b/packages/httpflow/src/corianderwall/httpflow/headers.py
@@ -24,6 +24,8 @@
 
 CHUNKED = b"transfer-encoding: chunked\r\n"
 CLOSE = b"connection: close\r\n"
+NOT_RUN_HEADER = (b"x-not-run", b"1")
+"""With status 503 it states that the request was refused before any work."""
 LAST_CHUNK = b"0\r\n\r\n"
 NO_BODY_STATUSES = frozenset((204, 304))
 
--- a/packages/httpflow/src/corianderwall/httpflow/relay.py
+++ b/packages/httpflow/src/corianderwall/httpflow/relay.py
@@ -2,12 +2,12 @@
 
 from corianderwall.httpflow.attempt import AnswerHead, Attempt, AttemptResult, OutgoingCall
 from corianderwall.httpflow.call import IncomingCall
+from corianderwall.httpflow.headers import NOT_RUN_HEADER
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.model.errors import ErrorCode
 from corianderwall.model.verdict import Verdict
 
 MAX_HELD_BODY_BYTES = 16 * 1024
-NOT_RUN_HEADERS = [(b"x-not-run", b"1")]
 
 
 class Relay:
@@ -65,7 +65,7 @@
 
     def _refuse(self, result: AttemptResult) -> None:
         if result.verdict is Verdict.NOT_RUN:
-            self._call.respond(503, NOT_RUN_HEADERS)
+            self._call.respond(503, [NOT_RUN_HEADER])
         elif result.error is ErrorCode.DEADLINE_EXCEEDED:
             self._call.respond(504, [])
         else:
--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from corianderwall.httpflow.call import CallHandler, IncomingCall
-from corianderwall.httpflow.headers import CLOSE, encode_answer_head
+from corianderwall.httpflow.headers import CLOSE, NOT_RUN_HEADER, encode_answer_head
 from corianderwall.httpflow.limits import ServerLimits
 from corianderwall.httpflow.request_parser import RequestHead, RequestParser, RequestRefusedError
 
@@ -63,12 +63,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to read."""
         self._transport = cast("asyncio.Transport", transport)
-        if len(self._state.connections) >= self._limits.max_connections:
-            self._deaf = True
-            self._transport.abort()
-            return
         self._transport.set_write_buffer_limits(self._limits.write_buffer_bytes)
         self._state.connections.add(self)
+        if len(self._state.connections) > self._limits.max_connections:
+            self._refuse_connection()
+            return
         self.deadline = self._loop.time() + self._limits.idle_timeout_s
 
     def data_received(self, data: bytes) -> None:
@@ -243,6 +242,13 @@
         if self._active is None and not self._waiting:
             self._write_refusal()
 
+    def _refuse_connection(self) -> None:
+        # A reset would leave it open whether the request that is coming has run.
+        self._deaf = True
+        framing = b"content-length: 0\r\n" + CLOSE
+        self.write(encode_answer_head(503, [NOT_RUN_HEADER], framing))
+        self._close(linger=True)
+
     def _write_refusal(self) -> None:
         status, self._refusal = self._refusal, 0
         self.write(encode_answer_head(status, [], b"content-length: 0\r\n" + CLOSE))
