--- a/packages/node/src/corianderwall/node/control.py
+++ b/packages/node/src/corianderwall/node/control.py
@@ -49,6 +49,7 @@
     from corianderwall.node.desk import Desk
     from corianderwall.node.dispatcher import Dispatcher
     from corianderwall.node.moveview import AgentView
+    from corianderwall.node.pools import Pools
     from corianderwall.node.serviceload import LoadSurvey
     from corianderwall.traffic.balancer import Balancer
     from corianderwall.traffic.lease_holder import LeaseHolder
@@ -84,6 +85,7 @@
         holder: "LeaseHolder",
         issuer: "LeaseIssuer",
         desk: "Desk",
+        pools: "Pools",
         agent: "MoveAgent",
         moves: "AgentView",
         dispatcher: "Dispatcher",
@@ -99,6 +101,7 @@
         self._holder = holder
         self._issuer = issuer
         self._desk = desk
+        self._pools = pools
         self._agent = agent
         self._moves = moves
         self._dispatcher = dispatcher
@@ -106,6 +109,7 @@
         self._want_head = want_head
         self._on_version = on_version
         self._endpoints: dict[str, Endpoint] = {}
+        self._leased: set[str] = set()
         self._members_changed = True
         self._next_window = 0.0
 
@@ -128,8 +132,7 @@
         self._desk.tick()
         self._apply_events(now)
         self._tick_moves(now)
-        for name in self._endpoints:
-            self._balancer.set_leased(name, leased=self._holder.has_free_lease(name, now))
+        self._update_leased(now)
 
     def send(self, messages: "Iterable[Outgoing]") -> None:
         """Send messages to hosts whose address the membership knows."""
@@ -174,6 +177,17 @@
                 self._survey.take_answer(peer, message)
         return []
 
+    def _update_leased(self, now: float) -> None:
+        known = self._holder.list_endpoints()
+        for name in self._leased.difference(known):
+            self._balancer.set_leased(name, leased=False)
+        for name in known:
+            self._balancer.set_leased(name, leased=self._holder.has_free_lease(name, now))
+            endpoint = self._endpoints.get(name)
+            if endpoint is not None:
+                self._pools.limit(endpoint.address, self._holder.read_limit(name, now))
+        self._leased = set(known)
+
     def _tick_moves(self, now: float) -> None:
         if self._members_changed:
             self._members_changed = False
--- a/packages/traffic/tests/test_balancer.py
+++ b/packages/traffic/tests/test_balancer.py
@@ -125,6 +125,37 @@
     assert failed < 2_000 * 0.02
 
 
+def test_an_endpoint_that_fails_now_and_then_gets_fewer_calls() -> None:
+    balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
+    chosen: Counter[str] = Counter()
+    running: list[str] = []
+    ended: Counter[str] = Counter()
+    for step in range(3_000):
+        name = choose(balancer, step / 100)
+        chosen[name] += 1
+        balancer.start(name)
+        running.append(name)
+        if len(running) > 6:
+            done = running.pop(0)
+            ended[done] += 1
+            status = 500 if done == "a" and not ended["a"] % 3 else 200
+            balancer.finish(make_outcome(done, status=status), step / 100)
+    assert 0 < chosen["a"] < chosen["b"] / 2
+
+
+def test_a_slow_endpoint_is_ejected_and_a_slow_route_is_not() -> None:
+    balancer = make_balancer(*map(make_endpoint, "abcd"))
+    chosen: Counter[str] = Counter()
+    for step in range(2_000):
+        name = choose(balancer, step / 100)
+        chosen[name] += 1
+        slow_route = replace(make_outcome(name, latency_s=5.0), route="archive")
+        usual = make_outcome(name, latency_s=0.2 if name == "a" else 0.01)
+        run_call(balancer, usual if step % 2 else slow_route, step / 100)
+    assert chosen["a"] < 2_000 * 0.15
+    assert min(chosen[name] for name in "bcd") > 2_000 * 0.2
+
+
 def test_an_ejected_endpoint_is_probed_back_one_call_at_a_time() -> None:
     balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
     fail_times(balancer, "a", 5, 1.0)
@@ -132,7 +163,11 @@
     names = {choose(balancer, 8.0) for _ in range(50)}
     assert names == {"a", "b"}
     balancer.start("a")
+    for _ in range(5):
+        balancer.start("b")
     assert {choose(balancer, 8.0) for _ in range(50)} == {"b"}
+    for _ in range(5):
+        balancer.finish(make_outcome("b"), 8.0)
     balancer.finish(make_outcome("a", status=500), 8.1)
     assert {choose(balancer, 14.0) for _ in range(50)} == {"b"}, "the second time is longer"
     assert {choose(balancer, 21.0) for _ in range(50)} == {"a", "b"}
@@ -196,10 +231,35 @@
     balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
     balancer.start("a")
     refusal = make_outcome("a", status=503, refused=True)
-    balancer.finish(refusal, 1.0, retry_after_s=5.0, is_by_owner=True)
+    balancer.finish(refusal, 1.0, retry_after_s=5.0, is_handed_over=True)
     assert {choose(balancer, 1.01) for _ in range(50)} == {"a", "b"}
 
 
+def test_the_wait_at_an_owner_does_not_count_as_slowness() -> None:
+    balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
+    for step in range(200):
+        name = choose(balancer, step / 100)
+        balancer.start(name)
+        late = make_outcome(name, latency_s=1.0)
+        balancer.finish(
+            late if name == "a" else make_outcome(name), step / 100, is_handed_over=name == "a"
+        )
+    chosen = Counter(choose(balancer, 2.0) for _ in range(200))
+    assert min(chosen["a"], chosen["b"]) > 60
+
+
+def test_an_avoided_endpoint_is_taken_for_want_of_others() -> None:
+    balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
+    names = {
+        endpoint.name
+        for _ in range(50)
+        if (endpoint := balancer.choose("s", "v1", 1.0, frozenset(), frozenset("a")))
+    }
+    assert names == {"b"}
+    last = balancer.choose("s", "v1", 1.0, frozenset("b"), frozenset("a"))
+    assert last is not None and last.name == "a"
+
+
 def test_a_leased_endpoint_is_preferred_at_equal_load() -> None:
     balancer = make_balancer(make_endpoint("a"), make_endpoint("b"))
     balancer.set_leased("b", leased=True)
