--- a/packages/httpflow/tests/test_server_connection.py
+++ b/packages/httpflow/tests/test_server_connection.py
@@ -265,6 +265,32 @@
     assert side.written.startswith(b"HTTP/1.1 408 ")
 
 
+def test_a_body_that_stops_coming_ends_the_call(side, make_sink) -> None:
+    side.feed(POST[:-2])
+    sink = make_sink()
+    side.calls[0].read_body(sink)
+    assert side.connection.deadline < float("inf")
+    side.connection.expire()
+    side.connection.connection_lost(None)
+    assert (side.transport.aborted, sink.aborted) == (True, True)
+
+
+def test_a_body_that_we_do_not_read_has_no_deadline(side, make_sink) -> None:
+    side.feed(POST[:-2])
+    side.calls[0].read_body(make_sink())
+    side.calls[0].pause_body()
+    assert side.connection.deadline == float("inf")
+
+
+def test_a_caller_that_stops_reading_its_answer_has_a_deadline(side) -> None:
+    side.feed(GET)
+    side.calls[0].start_answer(200, [], None)
+    side.connection.pause_writing()
+    assert side.connection.deadline < float("inf")
+    side.connection.resume_writing()
+    assert side.connection.deadline == float("inf")
+
+
 def test_a_running_call_has_no_idle_deadline(side) -> None:
     side.feed(GET)
     assert side.connection.deadline == float("inf")
