Let nodes without memory take up the watch only once their view is settled

Cause: when all nodes restart each sees few others at first, holds itself to be a watcher and reads the platform: 40 reads in a second for 40 nodes.

Change: before its floor is known a node takes the role only when no host has appeared for 0.3 s. Asking witnesses moves to a module of its own.

--- a/packages/distribution/src/corianderwall/distribution/distributor.py
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -32,6 +32,7 @@
 from corianderwall.distribution.replica import PLATFORM, Replica
 from corianderwall.distribution.rollout import Rollout, RolloutLedger
 from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.distribution.witnessasks import WitnessAsks
 from corianderwall.distribution.witnesses import WitnessRule
 from corianderwall.model.codec import compute_digest
 from corianderwall.model.message import Outgoing, PeerMessage
@@ -40,8 +41,6 @@
 if TYPE_CHECKING:
     from corianderwall.model.endpoint import Host
 
-ASKS_OF_SAME_HELPERS = 3
-
 
 class Distributor:
     """Puts a held version in force once its floor is known and enough other hosts hold it.
@@ -66,11 +65,9 @@
         self._floor = FloorSearch(members, self._settings, rng, now)
         self._reads = HeadReads(self._settings.head_request_life_s)
         self._witnesses = WitnessRule(members, self._replica.holders, self._settings)
+        self._asks = WitnessAsks(self._witnesses, self._replica, members, self._settings)
         self._ledger = RolloutLedger(members, self._settings, session)
         self._events: list[DistributionEvent] = []
-        self._next_witness_ask_at = now
-        self._witness_asks = 0
-        self._asked_version = NO_VERSION
         self._retries = 0
         self._watchers: tuple[Host, ...] = ()
         self._watchers_digest: int | None = None
@@ -94,6 +91,8 @@
     @property
     def is_watcher(self) -> bool:
         """Whether this node is to watch the platform's head."""
+        if not (self._floor.is_known or self._floor.is_view_settled):
+            return False
         if self._members.view_digest != self._watchers_digest:
             self._watchers_digest = self._members.view_digest
             self._watchers = choose_watchers(
@@ -124,7 +123,7 @@
         self._floor.note_platform(snapshot.version)
         if asked_at is not None:
             outgoing += self._reads.answer(snapshot.version, asked_at)
-        return outgoing + self._advance(now) + self._ask_witnesses_early()
+        return outgoing + self._advance(now) + self._asks.ask_early()
 
     def handle(self, peer: str, message: PeerMessage, now: float) -> list[Outgoing]:
         """Take a message of a peer and return the answers."""
@@ -132,7 +131,7 @@
         if handler is None:
             return []
         outgoing = handler(self, peer, message, now) + self._advance(now)
-        return outgoing + self._ask_witnesses_early()
+        return outgoing + self._asks.ask_early()
 
     def handle_advert(self, peer: str, data: bytes, now: float) -> list[Outgoing]:
         """Take the advert of a peer's heartbeat."""
@@ -212,33 +211,10 @@
         self._retries += 1
         return self._replica.catch_up.request(newer[self._retries % len(newer)], now)
 
-    def _ask_witnesses_early(self) -> list[Outgoing]:
-        """Ask other hosts at once when the neighbours can't be all the witnesses."""
-        if self.held_version <= self._asked_version:
-            return []
-        self._asked_version = self.held_version
-        self._witness_asks = 0
-        if self._witnesses.is_covered_by(self._members.neighbours):
-            return []
-        return self._make_witness_asks()
-
     def _ask_witnesses(self, now: float) -> list[Outgoing]:
-        """Ask other hosts again when too few have given word."""
-        if self.held_version <= self._read_current_version() or now < self._next_witness_ask_at:
-            return []
-        if now - self._replica.held_since < self._settings.witness_ask_interval_s:
-            return []
-        if self._find_witnessed(now) >= self.held_version:
+        if self.held_version <= self._read_current_version():
             return []
-        self._next_witness_ask_at = now + self._settings.witness_ask_interval_s
-        return self._make_witness_asks()
-
-    def _make_witness_asks(self) -> list[Outgoing]:
-        message = self._replica.make_held(wants_reply=True)
-        # The same hosts are asked first each time, since their connections are open already.
-        helpers = self._witnesses.choose_helpers(self._witness_asks // ASKS_OF_SAME_HELPERS)
-        self._witness_asks += 1
-        return [Outgoing(name, message) for name in helpers]
+        return self._asks.ask_again(self._find_witnessed(now), now)
 
     def _handle_update(self, peer: str, message: Update, now: float) -> list[Outgoing]:
         return self._replica.handle_update(peer, message, now)
--- a/packages/distribution/src/corianderwall/distribution/floor.py
+++ b/packages/distribution/src/corianderwall/distribution/floor.py
@@ -42,6 +42,11 @@
         self._next_query_at = now + settings.floor_query_after_s
         self._queue: list[str] = []
         self._asked = 0
+        self._view_digest = members.view_digest
+        self._view_settles_at = now + settings.view_settle_s
+        self.is_view_settled = False
+        """Whether hosts have ceased to appear; before, this node can't tell who watches."""
+
         self.floor: int | None = None
 
     @property
@@ -67,6 +72,7 @@
 
     def tick(self, now: float) -> Inquiries:
         """Ask watchers, then the whole region, until the floor is known."""
+        self._watch_view(now)
         inquiries = Inquiries([], [])
         if self.is_known:
             return inquiries
@@ -83,16 +89,22 @@
         self._conclude()
         return inquiries
 
+    def _watch_view(self, now: float) -> None:
+        if self._members.view_digest != self._view_digest:
+            self._view_digest = self._members.view_digest
+            self._view_settles_at = now + self._settings.view_settle_s
+        self.is_view_settled = now >= self._view_settles_at
+
     def _ask_watcher(self, inquiries: Inquiries) -> None:
         watchers = choose_watchers(
             self._list_region(), per_region=self._settings.watchers_per_region
         )
         watcher = watchers[self._asked % len(watchers)]
         self._asked += 1
-        if watcher.name == self._members.me.name:
-            inquiries.events.append(HeadWanted())
-        else:
+        if watcher.name != self._members.me.name:
             inquiries.outgoing.append(Outgoing(watcher.name, HeadRequest(self._nonce)))
+        elif self.is_view_settled:
+            inquiries.events.append(HeadWanted())
 
     def _list_region(self) -> list[Host]:
         region = self._members.me.locality.region
--- a/packages/distribution/src/corianderwall/distribution/settings.py
+++ b/packages/distribution/src/corianderwall/distribution/settings.py
@@ -20,6 +20,9 @@
     catch_up_wait_s: float = 1.0
     head_ask_interval_s: float = 0.5
     head_request_life_s: float = 5.0
+    view_settle_s: float = 0.3
+    """How long no host must have appeared before a node without memory takes up a role."""
+
     floor_query_after_s: float = 1.0
     """How long the platform's word is awaited before the region is asked."""
 
--- /dev/null
+++ b/packages/distribution/src/corianderwall/distribution/witnessasks.py
@@ -0,0 +1,56 @@
+"""Asking hosts beyond the neighbours for their word when too few witnesses are known."""
+
+from corianderwall.distribution.members import Members
+from corianderwall.distribution.messages import NO_VERSION
+from corianderwall.distribution.replica import Replica
+from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.distribution.witnesses import WitnessRule
+from corianderwall.model.message import Outgoing
+
+ASKS_OF_SAME_HELPERS = 3
+
+
+class WitnessAsks:
+    """Asks once a version is taken over, if the neighbours can't do, and again later."""
+
+    def __init__(
+        self,
+        rule: WitnessRule,
+        replica: Replica,
+        members: Members,
+        settings: DistributionSettings,
+    ) -> None:
+        self._rule = rule
+        self._replica = replica
+        self._members = members
+        self._settings = settings
+        self._next_ask_at = 0.0
+        self._asks = 0
+        self._asked_version = NO_VERSION
+
+    def ask_early(self) -> list[Outgoing]:
+        """Ask other hosts at once when the neighbours can't be all the witnesses."""
+        version = self._replica.history.version
+        if version <= self._asked_version:
+            return []
+        self._asked_version = version
+        self._asks = 0
+        if self._rule.is_covered_by(self._members.neighbours):
+            return []
+        return self._make_asks()
+
+    def ask_again(self, witnessed_version: int, now: float) -> list[Outgoing]:
+        """Ask other hosts when too few have given word on the newest version in time."""
+        if self._replica.history.version <= witnessed_version or now < self._next_ask_at:
+            return []
+        if now - self._replica.held_since < self._settings.witness_ask_interval_s:
+            return []
+        self._next_ask_at = now + self._settings.witness_ask_interval_s
+        return self._make_asks()
+
+    def _make_asks(self) -> list[Outgoing]:
+        message = self._replica.make_held(wants_reply=True)
+        # The same hosts are asked first each time, since their connections are open already.
+        helpers = self._rule.choose_helpers(self._asks // ASKS_OF_SAME_HELPERS)
+        self._asks += 1
+        return [Outgoing(name, message) for name in helpers]
