--- a/packages/bench/src/corianderwall/bench/traffic_model.py
+++ b/packages/bench/src/corianderwall/bench/traffic_model.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import Protocol
 
+import msgspec
+
 from corianderwall.bench.virtual_clock import VirtualClock
 from corianderwall.model.endpoint import Address, Endpoint, Locality
 from corianderwall.model.message import Outgoing
@@ -35,6 +37,8 @@
 UNAVAILABLE = 503
 FAILED = 500
 
+_encoder = msgspec.msgpack.Encoder()
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -43,7 +47,6 @@
     verdict: Verdict
     status: int
     retry_after_s: float = 0.0
-    is_by_owner: bool = False
     is_over_share: bool = False
 
 
@@ -63,7 +66,12 @@
     """A policy that chooses endpoints."""
 
     def choose(
-        self, service: str, version: str, now: float, exclude: Set[str] = frozenset()
+        self,
+        service: str,
+        version: str,
+        now: float,
+        exclude: Set[str] = frozenset(),
+        avoid: Set[str] = frozenset(),
     ) -> Endpoint | None:
         """Return the endpoint of the next attempt."""
 
@@ -76,7 +84,7 @@
         now: float,
         *,
         retry_after_s: float = 0.0,
-        is_by_owner: bool = False,
+        is_handed_over: bool = False,
     ) -> None:
         """Note the outcome of an attempt."""
 
@@ -98,6 +106,7 @@
         self.slowness = 1.0
         self.failure_rate = 0.0
         self.refuses = False
+        self.sheds = True
         self.reported_load: int | None = None
         self.served: dict[str, int] = {}
         self._clock = clock
@@ -118,7 +127,8 @@
 
     def begin(self, call: Call, done: Done) -> None:
         """Run a call, queue it, or refuse it before any work."""
-        if self.refuses or self.load >= self.endpoint.slots * SHED_FACTOR:
+        is_full = self.sheds and self.load >= self.endpoint.slots * SHED_FACTOR
+        if self.refuses or is_full:
             done(Answer(Verdict.NOT_RUN, UNAVAILABLE))
         elif self._running < self.endpoint.slots:
             self._run(call, done)
@@ -223,7 +233,9 @@
     def _attempt(self, call: Call) -> None:
         now = self._model.clock.now
         call.attempt += 1
-        endpoint = self.chooser.choose(SERVICE, VERSION, now, call.exclude)
+        flow = self._model.shares.find_flow(call.subscriber)
+        avoid = self.holder.find_over_share(flow)
+        endpoint = self.chooser.choose(SERVICE, VERSION, now, call.exclude, avoid)
         if endpoint is None:
             self._model.finish(call, Answer(Verdict.NOT_RUN, UNAVAILABLE))
             return
@@ -231,7 +243,6 @@
         owner = self._model.owners[endpoint.name]
         passage: Passage | None = None
         if self._model.is_mixed:
-            flow = self._model.shares.find_flow(call.subscriber)
             passage = self.holder.acquire(endpoint, flow, call.deadline, now)
 
         is_counted = passage is None or not passage.is_over_share
@@ -272,9 +283,10 @@
             refused=answer.verdict is Verdict.NOT_RUN,
             outstanding=outstanding,
         )
+        is_handed_over = passage is not None and not passage.direct
         if outstanding:
             self.chooser.finish(
-                outcome, now, retry_after_s=answer.retry_after_s, is_by_owner=answer.is_by_owner
+                outcome, now, retry_after_s=answer.retry_after_s, is_handed_over=is_handed_over
             )
         if answer.status != OK and self._retry(call, answer, endpoint):
             return
@@ -322,6 +334,7 @@
         self.finish: Finished = lambda call, answer: None
         self.direct_attempts = 0
         self.attempts = 0
+        self.control_bytes = 0
         self._nodes = nodes
         self._zones = zones
         for index in range(endpoints):
@@ -352,7 +365,7 @@
     def _assess(self) -> None:
         for owner in self.owners.values():
             for outgoing in owner.assess():
-                self.clock.call_after(FAR_S, self._deliver, outgoing)
+                self._send(self._deliver, outgoing)
 
     def _report_loads(self) -> None:
         for owner in self.owners.values():
@@ -363,9 +376,14 @@
     def _exchange_leases(self) -> None:
         for entry in self.entries:
             for outgoing in entry.holder.collect_requests(self.clock.now):
-                self.clock.call_after(FAR_S, self._answer, outgoing.message)
+                self._send(self._answer, outgoing)
+
+    def _send(self, deliver: Callable[[Outgoing], None], outgoing: Outgoing) -> None:
+        self.control_bytes += len(_encoder.encode(outgoing.message))
+        self.clock.call_after(FAR_S, deliver, outgoing)
 
-    def _answer(self, message: object) -> None:
+    def _answer(self, outgoing: Outgoing) -> None:
+        message = outgoing.message
         if not isinstance(message, LeaseRequest):
             return
         for demand in message.demands:
@@ -375,7 +393,7 @@
                 continue
             for report in answer.reports:
                 owner.admission.report_usage(report, self.clock.now)
-            self.clock.call_after(FAR_S, self._deliver, answer.outgoing)
+            self._send(self._deliver, answer.outgoing)
 
     def _deliver(self, outgoing: Outgoing) -> None:
         holder = self.entries[int(outgoing.peer[1:])].holder
@@ -404,6 +422,5 @@
         Verdict.NOT_RUN,
         UNAVAILABLE,
         retry_after_s=refused.retry_after_s,
-        is_by_owner=True,
         is_over_share=refused.over_share,
     )
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -1,6 +1,7 @@
 """One node, put together from its parts, from start to graceful shutdown."""
 
 import asyncio
+import gc
 import signal
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -25,7 +26,7 @@
 from corianderwall.node.desk import Desk
 from corianderwall.node.dispatcher import Dispatcher
 from corianderwall.node.lifecycle import CycleActions, create_cycle
-from corianderwall.node.logs import log_info, log_warning, start_logs
+from corianderwall.node.logs import log_error, log_info, log_warning, start_logs
 from corianderwall.node.metrics import CallMetrics, Metrics
 from corianderwall.node.moveview import AgentView
 from corianderwall.node.operators import OperatorApp, OperatorSite
@@ -56,6 +57,11 @@
     from corianderwall.node.settings import NodeSettings
     from corianderwall.store.commit import Committed
 
+EXIT_CANNOT_START = 1
+
+COLLECTOR_THRESHOLDS = (20_000, 20, 20)
+"""Allocations, and collections of the younger generation, before each generation's collection."""
+
 SEED_WAIT_S = 1.0
 """How long the nodes named in the settings are awaited before the platform is asked for others."""
 
@@ -231,6 +237,8 @@
             known = await self._platform.find_seeds()
             hosts = (*hosts, *known)
             self._control.send(self.membership.join(hosts, self._timer.read_monotonic()))
+        # A node that is alone may take up its roles now.
+        self._tick_roles()
 
     # What the platform and operators bring.
 
@@ -316,6 +324,7 @@
         )
         if is_watcher:
             self._platform.refresh_seeds(self.membership.list_live_hosts, self._join_one)
+            self._platform.sweep()
         self._retain_pools()
         snapshot = self.distributor.current
         if snapshot is not None and not self._steering_busy:
@@ -407,6 +416,7 @@
 
     def __init__(self, settings: "NodeSettings", reactor: Any) -> None:
         self._reactor = reactor
+        self._exit_code = 0
         self.node = Node(settings, reactor)
         self._cycle = create_cycle(CycleActions(self._drain, self._cut, self._stop))
 
@@ -414,7 +424,7 @@
         """Serve until stopped; return the exit code."""
         self._reactor.callWhenRunning(self._begin)
         self._reactor.run(installSignalHandlers=False)
-        return 0
+        return self._exit_code
 
     def _begin(self) -> None:
         loop = asyncio.get_event_loop()
@@ -424,7 +434,8 @@
         started.addCallbacks(lambda _: self._cycle.begin_serving(), self._fail)
 
     def _fail(self, failure: Any) -> None:
-        log_warning("can't start", why=failure.getErrorMessage())
+        log_error("can't start", why=failure.getErrorMessage())
+        self._exit_code = EXIT_CANNOT_START
         self._cycle.signal()
 
     def _drain(self) -> None:
@@ -444,6 +455,13 @@
         stopped.addBoth(lambda _: self._reactor.stop())
 
 
+def tune_collector() -> None:
+    """Keep the garbage collector from pausing calls: calls leave no cycles behind."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def run_node(settings: "NodeSettings") -> int:
     """Run a node with the installed reactor; return the process's exit code."""
     from twisted.internet import reactor
@@ -456,4 +474,5 @@
         zone=node.host.locality.zone,
         read_version=lambda: node.read_health().version,
     )
+    tune_collector()
     return session.run()
