--- a/packages/bench/src/corianderwall/bench/capacity_model.py
+++ b/packages/bench/src/corianderwall/bench/capacity_model.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from corianderwall.bench.configuration import make_snapshot
+from corianderwall.bench.virtual_fleet import OVERHEAD_BYTES
+from corianderwall.distribution.messages import InForce
 from corianderwall.distribution.parts import split_snapshot
+from corianderwall.distribution.settings import DistributionSettings
+from corianderwall.store.watcher import WATCH_S
 from corianderwall.model.codec import compute_digest, encode_snapshot
 
 NODES = 590
@@ -22,7 +26,10 @@
 
 WATCHERS = 2 * REGIONS
 COLLECTORS = 2 * ZONES
-REPORT_INTERVAL_S = 30.0
+REPORT_INTERVAL_S = DistributionSettings().report_interval_s
+SESSION = 1_800_000_000_000
+"""A session as it is now: a unix time in milliseconds."""
+
 DAY_S = 86_400
 PLATFORM_VALUE_BYTES = 1 << 20
 MAX_CPU_PERCENT = 1.1
@@ -68,8 +75,9 @@
     """Return all lines of the page."""
     return [
         *_compute_node_bytes(measured),
+        *_compute_bursts(measured),
         *_compute_node_load(measured),
-        *_compute_collector(measured),
+        *_compute_collector(),
         *_compute_platform(measured),
         *_compute_configuration(),
     ]
@@ -135,6 +143,28 @@
     ]
 
 
+def _compute_bursts(measured: dict[str, Measured]) -> list[Row]:
+    zone = NODES // ZONES
+    event = measured["bytes_per_endpoint_event"].at(NODES)
+    restart = measured["bytes_per_restart"].at(NODES)
+    return [
+        Row(
+            "every node",
+            "a zone fails, in all",
+            f"{zone} x {event:.0f} B / 1000000",
+            zone * event / 1e6,
+            "MB",
+        ),
+        Row(
+            "every node",
+            "the zone returns, in all",
+            f"{zone} x {restart:.0f} B / 1000000",
+            zone * restart / 1e6,
+            "MB",
+        ),
+    ]
+
+
 def _compute_node_load(measured: dict[str, Measured]) -> list[Row]:
     cpu, rss = measured["cpu_percent"], measured["rss_mb"]
     calls = CALLS_PER_S / NODES
@@ -159,10 +189,10 @@
     ]
 
 
-def _compute_collector(measured: dict[str, Measured]) -> list[Row]:
+def _compute_collector() -> list[Row]:
     hosts = NODES / ZONES
     reports = hosts / REPORT_INTERVAL_S + hosts * CHANGES_PER_DAY / DAY_S
-    size = measured["report_bytes"].value
+    size = len(msgspec.msgpack.encode(InForce(SESSION, CHANGES_PER_DAY))) + OVERHEAD_BYTES
     at_rest = f"{hosts:.0f} / {REPORT_INTERVAL_S:.0f} s"
     return [
         Row(
@@ -186,6 +216,14 @@
     reads, writes = measured["platform_reads_per_change"], measured["platform_writes_per_change"]
     peak = measured["herd_reads_per_s"]
     return [
+        Row(
+            f"watcher ({WATCHERS} of them)",
+            "waiting watches at rest, all watchers",
+            f"{WATCHERS} / {WATCH_S:.0f} s",
+            WATCHERS / WATCH_S,
+            "reads/s",
+            "2000",
+        ),
         Row(
             f"watcher ({WATCHERS} of them)",
             "reads of the platform, all watchers and the accepting node",
