--- a/packages/bench/src/corianderwall/bench/capacity_model.py
+++ b/packages/bench/src/corianderwall/bench/capacity_model.py
@@ -11,8 +11,8 @@
 from corianderwall.distribution.messages import InForce
 from corianderwall.distribution.parts import split_snapshot
 from corianderwall.distribution.settings import DistributionSettings
-from corianderwall.store.watcher import WATCH_S
 from corianderwall.model.codec import compute_digest, encode_snapshot
+from corianderwall.store.watcher import WATCH_S
 
 NODES = 590
 SERVICES = 43
