Bound the work of herds and the reports of conflicts

Change: the overlay is worked out at most every 0.3 s, a conflict is reported once per source and version; convergence can run under churn of endpoints.

--- a/packages/bench/src/corianderwall/bench/convergence.py
+++ b/packages/bench/src/corianderwall/bench/convergence.py
@@ -1,6 +1,7 @@
 """How soon a change is in force everywhere, at what cost, against every node watching."""
 
 import argparse
+import functools
 import random
 import sys
 import time
@@ -37,6 +38,7 @@
     parser.add_argument("--nodes", type=int, nargs="+", default=[10, 50, 100, 200])
     parser.add_argument("--changes", type=int, default=50)
     parser.add_argument("--interval", type=float, default=0.5, help="seconds between changes")
+    parser.add_argument("--churn", type=float, default=0.0, help="endpoint events a second")
     parser.add_argument("--staging", action="store_true", help="with optimistic staging")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args(arguments)
@@ -72,6 +74,8 @@
     fleet.start_all()
     fleet.run(SETTLE_S)
     idle_bytes_per_s = _measure_idle(fleet)
+    if options.churn:
+        _churn(fleet, 1 / options.churn)
     started, accepted_at = fleet.now, {}
     before, reads = fleet.traffic.wire_bytes, fleet.traffic.platform_reads
     for _ in range(options.changes):
@@ -85,6 +89,7 @@
     return {
         "nodes": count,
         "changes": options.changes,
+        "endpoint_events_per_s": options.churn,
         "staging": options.staging,
         **summarise(latencies),
         "skipped_for_a_newer": missed,
@@ -96,6 +101,12 @@
     }
 
 
+def _churn(fleet: VirtualFleet, interval_s: float) -> None:
+    """Change an endpoint now and after each interval."""
+    fleet.announce(fleet.rng.choice(sorted(fleet.nodes)))
+    fleet.call_after(interval_s, functools.partial(_churn, fleet, interval_s))
+
+
 def _measure_idle(fleet: VirtualFleet) -> float:
     """Return the bytes that the whole fleet sends in a second at rest."""
     before, start = fleet.traffic.wire_bytes, fleet.now
--- a/packages/distribution/src/corianderwall/distribution/distributor.py
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -6,7 +6,6 @@
 
 from corianderwall.distribution.advert import decode_advert, encode_advert
 from corianderwall.distribution.events import (
-    DigestConflict,
     DistributionEvent,
     HeadWanted,
     VersionInForce,
@@ -161,7 +160,7 @@
     def _check_conflict(self, snapshot: Snapshot) -> None:
         history = self._replica.history
         if snapshot.version == history.version and compute_digest(snapshot) != history.digest:
-            self._events.append(DigestConflict(PLATFORM, snapshot.version))
+            self._replica.report_conflict(PLATFORM)
 
     def _advance(self, now: float) -> list[Outgoing]:
         """Put the newest version in force that this node may."""
--- a/packages/distribution/src/corianderwall/distribution/replica.py
+++ b/packages/distribution/src/corianderwall/distribution/replica.py
@@ -43,6 +43,7 @@
         self._assembly = Assembly()
         self._parts: tuple[SnapshotPart, ...] = ()
         self._events: list[DistributionEvent] = []
+        self._conflicts: dict[str, int] = {}
         self.holders = Holders()
         self.history = History(settings.history_size)
         self.catch_up = CatchUp(self.history, settings.catch_up_wait_s)
@@ -120,9 +121,16 @@
             return self.catch_up.request(peer, now)
         digest = shorten_digest(self.history.digest)
         if advert.version == self.history.version and advert.digest != digest:
-            self._events.append(DigestConflict(peer, advert.version))
+            self.report_conflict(peer)
         return []
 
+    def report_conflict(self, source: str) -> None:
+        """Report once per source that it has another snapshot under the version held."""
+        version = self.history.version
+        if self._conflicts.get(source) != version:
+            self._conflicts[source] = version
+            self._events.append(DigestConflict(source, version))
+
     def handle_catch_up(self, peer: str, message: CatchUpRequest) -> list[Outgoing]:
         """Answer with all that leads from the peer's snapshot to this node's."""
         if message.version >= self.history.version:
@@ -161,7 +169,7 @@
 
     def _is_old(self, peer: str, version: int, digest: str) -> bool:
         if version == self.history.version and digest != self.history.digest:
-            self._events.append(DigestConflict(peer, version))
+            self.report_conflict(peer)
         return version <= self.history.version
 
     def _confirm(self, peer: str) -> list[Outgoing]:
--- a/packages/distribution/tests/test_distributor.py
+++ b/packages/distribution/tests/test_distributor.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from corianderwall.distribution.events import UpdateRefused
+from corianderwall.distribution.events import DigestConflict, UpdateRefused
 from corianderwall.distribution.messages import SnapshotPart, Update
 from corianderwall.model.change import PutRoute, PutService, apply_change
 from corianderwall.model.codec import compute_digest
@@ -216,6 +216,19 @@
     assert fleet.find_lagging() == []
 
 
+def test_another_snapshot_under_the_held_version_is_reported_once(build_fleet: Build) -> None:
+    fleet = build_fleet(3)
+    put_services(fleet, 1)
+    fleet.run(1.0)
+    node = fleet.nodes["host-000"]
+    other = replace(fleet.head, services=())
+    for _ in range(3):
+        node.distributor.offer(other, fleet.now)
+    events = node.distributor.take_events()
+    assert events == [DigestConflict("platform", 1)]
+    assert node.distributor.current == fleet.head
+
+
 def test_a_large_snapshot_travels_in_bounded_parts(build_fleet: Build) -> None:
     fleet = build_fleet(6)
     head = put_service(fleet.head, "a")
--- a/packages/membership/src/corianderwall/membership/membership.py
+++ b/packages/membership/src/corianderwall/membership/membership.py
@@ -154,7 +154,7 @@
 
     def tick(self, now: float) -> list[Outgoing]:
         """Do what is due."""
-        self._view.refresh_overlay()
+        self._view.refresh_overlay(now)
         outgoing = self._seeding.tick(now) + self._watch.tick(now)
         self._view.settle(now, may_declare=not self._watch.is_doubting(now))
         return outgoing + self._flush(now)
--- a/packages/membership/src/corianderwall/membership/view.py
+++ b/packages/membership/src/corianderwall/membership/view.py
@@ -25,6 +25,9 @@
 from corianderwall.membership.suspicions import SuspicionTable
 from corianderwall.model.endpoint import Endpoint, Host
 
+OVERLAY_INTERVAL_S = 0.3
+"""The least time between two overlays, of which one takes milliseconds at hundreds of hosts."""
+
 EXPIRY_INTERVAL_S = 5.0
 """How often lapsed suspicions and old tombstones are looked for."""
 
@@ -42,6 +45,7 @@
         self.table.store(self.mine, now)
         self._events: list[MembershipEvent] = []
         self._is_overlay_stale = False
+        self._next_overlay_at = now
         self.overlay = Overlay([me])
         self.neighbours: tuple[str, ...] = ()
         self.near_neighbours: tuple[str, ...] = ()
@@ -54,11 +58,13 @@
         """This host."""
         return self.mine.host
 
-    def refresh_overlay(self) -> None:
-        """Work the overlay out anew if hosts came or went; dear, so done once per tick."""
-        if not self._is_overlay_stale:
+    def refresh_overlay(self, now: float) -> None:
+        """Work the overlay out anew if hosts came or went; dear, so not at every change."""
+        is_too_soon = bool(self.neighbours) and now < self._next_overlay_at
+        if not self._is_overlay_stale or is_too_soon:
             return
         self._is_overlay_stale = False
+        self._next_overlay_at = now + OVERLAY_INTERVAL_S
         self.overlay = Overlay(record.host for record in self.table.iterate_live())
         known = set(self.neighbours)
         self.neighbours = self.overlay.find_neighbours(self.me.name)
