--- a/packages/bench/src/corianderwall/bench/capacity_model.py
+++ b/packages/bench/src/corianderwall/bench/capacity_model.py
@@ -214,7 +214,7 @@
 
 def _compute_platform(measured: dict[str, Measured]) -> list[Row]:
     reads, writes = measured["platform_reads_per_change"], measured["platform_writes_per_change"]
-    peak = measured["herd_reads_per_s"]
+    peak = measured["restart_reads_per_s"]
     return [
         Row(
             f"watcher ({WATCHERS} of them)",
--- a/packages/bench/src/corianderwall/bench/staging_trial.py
+++ b/packages/bench/src/corianderwall/bench/staging_trial.py
@@ -1,6 +1,6 @@
 """A trial of optimistic staging: candidates travel while their write is in flight.
 
-The nodes stage a candidate and pass it on; once the write has succeeded, a short word makes
+The nodes stage a candidate and pass it on; once the write has succeeded, a short message makes
 each swap to what it has staged. Only the measurement of convergence uses this.
 """
 
--- a/packages/bench/tests/test_fleet_measurements.py
+++ b/packages/bench/tests/test_fleet_measurements.py
@@ -27,7 +27,7 @@
   "slope_per_node": 0, "command": "c", "seed": 1},
  {"name": "platform_writes_per_change", "value": 2, "unit": "writes", "nodes": 90,
   "slope_per_node": 0, "command": "c", "seed": 1},
- {"name": "herd_reads_per_s", "value": 45, "unit": "reads/s", "nodes": 90, "slope_per_node": 0,
+ {"name": "restart_reads_per_s", "value": 45, "unit": "reads/s", "nodes": 90, "slope_per_node": 0,
   "command": "c", "seed": 1}
 ]"""
 
--- a/packages/distribution/src/corianderwall/distribution/floor.py
+++ b/packages/distribution/src/corianderwall/distribution/floor.py
@@ -65,7 +65,7 @@
             self.note_platform(version)
 
     def note_answer(self, peer: str, answer: FloorAnswer) -> None:
-        """Take the word of a host of this region."""
+        """Take the answer of a host of this region."""
         if answer.nonce == self._nonce and self.floor is None:
             self._answers[peer] = answer
             self._conclude()
--- a/packages/distribution/src/corianderwall/distribution/replica.py
+++ b/packages/distribution/src/corianderwall/distribution/replica.py
@@ -32,8 +32,8 @@
 class Replica:
     """Holds the newest snapshot that reached this node; its version only grows.
 
-    What is held is passed on at once: a small delta to neighbours that lack it, a short word
-    to those that have it. A peer that knows neither base nor result asks for the rest.
+    What is held is passed on at once: a small delta to neighbours that lack it, an
+    acknowledgement to those that have it. A peer that has neither base nor result asks for it.
     """
 
     def __init__(self, members: Members, settings: DistributionSettings, session: int) -> None:
@@ -60,7 +60,7 @@
         return Advert(self._session, self.history.version, digest)
 
     def make_held(self, *, wants_reply: bool = False) -> Held:
-        """Return the word on what this replica holds."""
+        """Return the acknowledgement of what this replica holds."""
         return Held(self._session, self.history.version, wants_reply)
 
     def hold(self, snapshot: Snapshot, source: str, now: float) -> list[Outgoing]:
@@ -105,7 +105,7 @@
             return self._refuse(peer, error, now)
 
     def handle_held(self, peer: str, message: Held, now: float) -> list[Outgoing]:
-        """Take the word of a peer; ask it for what this node lacks."""
+        """Take the acknowledgement of a peer; ask it for what this node lacks."""
         self.holders.note(peer, message.session, message.version)
         outgoing = []
         if message.version > self.history.version:
@@ -173,7 +173,7 @@
         return version <= self.history.version
 
     def _confirm(self, peer: str) -> list[Outgoing]:
-        """Give word to a peer that is no neighbour and thus has not had it."""
+        """Acknowledge to a peer that is no neighbour and thus was not told."""
         if peer in self._members.neighbours:
             return []
         return [Outgoing(peer, self.make_held())]
--- a/packages/distribution/src/corianderwall/distribution/settings.py
+++ b/packages/distribution/src/corianderwall/distribution/settings.py
@@ -24,7 +24,7 @@
     """How long no host must have appeared before a node without memory takes up a role."""
 
     floor_query_after_s: float = 1.0
-    """How long the platform's word is awaited before the region is asked."""
+    """How long the platform's head is awaited before the region is asked."""
 
     floor_query_interval_s: float = 1.0
     floor_queries_per_tick: int = 64
--- a/packages/distribution/src/corianderwall/distribution/witnessasks.py
+++ b/packages/distribution/src/corianderwall/distribution/witnessasks.py
@@ -1,4 +1,4 @@
-"""Asking hosts beyond the neighbours for their word when too few witnesses are known."""
+"""Asks hosts beyond the neighbours for acknowledgements when too few witnesses are known."""
 
 from corianderwall.distribution.members import Members
 from corianderwall.distribution.messages import NO_VERSION
@@ -40,7 +40,7 @@
         return self._make_asks()
 
     def ask_again(self, witnessed_version: int, now: float) -> list[Outgoing]:
-        """Ask other hosts when too few have given word on the newest version in time."""
+        """Ask other hosts when too few have acknowledged the newest version in time."""
         if self._replica.history.version <= witnessed_version or now < self._next_ask_at:
             return []
         if now - self._replica.held_since < self._settings.witness_ask_interval_s:
--- a/packages/distribution/src/corianderwall/distribution/witnesses.py
+++ b/packages/distribution/src/corianderwall/distribution/witnesses.py
@@ -16,25 +16,27 @@
     """The highest version that each host said it holds, within its newest session."""
 
     def __init__(self) -> None:
-        self._words: dict[str, tuple[int, int]] = {}
+        self._acknowledged: dict[str, tuple[int, int]] = {}
         self.highest = NO_VERSION
         """The highest version that any host ever said it holds."""
 
     def note(self, name: str, session: int, version: int) -> None:
-        """Record a host's word; words of an earlier session or of a lower version are old."""
+        """Record an acknowledgement; those of an earlier session or a lower version are old."""
         self.highest = max(self.highest, version)
-        self._words[name] = max((session, version), self._words.get(name, (0, NO_VERSION)))
+        self._acknowledged[name] = max(
+            (session, version), self._acknowledged.get(name, (0, NO_VERSION))
+        )
 
     def get_version(self, name: str, *, session: int) -> int:
-        """Return what a host holds, unless its word is older than its session."""
-        known = self._words.get(name)
+        """Return what a host holds, unless its acknowledgement is older than its session."""
+        known = self._acknowledged.get(name)
         if known is None or known[0] < session:
             return NO_VERSION
         return known[1]
 
     def iterate_names(self) -> Iterable[str]:
-        """Iterate over the hosts that have given word."""
-        return self._words.keys()
+        """Iterate over the hosts that have acknowledged a version."""
+        return self._acknowledged.keys()
 
 
 class WitnessRule:
@@ -76,7 +78,7 @@
         return len(able) >= required and len(able_zones) >= min(required, len(zones))
 
     def choose_helpers(self, attempt: int) -> list[str]:
-        """Return hosts to ask for their word, others with each attempt."""
+        """Return hosts to ask for acknowledgements, others with each attempt."""
         self._refresh_others()
         salt = f"witness/{self._members.me.name}/{attempt}"
         count = self._settings.required_witnesses + 1
--- a/packages/distribution/tests/test_distributor.py
+++ b/packages/distribution/tests/test_distributor.py
@@ -135,7 +135,7 @@
 
 
 @pytest.mark.parametrize("share", [0.5, 1.0])
-def test_a_herd_returns_with_the_platform_up(build_fleet: Build, share: float) -> None:
+def test_many_nodes_return_with_the_platform_up(build_fleet: Build, share: float) -> None:
     fleet = build_fleet(30)
     put_services(fleet, 3, pause_s=1.0)
     reads = fleet.platform_reads
--- a/packages/distribution/tests/test_headreads.py
+++ b/packages/distribution/tests/test_headreads.py
@@ -11,7 +11,7 @@
     assert reads.answer(7, asked_at=11.0) == [Outgoing("late", HeadAnswer(2, 7))]
 
 
-def test_one_read_answers_a_herd() -> None:
+def test_one_read_answers_many_requests() -> None:
     reads = HeadReads(5.0)
     for index in range(100):
         reads.add(f"host-{index}", index, 10.0)
--- a/packages/membership/src/corianderwall/membership/detector.py
+++ b/packages/membership/src/corianderwall/membership/detector.py
@@ -1,4 +1,4 @@
-"""Watches the neighbours for silence and asks others before it speaks against one."""
+"""Watches the neighbours for silence and asks others before it accuses one."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -94,7 +94,7 @@
         return self._replace_link(name, watch, now)
 
     def is_accusing(self, name: str) -> bool:
-        """Return whether this node now speaks against a host."""
+        """Return whether this node now accuses a host."""
         watch = self._watches.get(name)
         return watch is not None and watch.is_accused
 
@@ -114,7 +114,7 @@
             watch.probed_at = None
 
     def run_round(self, may_accuse: Callable[[str], bool], now: float) -> Findings:
-        """Probe silent hosts, accuse those that nobody hears, clear those that speak again."""
+        """Probe silent hosts, accuse those that nobody hears, clear those that are heard again."""
         findings = Findings()
         for name, watch in self._watches.items():
             if self.hears(name, now):
--- a/packages/membership/src/corianderwall/membership/doubt.py
+++ b/packages/membership/src/corianderwall/membership/doubt.py
@@ -18,7 +18,7 @@
 
 
 class SelfDoubt:
-    """Decides whether silence around this node speaks against itself.
+    """Decides whether silence around this node may be its own fault.
 
     A node that misses more than half of the neighbours in its region asks hosts of its region
     at random and suspects nobody until enough of them have answered. In a region of two hosts
@@ -62,7 +62,7 @@
         return now < self._grace_until
 
     def is_doubting(self, now: float) -> bool:
-        """Return whether this node must not speak against hosts of its region."""
+        """Return whether this node must not suspect hosts of its region."""
         if self.is_in_grace(now):
             return True
         if not self._is_lonely:
--- a/packages/membership/src/corianderwall/membership/events.py
+++ b/packages/membership/src/corianderwall/membership/events.py
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointRemoved:
-    """An endpoint is gone, with its owner or by the owner's word."""
+    """An endpoint is gone, with its owner or withdrawn by it."""
 
     endpoint: Endpoint
 
--- a/packages/membership/src/corianderwall/membership/suspicions.py
+++ b/packages/membership/src/corianderwall/membership/suspicions.py
@@ -15,7 +15,7 @@
 
 
 class SuspicionTable:
-    """The newest word of each accuser about each subject; words lapse when not repeated."""
+    """The newest suspicion of each accuser about each subject; each lapses when not repeated."""
 
     def __init__(self, life_s: float) -> None:
         self._life_s = life_s
@@ -36,7 +36,7 @@
         return True
 
     def forget_accuser(self, accuser: str, before_sequence: int) -> None:
-        """Forget what a host said in an earlier session, or before it was gone."""
+        """Forget the suspicions of an earlier session of a host, or of one that is gone."""
         for entries in self._by_subject.values():
             entry = entries.get(accuser)
             if entry is not None and entry.suspicion.sequence < before_sequence:
@@ -53,17 +53,17 @@
         ]
 
     def iterate_subjects(self) -> Iterator[str]:
-        """Iterate over the hosts that somebody has spoken of."""
+        """Iterate over the hosts that were ever suspected."""
         return iter(list(self._by_subject))
 
     def list_all(self) -> list[Suspicion]:
-        """Return the newest word of each accuser about each subject, also if taken back."""
+        """Return the newest suspicion of each accuser about each subject, also if taken back."""
         return [
             entry.suspicion for entries in self._by_subject.values() for entry in entries.values()
         ]
 
     def expire(self, now: float) -> bool:
-        """Forget words that were not repeated; return whether any was forgotten."""
+        """Forget suspicions that were not repeated; return whether any was forgotten."""
         forgotten = False
         for subject, entries in list(self._by_subject.items()):
             lapsed = [accuser for accuser, entry in entries.items() if entry.expires_at <= now]
--- a/packages/membership/src/corianderwall/membership/view.py
+++ b/packages/membership/src/corianderwall/membership/view.py
@@ -184,7 +184,7 @@
         self._spread(record, self.me.name)
 
     def _defend(self, record: Record, now: float) -> None:
-        """Outbid a record about this host that is newer than its own word."""
+        """Supersede a record about this host that is newer than its own."""
         if self.mine.life is Life.LEFT or record.order <= self.mine.order:
             return
         self._raise_incarnation(record.host.incarnation, now)
--- a/packages/membership/src/corianderwall/membership/watching.py
+++ b/packages/membership/src/corianderwall/membership/watching.py
@@ -1,4 +1,4 @@
-"""Heartbeats with the neighbours, and what this node says when one falls silent."""
+"""Heartbeats with the neighbours, and the suspicion of those that fall silent."""
 
 import random
 
@@ -89,9 +89,9 @@
         findings = self.detector.run_round(lambda name: self._may_accuse(name, now), now)
         self._events += findings.events
         for name in findings.accused:
-            self._speak_of(name, active=True, now=now)
+            self._spread_suspicion(name, active=True, now=now)
         for name in [*findings.cleared, *dropped]:
-            self._speak_of(name, active=False, now=now)
+            self._spread_suspicion(name, active=False, now=now)
         return outgoing + findings.outgoing
 
     def _sample_hosts(self, now: float) -> list[Outgoing]:
@@ -107,7 +107,7 @@
             return not self._doubt.is_doubting(now)
         return not self._doubt.is_in_grace(now)
 
-    def _speak_of(self, name: str, *, active: bool, now: float) -> None:
+    def _spread_suspicion(self, name: str, *, active: bool, now: float) -> None:
         record = self._view.table.get(name)
         if record is None or record.life is not Life.LIVE:
             return
