--- a/packages/bench/src/corianderwall/bench/moves_world.py
+++ b/packages/bench/src/corianderwall/bench/moves_world.py
@@ -38,8 +38,9 @@
 from corianderwall.moves.agent import WARMUP_S, Members, MoveAgent
 from corianderwall.moves.control import HeldLease
 from corianderwall.moves.evidence import MoveEvidence
-from corianderwall.moves.judgement import Judge, choose_settings
+from corianderwall.moves.judgement import Judge
 from corianderwall.moves.judgement import Verdict as Finding
+from corianderwall.moves.settings import choose_settings
 from corianderwall.moves.watch import WindowCutter
 
 SERVICE = "gazeti"
--- a/packages/moves/src/corianderwall/moves/judgement.py
+++ b/packages/moves/src/corianderwall/moves/judgement.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 from math import log
 
-from corianderwall.model.resource import PERMILLE, MovePolicy
 from corianderwall.moves.alarm import Alarm, Part, create_alarm
 from corianderwall.moves.attribution import find_bad_minority
 from corianderwall.moves.contrast import Contrast, Origin, add_tallies
@@ -19,11 +18,11 @@
     MATERIAL_FAILURE_RATE,
     Metric,
     ScopeTest,
-    Tolerance,
     choose_material_rate,
     draw_samples,
     weigh_cell,
 )
+from corianderwall.moves.settings import JudgeSettings
 
 WHOLE_PART = 0.4
 """Part of the error rate spent on the version as a whole; routes and endpoints share the rest."""
@@ -73,33 +72,6 @@
     evidence: str = ""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class JudgeSettings:
-    """Limits of one judge's errors over all its windows."""
-
-    tolerance: Tolerance
-    windows: float
-    alarm_error: float
-    clearance_error: float
-
-
-def choose_settings(policy: MovePolicy, windows: float, part: float) -> JudgeSettings:
-    """Return the settings of a judge that may spend `part` of the error rate of a move.
-
-    A cautious policy accepts more false alarms and asks for more proof before a step.
-    """
-    alarm_error = 0.001 + 0.003 * policy.caution
-    return JudgeSettings(
-        tolerance=Tolerance(
-            failure_rate=policy.tolerated_error_permille / PERMILLE,
-            slowdown=1 + policy.tolerated_slowdown_percent / 100,
-        ),
-        windows=windows,
-        alarm_error=alarm_error * part,
-        clearance_error=0.02 - 0.015 * policy.caution,
-    )
-
-
 @dataclass(slots=True)
 class Judge:
     """Takes windows and gives judgements on one move.
--- /dev/null
+++ b/packages/moves/src/corianderwall/moves/settings.py
@@ -0,0 +1,33 @@
+"""How a policy sets the limits of a judge's errors."""
+
+from dataclasses import dataclass
+
+from corianderwall.model.resource import PERMILLE, MovePolicy
+from corianderwall.moves.scopes import Tolerance
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JudgeSettings:
+    """Limits of one judge's errors over all its windows."""
+
+    tolerance: Tolerance
+    windows: float
+    alarm_error: float
+    clearance_error: float
+
+
+def choose_settings(policy: MovePolicy, windows: float, part: float) -> JudgeSettings:
+    """Return the settings of a judge that may spend `part` of the error rate of a move.
+
+    A cautious policy accepts more false alarms and asks for more proof before a step.
+    """
+    alarm_error = 0.001 + 0.003 * policy.caution
+    return JudgeSettings(
+        tolerance=Tolerance(
+            failure_rate=policy.tolerated_error_permille / PERMILLE,
+            slowdown=1 + policy.tolerated_slowdown_percent / 100,
+        ),
+        windows=windows,
+        alarm_error=alarm_error * part,
+        clearance_error=0.02 - 0.015 * policy.caution,
+    )
--- a/packages/moves/src/corianderwall/moves/watch.py
+++ b/packages/moves/src/corianderwall/moves/watch.py
@@ -5,10 +5,11 @@
 
 from corianderwall.model.resource import Move
 from corianderwall.moves.evidence import Cell, CellKey, MoveEvidence, Window
-from corianderwall.moves.judgement import Judge, Judgement, Verdict, choose_settings
+from corianderwall.moves.judgement import Judge, Judgement, Verdict
 from corianderwall.moves.messages import EvidenceAck, EvidenceReport
 from corianderwall.moves.pool import EvidencePool
 from corianderwall.moves.reporting import Reporter
+from corianderwall.moves.settings import choose_settings
 
 WINDOW_S = 0.5
 """Length of the windows in which evidence is judged, in seconds."""
--- a/packages/moves/tests/test_judgement.py
+++ b/packages/moves/tests/test_judgement.py
@@ -5,7 +5,8 @@
 
 from corianderwall.model.resource import MovePolicy
 from corianderwall.moves.evidence import MoveEvidence
-from corianderwall.moves.judgement import Judge, Verdict, choose_settings
+from corianderwall.moves.judgement import Judge, Verdict
+from corianderwall.moves.settings import choose_settings
 from corianderwall.moves.watch import WindowCutter
 
 NEW = {f"new-{index}": f"z{index}" for index in range(4)}
@@ -120,3 +121,12 @@
     assert judgement.verdict is Verdict.GOOD
     assert judgement.unproven_routes == ("audit",)
     assert judgement.unproven_main_routes == ()
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_zone_that_fails_for_both_is_not_blamed_though_the_old_version_has_few_calls(run, seed):
+    def behave(version, zone, route, rng, window):
+        return fail(rng, 0.4 if zone == 1 and window > 60 else 0.003), 1
+
+    judgement = run(behave, seed=seed, share=0.9)
+    assert judgement.verdict is not Verdict.BAD, judgement
