--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_pool.py
@@ -0,0 +1,162 @@
+"""The endpoints of one service and version, by distance, and the choice among them."""
+
+from collections.abc import Iterator, Set
+from itertools import chain
+from random import Random
+
+from corianderwall.model.outcome import AttemptOutcome
+from corianderwall.traffic.endpoint_stat import EndpointStat
+from corianderwall.traffic.outliers import OutlierGuard, start_probing
+
+TIER_COSTS = (1.0, 1.25, 12.0)
+"""Factors on the cost of an endpoint in the own zone, the own region, another region."""
+SPILL_LOAD = 0.8
+"""Calls per slot, weighted by slowness, above which farther endpoints are weighed too."""
+DETOUR_COST = 1.5
+"""Factor on the cost of an endpoint whose calls need a second hop."""
+DRAWS = 4
+"""Draws of two candidates before every endpoint is looked at."""
+ROUTE_LATENCY_GAIN = 0.02
+
+
+class EndpointPool:
+    """Chooses among endpoints by the power of two choices; updates take constant time."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._guard = OutlierGuard(random)
+        self._members: dict[str, EndpointStat] = {}
+        self._tiers: tuple[list[EndpointStat], ...] = tuple([] for _ in TIER_COSTS)
+        self._route_latency_s: dict[str, float] = {}
+
+    @property
+    def size(self) -> int:
+        """The number of announced endpoints."""
+        return len(self._members)
+
+    @property
+    def members(self) -> Iterator[EndpointStat]:
+        """The announced endpoints, also those that take no work."""
+        return iter(self._members.values())
+
+    def join(self, stat: EndpointStat) -> None:
+        """Add an endpoint; `place` makes it eligible."""
+        self._members[stat.endpoint.name] = stat
+
+    def leave(self, stat: EndpointStat) -> None:
+        """Remove an endpoint."""
+        self._unlist(stat)
+        self._members.pop(stat.endpoint.name, None)
+        self._guard.forget(stat.endpoint.name)
+
+    def place(self, stat: EndpointStat) -> None:
+        """List or unlist the endpoint according to its state."""
+        eligible = stat.accepts_work and not self._guard.is_ejected(stat.endpoint.name)
+        if not eligible:
+            self._unlist(stat)
+        elif stat.index < 0:
+            tier = self._tiers[stat.tier]
+            stat.index = len(tier)
+            tier.append(stat)
+
+    def observe(
+        self, stat: EndpointStat, outcome: AttemptOutcome, now: float, *, is_timed: bool
+    ) -> None:
+        """Learn from an attempt, from its latency if `is_timed`; it may eject the endpoint."""
+        ratio = self._compare_with_route(outcome) if is_timed else None
+        stat.observe(failed=outcome.is_failure, ratio=ratio, now=now)
+        if not outcome.is_failure:
+            self._guard.note_success(stat)
+        if self._guard.judge(stat, self.size, now):
+            self.place(stat)
+
+    def choose(self, now: float, exclude: Set[str]) -> EndpointStat | None:
+        """Return the endpoint for one call, None if there is none."""
+        self._readmit(now)
+        best: EndpointStat | None = None
+        best_cost = float("inf")
+        for tier, tier_cost in zip(self._tiers, TIER_COSTS, strict=True):
+            stat = self._choose_in_tier(tier, now, exclude)
+            if stat is None:
+                continue
+            cost = self._estimate_cost(stat, now) * tier_cost
+            if cost < best_cost:
+                best, best_cost = stat, cost
+            if stat.estimate_cost(now) < SPILL_LOAD:
+                return best
+        return best or self._choose_least_bad(now, exclude)
+
+    def _compare_with_route(self, outcome: AttemptOutcome) -> float:
+        """Return the latency relative to the mean of the route, which learns from successes."""
+        mean_s = self._route_latency_s.get(outcome.route, outcome.latency_s)
+        if not outcome.is_failure:
+            change_s = ROUTE_LATENCY_GAIN * (outcome.latency_s - mean_s)
+            self._route_latency_s[outcome.route] = mean_s + change_s
+        return outcome.latency_s / mean_s if mean_s > 0 else 1.0
+
+    def _choose_in_tier(
+        self, tier: list[EndpointStat], now: float, exclude: Set[str]
+    ) -> EndpointStat | None:
+        for _ in range(DRAWS if tier else 0):
+            pair = self._draw_pair(tier)
+            accepting = [stat for stat in pair if self._accepts(stat, now, exclude)]
+            if len(accepting) == 1:
+                return accepting[0]
+            if accepting:
+                return min(accepting, key=lambda stat: self._estimate_cost(stat, now))
+        return self._scan(tier, now, exclude)
+
+    def _draw_pair(self, tier: list[EndpointStat]) -> tuple[EndpointStat, EndpointStat]:
+        """Return two endpoints, different ones if there are two."""
+        size = len(tier)
+        first = int(self._random.random() * size)
+        step = 1 + int(self._random.random() * (size - 1)) if size > 1 else 0
+        return tier[first], tier[(first + step) % size]
+
+    def _accepts(self, stat: EndpointStat, now: float, exclude: Set[str]) -> bool:
+        if not _is_willing(stat, now, exclude):
+            return False
+        ramp = stat.estimate_ramp(now)
+        return ramp >= 1.0 or self._random.random() < ramp
+
+    def _scan(self, tier: list[EndpointStat], now: float, exclude: Set[str]) -> EndpointStat | None:
+        willing = [stat for stat in tier if _is_willing(stat, now, exclude)]
+        return min(willing, key=lambda stat: self._estimate_cost(stat, now), default=None)
+
+    def _choose_least_bad(self, now: float, exclude: Set[str]) -> EndpointStat | None:
+        """Return the endpoint whose refusal ends first, an ejected one only for want of others."""
+        listed = chain.from_iterable(self._tiers)
+        accepting = (stat for stat in self._members.values() if stat.accepts_work)
+        for candidates in (listed, accepting):
+            left = (stat for stat in candidates if stat.endpoint.name not in exclude)
+            best = min(left, key=lambda stat: (stat.refused_until, stat.outstanding), default=None)
+            if best is not None:
+                return best
+        return None
+
+    def _estimate_cost(self, stat: EndpointStat, now: float) -> float:
+        cost = stat.estimate_cost(now)
+        return cost if stat.leased else cost * DETOUR_COST
+
+    def _readmit(self, now: float) -> None:
+        for name in self._guard.pop_due(now):
+            stat = self._members.get(name)
+            if stat is not None:
+                start_probing(stat)
+                self.place(stat)
+
+    def _unlist(self, stat: EndpointStat) -> None:
+        if stat.index < 0:
+            return
+        tier = self._tiers[stat.tier]
+        last = tier.pop()
+        if last is not stat:
+            tier[stat.index] = last
+            last.index = stat.index
+        stat.index = -1
+
+
+def _is_willing(stat: EndpointStat, now: float, exclude: Set[str]) -> bool:
+    if stat.endpoint.name in exclude or stat.refused_until > now:
+        return False
+    return not (stat.probing and stat.outstanding)
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/endpoint_stat.py
@@ -0,0 +1,121 @@
+"""What this node knows of one endpoint: reports, corrected by what it sees itself."""
+
+from math import exp
+
+from corianderwall.model.endpoint import Endpoint, EndpointState
+
+REPORT_MEMORY_S = 2.0
+"""Time in which a past report loses all but 1/e of its weight."""
+REPORT_LIFE_S = 3.0
+"""Age at which a reported load counts nothing."""
+RAMP_S = 10.0
+"""Time from an endpoint's start to its full part of the calls."""
+RAMP_FLOOR = 0.1
+SLOWNESS_GAIN = 0.1
+FAILURE_GAIN = 0.1
+FAILURE_COST = 9.0
+FORGET_S = 10.0
+"""Time without a sample after which an observed slowness counts nothing."""
+MIN_SLOWNESS = 0.5
+MAX_SAMPLE_RATIO = 20.0
+MIN_REFUSAL_S = 0.05
+MAX_REFUSAL_S = 2.0
+"""Bounds of the time for which refusals keep an endpoint from being preferred."""
+MAX_REFUSAL_DOUBLINGS = 6
+
+
+class EndpointStat:
+    """The load, latency and failures of one endpoint as this node estimates them."""
+
+    __slots__ = (
+        "_other_running",
+        "_ramp_start",
+        "_refusals",
+        "_report_time",
+        "_sample_time",
+        "consecutive_failures",
+        "ejections",
+        "endpoint",
+        "failure_rate",
+        "index",
+        "leased",
+        "outstanding",
+        "probe_successes",
+        "probing",
+        "refused_until",
+        "samples",
+        "slowness",
+        "suspected",
+        "tier",
+    )
+
+    def __init__(self, endpoint: Endpoint, *, tier: int, ramp_start: float) -> None:
+        self.endpoint = endpoint
+        self.tier = tier
+        self.index = -1
+        self.outstanding = 0
+        self.slowness = 1.0
+        self._refusals = 0
+        self.failure_rate = 0.0
+        self.samples = 0
+        self.consecutive_failures = 0
+        self.ejections = 0
+        self.probing = False
+        self.probe_successes = 0
+        self.refused_until = 0.0
+        self.leased = False
+        self.suspected = False
+        self._ramp_start = ramp_start
+        self._report_time = float("-inf")
+        self._other_running = 0.0
+        self._sample_time = float("-inf")
+
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether the endpoint is announced as ready and not suspected."""
+        return self.endpoint.state is EndpointState.READY and not self.suspected
+
+    def report_load(self, running: int, now: float) -> None:
+        """Take a reported number of running calls; what this node runs itself is taken out.
+
+        Reports are smoothed: nodes that all follow the latest ones move in herds.
+        """
+        others = max(0, running - self.outstanding)
+        age_s = now - self._report_time
+        gain = 1.0 if age_s > REPORT_LIFE_S else 1.0 - exp(-age_s / REPORT_MEMORY_S)
+        self._other_running += gain * (others - self._other_running)
+        self._report_time = now
+
+    def observe(self, *, failed: bool, ratio: float | None, now: float) -> None:
+        """Take one attempt; `ratio` compares its latency with the mean of its route, if known."""
+        self.failure_rate += FAILURE_GAIN * (failed - self.failure_rate)
+        self.samples += 1
+        self.consecutive_failures = self.consecutive_failures + 1 if failed else 0
+        if not failed:
+            self._refusals = 0
+        if ratio is not None and (not failed or ratio > self.slowness):
+            self._sample_time = now
+            self.slowness += SLOWNESS_GAIN * (min(ratio, MAX_SAMPLE_RATIO) - self.slowness)
+
+    def refuse(self, retry_after_s: float, jitter: float, now: float) -> None:
+        """Rest the endpoint, twice as long with each refusal since its last success."""
+        pause_s = MIN_REFUSAL_S * 2**self._refusals
+        self._refusals = min(MAX_REFUSAL_DOUBLINGS, self._refusals + 1)
+        self.refused_until = now + min(MAX_REFUSAL_S, max(pause_s, retry_after_s)) * jitter
+
+    def estimate_ramp(self, now: float) -> float:
+        """Return the part of its calls that a starting endpoint receives, up to 1."""
+        age = now - self._ramp_start
+        return 1.0 if age >= RAMP_S else max(RAMP_FLOOR, age / RAMP_S)
+
+    def estimate_load(self, now: float) -> float:
+        """Return calls per slot, the next one included."""
+        freshness = 1.0 - (now - self._report_time) / REPORT_LIFE_S
+        others = self._other_running * freshness if freshness > 0 else 0.0
+        return (self.outstanding + others + 1.0) / self.endpoint.slots
+
+    def estimate_cost(self, now: float) -> float:
+        """Return the load weighted by failures and by slowness against the group."""
+        cost = self.estimate_load(now) * (1.0 + FAILURE_COST * self.failure_rate)
+        trust = max(0.0, 1.0 - (now - self._sample_time) / FORGET_S)
+        return cost * (1.0 + (max(MIN_SLOWNESS, self.slowness) - 1.0) * trust)
--- /dev/null
+++ b/packages/traffic/src/corianderwall/traffic/limits.py
@@ -0,0 +1,99 @@
+"""The limits of one endpoint: its connections, and the calls that run there at once."""
+
+from dataclasses import dataclass
+
+OWN_CONNECTIONS_PER_SLOT = 2
+OWN_CONNECTIONS_DIVISOR = 8
+WINDOW_S = 0.25
+MIN_WINDOW_SAMPLES = 50
+BASELINE_GAIN = 0.05
+"""Part of a window's mean that enters the baseline."""
+SLOWDOWN = 1.5
+"""Mean latency of a window, relative to the baseline, from which the limit falls."""
+REFUSAL_FACTOR = 0.85
+MIN_FACTOR = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionBudget:
+    """How the connections of an endpoint are divided: `own` to its owner, `leased` to others."""
+
+    own: int
+    leased: int
+
+
+def divide_connections(slots: int, connections: int) -> ConnectionBudget:
+    """Return the division that always lets the owner fill the endpoint's slots alone."""
+    wished = max(slots * OWN_CONNECTIONS_PER_SLOT, connections // OWN_CONNECTIONS_DIVISOR)
+    own = min(connections, max(1, wished))
+    return ConnectionBudget(own, connections - own)
+
+
+class AdaptiveLimit:
+    """Falls when calls grow slower or are refused, and grows by one while it is in use.
+
+    It starts at `slots` and stays within 1 and `ceiling`; a refusal by the endpoint lowers it
+    at once, at most once in a window.
+    """
+
+    __slots__ = (
+        "_baseline_s",
+        "_count",
+        "_limit",
+        "_refused",
+        "_sum_s",
+        "_used",
+        "_window_end",
+        "ceiling",
+    )
+
+    def __init__(self, *, slots: int, ceiling: int, now: float) -> None:
+        self.ceiling = max(1, ceiling)
+        self._limit = float(min(self.ceiling, max(1, slots)))
+        self._baseline_s = 0.0
+        self._used = False
+        self._refused = False
+        self._start_window(now)
+
+    @property
+    def value(self) -> int:
+        """The calls that may run at once."""
+        return int(self._limit)
+
+    def observe(self, latency_s: float, running: int, now: float) -> None:
+        """Take the latency of a call that ended while `running` calls ran."""
+        self._sum_s += latency_s
+        self._count += 1
+        self._used = self._used or running >= self.value
+        if now >= self._window_end and self._count >= MIN_WINDOW_SAMPLES:
+            self._close_window(now)
+
+    def refuse(self, now: float) -> None:
+        """Take a refusal by the endpoint."""
+        if not self._refused:
+            self._refused = True
+            self._set(self._limit * REFUSAL_FACTOR)
+        elif now >= self._window_end:
+            self._start_window(now)
+
+    def _close_window(self, now: float) -> None:
+        mean_s = self._sum_s / self._count
+        if not self._baseline_s:
+            self._baseline_s = mean_s
+        if mean_s > self._baseline_s * SLOWDOWN:
+            factor = self._baseline_s * SLOWDOWN / mean_s
+            self._set(self._limit * max(MIN_FACTOR, factor))
+        elif self._used and not self._refused:
+            self._set(self._limit + 1)
+        self._baseline_s += BASELINE_GAIN * (mean_s - self._baseline_s)
+        self._start_window(now)
+
+    def _set(self, limit: float) -> None:
+        self._limit = min(float(self.ceiling), max(1.0, limit))
+
+    def _start_window(self, now: float) -> None:
+        self._window_end = now + WINDOW_S
+        self._sum_s = 0.0
+        self._count = 0
+        self._used = False
+        self._refused = False
