--- a/packages/standins/src/corianderwall/standins/node_file.py
+++ b/packages/standins/src/corianderwall/standins/node_file.py
@@ -2,12 +2,14 @@
 
 import socket
 from dataclasses import dataclass
+from random import SystemRandom
 
 from corianderwall.model.endpoint import Address
 
 LOOPBACK = "127.0.0.1"
 OPERATOR = "tester"
 TOKEN = "token-of-the-tester"
+LISTENER_PORTS = (10_000, 32_000)
 
 _TEMPLATE = """
 [host]
@@ -79,11 +81,31 @@
 
 
 def find_free_addresses(count: int) -> list[Address]:
-    """Return addresses on loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((LOOPBACK, 0))
-    ports = [int(each.getsockname()[1]) for each in sockets]
-    for each in sockets:
-        each.close()
-    return [Address(host=LOOPBACK, port=port) for port in ports]
+    """Return addresses on loopback that were free a moment ago.
+
+    They lie below the ports that the system gives to outgoing connections, so that none of those
+    takes one before its listener does.
+    """
+    chosen: dict[int, socket.socket] = {}
+    try:
+        while len(chosen) < count:
+            port = _random.randrange(*LISTENER_PORTS)
+            if port not in chosen:
+                _hold_port(port, chosen)
+    finally:
+        for held in chosen.values():
+            held.close()
+    return [Address(host=LOOPBACK, port=port) for port in chosen]
+
+
+def _hold_port(port: int, chosen: dict[int, socket.socket]) -> None:
+    held = socket.socket()
+    try:
+        held.bind((LOOPBACK, port))
+    except OSError:
+        held.close()
+        return
+    chosen[port] = held
+
+
+_random = SystemRandom()
