End a watch for good when its role is laid down, and count the holders of move roles

The holder of a move's lease had an ordinary node's share of the platform's writes, 0.02 a second at 590 nodes with the default rate, too few to renew its lease. Change: a watcher is stopped before it is cancelled; aggregators of running moves count as holders; default rates of the mesh 1,500 reads and 200 writes a second, within what the platform takes. Conclusion: platform calls follow the roles again.

--- a/packages/node/src/corianderwall/node/platformtask.py
+++ b/packages/node/src/corianderwall/node/platformtask.py
@@ -47,6 +47,7 @@
         self._timer = timer
         self._random = random
         self._offer = offer
+        self._watcher: HeadWatcher | None = None
         self._watching: Deferred[None] | None = None
         self._reading = False
         self._next_refresh = 0.0
@@ -69,11 +70,15 @@
             self._api, self._timer, self._random, self._take_head, self._report_watch
         )
         log_info("watching the platform")
+        self._watcher = watcher
         self._watching = Deferred.fromCoroutine(watcher.run())
         self._watching.addErrback(_ignore_cancel)
 
     def stop(self) -> None:
         """Stop watching."""
+        if self._watcher is not None:
+            self._watcher.stop()
+        self._watcher = None
         watching, self._watching = self._watching, None
         if watching is not None:
             watching.cancel()
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -10,6 +10,7 @@
 from twisted.internet.task import LoopingCall
 
 from corianderwall.distribution.distributor import Distributor
+from corianderwall.distribution.placement import WATCHERS_PER_REGION
 from corianderwall.httpflow.server import CallServer
 from corianderwall.links.codec import PeerCodec
 from corianderwall.links.peers import PeerLinks
@@ -19,6 +20,7 @@
 from corianderwall.model.resource import EMPTY_SNAPSHOT, MoveState
 from corianderwall.model.settings import parse_address
 from corianderwall.moves.agent import MoveAgent
+from corianderwall.moves.reporting import AGGREGATORS_PER_MOVE
 from corianderwall.node.admin import AdminInterface, Announcement, Health
 from corianderwall.node.backend import NodeBackend
 from corianderwall.node.callcontext import CallContext
@@ -264,7 +266,7 @@
         self._metrics.move_share.set(labels, move.share_permille)
         known = self._move_states.get(move.id, move.state)
         self._move_states[move.id] = move.state
-        if known is MoveState.RUNNING and move.state is not MoveState.RUNNING:
+        if known is MoveState.RUNNING and not is_running(move):
             outcome = {"service": move.service, "outcome": move.state.value}
             self._metrics.moves_ended.inc(outcome)
             log_info("a move has ended", move=move.id, outcome=move.state.value, cause=move.cause)
@@ -319,10 +321,7 @@
         hosts = self.membership.list_hosts()
         is_watcher = self.distributor.is_watcher and self.membership.has_joined
         self._platform.set_watching(is_watcher)
-        regions = {host.locality.region for host in hosts}
-        self._api.set_fleet(
-            nodes=len(hosts), holders=2 * max(1, len(regions)), is_holder=is_watcher
-        )
+        self._share_platform(hosts, is_watcher=is_watcher)
         if is_watcher:
             self._platform.refresh_seeds(self.membership.list_live_hosts, self._join_one)
             self._platform.sweep()
@@ -332,6 +331,19 @@
             self._steering_busy = True
             Deferred.fromCoroutine(self._steer(snapshot))
 
+    def _share_platform(self, hosts: "tuple[Host, ...]", *, is_watcher: bool) -> None:
+        """Take this node's share of the platform's rate, by roles that every node can count."""
+        snapshot = self.distributor.current
+        running = [move for move in (snapshot.moves if snapshot else ()) if is_running(move)]
+        regions = {host.locality.region for host in hosts}
+        steers = any(self._agent.is_aggregator(move.id) for move in running)
+        self._api.set_fleet(
+            nodes=len(hosts),
+            holders=WATCHERS_PER_REGION * max(1, len(regions))
+            + AGGREGATORS_PER_MOVE * len(running),
+            is_holder=is_watcher or steers,
+        )
+
     async def _steer(self, snapshot: "Snapshot") -> None:
         try:
             if not self.membership.is_doubting(self._timer.read_monotonic()):
@@ -412,6 +424,11 @@
         self._links.stop()
 
 
+def is_running(move: "Move") -> bool:
+    """Return whether a move has not ended."""
+    return move.state is MoveState.RUNNING
+
+
 class NodeSession:
     """Runs one node in this process until signals end it."""
 
--- a/packages/node/src/corianderwall/node/settings.py
+++ b/packages/node/src/corianderwall/node/settings.py
@@ -84,9 +84,9 @@
     url: Annotated[str, Meta(description="base URL of the object API", pattern="^https?://")]
     reads_per_s: Annotated[
         float, Meta(description="reads a second for the whole mesh, watches included", gt=0)
-    ] = 200.0
+    ] = 1500.0
     writes_per_s: Annotated[float, Meta(description="writes a second for the whole mesh", gt=0)] = (
-        40.0
+        200.0
     )
 
 
--- a/packages/store/src/corianderwall/store/watcher.py
+++ b/packages/store/src/corianderwall/store/watcher.py
@@ -35,12 +35,21 @@
         self._report = report
         self._newest = EMPTY_HEAD
         self._failures = 0
+        self._stopped = False
 
     async def run(self) -> None:
-        """Follow the head until cancelled."""
-        while True:
+        """Follow the head until cancelled or stopped."""
+        while not self._stopped:
             await self.poll()
 
+    def stop(self) -> None:
+        """Make no further poll and deliver nothing more.
+
+        To be called before `run` is cancelled: a poll in flight then ends with an error that
+        can't be told from an outage.
+        """
+        self._stopped = True
+
     async def poll(self) -> None:
         """Make one long poll, or wait for the next attempt after an error."""
         started = self._timer.read_monotonic()
@@ -50,12 +59,16 @@
             )
             newer = None if stored is None else await load_head(self._api, stored)
         except CorianderwallError as error:
+            if self._stopped:
+                return
             self._report(error)
             self._failures += 1
             delay = WATCH_BACKOFF.compute_delay(self._failures, self._random)
             await self._timer.sleep(max(delay, error.retry_after_s))
             return
         self._failures = 0
+        if self._stopped:
+            return
         if newer is None or newer.head.version <= self._newest.head.version:
             await self._pace(started)
             return
--- a/packages/store/tests/test_watcher.py
+++ b/packages/store/tests/test_watcher.py
@@ -29,7 +29,7 @@
         self.errors: list[CorianderwallError] = []
         self.changes = 0
         self.store = HeadStore(MemoryObjectApi(self.api.table), self.timer, Random(1))
-        watcher = HeadWatcher(
+        self.watcher = watcher = HeadWatcher(
             self.api, self.timer, Random(2), self.delivered.append, self.errors.append
         )
         self.running = Deferred.fromCoroutine(watcher.run())
@@ -118,3 +118,21 @@
 
 def test_a_silent_connection_is_given_up_within_the_bound_of_a_change() -> None:
     assert WATCH_S + CALL_TIMEOUT_S < BOUND_S
+
+
+def test_a_stopped_watcher_takes_the_end_of_its_poll_for_no_outage(watched: Watched) -> None:
+    ended: Deferred[Fault] = Deferred()
+
+    async def hold(kind: str, key: str) -> Fault:
+        return await ended
+
+    watched.api.gate = hold
+    watched.timer.clock.advance(60.0)
+    polls = len(watched.api.watched_from)
+    watched.watcher.stop()
+    ended.callback(Fault.DOWN)
+    for _ in range(10):
+        watched.timer.clock.advance(10.0)
+    assert len(watched.api.watched_from) == polls
+    assert watched.errors == []
+    assert watched.running.called
