--- a/packages/bench/src/corianderwall/bench/added_latency_trial.py
+++ b/packages/bench/src/corianderwall/bench/added_latency_trial.py
@@ -116,7 +116,8 @@
         return direct, entry.call, entry.process
 
     def _start_upstream(self, *arguments: str) -> ChildProcess:
-        upstream = ChildProcess("corianderwall.standins", "upstream", "--slots", "64", *arguments)
+        sizes = ("--slots", "12", "--connections", "130")
+        upstream = ChildProcess("corianderwall.standins", "upstream", *sizes, *arguments)
         self._children.append(upstream)
         return upstream
 
