Use one settings template and one operators' client in demo, bench and scenarios

Cause: three templates of a node's settings and three clients stood side by side. Change: standins.node_file and standins.operator_client serve all of them. Conclusion: less to keep in step.

--- a/packages/app/src/corianderwall/app/scene.py
+++ b/packages/app/src/corianderwall/app/scene.py
@@ -1,10 +1,8 @@
 """A whole mesh on loopback in one process: stand-ins, nodes and callers."""
 
-import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-import treq
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import deferLater
 
@@ -12,7 +10,8 @@
 from corianderwall.model.endpoint import Address
 from corianderwall.node.session import Node
 from corianderwall.node.settings import parse_node_settings
-from corianderwall.standins.node_file import LOOPBACK, TOKEN, NodeFile, find_free_addresses
+from corianderwall.standins.node_file import LOOPBACK, NodeFile, find_free_addresses
+from corianderwall.standins.operator_client import call_operator
 from corianderwall.standins.platform import PlatformStandin
 from corianderwall.standins.upstream import UpstreamStandin
 from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
@@ -106,14 +105,7 @@
 
     async def call_operator(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
         """Make one operators' call at the first node; return the answer, an error too."""
-        address = self.hosts[0].admin
-        response = await treq.post(
-            f"http://{address}/corianderwall.v1.Operators/{method}",
-            json.dumps(body).encode(),
-            headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
-        )
-        answer: dict[str, Any] = json.loads(await response.text())
-        return answer
+        return await call_operator(self.hosts[0].admin, method, body)
 
     async def wait_for(self, condition: "Callable[[], bool]", timeout_s: float) -> bool:
         """Return whether the condition became true in time."""
--- a/packages/bench/src/corianderwall/bench/mesh.py
+++ b/packages/bench/src/corianderwall/bench/mesh.py
@@ -1,7 +1,5 @@
 """A mesh for measurements: node processes with upstreams beside them and a stand-in platform."""
 
-import json
-import socket
 import tempfile
 import time
 from dataclasses import dataclass
@@ -14,38 +12,16 @@
 from corianderwall.bench.running import pause
 from corianderwall.links.keys import generate_key_ring
 from corianderwall.model.endpoint import Address
+from corianderwall.standins.node_file import LOOPBACK, NodeFile, find_free_addresses
+from corianderwall.standins.operator_client import call_operator_until
 from corianderwall.standins.platform import PlatformStandin
 
-LOOPBACK = "127.0.0.1"
-OPERATOR = "bench"
-TOKEN = "token-of-the-bench-operator"
 SERVICE = "measured"
 VERSION = "v1"
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.1
 PROGRAM = "corianderwall.app.main"
 
-_SETTINGS = """
-[host]
-name = "{name}"
-region = "midlands"
-zone = "{zone}"
-call_address = "{call}"
-peer_address = "{peer}"
-admin_address = "{admin}"
-[mesh]
-public_key = '{public}'
-secret_key = '{secret}'
-[platform]
-url = "http://127.0.0.1:{platform}"
-[operators]
-tokens = {{ {operator} = "{token}" }}
-[calls]
-default_timeout_ms = {timeout_ms}
-[log]
-level = "error"
-"""
-
 
 class MeshNotReadyError(Exception):
     """The mesh did not become ready in time."""
@@ -91,14 +67,14 @@
             "versions": [VERSION],
             "split": [{"version": VERSION, "permille": 1000}],
         }
-        await self._operate_until_done("PutService", {"service": service})
+        await self._operate("PutService", {"service": service})
         route = {
             "name": "all",
             "service": SERVICE,
             "path_prefix": "/",
             "timeout_ms": self._timeout_ms,
         }
-        await self._operate_until_done("PutRoute", {"route": route})
+        await self._operate("PutRoute", {"route": route})
 
     async def wait_until_serving(self) -> None:
         """Wait until every node answers calls from an upstream."""
@@ -120,41 +96,23 @@
     def _start_node(self, name: str, zone: str) -> MeshNode:
         call, peer, admin = find_free_addresses(3)
         path = Path(self._directory.name) / f"{name}.toml"
-        path.write_text(
-            _SETTINGS.format(
-                name=name,
-                zone=zone,
-                call=call,
-                peer=peer,
-                admin=admin,
-                public=self._keys.public,
-                secret=self._keys.secret,
-                platform=self._platform_port,
-                operator=OPERATOR,
-                token=TOKEN,
-                timeout_ms=self._timeout_ms,
-            )
+        file = NodeFile(
+            name=name,
+            zone=zone,
+            call=call,
+            peer=peer,
+            admin=admin,
+            public_key=self._keys.public,
+            secret_key=self._keys.secret,
+            platform_url=f"http://{LOOPBACK}:{self._platform_port}",
+            timeout_ms=self._timeout_ms,
+            log_level="error",
         )
+        path.write_text(file.render())
         return MeshNode(name, call, admin, path, start_node(path))
 
-    async def _operate_until_done(self, method: str, body: dict[str, Any]) -> None:
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        while True:
-            answer = await self._operate(method, body)
-            if "code" not in answer:
-                return
-            if time.monotonic() > deadline:
-                raise MeshNotReadyError(f"{method} failed: {answer}")
-            await pause(POLL_S)
-
-    async def _operate(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
-        response = await treq.post(
-            f"http://{self.nodes[0].admin}/corianderwall.v1.Operators/{method}",
-            json.dumps(body).encode(),
-            headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
-        )
-        answer: dict[str, Any] = json.loads(await response.text())
-        return answer
+    async def _operate(self, method: str, body: dict[str, Any]) -> None:
+        await call_operator_until(self.nodes[0].admin, method, body, timeout_s=READY_TIMEOUT_S)
 
 
 async def wait_for_answer(url: str, *, anything: bool, poll_s: float = POLL_S) -> None:
@@ -178,14 +136,3 @@
 def start_node(settings: Path) -> ChildProcess:
     """Start the program with a settings file."""
     return ChildProcess(PROGRAM, "node", str(settings))
-
-
-def find_free_addresses(count: int) -> list[Address]:
-    """Return addresses on loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((LOOPBACK, 0))
-    ports = [int(each.getsockname()[1]) for each in sockets]
-    for each in sockets:
-        each.close()
-    return [Address(host=LOOPBACK, port=port) for port in ports]
--- a/packages/bench/src/corianderwall/bench/node_fleet.py
+++ b/packages/bench/src/corianderwall/bench/node_fleet.py
@@ -13,46 +13,24 @@
 
 import treq
 
-from corianderwall.bench.mesh import (
-    LOOPBACK,
-    OPERATOR,
-    PROGRAM,
-    TOKEN,
-    wait_for_answer,
-)
+from corianderwall.bench.mesh import PROGRAM, wait_for_answer
 from corianderwall.bench.processes import ChildProcess
 from corianderwall.bench.running import pause
 from corianderwall.links.keys import generate_key_ring
 from corianderwall.model.endpoint import Address
+from corianderwall.standins.node_file import LOOPBACK, NodeFile
+from corianderwall.standins.operator_client import call_operator_until
 from corianderwall.standins.platform import PlatformStandin
 
 MAX_NODES = 110
 POLL_S = 0.1
+OPERATOR_TIMEOUT_S = 30.0
 STARTS_AT_ONCE = 10
 PORTS = (7000, 7001, 7002)
 """Of calls, peers and operators."""
 
 IN_FORCE = "a version is in force"
 
-_SETTINGS = """
-[host]
-name = "{name}"
-region = "{region}"
-zone = "{zone}"
-call_address = "{addresses[0]}"
-peer_address = "{addresses[1]}"
-admin_address = "{addresses[2]}"
-[mesh]
-public_key = '{public}'
-secret_key = '{secret}'
-[platform]
-url = "http://{host}:{platform}"
-[operators]
-tokens = {{ {operator} = "{token}" }}
-[log]
-level = "info"
-"""
-
 
 class LoggedProcess(ChildProcess):
     """A node process that writes its log to a file."""
@@ -123,15 +101,13 @@
         """Create a service and a route; return the version once it is in force everywhere."""
         split = [{"version": "v1", "permille": 1000}]
         service = {"name": "measured", "versions": ["v1"], "split": split}
-        await self._operate_until_done("PutService", {"service": service})
+        await self._operate("PutService", {"service": service})
         return await self.put_route(1000)
 
     async def put_route(self, timeout_ms: int) -> int:
         """Change the route and return the version that the change made."""
         route = {"name": "all", "service": "measured", "path_prefix": "/"}
-        answer = await self._operate_until_done(
-            "PutRoute", {"route": {**route, "timeout_ms": timeout_ms}}
-        )
+        answer = await self._operate("PutRoute", {"route": {**route, "timeout_ms": timeout_ms}})
         return int(answer["version"])
 
     async def wait_for_version(self, version: int, *, limit_s: float) -> bool:
@@ -178,39 +154,23 @@
         directory = Path(self._directory.name)
         addresses = [Address(host=_choose_ip(index), port=port) for port in PORTS]
         settings, log = directory / f"{name}.toml", directory / f"{name}.log"
-        settings.write_text(
-            _SETTINGS.format(
-                name=name,
-                region=f"region-{zone % self._regions}",
-                zone=f"zone-{zone}",
-                addresses=addresses,
-                public=self._keys.public,
-                secret=self._keys.secret,
-                host=LOOPBACK,
-                platform=platform,
-                operator=OPERATOR,
-                token=TOKEN,
-            )
+        file = NodeFile(
+            name=name,
+            region=f"region-{zone % self._regions}",
+            zone=f"zone-{zone}",
+            call=addresses[0],
+            peer=addresses[1],
+            admin=addresses[2],
+            public_key=self._keys.public,
+            secret_key=self._keys.secret,
+            platform_url=f"http://{LOOPBACK}:{platform}",
+            log_level="info",
         )
+        settings.write_text(file.render())
         process = LoggedProcess(settings, log)
         return FleetNode(name, str(addresses[2]), settings, log, process)
 
-    async def _operate_until_done(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
-        deadline = time.monotonic() + 30.0
-        while True:
-            answer = await self._operate(method, body)
-            if "code" not in answer:
-                return answer
-            if time.monotonic() > deadline:
-                raise RuntimeError(f"{method} failed: {answer}")
-            await pause(POLL_S)
-
     async def _operate(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
-        response = await treq.post(
-            f"http://{self.nodes[0].admin}/corianderwall.v1.Operators/{method}",
-            json.dumps(body).encode(),
-            headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
-            persistent=False,
+        return await call_operator_until(
+            self.nodes[0].admin, method, body, timeout_s=OPERATOR_TIMEOUT_S
         )
-        answer: dict[str, Any] = json.loads(await response.text())
-        return answer
--- /dev/null
+++ b/packages/standins/src/corianderwall/standins/operator_client.py
@@ -0,0 +1,50 @@
+"""A plain operators' client over JSON, for the demo and measurements in one reactor."""
+
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+import treq
+from twisted.internet.task import deferLater
+
+from corianderwall.standins.node_file import TOKEN
+
+if TYPE_CHECKING:
+    from corianderwall.model.endpoint import Address
+
+
+RETRY_INTERVAL_S = 0.1
+
+
+class OperatorCallError(Exception):
+    """A call was refused until its deadline."""
+
+
+async def call_operator(
+    address: "Address | str", method: str, body: dict[str, Any]
+) -> dict[str, Any]:
+    """Make one operators' call; an error's answer has the key `code`."""
+    response = await treq.post(
+        f"http://{address}/corianderwall.v1.Operators/{method}",
+        json.dumps(body).encode(),
+        headers={"authorization": f"Bearer {TOKEN}", "content-type": "application/json"},
+        persistent=False,
+    )
+    answer: dict[str, Any] = json.loads(await response.text())
+    return answer
+
+
+async def call_operator_until(
+    address: "Address | str", method: str, body: dict[str, Any], *, timeout_s: float
+) -> dict[str, Any]:
+    """Repeat a call until it succeeds; return the answer."""
+    from twisted.internet import reactor
+
+    deadline = time.monotonic() + timeout_s
+    while True:
+        answer = await call_operator(address, method, body)
+        if "code" not in answer:
+            return answer
+        if time.monotonic() > deadline:
+            raise OperatorCallError(f"{method} failed: {answer}")
+        await deferLater(reactor, RETRY_INTERVAL_S)
