--- a/packages/distribution/src/corianderwall/distribution/replica.py
+++ b/packages/distribution/src/corianderwall/distribution/replica.py
@@ -32,8 +32,8 @@
 class Replica:
     """Holds the newest snapshot that reached this node; its version only grows.
 
-    What is held is passed on at once: a small delta to neighbours that lack it, a short word
-    to those that have it. A peer that knows neither base nor result asks for the rest.
+    What is held is passed on at once: a small delta to neighbours that lack it, an
+    acknowledgement to those that have it. A peer that has neither base nor result asks for it.
     """
 
     def __init__(self, members: Members, settings: DistributionSettings, session: int) -> None:
@@ -43,6 +43,7 @@
         self._assembly = Assembly()
         self._parts: tuple[SnapshotPart, ...] = ()
         self._events: list[DistributionEvent] = []
+        self._conflicts: dict[str, int] = {}
         self.holders = Holders()
         self.history = History(settings.history_size)
         self.catch_up = CatchUp(self.history, settings.catch_up_wait_s)
@@ -59,7 +60,7 @@
         return Advert(self._session, self.history.version, digest)
 
     def make_held(self, *, wants_reply: bool = False) -> Held:
-        """Return the word on what this replica holds."""
+        """Return the acknowledgement of what this replica holds."""
         return Held(self._session, self.history.version, wants_reply)
 
     def hold(self, snapshot: Snapshot, source: str, now: float) -> list[Outgoing]:
@@ -104,7 +105,7 @@
             return self._refuse(peer, error, now)
 
     def handle_held(self, peer: str, message: Held, now: float) -> list[Outgoing]:
-        """Take the word of a peer; ask it for what this node lacks."""
+        """Take the acknowledgement of a peer; ask it for what this node lacks."""
         self.holders.note(peer, message.session, message.version)
         outgoing = []
         if message.version > self.history.version:
@@ -120,9 +121,16 @@
             return self.catch_up.request(peer, now)
         digest = shorten_digest(self.history.digest)
         if advert.version == self.history.version and advert.digest != digest:
-            self._events.append(DigestConflict(peer, advert.version))
+            self.report_conflict(peer)
         return []
 
+    def report_conflict(self, source: str) -> None:
+        """Report once per source that it has another snapshot under the version held."""
+        version = self.history.version
+        if self._conflicts.get(source) != version:
+            self._conflicts[source] = version
+            self._events.append(DigestConflict(source, version))
+
     def handle_catch_up(self, peer: str, message: CatchUpRequest) -> list[Outgoing]:
         """Answer with all that leads from the peer's snapshot to this node's."""
         if message.version >= self.history.version:
@@ -161,11 +169,11 @@
 
     def _is_old(self, peer: str, version: int, digest: str) -> bool:
         if version == self.history.version and digest != self.history.digest:
-            self._events.append(DigestConflict(peer, version))
+            self.report_conflict(peer)
         return version <= self.history.version
 
     def _confirm(self, peer: str) -> list[Outgoing]:
-        """Give word to a peer that is no neighbour and thus has not had it."""
+        """Acknowledge to a peer that is no neighbour and thus was not told."""
         if peer in self._members.neighbours:
             return []
         return [Outgoing(peer, self.make_held())]
