--- a/packages/bench/src/corianderwall/bench/moves.py
+++ b/packages/bench/src/corianderwall/bench/moves.py
@@ -7,14 +7,13 @@
 
 import click
 
+from corianderwall.bench.moves_agents import AgentSteering
 from corianderwall.bench.moves_baseline import FixedSteps
 from corianderwall.bench.moves_traffic import BAD_KINDS, Kind, UpstreamModel
 from corianderwall.bench.moves_world import (
-    AgentSteering,
     Result,
     Scenario,
     create_world,
-    find_percentile,
     run_move,
 )
 from corianderwall.model.resource import MovePolicy, MoveState
@@ -92,6 +91,14 @@
     )
 
 
+def find_percentile(values: Sequence[float], part: float) -> float:
+    """Return the value that `part` of the values do not exceed, -1 without values."""
+    if not values:
+        return -1.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
 def _measure_delay(result: Result) -> float:
     """Return the seconds from detectable to zero; none if the nodes stopped it before."""
     if result.detectable_s < 0:
