--- a/packages/node/src/corianderwall/node/control.py
+++ b/packages/node/src/corianderwall/node/control.py
@@ -23,6 +23,7 @@
     LinkSilent,
 )
 from corianderwall.membership.messages import MESSAGES as MEMBERSHIP_MESSAGES
+from corianderwall.model.endpoint import EndpointState
 from corianderwall.model.errors import CorianderwallError
 from corianderwall.model.message import Outgoing
 from corianderwall.moves.agent import Members
@@ -56,6 +57,8 @@
     from corianderwall.traffic.lease_issuer import LeaseIssuer
 
 TICK_S = 0.1
+SHARE_TICK_S = 0.02
+"""Interval of the decisions on shares and leases while calls come in."""
 
 MESSAGES = (
     *MEMBERSHIP_MESSAGES,
@@ -134,6 +137,13 @@
         self._tick_moves(now)
         self._update_leased(now)
 
+    def tick_shares(self) -> None:
+        """Weigh shares and renew leases; to be called every `SHARE_TICK_S`."""
+        if self._desk.is_busy:
+            self._desk.tick()
+        if self._leased:
+            self.send(self._holder.collect_requests(self._clock.read_monotonic()))
+
     def send(self, messages: "Iterable[Outgoing]") -> None:
         """Send messages to hosts whose address the membership knows."""
         for outgoing in messages:
@@ -254,6 +264,8 @@
 
     def _upsert(self, endpoint: "Endpoint", now: float) -> None:
         self._endpoints[endpoint.name] = endpoint
+        if endpoint.state is EndpointState.DRAINING:
+            self._holder.forget(endpoint.name)
         self._balancer.upsert(endpoint, now, int(self._clock.read_unix() * 1000))
         self._members_changed = True
 
--- a/packages/node/src/corianderwall/node/desk.py
+++ b/packages/node/src/corianderwall/node/desk.py
@@ -3,7 +3,8 @@
 import math
 from typing import TYPE_CHECKING
 
-from corianderwall.httpflow.attempt import AnswerHead, Attempt, AttemptResult
+from corianderwall.httpflow.attempt import NO_RECEIVER, AnswerHead, Attempt, AttemptResult
+from corianderwall.model.endpoint import EndpointState
 from corianderwall.model.errors import ErrorCode
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.callhead import ERROR_CODE_HEADER, LOAD_HEADER, RETRY_AFTER_HEADER
@@ -48,7 +49,7 @@
     def __init__(self, desk: "Desk", call: "OutgoingCall", receiver: "AnswerReceiver") -> None:
         self._desk = desk
         self.call = call
-        self.receiver = receiver
+        self.receiver: AnswerReceiver = receiver
         self.ticket = 0
         self._inner: Attempt | None = None
         self._early: list[bytes] = []
@@ -60,13 +61,14 @@
         """Send the call now."""
         self._started_at = now
         self._inner = inner = pool.send(self.call, self)
+        if self.call.source is not None and not self._ended:
+            # Before the early parts, so that the pool may pause it again.
+            self.call.source.resume_body()
         early, self._early = self._early, []
         for data in early:
             inner.write_body(data)
         if self._ended:
             inner.end_body()
-        elif self.call.source is not None:
-            self.call.source.resume_body()
 
     def refuse(self, code: ErrorCode, retry_after_s: float) -> None:
         """Finish without having run the call."""
@@ -109,6 +111,8 @@
 
     def cancel(self) -> None:
         """Take the call out of the queue, or stop it."""
+        if self._finished:
+            return
         if self._inner is not None:
             self._inner.cancel()
         else:
@@ -131,9 +135,14 @@
         self._finish(result)
 
     def _finish(self, result: AttemptResult) -> None:
-        if not self._finished:
-            self._finished = True
-            self.receiver.finish(result)
+        if self._finished:
+            return
+        self._finished = True
+        receiver = self.receiver
+        # Without reference cycles the collector finds nothing to do for a call.
+        self.receiver = NO_RECEIVER
+        self._inner = None
+        receiver.finish(result)
 
 
 class Desk:
@@ -161,6 +170,7 @@
         self._admission: Admission | None = None
         self._drain = EndpointDrain()
         self.load = LoadMeter(clock.read_monotonic())
+        self._offered = False
         self._waiting: dict[int, DeskAttempt] = {}
         self._expiry: asyncio.TimerHandle | None = None
 
@@ -174,6 +184,11 @@
         """The state of the endpoint towards new and running calls."""
         return self._drain
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether calls were offered since the last `tick`, or still run or wait."""
+        return self._offered or self.running > 0
+
     @property
     def running(self) -> int:
         """The calls that run or wait at the endpoint through this desk."""
@@ -184,6 +199,8 @@
         """Serve this endpoint from now on; a changed address starts with a new queue."""
         known = self._endpoint
         self._endpoint = endpoint
+        if endpoint.state is EndpointState.READY and not self._drain.accepts_work:
+            self._drain = EndpointDrain()
         if known is None or known.name != endpoint.name or known.slots != endpoint.slots:
             self._drain = EndpointDrain()
             self._admission = Admission(
@@ -193,14 +210,19 @@
                 now=now,
                 random=self._random,
             )
-        budget = endpoint.connections - self._read_reserve(endpoint)
-        self._issuer.set_budget(endpoint.name, budget if self._drain.accepts_work else 0)
+        if endpoint.state is EndpointState.READY:
+            budget = endpoint.connections - self._read_reserve(endpoint)
+            self._issuer.set_budget(endpoint.name, budget)
+
+    def announce_drain(self) -> None:
+        """Take the leases back; to be repeated, as the notices may be lost."""
+        if self._endpoint is not None:
+            for notice in self._issuer.drain(self._endpoint.name):
+                self._send(notice)
 
     def begin_drain(self, now: float, cut_at: float) -> None:
         """Give the endpoint no new work; running calls go on until `cut_at`."""
         self._drain.begin(now, cut_at)
-        if self._endpoint is not None:
-            self._issuer.set_budget(self._endpoint.name, 0)
 
     def clear_endpoint(self) -> None:
         """Refuse what waits, as the endpoint is gone."""
@@ -225,6 +247,7 @@
     def offer(self, attempt: DeskAttempt, subscriber: str) -> None:
         """Admit the attempt now or later, or refuse it, never inside this call."""
         now = self._clock.read_monotonic()
+        self._offered = True
         admission = self._admission
         if admission is None or self._endpoint is None:
             self._loop.call_soon(attempt.refuse, ErrorCode.NO_ENDPOINT, 0.0)
@@ -280,6 +303,7 @@
     def tick(self) -> None:
         """Weigh the demands and tell the holders when they must come through the owner."""
         now = self._clock.read_monotonic()
+        self._offered = False
         self._issuer.expire(now)
         if self._admission is None or self._endpoint is None:
             return
@@ -313,7 +337,7 @@
         return self._pools.find(endpoint.address, limit)
 
     def _read_reserve(self, endpoint: "Endpoint") -> int:
-        return min(endpoint.connections, endpoint.slots * RESERVE_PER_SLOT)
+        return max(1, min(endpoint.connections // 2, endpoint.slots * RESERVE_PER_SLOT))
 
     def _plan_expiry(self) -> None:
         if self._expiry is not None or self._admission is None:
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -143,8 +143,9 @@
         self._tried.add(endpoint.name)
         self._sent_at = now
         self._endpoint = endpoint
-        self._outstanding = self._context.balancer.start(endpoint.name)
         carrier, outgoing = self._prepare(endpoint, now)
+        if self._counts_as_load():
+            self._outstanding = self._context.balancer.start(endpoint.name)
         flow = AnswerFlow(self._call, self)
         self._attempt = flow.attempt = attempt = carrier.send(outgoing, flow)
         if self._body is None:
@@ -154,12 +155,19 @@
         """Return an endpoint that this call has not tried yet, if there is one."""
         choose = self._context.balancer.choose
         service, version = self._choice.service, self._version
-        avoid = self._context.leases.find_over_share(self._flow)
+        over_share = self._context.leases.find_over_share(self._flow)
         if self._tried:
-            endpoint = choose(service, version, now, self._ejected | self._tried, avoid)
+            endpoint = choose(service, version, now, self._ejected | self._tried, over_share)
             if endpoint is not None:
                 return endpoint
-        return choose(service, version, now, self._ejected, avoid)
+        return choose(service, version, now, self._ejected, over_share)
+
+    def _counts_as_load(self) -> bool:
+        """Return whether the attempt says anything about the endpoint's load.
+
+        A call of a subscriber over its share waits on account of that subscriber only.
+        """
+        return self._passage is None or not self._passage.is_over_share
 
     def _prepare(self, endpoint: "Endpoint", now: float) -> "tuple[Carrier, OutgoingCall]":
         context = self._context
@@ -207,7 +215,6 @@
         if endpoint is None:
             return
         passage, self._passage = self._passage, None
-        is_direct = passage is not None and passage.direct
         if passage is not None:
             self._context.leases.release(passage, now)
         self._read_load(endpoint, result.head, now)
@@ -224,12 +231,14 @@
             outstanding=self._outstanding,
             cancelled=result.error is ErrorCode.CANCELLED,
         )
-        self._context.balancer.finish(
-            outcome,
-            now,
-            retry_after_s=read_retry_after(result.head),
-            is_handed_over=not is_direct and read_error_code(result.head) not in _GONE_CODES,
-        )
+        if passage is None or not passage.is_over_share:
+            is_direct = passage is not None and passage.direct
+            self._context.balancer.finish(
+                outcome,
+                now,
+                retry_after_s=read_retry_after(result.head),
+                is_handed_over=not is_direct and read_error_code(result.head) not in _GONE_CODES,
+            )
         self._context.moves.record(outcome)
         self._context.metrics.count_attempt(outcome)
 
--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -24,7 +24,7 @@
 from corianderwall.node.admin import AdminInterface, Announcement, Health
 from corianderwall.node.backend import NodeBackend
 from corianderwall.node.callcontext import CallContext
-from corianderwall.node.control import MESSAGES, TICK_S, Control
+from corianderwall.node.control import MESSAGES, SHARE_TICK_S, TICK_S, Control
 from corianderwall.node.desk import Desk
 from corianderwall.node.dispatcher import Dispatcher
 from corianderwall.node.lifecycle import CycleActions, create_cycle
@@ -89,6 +89,7 @@
         self._build_control(now)
         self._upstream = LocalUpstream(host)
         self._ticker = LoopingCall(self._control.tick)
+        self._share_ticker = LoopingCall(self._control.tick_shares)
         self._role_ticker = LoopingCall(self._tick_roles)
         self._steering_busy = False
         self._move_states: dict[str, MoveState] = {}
@@ -213,6 +214,7 @@
         await self._server.listen(call_address.host, call_address.port)
         self._listen_site(parse_address(host.admin_address))
         self._ticker.start(TICK_S)
+        self._share_ticker.start(SHARE_TICK_S)
         self._role_ticker.start(ROLE_INTERVAL_S, now=False)
         Deferred.fromCoroutine(self._join())
         log_info("started", call_address=str(call_address))
@@ -291,6 +293,7 @@
         now = self._timer.read_monotonic()
         self._desk.set_endpoint(endpoint, now)
         if endpoint.state is EndpointState.DRAINING:
+            self._desk.announce_drain()
             self._loop.call_later(NOTICE_S, self._begin_desk_drain)
         self._control.send(self.membership.announce(endpoint, now))
         self._control.apply_events()
@@ -317,6 +320,9 @@
     def _tick_roles(self) -> None:
         now = self._timer.read_monotonic()
         self._check_upstream(now)
+        endpoint = self._upstream.endpoint
+        if endpoint is not None and endpoint.state is EndpointState.DRAINING:
+            self._desk.announce_drain()
         self._links.close_idle()
         hosts = self.membership.list_hosts()
         is_watcher = self.distributor.is_watcher and self.membership.has_joined
@@ -415,8 +421,9 @@
             self._role_ticker.stop()
         self._platform.stop()
         self._control.send(self.membership.leave(self._timer.read_monotonic()))
-        if self._ticker.running:
-            self._ticker.stop()
+        for ticker in (self._ticker, self._share_ticker):
+            if ticker.running:
+                ticker.stop()
         self._pools.close()
         if self._site_port is not None:
             await self._site_port.stopListening()
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -260,6 +260,15 @@
     assert owner.upstream.counts.executions == len(statuses) - refused
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_drained_endpoint_refuses_and_serves_again_once_it_is_ready(entry, owner):
+    owner.desk.begin_drain(time.monotonic(), time.monotonic() + 60)
+    response = await entry.call("POST", data=b"x")
+    await expect_error(response, 503, ErrorCode.NO_ENDPOINT, "none")
+    owner.desk.set_endpoint(owner.endpoint, time.monotonic())
+    assert (await entry.call()).code == 200
+
+
 @pytest_twisted.ensureDeferred
 async def test_calls_beyond_the_limit_of_the_node_are_refused_unread(entry, owner):
     owner.upstream.set_switches(Switches(work_ms=300))
--- a/packages/traffic/src/corianderwall/traffic/lease_issuer.py
+++ b/packages/traffic/src/corianderwall/traffic/lease_issuer.py
@@ -83,13 +83,17 @@
         self._endpoints: dict[str, _LeasedEndpoint] = {}
 
     def set_budget(self, endpoint: str, budget: int) -> None:
-        """Set how many connections are leased at most; 0 takes the leases back."""
+        """Set how many connections are leased at most; 0 takes the leases back.
+
+        A budget above 0 ends a drain, as the endpoint is ready again.
+        """
         leased = self._endpoints.get(endpoint)
         if leased is None:
             pressure = Pressure(self._session, 0)
             self._endpoints[endpoint] = _LeasedEndpoint(budget, pressure)
         else:
             leased.budget = budget
+            leased.is_draining = leased.is_draining and not budget
             leased.next_division = float("-inf")
 
     def count_charge(self, endpoint: str, now: float) -> int:
--- a/packages/traffic/tests/test_leases.py
+++ b/packages/traffic/tests/test_leases.py
@@ -398,3 +398,14 @@
     link.exchange(4.1)
     assert not link.acquire(4.2).direct
     assert link.holder.read_limit("e", 4.2) == 0
+
+
+def test_an_endpoint_that_is_ready_again_gets_direct_calls_again() -> None:
+    link = Link()
+    link.acquire(0)
+    link.exchange(0)
+    link.issuer.drain("e")
+    link.issuer.set_budget("e", BUDGET)
+    link.issuer.set_pressure("e", saturated=False, over_share=(), now=2.0)
+    link.exchange(4.1)
+    assert link.acquire(4.2).direct
