Compare whole operators' sessions and a node's log with golden files

Cause: nothing showed that a session reads the same from release to release, nor that a node's log is JSON only. Absl wrote a line of its own before a node's first line, as its flags count as not parsed; a node now marks them as parsed.

The golden files hold a session through ctl with its refusals and exit codes, and the log of a start, a change and a graceful stop. Without the mend in logs.py the log scenario fails.

--- a/features/environment.py
+++ b/features/environment.py
@@ -8,4 +8,6 @@
 
 
 def after_scenario(context, scenario):
+    if "callers" in context:
+        context.callers.stop()
     context.fleet.stop()
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import sys
 import tempfile
 import threading
 import time
@@ -32,6 +33,7 @@
     node: ChildProcess
     upstream: ChildProcess | None = None
     upstream_address: Address | None = None
+    version: str = ""
 
 
 @dataclass(frozen=True)
@@ -56,7 +58,7 @@
         self.platform_address = self.platform.read_address()
         self.versions_seen: dict[str, list[int]] = {}
 
-    def start_hosts(self, zones):
+    def start_hosts(self, zones, *, keep_logs=False):
         """Start a node for each name in `zones`; each knows all others as seeds."""
         addresses = {name: find_free_addresses(3) for name in zones}
         seeds = {name: f"{name}@{peer}" for name, (_, peer, _) in addresses.items()}
@@ -73,11 +75,15 @@
                 platform_url=f"http://{self.platform_address}",
                 seeds=tuple(seed for other, seed in seeds.items() if other != name),
                 timeout_ms=5000,
-                log_level="error",
+                log_level="info" if keep_logs else "error",
             )
             path = Path(self.folder.name) / f"{name}.toml"
             path.write_text(file.render())
-            self.hosts[name] = FleetHost(file, path, run_node(path))
+            node = run_logged_node(path) if keep_logs else run_node(path)
+            self.hosts[name] = FleetHost(file, path, node)
+
+    def read_log(self, name):
+        return self.hosts[name].path.with_suffix(".log").read_text()
 
     def restart_node(self, name):
         host = self.hosts[name]
@@ -94,6 +100,13 @@
             *options,
         )
         host.upstream_address = host.upstream.read_address()
+        host.version = version
+
+    def switch_upstream(self, host, **switches):
+        url = f"http://{host.upstream_address}/standin/switches"
+        body = json.dumps(switches).encode()
+        # The stand-in refuses a body that comes in another packet than its head.
+        self.wait(lambda: fetch(url, method="PUT", body=body).status == 204, "the switches")
 
     def pause_node(self, name):
         self.hosts[name].node.signal(SIGSTOP)
@@ -187,10 +200,17 @@
     return ChildProcess("corianderwall.app.main", "node", str(path))
 
 
-def fetch(url, *, method="GET", body=None, headers=None):
+def run_logged_node(path):
+    """Start a node whose standard error goes to a file beside its settings."""
+    script = 'exec "$0" -m corianderwall.app.main node "$1" 2>"$2"'
+    log = str(path.with_suffix(".log"))
+    return ChildProcess.run("/bin/sh", "-c", script, sys.executable, str(path), log)
+
+
+def fetch(url, *, method="GET", body=None, headers=None, timeout_s=WAIT_S):
     request = urllib.request.Request(url, data=body, method=method, headers=headers or {})
     try:
-        with urllib.request.urlopen(request, timeout=WAIT_S) as response:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
             return Answer(response.status, response.read(), dict(response.headers))
     except urllib.error.HTTPError as error:
         return Answer(error.code, error.read(), dict(error.headers))
--- /dev/null
+++ b/features/sessions.feature
@@ -0,0 +1,16 @@
+Feature: Whole operators' sessions read as their golden files
+
+  Background:
+    Given logged nodes a and b in zones 1 and 2
+    And an upstream of version v1 beside each
+
+  Scenario: Operators configure a service, look at it and meet refusals
+    When an operators' session runs as golden file operators.txt
+    Then the transcript is the golden file
+
+  Scenario: A node's log of a start, a change and a graceful stop
+    Given the service and its route are in force
+    When node b is told to stop
+    Then node b exits with 0
+    And the log of node b is the golden file node_log.txt
+    And no token and no key occurs in any log
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -2,13 +2,14 @@
 import time
 from signal import SIGSTOP, SIGTERM
 
-from behave import then, when
+from behave import given, then, when
 from fleet import Callers, fetch, split_words
 
 STREAM_S = 1.0
 """How long callers call before and after a fault."""
 
 
+@given("callers call nodes {names} without a pause")
 @when("callers call nodes {names} without a pause")
 def start_calling(context, names):
     context.callers = Callers(context.fleet, split_words(names))
--- /dev/null
+++ b/features/steps/golden_steps.py
@@ -0,0 +1,124 @@
+import difflib
+import json
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+from fleet import TOKEN, split_words
+
+GOLDEN = Path(__file__).parents[1] / "golden"
+REWRITE_VARIABLE = "CORIANDERWALL_REWRITE_GOLDEN"
+"""Set, the golden files are written anew instead of compared."""
+COMMAND_TIMEOUT_S = 40.0
+
+SESSION = (
+    "config wait --for 10",
+    "service put placements --version v1",
+    "service put placements",
+    "version add placements v2",
+    "version add placements v2",
+    "version list placements",
+    "route put accept --service placements --path-prefix /accept --method post",
+    "route put lost --service nowhere",
+    "subscriber put growers --share 2",
+    "--output json subscriber list",
+    "service list",
+    "route list",
+    "service delete placements",
+    "version remove placements v1",
+    "move start placements v2",
+    "move start placements v2 --within 30m --id spring",
+    "move status spring",
+    "--output json move cancel spring",
+    "config wait 4 --for 10",
+    "config show",
+    "config diff 3 4",
+    "config history",
+    "--output json audit --limit 1",
+    "explain GET /nowhere",
+    "--node 127.0.0.1:1 --timeout 1 config show",
+)
+"""The commands after `corianderwall ctl`; the last line names a node that does not exist."""
+
+_REPLACEMENTS = (
+    (r"\b[0-9a-f]{12}-[0-9a-f]{16}\b", "OPERATION"),
+    (r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ", "INSTANT"),
+    (r'("unix_ms": ")\d+', r"\1MILLISECONDS"),
+    (r'"time": [\d.]+', '"time": SECONDS'),
+    (r'("endpoint": "\w+)\.\d+"', r'\1.INSTANCE"'),
+    (r"127\.0\.0\.1:\d{4,5}", "ADDRESS"),
+    (r"(no node could be reached): .* (\(effect)", r"\1: REASON \2"),
+    (r"  +", "  "),
+)
+
+
+@given("logged nodes {names} in zones {zones}")
+def start_logged_nodes(context, names, zones):
+    context.names = split_words(names)
+    placed = zip(context.names, split_words(zones), strict=True)
+    context.fleet.start_hosts({name: f"zone-{zone}" for name, zone in placed}, keep_logs=True)
+    context.fleet.wait_ready()
+
+
+@when("an operators' session runs as golden file {name}")
+def run_session(context, name):
+    context.golden = name
+    context.transcript = [line for words in SESSION for line in run_command(context, words)]
+
+
+@then("the transcript is the golden file")
+def check_transcript(context):
+    compare(context.transcript, context.golden)
+
+
+@then("the log of node {name} is the golden file {golden}")
+def check_log(context, name, golden):
+    lines = context.fleet.read_log(name).splitlines()
+    assert all(json.loads(line)["node"] == name for line in lines), lines
+    compare([normalise(line) for line in lines], golden)
+
+
+@then("no token and no key occurs in any log")
+def check_secrets(context):
+    for name in context.names:
+        log = context.fleet.read_log(name)
+        assert log
+        assert TOKEN not in log
+        assert context.fleet.keys.secret not in log
+
+
+def run_command(context, words):
+    environment = os.environ | {"CORIANDERWALL_TOKEN": TOKEN}
+    if "--node" not in words:
+        address = context.fleet.hosts["a"].file.admin
+        environment["CORIANDERWALL_NODES"] = str(address)
+    result = subprocess.run(
+        [sys.executable, "-m", "corianderwall.app.main", "ctl", *words.split()],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_TIMEOUT_S,
+        check=False,
+    )
+    yield f"$ ctl {words}"
+    yield from (normalise(line) for line in result.stdout.splitlines())
+    yield from (f"! {normalise(line)}" for line in result.stderr.splitlines())
+    yield f"= {result.returncode}"
+
+
+def normalise(line):
+    for pattern, word in _REPLACEMENTS:
+        line = re.sub(pattern, word, line)
+    return line.rstrip()
+
+
+def compare(lines, name):
+    path = GOLDEN / name
+    if REWRITE_VARIABLE in os.environ:
+        path.write_text("\n".join(lines) + "\n")
+    wanted = path.read_text().splitlines()
+    difference = "\n".join(difflib.unified_diff(wanted, lines, name, "found", lineterm=""))
+    assert not difference, "\n" + difference
--- a/packages/node/src/corianderwall/node/logs.py
+++ b/packages/node/src/corianderwall/node/logs.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Annotated, cast
 
+from absl import flags
 from absl import logging as absl_logging
 from msgspec import Meta
 from twisted.logger import LogEvent, LogLevel, globalLogPublisher
@@ -66,6 +67,8 @@
     settings: LogSettings, *, node: str, zone: str, read_version: Callable[[], int]
 ) -> None:
     """Send absl's and Twisted's logs to standard error as JSON lines."""
+    # Otherwise absl writes a line of its own, which is not JSON, before the first one.
+    flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     formatter = JsonFormatter(node=node, zone=zone, read_version=read_version)
     absl_logging.get_absl_handler().setFormatter(formatter)
