Wait for the watch and the announcement before the golden log's change

A further run of the log scenario failed: the node began to watch the platform after the change, so one line showed version 2 in place of 0.

The scenario now waits for both lines before the change.

--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -9,7 +9,8 @@
     Then the transcript is the golden file
 
   Scenario: A node's log of a start, a change and a graceful stop
-    Given the service and its route are in force
+    Given the log of node b tells of "announced the upstream"
+    And the service and its route are in force
     When node b is told to stop
     Then node b exits with 0
     And the log of node b is the golden file node_log.txt
--- a/features/steps/golden_steps.py
+++ b/features/steps/golden_steps.py
@@ -61,6 +61,13 @@
     placed = zip(context.names, split_words(zones), strict=True)
     context.fleet.start_hosts({name: f"zone-{zone}" for name, zone in placed}, keep_logs=True)
     context.fleet.wait_ready()
+    for name in context.names:
+        wait_for_log(context, name, "watching the platform")
+
+
+@given('the log of node {name} tells of "{message}"')
+def wait_for_log(context, name, message):
+    context.fleet.wait(lambda: f'"{message}"' in context.fleet.read_log(name), message)
 
 
 @when("an operators' session runs as golden file {name}")
