--- a/packages/bench/src/corianderwall/bench/capacity_model.py
+++ b/packages/bench/src/corianderwall/bench/capacity_model.py
@@ -12,6 +12,8 @@
 from corianderwall.distribution.parts import split_snapshot
 from corianderwall.distribution.settings import DistributionSettings
 from corianderwall.model.codec import compute_digest, encode_snapshot
+from corianderwall.moves.reporting import AGGREGATORS_PER_MOVE, REPORT_PERIOD_S
+from corianderwall.moves.watch import WINDOW_S
 from corianderwall.store.watcher import WATCH_S
 
 NODES = 590
@@ -79,6 +81,7 @@
         *_compute_node_load(measured),
         *_compute_collector(),
         *_compute_platform(measured),
+        *_compute_moves(measured),
         *_compute_configuration(),
     ]
 
@@ -251,6 +254,34 @@
     ]
 
 
+def _compute_moves(measured: dict[str, Measured]) -> list[Row]:
+    role = f"aggregator of a running move ({AGGREGATORS_PER_MOVE} of each)"
+    size = measured["move_report_bytes"].value
+    report_us = measured["move_report_us"].value
+    judgement_ms = measured["move_judgement_ms"].value
+    judgements_per_s = 1 / WINDOW_S
+    reports_per_s = NODES / REPORT_PERIOD_S
+    busy_percent = (reports_per_s * report_us / 1e6 + judgements_per_s * judgement_ms / 1e3) * 100
+    return [
+        Row(
+            role,
+            "bytes received when every node calls the service",
+            f"{NODES} / {REPORT_PERIOD_S:g} s x {size:g} B",
+            reports_per_s * size,
+            "B/s",
+            f"{MAX_BYTES_PER_S:.0f}, **exceeded**",
+        ),
+        Row(
+            role,
+            "processor time while the move runs",
+            f"{reports_per_s:.0f}/s x {report_us:g} us + {judgements_per_s:g}/s x {judgement_ms:g} ms",
+            busy_percent,
+            "% of a core",
+            f"{MAX_CPU_PERCENT}, **exceeded**",
+        ),
+    ]
+
+
 def _compute_configuration() -> list[Row]:
     snapshot = make_snapshot(services=SERVICES)
     size = len(encode_snapshot(snapshot))
