--- /dev/null
+++ b/features/steps/move_steps.py
@@ -0,0 +1,167 @@
+import json
+import re
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from configuration_steps import read_audit
+from fleet import SERVICE, fetch, split_words
+
+MOVE = "spring"
+MOVE_WAIT_S = 90.0
+"""Longest wait for the end of a move; the end's own time is compared with the deadline."""
+POLICY = {
+    "steps_permille": [100, 500, 1000],
+    "min_calls_per_step": 60,
+    "tolerated_slowdown_percent": 400,
+}
+"""The old version stands beside the entry nodes and the new one a hop away, so it is slower."""
+RACE_SPREAD_S = 0.4
+"""Time between two operators who cancel the same move."""
+UNREACHED_CALLS = 200
+"""Calls in a row without the version that show that it receives none."""
+
+
+@given("an upstream of version {version} beside nodes {names}")
+def start_some_upstreams(context, version, names):
+    for name in split_words(names):
+        context.fleet.start_upstream(name, version, "--work-ms", "5")
+
+
+@given("version {version} fails at {share:g} of its calls")
+@when("version {version} fails at {share:g} of its calls")
+def make_bad(context, version, share):
+    rules = [{"kind": "fail", "share": share}]
+    for host in context.fleet.hosts.values():
+        if host.version == version:
+            context.fleet.switch_upstream(host, rules=rules)
+
+
+@when("a move to {version} within {seconds:d} s begins")
+def start_move(context, version, seconds):
+    answer = ask_for_move(context, version, seconds)
+    assert answer.status == 200, answer
+    context.fleet.wait(lambda: read_move(context)["share_permille"] > 0, "the first share")
+
+
+@when("a move to {version} within {seconds:d} s is asked for")
+def try_move(context, version, seconds):
+    context.answer = ask_for_move(context, version, seconds)
+
+
+def ask_for_move(context, version, seconds):
+    context.deadline = int((time.time() + seconds) * 1000)
+    body = {
+        "move_id": MOVE,
+        "service": SERVICE,
+        "to_version": version,
+        "deadline_unix_ms": context.deadline,
+        "policy": POLICY,
+    }
+    return context.fleet.operate("a", "StartMove", body)
+
+
+@when("the node that holds the move's lease is killed")
+def kill_controller(context):
+    url = f"http://{context.fleet.platform_address}/objects/leases/moves/{MOVE}"
+    holder = json.loads(fetch(url).body)["holder"]
+    assert read_move(context)["state"] == "MOVE_STATE_RUNNING"
+    context.fleet.hosts[holder].node.kill()
+    context.names = [name for name in context.names if name != holder]
+
+
+@when("{count:d} operators cancel the move through all nodes, each a little later")
+def race_cancels(context, count):
+    started = threading.Barrier(count)
+
+    def cancel(number):
+        started.wait()
+        time.sleep(number * RACE_SPREAD_S)
+        body = {"move_id": MOVE, "reason": f"operator-{number}"}
+        return context.fleet.operate(context.names[number], "CancelMove", body)
+
+    with ThreadPoolExecutor(count) as pool:
+        context.results = list(pool.map(cancel, range(count)))
+
+
+@then("the move ends as {state} by its deadline")
+def check_end(context, state):
+    check_any_end(context)
+    assert context.move["state"] == "MOVE_STATE_" + state.replace(" ", "_").upper(), context.move
+
+
+@then("the move ends by its deadline")
+def check_any_end(context):
+    deadline = time.monotonic() + MOVE_WAIT_S
+    while (move := read_move(context))["state"] == "MOVE_STATE_RUNNING":
+        assert time.monotonic() < deadline, move
+        time.sleep(0.2)
+    assert int(move["ended_unix_ms"]) <= context.deadline, move
+    assert move["cause"], move
+    context.move = move
+
+
+@then("the audit trail, the status and the metrics state the same single end")
+def check_statement(context):
+    ends = [record for record in read_audit(context) if is_end(record)]
+    assert len(ends) == 1, ends
+    state = context.move["state"].removeprefix("MOVE_STATE_").lower()
+    context.end = ends[0]
+    context.version = max(context.version, int(ends[0]["to_version"]))
+    context.fleet.wait_version(context.version, context.names)
+    for name in context.names:
+        assert context.fleet.operate(name, "GetMove", {"move_id": MOVE}).json == context.move
+        assert count_ends(context, name) == {state: 1}, (name, count_ends(context, name))
+
+
+@then("calls no longer reach version {version}")
+def check_version_unreached(context, version):
+    def reaches_version():
+        answers = [
+            context.fleet.call(entry) for entry in ("a", "b") for _ in range(UNREACHED_CALLS)
+        ]
+        return any(answer.headers.get("x-version") == version for answer in answers)
+
+    context.fleet.wait(lambda: not reaches_version(), f"{version} receives no calls")
+
+
+@then("every operator was told truly whether the move was cancelled")
+def check_cancels(context):
+    accepted = [result for result in context.results if result.status == 200]
+    others = [result for result in context.results if result.status != 200]
+    assert {(each.status, each.json["code"]) for each in others} <= {(409, "CW104")}, others
+    assert all(each.json["effect"] == "EFFECT_NONE" for each in others), others
+    operations = [result.json["operation_id"] for result in accepted]
+    by_controller = context.end["actor"].startswith("controller:")
+    assert operations == ([] if by_controller else [context.end["operation_id"]]), context.results
+
+
+@then("it is refused as {code} with a reason")
+def check_refusal(context, code):
+    assert (context.answer.status, context.answer.json["code"]) == (422, code), context.answer
+    assert context.answer.json["effect"] == "EFFECT_NONE", context.answer
+    assert re.search(r"needs at least [\d.]+ s and has [\d.]+ s", context.answer.json["sentence"])
+
+
+@then("the audit trail names no move")
+def check_no_move(context):
+    assert not [record for record in read_audit(context) if "move" in record["kind"].lower()]
+
+
+def is_end(record):
+    return record["kind"].lower().replace("_", "").replace("-", "") in ("endmove", "cancelmove")
+
+
+def read_move(context):
+    for name in context.names:
+        answer = context.fleet.operate(name, "GetMove", {"move_id": MOVE})
+        if answer.status == 200:
+            return answer.json
+    raise AssertionError(f"no node tells of the move: {answer}")
+
+
+def count_ends(context, name):
+    text = fetch(f"http://{context.fleet.hosts[name].file.admin}/metrics").body.decode()
+    lines = [line for line in text.splitlines() if line.startswith("corianderwall_moves_ended")]
+    return {re.search(r'outcome="(\w+)"', line)[1]: int(float(line.split()[-1])) for line in lines}
