Take a lost owner for no evidence against a version, and a cut answer for a failure

Change: an attempt whose owner went before it said anything is kept from the evidence; an answer that is not whole counts as a failure in evidence and balancer. Conclusion: an upstream's failure is told by its owner, so the death of the owner says nothing.

--- a/packages/bench/tests/test_fleet_measurements.py
+++ b/packages/bench/tests/test_fleet_measurements.py
@@ -28,6 +28,12 @@
  {"name": "platform_writes_per_change", "value": 2, "unit": "writes", "nodes": 90,
   "slope_per_node": 0, "command": "c", "seed": 1},
  {"name": "restart_reads_per_s", "value": 45, "unit": "reads/s", "nodes": 90, "slope_per_node": 0,
+  "command": "c", "seed": 1},
+ {"name": "move_report_bytes", "value": 100, "unit": "B", "nodes": 1, "slope_per_node": 0,
+  "command": "c", "seed": 1},
+ {"name": "move_report_us", "value": 50, "unit": "us", "nodes": 1, "slope_per_node": 0,
+  "command": "c", "seed": 1},
+ {"name": "move_judgement_ms", "value": 5, "unit": "ms", "nodes": 1, "slope_per_node": 0,
   "command": "c", "seed": 1}
 ]"""
 
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -225,7 +225,7 @@
             endpoint=endpoint.name,
             subscriber=self._head.subscriber,
             verdict=result.verdict,
-            status=result.status,
+            status=result.status if result.complete or result.refused else 0,
             latency_s=now - self._sent_at,
             refused=result.refused,
             outstanding=self._outstanding,
@@ -239,7 +239,8 @@
                 retry_after_s=read_retry_after(result.head),
                 is_handed_over=not is_direct and read_error_code(result.head) not in _GONE_CODES,
             )
-        self._context.moves.record(outcome)
+        if not _is_owner_lost(result, passage):
+            self._context.moves.record(outcome)
         self._context.metrics.count_attempt(outcome)
 
     def _read_load(self, endpoint: "Endpoint", head: "AnswerHead | None", now: float) -> None:
@@ -315,6 +316,16 @@
             self._attempt.cancel()
 
 
+def _is_owner_lost(result: AttemptResult, passage: "Passage | None") -> bool:
+    """Return whether the node beside the endpoint went, which says nothing about the version.
+
+    An owner that lives answers for an upstream that fails: with an error before the answer's head,
+    by cutting the answer after it.
+    """
+    is_handed_over = passage is not None and not passage.direct
+    return is_handed_over and result.head is None and result.error is ErrorCode.UPSTREAM_LOST
+
+
 class _BodyCollector:
     """Collects a short request body before the first attempt."""
 
