--- a/packages/app/src/corianderwall/app/scene.py
+++ b/packages/app/src/corianderwall/app/scene.py
@@ -8,7 +8,7 @@
 
 from corianderwall.links.keys import generate_key_ring
 from corianderwall.model.endpoint import Address
-from corianderwall.node.session import Node
+from corianderwall.node.process import Node
 from corianderwall.node.settings import parse_node_settings
 from corianderwall.standins.node_file import LOOPBACK, NodeFile, find_free_addresses
 from corianderwall.standins.operator_client import call_operator
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -8,6 +8,7 @@
 from corianderwall.model.verdict import Verdict
 from corianderwall.node.answerflow import AnswerFlow
 from corianderwall.node.answers import CallError, is_final, read_error_code, respond_error
+from corianderwall.node.bodycollector import BodyCollector
 from corianderwall.node.callhead import (
     CALL_ID_HEADER,
     DEADLINE_HEADER,
@@ -107,7 +108,7 @@
         self._body = self._call.take_body()
         length = self._call.body_length
         if self._body is None and length is not None and length <= REPLAY_BODY_BYTES:
-            self._call.read_body(_BodyCollector(self))
+            self._call.read_body(BodyCollector(self.take_whole_body))
         else:
             self._send()
 
@@ -326,27 +327,6 @@
     return is_handed_over and result.head is None and result.error is ErrorCode.UPSTREAM_LOST
 
 
-class _BodyCollector:
-    """Collects a short request body before the first attempt."""
-
-    __slots__ = ("_chunks", "_entry")
-
-    def __init__(self, entry: EntryCall) -> None:
-        self._entry = entry
-        self._chunks: list[bytes] = []
-
-    def write_body(self, data: bytes) -> None:
-        """Keep a part of the body."""
-        self._chunks.append(data)
-
-    def end_body(self) -> None:
-        """Hand over the whole body."""
-        self._entry.take_whole_body(b"".join(self._chunks))
-
-    def abort_body(self) -> None:
-        """Do nothing, as the caller has left and nothing was sent."""
-
-
 def read_retry_after(head: "AnswerHead | None") -> float:
     """Return the seconds that a refusal asks to wait, 0 if it names none."""
     value = head.find_header(RETRY_AFTER_HEADER) if head is not None else None
--- /dev/null
+++ b/packages/node/src/corianderwall/node/parts.py
@@ -0,0 +1,203 @@
+"""The parts of one node, built and joined; nothing here opens a socket."""
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from corianderwall.distribution.distributor import Distributor
+from corianderwall.httpflow.server import CallServer
+from corianderwall.links.codec import PeerCodec
+from corianderwall.links.peers import PeerLinks
+from corianderwall.membership.membership import Membership
+from corianderwall.model.errors import CorianderwallError
+from corianderwall.model.resource import EMPTY_SNAPSHOT
+from corianderwall.moves.agent import MoveAgent
+from corianderwall.node.backend import NodeBackend
+from corianderwall.node.callcontext import CallContext
+from corianderwall.node.control import MESSAGES, Control
+from corianderwall.node.desk import Desk
+from corianderwall.node.dispatcher import Dispatcher
+from corianderwall.node.logs import log_warning
+from corianderwall.node.metrics import CallMetrics, Metrics
+from corianderwall.node.moveview import AgentView
+from corianderwall.node.platformtask import PlatformTask
+from corianderwall.node.pools import Pools
+from corianderwall.node.report import NodeReport
+from corianderwall.node.seedboard import SeedBoard
+from corianderwall.node.serviceload import LoadSurvey
+from corianderwall.node.steering import MoveSteering
+from corianderwall.store.budget import PlatformRates
+from corianderwall.store.guard import GuardedObjectApi
+from corianderwall.store.head import HeadStore
+from corianderwall.store.http_api import HttpObjectApi
+from corianderwall.store.timer import ReactorTimer
+from corianderwall.traffic.balancer import Balancer
+from corianderwall.traffic.lease_holder import LeaseHolder
+from corianderwall.traffic.lease_issuer import LeaseIssuer
+from corianderwall.traffic.retries import RetryPolicy
+from corianderwall.traffic.shares import SubscriberShares
+
+if TYPE_CHECKING:
+    from corianderwall.model.endpoint import Address
+    from corianderwall.model.resource import Snapshot
+    from corianderwall.node.settings import NodeSettings
+    from corianderwall.store.commit import Committed
+
+
+class NodeParts:
+    """Builds the parts from the bottom up; callbacks close the circles between them."""
+
+    def __init__(self, settings: "NodeSettings", reactor: Any) -> None:
+        self.settings = settings
+        self.reactor = reactor
+        self.loop = asyncio.get_event_loop()
+        self.timer = ReactorTimer(reactor)
+        self.random = Random()
+        self.host = settings.build_host(int(self.timer.read_unix() * 1000))
+        self._build_decisions(self.timer.read_monotonic())
+        self._build_platform()
+        self._build_calls()
+        self._build_control()
+        self._build_operators()
+
+    def offer(self, snapshot: "Snapshot", asked_at: float | None) -> None:
+        """Take a head of the platform; `asked_at` is when a read of it was sent."""
+        now = self.timer.read_monotonic()
+        try:
+            self.control.send(self.distributor.offer(snapshot, now, asked_at=asked_at))
+        except CorianderwallError as error:
+            log_warning("refused the platform's head", code=error.code.value, why=error.sentence)
+        self.control.apply_events()
+
+    def deliver_committed(self, committed: "Committed") -> None:
+        """Begin to distribute what this node has written."""
+        self.offer(committed.head.snapshot, None)
+
+    def find_call_address(self, name: str) -> "Address | None":
+        """Return where the node of this name takes calls."""
+        host = self.membership.find_host(name)
+        return None if host is None else host.call_address
+
+    def _build_decisions(self, now: float) -> None:
+        host, session, zone = self.host, self.host.incarnation, self.host.locality.zone
+        self.membership = Membership(host, rng=self.random, now=now)
+        self.distributor = Distributor(self.membership, rng=self.random, now=now)
+        self.agent = MoveAgent(node=host.name, incarnation=session, rng=self.random)
+        self.moves = AgentView(self.agent)
+        self.issuer = LeaseIssuer(host.name, session, zone, now)
+        self.holder = LeaseHolder(host.name, session, zone)
+        self.balancer = Balancer(host.locality, self.random)
+
+    def _build_platform(self) -> None:
+        settings = self.settings.platform
+        self.http_api = HttpObjectApi(self.reactor, settings.url)
+        rates = PlatformRates(reads_per_s=settings.reads_per_s, writes_per_s=settings.writes_per_s)
+        self.api = GuardedObjectApi(self.http_api, self.timer, self.random, rates=rates)
+        self.store = HeadStore(self.api, self.timer, self.random)
+        self.platform = PlatformTask(
+            api=self.api,
+            store=self.store,
+            board=SeedBoard(self.api, self.random, self.host),
+            timer=self.timer,
+            random=self.random,
+            offer=self.offer,
+        )
+
+    def _build_calls(self) -> None:
+        limits = self.settings.calls
+        self.call_metrics = CallMetrics()
+        self.pools = Pools()
+        self.desk = Desk(
+            loop=self.loop,
+            clock=self.timer,
+            pools=self.pools,
+            issuer=self.issuer,
+            random=self.random,
+            shares=SubscriberShares(EMPTY_SNAPSHOT),
+            send=lambda outgoing: self.control.send([outgoing]),
+        )
+        self.context = CallContext(
+            node=self.host.name,
+            clock=self.timer,
+            random=self.random,
+            balancer=self.balancer,
+            leases=self.holder,
+            pools=self.pools,
+            desk=self.desk,
+            moves=self.moves,
+            metrics=self.call_metrics,
+            retries=RetryPolicy(self.random),
+            call_later=self.loop.call_later,
+            find_call_address=self.find_call_address,
+            max_attempts=limits.max_attempts,
+        )
+        self.dispatcher = Dispatcher(
+            self.context,
+            default_timeout_s=limits.default_timeout_ms / 1000,
+            max_running_calls=limits.max_running_calls,
+            count_running=lambda: self.server.running_calls,
+        )
+        self.server = CallServer(self.dispatcher)
+
+    def _build_control(self) -> None:
+        self.links = PeerLinks(
+            reactor=self.reactor,
+            clock=self.timer,
+            codec=PeerCodec(MESSAGES),
+            keys=self.settings.build_key_ring(),
+            name=self.host.name,
+            deliver=lambda peer, message: self.control.deliver(peer, message),
+        )
+        self.survey = LoadSurvey(
+            node=self.host.name,
+            reactor=self.reactor,
+            send=lambda messages: self.control.send(messages),
+        )
+        self.report = NodeReport(
+            metrics=Metrics(),
+            calls=self.call_metrics,
+            links=self.links,
+            membership=self.membership,
+            api=self.api,
+            server=self.server,
+        )
+        self.control = Control(
+            clock=self.timer,
+            links=self.links,
+            membership=self.membership,
+            distributor=self.distributor,
+            balancer=self.balancer,
+            holder=self.holder,
+            issuer=self.issuer,
+            desk=self.desk,
+            pools=self.pools,
+            agent=self.agent,
+            moves=self.moves,
+            dispatcher=self.dispatcher,
+            survey=self.survey,
+            want_head=self.platform.read_once,
+            on_version=self.report.note_version,
+        )
+
+    def _build_operators(self) -> None:
+        self.backend = NodeBackend(
+            store=self.store,
+            timer=self.timer,
+            membership=self.membership,
+            distributor=self.distributor,
+            control=self.control,
+            context=self.context,
+            dispatcher=self.dispatcher,
+            survey=self.survey,
+            deliver=self.deliver_committed,
+        )
+        self.steering = MoveSteering(
+            agent=self.agent,
+            api=self.api,
+            store=self.store,
+            timer=self.timer,
+            random=self.random,
+            node=self.host.name,
+            deliver=self.deliver_committed,
+            measure_service=self.backend.measure_service,
+        )
--- /dev/null
+++ b/packages/node/src/corianderwall/node/process.py
@@ -0,0 +1,143 @@
+"""One node as it runs: its sockets and tasks, from start to graceful shutdown."""
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from corianderwall.model.settings import parse_address
+from corianderwall.node.admin import AdminInterface, Health
+from corianderwall.node.control import SHARE_TICK_S, TICK_S
+from corianderwall.node.logs import log_info, log_warning
+from corianderwall.node.operators import OperatorApp, OperatorSite
+from corianderwall.node.parts import NodeParts
+from corianderwall.node.roles import ROLE_INTERVAL_S, RoleTask
+from corianderwall.node.seedboard import make_seed_host
+from corianderwall.node.settings import parse_seed
+from corianderwall.node.site import SiteRoot
+from corianderwall.node.upstreamtask import UpstreamTask
+from corianderwall.traffic.draining import NOTICE_S
+
+if TYPE_CHECKING:
+    from corianderwall.distribution.distributor import Distributor
+    from corianderwall.httpflow.server import DrainReport
+    from corianderwall.membership.membership import Membership
+    from corianderwall.model.endpoint import Address, Host
+    from corianderwall.node.settings import NodeSettings
+
+SEED_WAIT_S = 1.0
+"""How long the nodes named in the settings are awaited before the platform is asked for others."""
+
+
+class Node:
+    """Opens and closes what the parts need; `start`, then `drain`, then `stop`."""
+
+    def __init__(self, settings: "NodeSettings", reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._parts = parts = NodeParts(settings, reactor)
+        self._upstream = UpstreamTask(parts)
+        self._roles = RoleTask(parts)
+        self._ticker = LoopingCall(parts.control.tick)
+        self._share_ticker = LoopingCall(parts.control.tick_shares)
+        self._role_ticker = LoopingCall(self._tick_roles)
+        self._site_port: Any = None
+
+    @property
+    def host(self) -> "Host":
+        """This host as the others see it."""
+        return self._parts.host
+
+    @property
+    def membership(self) -> "Membership":
+        """The hosts and endpoints in view."""
+        return self._parts.membership
+
+    @property
+    def distributor(self) -> "Distributor":
+        """The configuration in force."""
+        return self._parts.distributor
+
+    def read_health(self) -> Health:
+        """Return whether this node serves calls, and why not."""
+        current = self.distributor.current
+        version = 0 if current is None else current.version
+        if current is None:
+            return Health(False, "no coherent configuration yet", version)
+        if self._parts.server.draining:
+            return Health(False, "draining", version)
+        return Health(True, "", version)
+
+    async def start(self) -> None:
+        """Open the sockets and begin to join the mesh."""
+        host = self._settings.host
+        self._parts.links.start(parse_address(host.peer_address))
+        call_address = parse_address(host.call_address)
+        await self._parts.server.listen(call_address.host, call_address.port)
+        self._listen_site(parse_address(host.admin_address))
+        self._ticker.start(TICK_S)
+        self._share_ticker.start(SHARE_TICK_S)
+        self._role_ticker.start(ROLE_INTERVAL_S, now=False)
+        Deferred.fromCoroutine(self._join())
+        log_info("started", call_address=str(call_address))
+
+    async def drain(self) -> "DrainReport":
+        """Leave the mesh: no new work after `NOTICE_S`, running calls end, nothing is cut."""
+        parts = self._parts
+        log_info("draining", running=parts.server.running_calls)
+        parts.control.send(parts.membership.drain(parts.timer.read_monotonic()))
+        report = await parts.server.drain(parts.loop.time() + NOTICE_S)
+        await parts.steering.stop()
+        return report
+
+    def cut(self) -> "DrainReport":
+        """Cut what still runs and say how much that was."""
+        report = self._parts.server.stop_now()
+        log_warning("cut running calls", ended=report.ended, cut=report.cut)
+        return report
+
+    async def stop(self) -> None:
+        """Leave the membership and close all sockets."""
+        parts = self._parts
+        parts.platform.stop()
+        parts.control.send(parts.membership.leave(parts.timer.read_monotonic()))
+        for ticker in (self._role_ticker, self._ticker, self._share_ticker):
+            if ticker.running:
+                ticker.stop()
+        parts.pools.close()
+        if self._site_port is not None:
+            await self._site_port.stopListening()
+        await parts.http_api.close()
+        parts.links.stop()
+
+    def _listen_site(self, address: "Address") -> None:
+        parts = self._parts
+        admin = AdminInterface(
+            registry=parts.report.metrics.registry,
+            read_health=self.read_health,
+            refresh_metrics=parts.report.refresh,
+            upstream=self._upstream,
+        )
+        tokens = self._settings.operators.tokens
+        operators = OperatorApp(parts.backend, tokens, parts.timer, parts.random)
+        root = SiteRoot(operators=operators.build_resource(), admin=admin.app.resource())
+        site = OperatorSite(root)
+        self._site_port = self._reactor.listenTCP(address.port, site, interface=address.host)
+
+    async def _join(self) -> None:
+        parts = self._parts
+        seeds = [parse_seed(text) for text in self._settings.mesh.seeds]
+        hosts = tuple(make_seed_host(seed.name, seed.address) for seed in seeds)
+        if hosts:
+            parts.control.send(parts.membership.join(hosts, parts.timer.read_monotonic()))
+            await parts.timer.sleep(SEED_WAIT_S)
+        if not parts.membership.has_joined:
+            hosts = (*hosts, *await parts.platform.find_seeds())
+            parts.control.send(parts.membership.join(hosts, parts.timer.read_monotonic()))
+        # A node that is alone may take up its roles now.
+        self._tick_roles()
+
+    def _tick_roles(self) -> None:
+        self._upstream.tick()
+        self._parts.links.close_idle()
+        self._roles.tick()
--- /dev/null
+++ b/packages/node/src/corianderwall/node/report.py
@@ -0,0 +1,71 @@
+"""What a node tells of itself: metrics, and the ends of moves in the log."""
+
+from typing import TYPE_CHECKING
+
+from corianderwall.model.resource import Move, MoveState
+from corianderwall.node.logs import log_info
+
+if TYPE_CHECKING:
+    from corianderwall.httpflow.server import CallServer
+    from corianderwall.links.peers import PeerLinks
+    from corianderwall.membership.membership import Membership
+    from corianderwall.model.resource import Snapshot
+    from corianderwall.node.metrics import CallMetrics, Metrics
+    from corianderwall.store.guard import GuardedObjectApi
+
+PLATFORM_KINDS = ("reads", "watches", "lists", "writes", "deletes", "failures", "throttled")
+
+
+class NodeReport:
+    """Fills the metrics from the parts' own counters when they are scraped."""
+
+    def __init__(
+        self,
+        *,
+        metrics: "Metrics",
+        calls: "CallMetrics",
+        links: "PeerLinks",
+        membership: "Membership",
+        api: "GuardedObjectApi",
+        server: "CallServer",
+    ) -> None:
+        self.metrics = metrics
+        self._calls = calls
+        self._links = links
+        self._membership = membership
+        self._api = api
+        self._server = server
+        self._move_states: dict[str, MoveState] = {}
+
+    def note_version(self, snapshot: "Snapshot") -> None:
+        """Take note of the version in force, and of the moves that have ended in it."""
+        self.metrics.version.set({}, snapshot.version)
+        for move in snapshot.moves:
+            self._note_move(move)
+
+    def refresh(self) -> None:
+        """Bring the metrics up to date."""
+        metrics = self.metrics
+        self._calls.export(metrics)
+        counters = self._links.counters
+        metrics.link_bytes.set({"direction": "sent"}, counters.sent_bytes)
+        metrics.link_bytes.set({"direction": "received"}, counters.received_bytes)
+        metrics.link_messages.set({"fate": "sent"}, counters.sent_messages)
+        metrics.link_messages.set({"fate": "received"}, counters.received_messages)
+        metrics.link_messages.set({"fate": "dropped"}, counters.dropped_messages)
+        metrics.link_messages.set({"fate": "malformed"}, counters.malformed_messages)
+        metrics.hosts.set({"state": "in_view"}, len(self._membership.list_hosts()))
+        metrics.hosts.set({"state": "live"}, len(self._membership.list_live_hosts()))
+        metrics.running_calls.set({}, self._server.running_calls)
+        for kind in PLATFORM_KINDS:
+            metrics.platform_calls.set({"kind": kind}, getattr(self._api.counts, kind))
+
+    def _note_move(self, move: Move) -> None:
+        labels = {"service": move.service, "move": move.id}
+        self.metrics.move_share.set(labels, move.share_permille)
+        known = self._move_states.get(move.id, move.state)
+        self._move_states[move.id] = move.state
+        if known is MoveState.RUNNING and move.state is not MoveState.RUNNING:
+            outcome = {"service": move.service, "outcome": move.state.value}
+            self.metrics.moves_ended.inc(outcome)
+            log_info("a move has ended", move=move.id, outcome=move.state.value, cause=move.cause)
--- /dev/null
+++ b/packages/node/src/corianderwall/node/roles.py
@@ -0,0 +1,73 @@
+"""The roles that this node works out for itself, and the work that they need."""
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred
+
+from corianderwall.distribution.placement import WATCHERS_PER_REGION
+from corianderwall.model.resource import MoveState
+from corianderwall.moves.reporting import AGGREGATORS_PER_MOVE
+
+if TYPE_CHECKING:
+    from corianderwall.model.endpoint import Host
+    from corianderwall.model.resource import Snapshot
+    from corianderwall.node.parts import NodeParts
+
+ROLE_INTERVAL_S = 1.0
+"""Time between two looks at the roles that this node holds."""
+
+
+class RoleTask:
+    """Takes up and lays down the watch of the platform and the steering of moves."""
+
+    def __init__(self, parts: "NodeParts") -> None:
+        self._parts = parts
+        self._is_steering = False
+
+    def tick(self) -> None:
+        """Follow the membership; to be called every `ROLE_INTERVAL_S`."""
+        parts = self._parts
+        is_watcher = parts.distributor.is_watcher and parts.membership.has_joined
+        parts.platform.set_watching(is_watcher)
+        self._share_platform(is_watcher=is_watcher)
+        if is_watcher:
+            parts.platform.refresh_seeds(parts.membership.list_live_hosts, self._join)
+            parts.platform.sweep()
+        self._retain_pools()
+        snapshot = parts.distributor.current
+        if snapshot is not None and not self._is_steering:
+            self._is_steering = True
+            Deferred.fromCoroutine(self._steer(snapshot))
+
+    def _share_platform(self, *, is_watcher: bool) -> None:
+        """Take this node's share of the platform's rate, by roles that every node can count."""
+        parts = self._parts
+        hosts = parts.membership.list_hosts()
+        snapshot = parts.distributor.current
+        moves = snapshot.moves if snapshot is not None else ()
+        running = [move.id for move in moves if move.state is MoveState.RUNNING]
+        regions = {host.locality.region for host in hosts}
+        watchers = WATCHERS_PER_REGION * max(1, len(regions))
+        parts.api.set_fleet(
+            nodes=len(hosts),
+            holders=watchers + AGGREGATORS_PER_MOVE * len(running),
+            is_holder=is_watcher or any(map(parts.agent.is_aggregator, running)),
+        )
+
+    async def _steer(self, snapshot: "Snapshot") -> None:
+        parts = self._parts
+        try:
+            if not parts.membership.is_doubting(parts.timer.read_monotonic()):
+                await parts.steering.steer(snapshot)
+        finally:
+            self._is_steering = False
+
+    def _join(self, host: "Host") -> None:
+        now = self._parts.timer.read_monotonic()
+        self._parts.control.send(self._parts.membership.join([host], now))
+
+    def _retain_pools(self) -> None:
+        membership = self._parts.membership
+        addresses = {endpoint.address for endpoint in membership.list_endpoints()}
+        addresses.update(host.call_address for host in membership.list_hosts())
+        self._parts.pools.retain(addresses)
--- /dev/null
+++ b/packages/node/src/corianderwall/node/upstreamtask.py
@@ -0,0 +1,72 @@
+"""Keeps the mesh informed about the upstream beside this node."""
+
+from typing import TYPE_CHECKING
+
+from corianderwall.model.endpoint import EndpointState
+from corianderwall.node.logs import log_info, log_warning
+from corianderwall.node.upstream import LocalUpstream
+from corianderwall.traffic.draining import NOTICE_S
+
+if TYPE_CHECKING:
+    from corianderwall.model.endpoint import Endpoint
+    from corianderwall.node.admin import Announcement
+    from corianderwall.node.parts import NodeParts
+
+
+class UpstreamTask:
+    """Takes the upstream's announcements and passes changes on to the desk and the membership."""
+
+    def __init__(self, parts: "NodeParts") -> None:
+        self._parts = parts
+        self._upstream = LocalUpstream(parts.host)
+
+    def announce_upstream(self, announcement: "Announcement") -> None:
+        """Note that the upstream is there, or that it drains."""
+        timer = self._parts.timer
+        endpoint = self._upstream.announce(
+            announcement, now=timer.read_monotonic(), unix_ms=int(timer.read_unix() * 1000)
+        )
+        if endpoint is not None:
+            self._publish(endpoint)
+
+    def withdraw_upstream(self) -> None:
+        """Note that the upstream leaves."""
+        unix_ms = int(self._parts.timer.read_unix() * 1000)
+        endpoint = self._upstream.drain(unix_ms=unix_ms)
+        if endpoint is not None:
+            self._publish(endpoint)
+
+    def tick(self) -> None:
+        """Notice an upstream that went without a word; remind the holders of a drain."""
+        if self._is_draining():
+            self._parts.desk.announce_drain()
+        now = self._parts.timer.read_monotonic()
+        lost = self._upstream.find_lost(now)
+        if lost is None:
+            return
+        self._parts.desk.clear_endpoint()
+        self._parts.control.send(self._parts.membership.withdraw(lost.name, now))
+        self._parts.control.apply_events()
+        log_warning("the upstream stopped to announce itself", endpoint=lost.name)
+
+    def _publish(self, endpoint: "Endpoint") -> None:
+        parts = self._parts
+        now = parts.timer.read_monotonic()
+        parts.desk.set_endpoint(endpoint, now)
+        if self._is_draining():
+            parts.desk.announce_drain()
+            parts.loop.call_later(NOTICE_S, self._refuse_work)
+        parts.control.send(parts.membership.announce(endpoint, now))
+        parts.control.apply_events()
+        log_info("announced the upstream", endpoint=endpoint.name, state=endpoint.state.value)
+
+    def _refuse_work(self) -> None:
+        """Refuse what still comes when every node must have heard of the drain."""
+        if self._is_draining():
+            now = self._parts.timer.read_monotonic()
+            timeout_s = self._parts.settings.calls.drain_timeout_s
+            self._parts.desk.begin_drain(now, now + timeout_s)
+
+    def _is_draining(self) -> bool:
+        endpoint = self._upstream.endpoint
+        return endpoint is not None and endpoint.state is EndpointState.DRAINING
