--- a/packages/node/src/corianderwall/node/desk.py
+++ b/packages/node/src/corianderwall/node/desk.py
@@ -60,6 +60,7 @@
         self._drain = EndpointDrain()
         self.load = LoadMeter(clock.read_monotonic())
         self._offered = False
+        self.is_saturated = False
         self._waiting: dict[int, DeskAttempt] = {}
         self._expiry: asyncio.TimerHandle | None = None
 
@@ -78,6 +79,11 @@
         """Whether calls were offered since the last `tick`, or still run or wait."""
         return self._offered or self.running > 0
 
+    @property
+    def admission(self) -> Admission | None:
+        """The queue and the limits of the endpoint, None without one."""
+        return self._admission
+
     @property
     def running(self) -> int:
         """The calls that run or wait at the endpoint through this desk."""
@@ -197,6 +203,7 @@
         if self._admission is None or self._endpoint is None:
             return
         pressure = self._admission.assess(now)
+        self.is_saturated = pressure.saturated
         notices = self._issuer.set_pressure(
             self._endpoint.name,
             saturated=pressure.saturated,
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -242,7 +242,7 @@
             )
         if not _is_owner_lost(result, passage):
             self._context.moves.record(outcome)
-        self._context.metrics.count_attempt(outcome)
+        self._context.metrics.count_attempt(outcome, _name_way(passage))
 
     def _read_load(self, endpoint: "Endpoint", head: "AnswerHead | None", now: float) -> None:
         value = head.find_header(LOAD_HEADER) if head is not None else None
@@ -265,6 +265,7 @@
             is_final=is_final(result.head),
         )
         decision = self._context.retries.decide(failed, now)
+        self._context.metrics.count_retry(failed.service, decision.reason.value)
         if decision.is_retried:
             self._context.call_later(max(0.0, decision.start_at - now), self._send)
         return decision.is_retried
@@ -317,6 +318,12 @@
             self._attempt.cancel()
 
 
+def _name_way(passage: "Passage | None") -> str:
+    if passage is None:
+        return "local"
+    return "direct" if passage.direct else "owner"
+
+
 def _is_owner_lost(result: AttemptResult, passage: "Passage | None") -> bool:
     """Return whether the node beside the endpoint went, which says nothing about the version.
 
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -20,7 +20,22 @@
         self.registry = Registry()
         self.calls = self._add_counter("calls", "Calls answered, by service, version and status.")
         self.attempts = self._add_counter(
-            "attempts", "Attempts at endpoints, by service and verdict."
+            "attempts", "Attempts at endpoints, by service, verdict and way."
+        )
+        self.retries = self._add_counter(
+            "retries", "Failed attempts, by service and what was decided about a retry."
+        )
+        self.endpoint_limit = self._add_gauge(
+            "endpoint_limit", "Calls that may run at the endpoint beside this node."
+        )
+        self.endpoint_calls = self._add_gauge(
+            "endpoint_calls", "Calls at that endpoint through this node, by state."
+        )
+        self.endpoint_saturated = self._add_gauge(
+            "endpoint_saturated", "1 while all calls to that endpoint come through this node."
+        )
+        self.leases_charged = self._add_gauge(
+            "leases_charged", "Calls that other nodes may run at that endpoint directly."
         )
         self.refusals = self._add_counter("refusals", "Calls refused by this node, by error code.")
         self.calls_within = self._add_counter(
@@ -63,7 +78,8 @@
     def __init__(self) -> None:
         self.running = 0
         self._calls: dict[tuple[str, str, int], int] = {}
-        self._attempts: dict[tuple[str, str], int] = {}
+        self._attempts: dict[tuple[str, str, str], int] = {}
+        self._retries: dict[tuple[str, str], int] = {}
         self._refusals: dict[str, int] = {}
         self._latency: dict[str, _ServiceLatency] = {}
 
@@ -77,11 +93,17 @@
         latency.buckets[bisect_left(LATENCY_BUCKETS_S, latency_s)] += 1
         latency.sum_s += latency_s
 
-    def count_attempt(self, outcome: "AttemptOutcome") -> None:
-        """Count one attempt at an endpoint."""
-        key = (outcome.service, "refused" if outcome.refused else outcome.verdict.value)
+    def count_attempt(self, outcome: "AttemptOutcome", way: str) -> None:
+        """Count one attempt at an endpoint; `way` is local, direct or owner."""
+        verdict = "refused" if outcome.refused else outcome.verdict.value
+        key = (outcome.service, verdict, way)
         self._attempts[key] = self._attempts.get(key, 0) + 1
 
+    def count_retry(self, service: str, reason: str) -> None:
+        """Count what was decided about a retry of a failed attempt."""
+        key = (service, reason)
+        self._retries[key] = self._retries.get(key, 0) + 1
+
     def count_refusal(self, code: "ErrorCode") -> None:
         """Count a call that this node answered with an error."""
         self._refusals[code.value] = self._refusals.get(code.value, 0) + 1
@@ -91,8 +113,11 @@
         for (service, version, status), count in self._calls.items():
             labels = {"service": service, "version": version, "status": str(status)}
             metrics.calls.set(labels, count)
-        for (service, verdict), count in self._attempts.items():
-            metrics.attempts.set({"service": service, "verdict": verdict}, count)
+        for (service, verdict, way), count in self._attempts.items():
+            labels = {"service": service, "verdict": verdict, "way": way}
+            metrics.attempts.set(labels, count)
+        for (service, reason), count in self._retries.items():
+            metrics.retries.set({"service": service, "decision": reason}, count)
         for code, count in self._refusals.items():
             metrics.refusals.set({"code": code}, count)
         for service, latency in self._latency.items():
--- a/packages/node/src/corianderwall/node/parts.py
+++ b/packages/node/src/corianderwall/node/parts.py
@@ -160,6 +160,7 @@
             membership=self.membership,
             api=self.api,
             server=self.server,
+            desk=self.desk,
         )
         self.control = Control(
             clock=self.timer,
--- a/packages/node/src/corianderwall/node/report.py
+++ b/packages/node/src/corianderwall/node/report.py
@@ -10,6 +10,7 @@
     from corianderwall.links.peers import PeerLinks
     from corianderwall.membership.membership import Membership
     from corianderwall.model.resource import Snapshot
+    from corianderwall.node.desk import Desk
     from corianderwall.node.metrics import CallMetrics, Metrics
     from corianderwall.store.guard import GuardedObjectApi
 
@@ -28,6 +29,7 @@
         membership: "Membership",
         api: "GuardedObjectApi",
         server: "CallServer",
+        desk: "Desk",
     ) -> None:
         self.metrics = metrics
         self._calls = calls
@@ -35,6 +37,7 @@
         self._membership = membership
         self._api = api
         self._server = server
+        self._desk = desk
         self._move_states: dict[str, MoveState] = {}
 
     def note_version(self, snapshot: "Snapshot") -> None:
@@ -59,6 +62,15 @@
         metrics.running_calls.set({}, self._server.running_calls)
         for kind in PLATFORM_KINDS:
             metrics.platform_calls.set({"kind": kind}, getattr(self._api.counts, kind))
+        self._refresh_endpoint()
+
+    def _refresh_endpoint(self) -> None:
+        metrics, admission = self.metrics, self._desk.admission
+        metrics.leases_charged.set({}, self._desk.count_charge())
+        metrics.endpoint_saturated.set({}, int(self._desk.is_saturated))
+        metrics.endpoint_limit.set({}, admission.limit if admission else 0)
+        metrics.endpoint_calls.set({"state": "running"}, admission.running if admission else 0)
+        metrics.endpoint_calls.set({"state": "waiting"}, admission.waiting if admission else 0)
 
     def _note_move(self, move: Move) -> None:
         labels = {"service": move.service, "move": move.id}
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -19,7 +19,7 @@
 from corianderwall.node.callcontext import CallContext
 from corianderwall.node.desk import Desk
 from corianderwall.node.dispatcher import Dispatcher
-from corianderwall.node.metrics import CallMetrics
+from corianderwall.node.metrics import CallMetrics, Metrics
 from corianderwall.node.pools import Pools
 from corianderwall.standins.upstream import UpstreamStandin
 from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
@@ -68,6 +68,7 @@
         self.addresses: dict[str, Address] = {}
         clock, random, pools = SystemClock(), Random(1), Pools()
         self.moves = NoMoves()
+        self.metrics = CallMetrics()
         self.balancer = Balancer(HERE, random)
         self.desk = Desk(
             loop=asyncio.get_event_loop(),
@@ -87,7 +88,7 @@
             pools=pools,
             desk=self.desk,
             moves=self.moves,
-            metrics=CallMetrics(),
+            metrics=self.metrics,
             retries=RetryPolicy(random),
             call_later=asyncio.get_event_loop().call_later,
             find_call_address=self.addresses.get,
@@ -209,6 +210,12 @@
     await response.content()
     assert response.code == 502
     assert owner.upstream.executions[b"again"] == 3
+    metrics = Metrics()
+    entry.metrics.export(metrics)
+    labels = {"service": "placements", "decision": "retried"}
+    assert metrics.retries.get(labels) == 2
+    attempts = {"service": "placements", "verdict": "may_have_run", "way": "owner"}
+    assert metrics.attempts.get(attempts) == 3
 
 
 @pytest_twisted.ensureDeferred
