--- a/packages/node/src/corianderwall/node/session.py
+++ b/packages/node/src/corianderwall/node/session.py
@@ -12,6 +12,7 @@
 from corianderwall.node.process import Node
 
 if TYPE_CHECKING:
+    from corianderwall.httpflow.server import DrainReport
     from corianderwall.node.settings import NodeSettings
 
 EXIT_CANNOT_START = 1
@@ -49,11 +50,14 @@
 
     def _drain(self) -> None:
         drained = Deferred.fromCoroutine(self.node.drain())
-        drained.addBoth(self._finish_drain)
+        drained.addCallbacks(self._note_drain, self._note_failed_drain)
+        drained.addBoth(lambda _: self._cycle.finish_drain())
 
-    def _finish_drain(self, report: Any) -> None:
-        log_info("drained", report=str(report))
-        self._cycle.finish_drain()
+    def _note_drain(self, report: "DrainReport") -> None:
+        log_info("drained", ended=report.ended, cut=report.cut)
+
+    def _note_failed_drain(self, failure: Any) -> None:
+        log_error("the drain failed", why=failure.getErrorMessage())
 
     def _cut(self) -> None:
         self.node.cut()
