--- a/packages/bench/src/corianderwall/bench/added_latency_trial.py
+++ b/packages/bench/src/corianderwall/bench/added_latency_trial.py
@@ -17,7 +17,7 @@
 from corianderwall.model.endpoint import Address
 
 RATE = 254.0
-"""Calls a second of one endpoint at the size of letter 1: 150,000 over 590."""
+"""Calls a second of one endpoint at the stated size: 150,000 over 590."""
 
 SETTLING_RATE = 20.0
 """Calls a second while the entry node waits for its leases."""
