Install the reactor by one function in all programs

Cause: node, bench and both stand-ins' commands each set up uvloop and the reactor themselves; one header constant was used nowhere. Change: httpflow.reactor.install_reactor, which all of them call; the constant is gone. No behaviour changes. Conclusion: the loop is chosen in one place.

--- a/packages/app/src/corianderwall/app/command.py
+++ b/packages/app/src/corianderwall/app/command.py
@@ -3,7 +3,7 @@
 import click
 from absl import logging
 
-from corianderwall.node.main import install_reactor
+from corianderwall.httpflow.reactor import install_reactor
 
 
 @click.command()
--- a/packages/bench/src/corianderwall/bench/running.py
+++ b/packages/bench/src/corianderwall/bench/running.py
@@ -4,10 +4,11 @@
 import sys
 from typing import TYPE_CHECKING, Any, TypeVar
 
-import uvloop
 from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 
+from corianderwall.httpflow.reactor import install_reactor as install_new_reactor
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
@@ -22,10 +23,7 @@
     To be called before anything imports the reactor, as `treq` and `klein` do.
     """
     if "twisted.internet.reactor" not in sys.modules:
-        loop = uvloop.new_event_loop()
-        asyncio.set_event_loop(loop)
-        install: Any = asyncioreactor.install
-        install(loop)
+        install_new_reactor()
     from twisted.internet import reactor
 
     if not isinstance(reactor, asyncioreactor.AsyncioSelectorReactor):
--- a/packages/node/src/corianderwall/node/callhead.py
+++ b/packages/node/src/corianderwall/node/callhead.py
@@ -12,7 +12,6 @@
 
 DEADLINE_HEADER = b"x-deadline-unix-ms"
 CALL_ID_HEADER = b"x-call-id"
-SUBSCRIBER_HEADER = b"x-subscriber"
 ROUTE_HEADER = b"x-route"
 HOP_HEADER = b"x-hop"
 HOP_OWNER = b"owner"
--- a/packages/node/src/corianderwall/node/main.py
+++ b/packages/node/src/corianderwall/node/main.py
@@ -1,12 +1,10 @@
 """The command that runs a node until it is told to stop."""
 
-import asyncio
 import sys
 
 import click
-import uvloop
-from twisted.internet import asyncioreactor
 
+from corianderwall.httpflow.reactor import install_reactor
 from corianderwall.links.keys import generate_key_ring
 from corianderwall.model.settings import SettingsError
 from corianderwall.node.settings import NodeSettings, load_node_settings
@@ -14,13 +12,6 @@
 EXIT_INVALID_SETTINGS = 2
 
 
-def install_reactor() -> None:
-    """Install Twisted's asyncio reactor on an uvloop loop; nothing may have imported another."""
-    loop = uvloop.new_event_loop()
-    asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
-
-
 @click.command()
 @click.argument("settings", type=click.Path(dir_okay=False))
 def node(settings: str) -> None:
--- a/packages/standins/src/corianderwall/standins/upstream_command.py
+++ b/packages/standins/src/corianderwall/standins/upstream_command.py
@@ -1,16 +1,14 @@
 """The command that runs an upstream stand-in as a process."""
 
-import asyncio
 import signal
 import sys
 from typing import Any
 
 import click
 import msgspec
-import uvloop
-from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 
+from corianderwall.httpflow.reactor import install_reactor
 from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
 
 QUIET_S = 3.0
@@ -37,10 +35,7 @@
     if work_ms:
         chosen.work_ms = work_ms
     settings = UpstreamSettings(switches=chosen, **options)
-    loop = uvloop.new_event_loop()
-    asyncio.set_event_loop(loop)
-    install: Any = asyncioreactor.install
-    install(loop)
+    install_reactor()
     _run(settings, with_path=with_path)
 
 
