--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -0,0 +1,121 @@
+"""Decides which calls run at the endpoint beside this node, which wait and which are refused."""
+
+import enum
+from dataclasses import dataclass, field
+
+MEAN_WEIGHT = 0.15
+"""Weight of the newest call in the mean time of a route; follows a change within ten calls."""
+SHORTEST_CALL_S = 0.001
+"""Taken for the time of a call of a route that has not been seen yet."""
+RESIDUAL_PART = 0.3
+"""Least part of its mean time that a running call is taken to need still."""
+
+
+class Admission(enum.Enum):
+    """What becomes of a call that is offered."""
+
+    START = "start"
+    WAIT = "wait"
+    FULL = "full"
+    LATE = "late"
+
+
+@dataclass(eq=False, slots=True)
+class Ticket:
+    """One call at the owner; instants are monotonic seconds, a lower `rank` starts first."""
+
+    route: str
+    rank: int
+    deadline: float
+    order: int = 0
+    started: float = 0.0
+
+
+@dataclass(slots=True)
+class AdmissionQueue:
+    """A queue by rank and deadline in front of `slots` slots."""
+
+    slots: int
+    running: set[Ticket] = field(default_factory=set)
+    waiting: list[Ticket] = field(default_factory=list)
+    means_s: dict[str, float] = field(default_factory=dict)
+    mean_s: float = 0.0
+    _orders: int = 0
+
+    def offer(self, ticket: Ticket, now: float, *, may_wait: bool) -> Admission:
+        """Take a call or refuse it; one that is started or waits is in the queue's charge."""
+        if now + self.estimate_call(ticket.route) > ticket.deadline:
+            return Admission.LATE
+        if len(self.running) < self.slots and not self.waiting:
+            self._start(ticket, now)
+            return Admission.START
+        if not may_wait:
+            return Admission.FULL
+        wait_s = self.estimate_wait(now, ticket.rank)
+        if now + wait_s + self.estimate_call(ticket.route) > ticket.deadline:
+            return Admission.LATE
+        self._orders += 1
+        ticket.order = self._orders
+        self.waiting.append(ticket)
+        self.waiting.sort(key=_read_order)
+        return Admission.WAIT
+
+    def finish(self, ticket: Ticket, now: float, *, ran: bool) -> None:
+        """Free the slot of a started call; only one that ran tells about the time of calls."""
+        self.running.discard(ticket)
+        if not ran:
+            return
+        took_s = now - ticket.started
+        kept = self.means_s.get(ticket.route)
+        self.means_s[ticket.route] = took_s if kept is None else _blend(kept, took_s)
+        self.mean_s = took_s if not self.mean_s else _blend(self.mean_s, took_s)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a waiting call out."""
+        if ticket in self.waiting:
+            self.waiting.remove(ticket)
+
+    def advance(self, now: float) -> tuple[list[Ticket], list[Ticket]]:
+        """Start what has room; return the started calls and those that can't end in time."""
+        started: list[Ticket] = []
+        late = [t for t in self.waiting if now + self.estimate_call(t.route) > t.deadline]
+        for ticket in late:
+            self.waiting.remove(ticket)
+        while self.waiting and len(self.running) < self.slots:
+            ticket = self.waiting.pop(0)
+            self._start(ticket, now)
+            started.append(ticket)
+        return started, late
+
+    def clear_waiting(self) -> list[Ticket]:
+        """Take all waiting calls out and return them."""
+        waiting, self.waiting = self.waiting, []
+        return waiting
+
+    def estimate_call(self, route: str) -> float:
+        """Return the expected time of a call of `route` at the endpoint, in seconds."""
+        return self.means_s.get(route) or self.mean_s or SHORTEST_CALL_S
+
+    def estimate_wait(self, now: float, rank: int) -> float:
+        """Return after how many seconds a new call of `rank` would start."""
+        if len(self.running) < self.slots and not self.waiting:
+            return 0.0
+        ahead = sum(self.estimate_call(t.route) for t in self.waiting if t.rank <= rank)
+        residual = sum(self._estimate_residual(ticket, now) for ticket in self.running)
+        return (ahead + residual) / max(1, self.slots)
+
+    def _estimate_residual(self, ticket: Ticket, now: float) -> float:
+        mean_s = self.estimate_call(ticket.route)
+        return max(mean_s - (now - ticket.started), mean_s * RESIDUAL_PART)
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        ticket.started = now
+        self.running.add(ticket)
+
+
+def _blend(kept: float, newest: float) -> float:
+    return kept + MEAN_WEIGHT * (newest - kept)
+
+
+def _read_order(ticket: Ticket) -> tuple[int, float, int]:
+    return ticket.rank, ticket.deadline, ticket.order
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/conductor.py
@@ -0,0 +1,198 @@
+"""Watches the orders to move services, gathers evidence, and writes how each move ends."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from corianderwall.mesh.configuration import ConfigurationSync
+from corianderwall.mesh.directory import Directory
+from corianderwall.mesh.gate import EndpointGate
+from corianderwall.mesh.messages import Evidence, MoveNotice, MoveOrder, MoveView
+from corianderwall.mesh.moves import Move, MoveBoard, find_badness, may_complete
+from corianderwall.mesh.peerlink import PeerLink
+from corianderwall.mesh.ranks import find_fleet_lead
+from corianderwall.mesh.source import ConflictError, HistoryLostError, Source, SourceError
+from corianderwall.model.resource import MoveState
+from corianderwall.node.logs import log_info, log_warning
+
+WATCH_S = 10.0
+"""Longest wait of a watch for orders; several nodes watch, so a silenced one is made good."""
+PAUSE_S = 0.5
+"""Pause between two watches and after a failed call."""
+TICK_S = 0.3
+"""Interval of evidence and of judgement; a small part of the time to take a version back."""
+SHIFT_S = 1.3
+"""Time between the last call to an old version and its end, enough for nearly all calls."""
+NOTICE_KIND = "moves"
+
+
+class Conductor:
+    """One of these runs in each node; only the node that leads the fleet writes."""
+
+    def __init__(
+        self,
+        board: MoveBoard,
+        source: Source,
+        directory: Directory,
+        link: PeerLink,
+        sync: ConfigurationSync,
+        gate: EndpointGate,
+        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+    ) -> None:
+        self._board = board
+        self._source = source
+        self._directory = directory
+        self._link = link
+        self._sync = sync
+        self._gate = gate
+        self._spawn = spawn
+        self._loop = asyncio.get_running_loop()
+        self._shift_until: dict[tuple[str, int], float] = {}
+        self._writing: set[str] = set()
+
+    async def watch(self) -> None:
+        """Follow the orders at the platform while this node leads its zone."""
+        revision: int | None = None
+        while True:
+            if not self._sync.leads_zone:
+                revision = None
+                await asyncio.sleep(PAUSE_S)
+                continue
+            try:
+                if revision is None:
+                    reading = await self._source.read_orders()
+                else:
+                    reading = await self._source.watch_orders(revision, WATCH_S)
+                revision = reading.revision
+                self._take_orders(reading.items)
+            except HistoryLostError:
+                log_info("the history of the orders is gone; reading them again")
+                revision = None
+            except SourceError as error:
+                log_warning("the orders can't be watched", reason=error.reason)
+            await asyncio.sleep(PAUSE_S)
+
+    async def run(self) -> None:
+        """Send evidence, and judge while this node leads the fleet."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            evidence = self._make_evidence()
+            lead = find_fleet_lead(self._directory, self._sync.source_ok)
+            if lead == self._directory.own.name:
+                if evidence is not None:
+                    self._board.take_evidence(evidence)
+                for move in list(self._board.moves.values()):
+                    self._judge(move)
+            elif evidence is not None and lead in self._directory.peers:
+                notice = MoveNotice(sender=self._directory.own, evidence=evidence)
+                node = self._directory.peers[lead].record
+                self._spawn(self._tell(node.name, notice))
+
+    async def take_notice(self, body: bytes) -> bytes | None:
+        """Take a peer's views or evidence."""
+        notice = msgspec.msgpack.decode(body, type=MoveNotice)
+        now = self._loop.time()
+        news = [view for view in notice.views if self._board.take_view(view, now)]
+        for view in news:
+            self._log_view(view, notice.sender.name)
+        if notice.evidence is not None:
+            self._board.take_evidence(notice.evidence)
+        return b"ok"
+
+    def _take_orders(self, orders: tuple[MoveOrder, ...]) -> None:
+        now = self._loop.time()
+        news = False
+        for order in orders:
+            view = MoveView(order=order, age_s=0.0)
+            if self._board.take_view(view, now):
+                self._log_view(view, "platform")
+                news = True
+        if news:
+            self._tell_all()
+
+    def _make_evidence(self) -> Evidence | None:
+        record = self._gate.record
+        if record is None:
+            return None
+        return self._board.make_evidence(record.service, record.version, record.node)
+
+    def _judge(self, move: Move) -> None:
+        if not move.is_running:
+            return
+        finding = find_badness(move)
+        key = (move.order.service, move.order.created)
+        now = self._loop.time()
+        if finding is not None and not move.cut:
+            move.cut = True
+            log_warning(
+                "a version is bad", service=move.order.service, version_ordered=move.order.version,
+                route=finding.route, cause=finding.cause, calls=finding.calls,
+                failures=finding.failures, mean_ms=finding.mean_ms,
+                old_mean_ms=finding.old_mean_ms,
+            )
+            self._tell_all()
+        if move.cut:
+            self._write(move, MoveState.TAKEN_BACK)
+        elif move.shifting:
+            if now >= self._shift_until.setdefault(key, now + SHIFT_S):
+                self._write(move, MoveState.COMPLETED)
+        elif may_complete(move, now):
+            log_info("the old version gets no more calls", service=move.order.service)
+            move.shifting = True
+            self._shift_until[key] = now + SHIFT_S
+            self._tell_all()
+        elif move.order.state is None:
+            self._write(move, MoveState.RUNNING)
+
+    def _write(self, move: Move, state: MoveState) -> None:
+        service = move.order.service
+        if service not in self._writing:
+            self._writing.add(service)
+            self._spawn(self._write_state(move, state))
+
+    async def _write_state(self, move: Move, state: MoveState) -> None:
+        service = move.order.service
+        try:
+            written = await self._source.write_order_state(move.order, state)
+        except ConflictError:
+            log_info("the order has changed meanwhile", service=service)
+            await self._read_again()
+        except SourceError as error:
+            log_warning("the state of a move was not written", service=service,
+                        state=state.value, reason=error.reason)
+            await asyncio.sleep(TICK_S)
+        else:
+            log_info("the state of a move was written", service=service, state=state.value)
+            self._take_orders((written,))
+        finally:
+            self._writing.discard(service)
+
+    async def _read_again(self) -> None:
+        try:
+            reading = await self._source.read_orders()
+        except SourceError as error:
+            log_warning("the orders can't be read", reason=error.reason)
+            return
+        self._take_orders(reading.items)
+
+    def _tell_all(self) -> None:
+        views = self._board.list_views(self._loop.time())
+        notice = MoveNotice(sender=self._directory.own, views=views)
+        for peer in list(self._directory.list_live()):
+            self._spawn(self._tell(peer.record.name, notice))
+
+    async def _tell(self, name: str, notice: MoveNotice) -> None:
+        peer = self._directory.peers.get(name)
+        if peer is not None:
+            await self._link.post(peer.record, NOTICE_KIND, msgspec.msgpack.encode(notice))
+
+    def _log_view(self, view: MoveView, origin: str) -> None:
+        order = view.order
+        log_info(
+            "order to move", service=order.service, version_ordered=order.version,
+            state=order.state.value if order.state is not None else "none",
+            cut=view.cut, shifting=view.shifting, age_s=view.age_s, origin=origin,
+            revision=order.revision,
+        )
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -0,0 +1,210 @@
+"""The configuration in force, and how it reaches this node and goes on to others."""
+
+import asyncio
+import zlib
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from corianderwall.mesh.directory import Directory, Peer
+from corianderwall.mesh.messages import NodeRecord
+from corianderwall.mesh.peerlink import PeerLink
+from corianderwall.mesh.ranks import find_zone_leads
+from corianderwall.mesh.routes import RouteTable
+from corianderwall.mesh.source import HistoryLostError, Source, SourceError
+from corianderwall.model.delta import Delta, apply_delta, compute_delta
+from corianderwall.model.errors import CorianderwallError
+from corianderwall.model.resource import EMPTY_SNAPSHOT, Snapshot
+from corianderwall.node.logs import log_info, log_warning
+
+HISTORY = 16
+"""Former snapshots that are kept to send a peer a delta instead of the whole."""
+WATCH_S = 5.0
+"""Longest wait of a watch; a watch that a cut has silenced is found out after this time."""
+WATCH_PAUSE_S = 0.25
+"""Least time between two watches, so that versions in quick succession cost one call."""
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 2.0
+"""First and longest pause after a failed call to the platform."""
+IDLE_S = 0.25
+"""Interval in which a node that does not watch looks whether it should."""
+
+PUSH_KIND = "config"
+PULL_KIND = "config-pull"
+
+
+class ConfigPush(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A configuration for a peer; `base_version` 0 stands for a whole snapshot.
+
+    `body` is the deflated JSON of a `Delta` or a `Snapshot`.
+    """
+
+    sender: NodeRecord
+    base_version: int
+    version: int
+    body: bytes
+
+
+class ConfigurationHolder:
+    """Holds the newest snapshot; it is swapped in whole and never for an older one."""
+
+    def __init__(self) -> None:
+        self.snapshot: Snapshot = EMPTY_SNAPSHOT
+        self.table: RouteTable | None = None
+        self.former: dict[int, Snapshot] = {}
+        self.listeners: list[Callable[[Snapshot], None]] = []
+
+    def apply(self, snapshot: Snapshot, origin: str) -> bool:
+        """Put `snapshot` in force if it is newer; return whether it was."""
+        former = self.snapshot
+        if self.table is not None and snapshot.version <= former.version:
+            return False
+        table = RouteTable.compile(snapshot)
+        if self.table is not None:
+            self.former[former.version] = former
+            while len(self.former) > HISTORY:
+                del self.former[min(self.former)]
+        self.snapshot, self.table = snapshot, table
+        log_info(
+            "configuration in force", version_former=former.version,
+            config_version=snapshot.version, origin=origin, routes=len(snapshot.routes),
+        )
+        for listener in self.listeners:
+            listener(snapshot)
+        return True
+
+
+class ConfigurationSync:
+    """Watches the platform where this node leads its zone, and spreads what is new."""
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        source: Source,
+        directory: Directory,
+        link: PeerLink,
+        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+    ) -> None:
+        self.source_ok = True
+        self._holder = holder
+        self._source = source
+        self._directory = directory
+        self._link = link
+        self._spawn = spawn
+        self._sending: set[str] = set()
+
+    @property
+    def leads_zone(self) -> bool:
+        """Return whether this node watches the platform for its zone."""
+        leads = find_zone_leads(self._directory, self.source_ok)
+        return leads.get(self._directory.own.zone) == self._directory.own.name
+
+    async def run(self) -> None:
+        """Read the configuration once, then watch it whenever this node leads its zone."""
+        revision: int | None = None
+        pause_s = RETRY_MIN_S
+        while True:
+            if self._holder.table is not None and not self.leads_zone:
+                revision = None
+                await asyncio.sleep(IDLE_S)
+                continue
+            try:
+                revision = await self._follow(revision)
+                pause_s = RETRY_MIN_S
+                self._set_source_ok(True, "")
+                await asyncio.sleep(WATCH_PAUSE_S)
+            except HistoryLostError:
+                log_info("the history of the configuration is gone; reading it again")
+                revision = None
+            except SourceError as error:
+                self._set_source_ok(False, error.reason)
+                await asyncio.sleep(pause_s)
+                pause_s = min(RETRY_MAX_S, pause_s * 2)
+
+    async def take_push(self, body: bytes) -> bytes | None:
+        """Take a configuration from a peer; None asks for the whole one."""
+        push = msgspec.msgpack.decode(body, type=ConfigPush)
+        holder = self._holder
+        if push.version <= holder.snapshot.version:
+            return str(holder.snapshot.version).encode()
+        raw = zlib.decompress(push.body)
+        if push.base_version:
+            if push.base_version != holder.snapshot.version:
+                return None
+            delta = msgspec.json.decode(raw, type=Delta)
+            try:
+                snapshot = apply_delta(holder.snapshot, delta)
+            except CorianderwallError as error:
+                log_warning("a delta does not fit", error=str(error), sender=push.sender.name)
+                return None
+        else:
+            snapshot = msgspec.json.decode(raw, type=Snapshot)
+        if holder.apply(snapshot, push.sender.name):
+            self._spread(push.sender.zone)
+        return str(holder.snapshot.version).encode()
+
+    def send_to(self, peer: Peer) -> None:
+        """Bring `peer` to the version of this node, unless that is under way."""
+        if peer.record.name not in self._sending and self._holder.table is not None:
+            self._spawn(self._send_to(peer))
+
+    async def _follow(self, revision: int | None) -> int:
+        if revision is None:
+            reading = await self._source.read_config()
+        else:
+            reading = await self._source.watch_config(revision, WATCH_S)
+        for snapshot in reading.items:
+            if self._holder.apply(snapshot, "platform"):
+                self._spread(None)
+        return reading.revision
+
+    def _spread(self, from_zone: str | None) -> None:
+        """Send the configuration on: to the own zone, and to the other leads if it came here."""
+        own = self._directory.own
+        if from_zone == own.zone:
+            return
+        leads = set(find_zone_leads(self._directory, self.source_ok).values())
+        for peer in list(self._directory.list_live()):
+            same_zone = peer.record.zone == own.zone
+            if same_zone or (from_zone is None and peer.record.name in leads):
+                self.send_to(peer)
+
+    async def _send_to(self, peer: Peer) -> None:
+        self._sending.add(peer.record.name)
+        try:
+            whole = False
+            while peer.config_version < self._holder.snapshot.version:
+                push = self._make_push(0 if whole else peer.config_version)
+                reply = await self._link.post(
+                    peer.record, PUSH_KIND, msgspec.msgpack.encode(push)
+                )
+                if reply:
+                    peer.config_version = int(reply)
+                    whole = False
+                elif whole or push.base_version == 0:
+                    return
+                else:
+                    whole = True
+        finally:
+            self._sending.discard(peer.record.name)
+
+    def _make_push(self, known: int) -> ConfigPush:
+        snapshot = self._holder.snapshot
+        base = self._holder.former.get(known)
+        message = compute_delta(base, snapshot) if base is not None else snapshot
+        body = zlib.compress(msgspec.json.encode(message))
+        return ConfigPush(
+            sender=self._directory.own,
+            base_version=known if base is not None else 0,
+            version=snapshot.version,
+            body=body,
+        )
+
+    def _set_source_ok(self, ok: bool, reason: str) -> None:
+        if ok is not self.source_ok:
+            self.source_ok = ok
+            if ok:
+                log_info("the platform answers again")
+            else:
+                log_warning("the platform does not answer", reason=reason)
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -0,0 +1,207 @@
+"""What this node knows of the other nodes and of all endpoints."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+from corianderwall.mesh.messages import (
+    Beat,
+    EndpointRecord,
+    EndpointState,
+    Load,
+    NodeRecord,
+    Tables,
+)
+
+SUSPECT_MIN_S = 0.4
+"""First pause before a node that did not answer is tried again; a few times the usual answer."""
+SUSPECT_MAX_S = 3.0
+"""Longest such pause; the time within which a returned node has to get calls again."""
+FORGET_S = 60.0
+"""A record of an endpoint that is gone is kept this long, beyond any late message."""
+
+
+@dataclass(slots=True)
+class Peer:
+    """A node with what this node has experienced of it; instants are monotonic seconds."""
+
+    record: NodeRecord
+    failures: int = 0
+    retry_at: float = 0.0
+    heard_at: float = 0.0
+    config_version: int = 0
+    source_ok: bool = True
+
+
+@dataclass(slots=True)
+class EndpointView:
+    """An endpoint with its load; `pending` counts this node's own calls there."""
+
+    record: EndpointRecord
+    load: Load
+    load_at: float = 0.0
+    pending: int = 0
+    rest_until: float = 0.0
+    joined_at: float = 0.0
+    failures: float = 0.0
+
+
+class Directory:
+    """Merges records by their own order, so that messages may be lost, doubled or late."""
+
+    def __init__(self, own: NodeRecord) -> None:
+        self.own = own
+        self.peers: dict[str, Peer] = {}
+        self.endpoints: dict[str, EndpointView] = {}
+        self._by_service: dict[str, list[EndpointView]] = {}
+        self._gone_at: dict[str, float] = {}
+        self._digest = ""
+
+    def merge_node(self, record: NodeRecord, now: float) -> bool:
+        """Take a record of a node; return whether it was new."""
+        if record.name == self.own.name:
+            return False
+        peer = self.peers.get(record.name)
+        if peer is None:
+            self.peers[record.name] = Peer(record, heard_at=now)
+            return True
+        if not record.supersedes(peer.record):
+            return False
+        if record.incarnation != peer.record.incarnation:
+            peer.failures = 0
+            peer.retry_at = 0.0
+            peer.config_version = 0
+        peer.record = record
+        return True
+
+    def merge_endpoint(self, record: EndpointRecord, now: float) -> bool:
+        """Take a record of an endpoint; return whether it was new."""
+        view = self.endpoints.get(record.id)
+        if view is not None and not record.supersedes(view.record):
+            return False
+        if view is None:
+            load = Load(slots=record.slots)
+            self.endpoints[record.id] = EndpointView(record, load, joined_at=now)
+        elif view.record.born_unix_ms != record.born_unix_ms:
+            pending = view.pending
+            load = Load(slots=record.slots)
+            self.endpoints[record.id] = EndpointView(
+                record, load, pending=pending, joined_at=now
+            )
+        else:
+            view.record = record
+        if record.state is EndpointState.GONE:
+            self._gone_at[record.id] = now
+        self._reindex()
+        return True
+
+    def merge(self, tables: Tables, now: float) -> bool:
+        """Take all records of `tables`; return whether any was new."""
+        changed = self.merge_node(tables.sender, now)
+        for node in tables.nodes:
+            changed |= self.merge_node(node, now)
+        for endpoint in tables.endpoints:
+            changed |= self.merge_endpoint(endpoint, now)
+        return changed
+
+    def make_tables(self) -> Tables:
+        """Return all that this node knows."""
+        nodes = tuple(peer.record for peer in self.peers.values())
+        endpoints = tuple(view.record for view in self.endpoints.values())
+        return Tables(sender=self.own, nodes=nodes, endpoints=endpoints)
+
+    def take_beat(self, beat: Beat, now: float) -> None:
+        """Take what a peer says of itself."""
+        self.merge_node(beat.node, now)
+        peer = self.peers.get(beat.node.name)
+        if peer is None:
+            return
+        peer.heard_at = now
+        peer.config_version = beat.config_version
+        peer.source_ok = beat.source_ok
+        self.note_answer(beat.node.name, now)
+        if beat.load is not None:
+            self.note_load(beat.endpoint, beat.load, now)
+
+    def note_load(self, endpoint: str, load: Load, now: float) -> None:
+        """Take the load that an owner has told."""
+        view = self.endpoints.get(endpoint)
+        if view is not None:
+            view.load = load
+            view.load_at = now
+
+    def note_answer(self, node: str, now: float) -> None:
+        """Take note that `node` answers."""
+        peer = self.peers.get(node)
+        if peer is not None:
+            peer.failures = 0
+            peer.retry_at = 0.0
+            peer.heard_at = now
+
+    def note_silence(self, node: str, now: float) -> None:
+        """Avoid `node` for a pause that doubles with each failure in a row."""
+        peer = self.peers.get(node)
+        if peer is None or (peer.failures and now < peer.retry_at - SUSPECT_MIN_S):
+            return
+        peer.failures += 1
+        peer.retry_at = now + min(SUSPECT_MAX_S, SUSPECT_MIN_S * 2 ** (peer.failures - 1))
+
+    def list_ready(self, service: str) -> list[EndpointView]:
+        """Return the endpoints of `service` that may be given calls."""
+        return [view for view in self._by_service.get(service, ()) if self._is_usable(view)]
+
+    def list_live(self) -> Iterator[Peer]:
+        """Return the peers that neither leave nor are avoided."""
+        for peer in self.peers.values():
+            if not peer.record.leaving and peer.failures == 0:
+                yield peer
+
+    def list_doubted(self, now: float) -> list[Peer]:
+        """Return the peers that were silent and may be tried again."""
+        return [p for p in self.peers.values() if p.failures and now >= p.retry_at]
+
+    def count_nodes(self) -> int:
+        """Return how many nodes are known, this one included."""
+        return 1 + sum(not peer.record.leaving for peer in self.peers.values())
+
+    def compute_digest(self) -> str:
+        """Return a digest of all endpoint records, equal where the same records are known."""
+        if not self._digest:
+            lines = sorted(
+                f"{r.id}:{r.born_unix_ms}:{r.state}:{r.revision}"
+                for r in (view.record for view in self.endpoints.values())
+            )
+            self._digest = xxhash.xxh3_64_hexdigest("\n".join(lines).encode())
+        return self._digest
+
+    def forget_old(self, now: float) -> None:
+        """Drop endpoints that have been gone for long."""
+        for name, since in list(self._gone_at.items()):
+            if now - since > FORGET_S:
+                del self._gone_at[name]
+                view = self.endpoints.get(name)
+                if view is not None and view.record.state is EndpointState.GONE:
+                    del self.endpoints[name]
+                    self._reindex()
+
+    def _is_usable(self, view: EndpointView) -> bool:
+        node = view.record.node
+        if node == self.own.name:
+            return not self.own.leaving
+        peer = self.peers.get(node)
+        # Only a beat proves that a node which was silent answers again: no call is spent on it.
+        return peer is not None and not peer.record.leaving and peer.failures == 0
+
+    def _reindex(self) -> None:
+        self._digest = ""
+        self._by_service = {}
+        for view in self.endpoints.values():
+            if view.record.state is EndpointState.READY:
+                self._by_service.setdefault(view.record.service, []).append(view)
+
+
+def select_fresh(records: Iterable[EndpointRecord], node: str) -> list[EndpointRecord]:
+    """Return the records of endpoints beside `node`, the newest start first."""
+    own = [record for record in records if record.node == node]
+    return sorted(own, key=lambda record: record.born_unix_ms, reverse=True)
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -0,0 +1,307 @@
+"""Takes the calls of this host's callers and finds an owner for each."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from corianderwall.httpflow.call import IncomingCall
+from corianderwall.mesh.body import BodyReader
+from corianderwall.mesh.configuration import ConfigurationHolder
+from corianderwall.mesh.directory import Directory, EndpointView
+from corianderwall.mesh.messages import AnswerNote, CallNote, Refusal
+from corianderwall.mesh.moves import MoveBoard
+from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerAnswer
+from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
+from corianderwall.mesh.refusals import UNREADY_S, compute_retry_after, encode_seconds
+from corianderwall.mesh.retrybudget import RetryBudget
+from corianderwall.mesh.selection import CallShape, choose_endpoint
+from corianderwall.mesh.settings import HeaderNames, HostSettings
+from corianderwall.mesh.splits import WeightedSplit
+from corianderwall.model.resource import Route
+from corianderwall.node.logs import LogBudget, log_info
+from corianderwall.node.metrics import CallMetrics
+
+MAX_PROBES = 4
+"""Owners that are asked for a free slot before the call waits at one of them."""
+MAX_QUEUE_TRIES = 3
+"""Owners at which a call tries to wait."""
+BIG_ANSWER_BYTES = 16_384
+"""Mean size from which the answers of a route count as big."""
+SIZE_WEIGHT = 0.2
+"""Weight of the newest answer in the mean size of a route's answers."""
+REST_S = 0.3
+"""Time for which an endpoint that shed or lost a call is given others' calls last."""
+CALL_LINES_PER_S = 300
+"""Log lines of calls in a second; about five times the calls of a host."""
+SERVER_ERROR = 500
+
+
+@dataclass(slots=True)
+class _CallState:
+    """One call on its way; instants are monotonic seconds."""
+
+    route: Route
+    service: str
+    request: ForwardedRequest
+    deadline: float
+    began: float
+    nested: bool
+    tried: set[str] = field(default_factory=set)
+    reached: int = 0
+    refused_wait_ms: list[float] = field(default_factory=list)
+    trail: list[str] = field(default_factory=list)
+    failure: OwnerAnswer | None = None
+
+
+class Entry:
+    """Handles the calls of callers; at most one owner holds a call at any time."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        headers: HeaderNames,
+        directory: Directory,
+        configuration: ConfigurationHolder,
+        link: PeerLink,
+        own: Owner,
+        moves: MoveBoard,
+        metrics: CallMetrics,
+        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._headers = headers
+        self._directory = directory
+        self._configuration = configuration
+        self._link = link
+        self._own = own
+        self._moves = moves
+        self._metrics = metrics
+        self._spawn = spawn
+        self._random = random
+        self._loop = asyncio.get_running_loop()
+        self._splits = WeightedSplit(random)
+        bounds = settings.bounds
+        self._budget = RetryBudget(
+            ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
+        )
+        self._lines = LogBudget(CALL_LINES_PER_S)
+        self._sizes: dict[str, float] = {}
+        self.latest_end = float("inf")
+        """Monotonic second at which this node ends; no call is given more time."""
+
+    def handle(self, call: IncomingCall) -> None:
+        """Start to work on `call`."""
+        task = self._spawn(self._answer(call))
+        call.on_hang_up = task.cancel
+
+    async def _answer(self, call: IncomingCall) -> None:
+        began = self._loop.time()
+        request_id = call.find_header(self._headers.request_id) or b""
+        table = self._configuration.table
+        if table is None:
+            self._refuse_early(call, request_id, 503, "no configuration")
+            return
+        target = call.target.decode("latin-1")
+        route = table.match(call.host.decode("latin-1"), target)
+        if route is None:
+            self._refuse_early(call, request_id, 404, "no route")
+            return
+        limit = self._configuration.snapshot.limits.max_body_bytes
+        body = await BodyReader(call, limit).read()
+        if body is None:
+            self._refuse_early(call, request_id, 413, "the body is too large")
+            return
+        peer_host = call.connection.peer_host if call.connection is not None else ""
+        left_s = min(self._read_left_s(call), route.timeout_ms / 1000)
+        deadline = min(began + left_s, self.latest_end)
+        state = _CallState(
+            route=route,
+            service=self._splits.pick(route),
+            request=ForwardedRequest(
+                request_id, call.method, call.target, self._strip(call), body
+            ),
+            deadline=deadline,
+            began=began,
+            nested=peer_host == self._settings.endpoint.host,
+        )
+        self._budget.count_request(state.service, began)
+        self._metrics.running += 1
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await self._find_answer(state)
+        except TimeoutError:
+            self._finish(call, state, 504, "deadline")
+            return
+        except asyncio.CancelledError:
+            self._log(state, 0, "caller left")
+            raise
+        finally:
+            self._metrics.running -= 1
+        self._deliver(call, state, answer)
+
+    # The way to an answer.
+
+    async def _find_answer(self, state: _CallState) -> OwnerAnswer | None:
+        """Return the answer, or None if the call was refused everywhere."""
+        for may_wait, tries in ((False, MAX_PROBES), (True, MAX_QUEUE_TRIES)):
+            if may_wait:
+                state.tried = {
+                    name for name in state.tried if name in self._list_reached(state)
+                }
+            for _ in range(tries):
+                view = self._choose(state)
+                if view is None:
+                    break
+                told = await self._ask(state, view, may_wait=may_wait)
+                if self._is_final(state, told):
+                    return told
+        return state.failure
+
+    def _list_reached(self, state: _CallState) -> set[str]:
+        return {line.partition(" ")[0] for line in state.trail if not line.endswith(" full")}
+
+    def _choose(self, state: _CallState) -> EndpointView | None:
+        now = self._loop.time()
+        views = self._directory.list_ready(state.service)
+        views = self._moves.narrow(state.service, views)
+        shape = CallShape(
+            zone=self._settings.zone,
+            objective_ms=state.route.objective_ms,
+            big=self._sizes.get(state.route.name, 0.0) > BIG_ANSWER_BYTES,
+        )
+        return choose_endpoint(views, shape, state.tried, now, self._random)
+
+    async def _ask(self, state: _CallState, view: EndpointView, *, may_wait: bool) -> OwnerAnswer:
+        record = view.record
+        state.tried.add(record.id)
+        route = state.route
+        note = CallNote(
+            endpoint=record.id,
+            left_ms=round((state.deadline - self._loop.time()) * 1000, 1),
+            priority=route.priority,
+            caller=self._settings.service,
+            nested=state.nested,
+            may_wait=may_wait,
+            idempotent=bool(route.idempotent),
+            route=route.name,
+        )
+        owner: Owner = self._own
+        if record.node != self._settings.name:
+            owner = RemoteOwner(self._link, self._directory.peers[record.node].record)
+        view.pending += 1
+        try:
+            told = await owner.serve(note, state.request)
+        finally:
+            view.pending -= 1
+        self._learn(state, view, told.note)
+        return told
+
+    def _learn(self, state: _CallState, view: EndpointView, note: AnswerNote) -> None:
+        now = self._loop.time()
+        if note.load.slots:
+            self._directory.note_load(view.record.id, note.load, now)
+        outcome = note.refusal.value if note.refusal is not None else "ran" if note.ran else "lost"
+        state.trail.append(f"{view.record.id} {outcome}")
+        if note.refusal in (Refusal.FULL, Refusal.LATE):
+            state.refused_wait_ms.append(note.wait_ms)
+        else:
+            state.reached += note.reached
+        if note.ran is None or note.refusal in (Refusal.SHED, Refusal.DOWN, Refusal.UNKNOWN):
+            view.rest_until = now + REST_S
+
+    def _is_final(self, state: _CallState, told: OwnerAnswer) -> bool:
+        """Return whether `told` ends the call; otherwise another owner may be asked."""
+        note = told.note
+        if note.ran is False:
+            if note.refusal is not Refusal.SHED:
+                return False
+            return not self._may_repeat(state)
+        answer = told.answer
+        if answer is not None and answer.status < SERVER_ERROR:
+            return True
+        state.failure = told
+        return not (state.route.idempotent and self._may_repeat(state))
+
+    def _may_repeat(self, state: _CallState) -> bool:
+        if state.reached >= state.route.max_attempts:
+            return False
+        nodes = self._directory.count_nodes()
+        return self._budget.take(state.service, self._loop.time(), nodes)
+
+    # The way back.
+
+    def _deliver(self, call: IncomingCall, state: _CallState, told: OwnerAnswer | None) -> None:
+        if told is None or told.note.ran is False:
+            waits = state.refused_wait_ms
+            self._finish(call, state, 503, "refused", min(waits) / 1000 if waits else UNREADY_S)
+        elif told.answer is None:
+            self._finish(call, state, 502, "answer lost")
+        else:
+            answer = told.answer
+            self._note_size(state.route.name, len(answer.body))
+            call.respond(answer.status, answer.headers, answer.body)
+            self._log(state, answer.status, "answered")
+
+    def _finish(
+        self, call: IncomingCall, state: _CallState, status: int, cause: str, wait_s: float = 0.0
+    ) -> None:
+        headers = [(self._headers.request_id, state.request.request_id)]
+        if status == 503:
+            after_s = compute_retry_after(wait_s, self._random)
+            headers.append((self._headers.retry_after, encode_seconds(after_s)))
+        call.respond(status, headers)
+        self._log(state, status, cause)
+
+    def _refuse_early(
+        self, call: IncomingCall, request_id: bytes, status: int, cause: str
+    ) -> None:
+        headers = [(self._headers.request_id, request_id)]
+        if status == 503:
+            after_s = compute_retry_after(UNREADY_S, self._random)
+            headers.append((self._headers.retry_after, encode_seconds(after_s)))
+        if call.is_open:
+            call.respond(status, headers)
+        log_info(
+            "call ended", request=request_id.decode("latin-1"), status=status, cause=cause,
+            host=call.host.decode("latin-1"), target=call.target.decode("latin-1"),
+            config_version=self._configuration.snapshot.version,
+        )
+
+    def _note_size(self, route: str, size: int) -> None:
+        kept = self._sizes.get(route, float(size))
+        self._sizes[route] = kept + SIZE_WEIGHT * (size - kept)
+
+    def _log(self, state: _CallState, status: int, cause: str) -> None:
+        now = self._loop.time()
+        took_s = now - state.began
+        self._metrics.count_call(state.service, "", status, took_s)
+        if not self._lines.take(now):
+            return
+        log_info(
+            "call ended",
+            request=state.request.request_id.decode("latin-1"),
+            status=status,
+            cause=cause,
+            route=state.route.name,
+            service=state.service,
+            nested=state.nested,
+            trail=state.trail,
+            took_ms=round(took_s * 1000, 1),
+            left_ms=round((state.deadline - now) * 1000, 1),
+            config_version=self._configuration.snapshot.version,
+        )
+
+    def _read_left_s(self, call: IncomingCall) -> float:
+        raw = call.find_header(self._headers.deadline_ms)
+        try:
+            return int(raw) / 1000 if raw is not None else float("inf")
+        except ValueError:
+            return float("inf")
+
+    def _strip(self, call: IncomingCall) -> list[tuple[bytes, bytes]]:
+        names = self._headers
+        own = {names.deadline_ms, names.expected_instance, names.caller}
+        return [header for header in strip_own_headers(call.headers) if header[0] not in own]
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -0,0 +1,87 @@
+"""One request and its whole answer on a pooled connection, as a coroutine."""
+
+import asyncio
+from dataclasses import dataclass
+
+from corianderwall.httpflow.attempt import AnswerHead, Attempt, AttemptResult, OutgoingCall
+from corianderwall.httpflow.flow import Headers
+from corianderwall.httpflow.pool import UpstreamPool
+from corianderwall.model.errors import ErrorCode
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Return the first value of the header `name` (lower case)."""
+        for header in self.headers:
+            if header[0] == name:
+                return header[1]
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """What became of a request; `answer` is None unless all of it came.
+
+    `handed_over` is set once a byte of the request may have left this process.
+    """
+
+    answer: Answer | None
+    handed_over: bool
+    error: ErrorCode | None = None
+
+
+class _Collector:
+    """Collects the answer; one that echoes another request's id is treated as lost."""
+
+    def __init__(self, echo: tuple[bytes, bytes] | None) -> None:
+        loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[AttemptResult] = loop.create_future()
+        self.body: list[bytes] = []
+        self.foreign = False
+        self.attempt: Attempt | None = None
+        self._echo = echo
+
+    def receive_head(self, head: AnswerHead) -> None:
+        if self._echo is None:
+            return
+        name, expected = self._echo
+        found = head.find_header(name)
+        self.foreign = found is not None and found != expected
+        if self.foreign and self.attempt is not None:
+            self.attempt.fail(ErrorCode.UPSTREAM_LOST)
+
+    def receive_body(self, data: bytes) -> None:
+        self.body.append(data)
+
+    def finish(self, result: AttemptResult) -> None:
+        if not self.done.done():
+            self.done.set_result(result)
+
+
+async def run_exchange(
+    pool: UpstreamPool, call: OutgoingCall, echo: tuple[bytes, bytes] | None = None
+) -> Exchange:
+    """Send `call` and return its outcome; cancelling closes the connection at once.
+
+    `echo` is a header whose value the answer has to repeat.
+    """
+    collector = _Collector(echo)
+    attempt = pool.send(call, collector)
+    collector.attempt = attempt
+    try:
+        result = await collector.done
+    except asyncio.CancelledError:
+        attempt.cancel()
+        raise
+    head = result.head
+    if collector.foreign or not result.complete or head is None:
+        handed_over = attempt.handed_over
+        return Exchange(None, handed_over, result.error or ErrorCode.UPSTREAM_LOST)
+    return Exchange(Answer(head.status, head.headers, b"".join(collector.body)), True)
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -0,0 +1,392 @@
+"""The endpoint beside this node: its state, the calls that run there, and those that wait."""
+
+import asyncio
+import math
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from corianderwall.httpflow.attempt import OutgoingCall
+from corianderwall.httpflow.limits import ClientLimits
+from corianderwall.httpflow.pool import UpstreamPool
+from corianderwall.mesh.admission import Admission, AdmissionQueue, Ticket
+from corianderwall.mesh.exchange import Exchange, run_exchange
+from corianderwall.mesh.messages import (
+    AnswerNote,
+    CallNote,
+    EndpointRecord,
+    EndpointState,
+    Load,
+    Refusal,
+)
+from corianderwall.mesh.owner import ForwardedRequest, OwnerAnswer
+from corianderwall.mesh.settings import HeaderNames, HostSettings
+from corianderwall.model.endpoint import Address
+from corianderwall.node.logs import log_info, log_warning
+
+SILENT_BEATS = 3.5
+"""Announcements in a row that may be missing before an endpoint without answers is down."""
+MISDIRECTED = 421
+SERVER_ERROR = 500
+FAILURE_WEIGHT = 0.1
+"""Weight of the newest call in the share of failures; follows a change within ten calls."""
+SEQUENCE_STEP = 1000
+"""Changes of a record that fit between two announcements of its endpoint."""
+DEFAULT_CONNECTIONS = 64
+"""Connections to the endpoint when the configuration names no limit; above any slot count."""
+KEPT_IDLE_S = 8.0
+"""Idle time after which a connection is not used again; endpoints close theirs soon after."""
+KEPT_UNSAFE_IDLE_S = 2.0
+"""The same for a call that may not be repeated, which a reset would lose."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Announcement:
+    """What an endpoint says of itself; `warm_after_s` is how much longer it stays slow."""
+
+    id: str
+    service: str
+    version: str
+    zone: str
+    address: Address
+    slots: int
+    draining: bool
+    warm_after_s: float
+    born_unix_ms: int
+    sequence: int
+
+
+class EndpointGate:
+    """Owns the queue and the connections of one endpoint address.
+
+    `on_change` is called with each new record of the endpoint, so that the peers hear of it.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        headers: HeaderNames,
+        on_change: Callable[[EndpointRecord], None],
+        on_result: Callable[[str, str, bool, float], None],
+    ) -> None:
+        self.record: EndpointRecord | None = None
+        self.queue = AdmissionQueue(0)
+        self.closing = False
+        self._settings = settings
+        self._headers = headers
+        self._on_change = on_change
+        self._on_result = on_result
+        self._loop = asyncio.get_running_loop()
+        self._pool = self._make_pool()
+        self._futures: dict[Ticket, asyncio.Future[Refusal | None]] = {}
+        self._sequence = 0
+        self._heard_at = -math.inf
+        self._failures = 0.0
+
+    # What the endpoint says.
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Take an announcement; return whether it is acknowledged."""
+        if announcement.address != self._settings.endpoint:
+            log_warning("an announcement names another address", endpoint=announcement.id)
+            return False
+        record = self.record
+        if record is not None and announcement.born_unix_ms < record.born_unix_ms:
+            log_info("an announcement of an earlier start is ignored", endpoint=announcement.id)
+            return True
+        if record is None or self._is_new_start(record, announcement):
+            self._start_record(announcement)
+            return True
+        self._heard_at = self._loop.time()
+        if announcement.sequence <= self._sequence:
+            return True
+        self._sequence = announcement.sequence
+        if announcement.draining:
+            self._set_state(EndpointState.DRAINING, "announced")
+        elif record.state is EndpointState.DOWN:
+            self._set_state(EndpointState.READY, "announced again")
+        return True
+
+    def leave(self, endpoint: str, born_unix_ms: int | None) -> None:
+        """Take a notice that `endpoint` leaves; without a record it names nothing to stop."""
+        record = self.record
+        if record is None or record.id != endpoint:
+            log_info("an unknown endpoint leaves", endpoint=endpoint)
+            return
+        if born_unix_ms is not None and born_unix_ms < record.born_unix_ms:
+            log_info("an earlier start of the endpoint leaves", endpoint=endpoint)
+            return
+        self._set_state(EndpointState.GONE, "left")
+
+    def adopt(self, record: EndpointRecord) -> None:
+        """Take over the record of an endpoint that an earlier process here has known."""
+        if self.record is None:
+            self.record = record
+            self.queue.slots = record.slots
+            self._sequence = record.revision // SEQUENCE_STEP
+            self._heard_at = self._loop.time()
+            self._set_state(EndpointState.READY, "found by its health path", force=True)
+
+    def limit_connections(self, limit: int) -> None:
+        """Bound the connections to the endpoint."""
+        self._pool.max_connections = limit or DEFAULT_CONNECTIONS
+
+    def check_silence(self) -> None:
+        """Take an endpoint that says nothing and answers nothing for down."""
+        record = self.record
+        silent_s = self._settings.bounds.heartbeat_s * SILENT_BEATS
+        if record is None or record.state is not EndpointState.READY:
+            return
+        if self._loop.time() - self._heard_at > silent_s:
+            self._set_state(EndpointState.DOWN, "silent")
+
+    # What entries ask.
+
+    def read_load(self) -> Load:
+        """Return how busy the endpoint is."""
+        queue = self.queue
+        return Load(
+            running=len(queue.running),
+            waiting=len(queue.waiting),
+            slots=queue.slots,
+            service_ms=round(queue.mean_s * 1000, 1),
+            failures=round(self._failures, 3),
+        )
+
+    async def serve(self, note: CallNote, request: ForwardedRequest) -> OwnerAnswer:
+        """Run a call at the endpoint, or refuse it before it is sent."""
+        deadline = self._loop.time() + note.left_ms / 1000
+        refusal = self._find_refusal(note.endpoint)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        rank = 0 if note.nested else 1 + note.priority
+        ticket = Ticket(note.route, rank, deadline)
+        refusal = await self._admit(ticket, note)
+        if refusal is not None:
+            return self._refuse(request, refusal, ticket)
+        exchange: Exchange | None = None
+        try:
+            exchange = await self._send(note, request, deadline)
+        finally:
+            ran = exchange is not None and exchange.answer is not None
+            self.queue.finish(ticket, self._loop.time(), ran=ran)
+            self._advance()
+        return self._judge(note, request, exchange, self._loop.time() - ticket.started)
+
+    def close(self) -> None:
+        """Refuse what waits and take nothing more; running calls go on."""
+        self.closing = True
+        self._refuse_waiting(Refusal.LEAVING)
+
+    # Details.
+
+    def _make_pool(self) -> UpstreamPool:
+        limits = ClientLimits(
+            max_idle_s=KEPT_IDLE_S,
+            max_unsafe_idle_s=KEPT_UNSAFE_IDLE_S,
+            # Calls take as long as they take here; comparisons would cost the endpoint slots.
+            suspect_after_s=math.inf,
+        )
+        return UpstreamPool(self._settings.endpoint, DEFAULT_CONNECTIONS, limits)
+
+    def _is_new_start(self, record: EndpointRecord, announcement: Announcement) -> bool:
+        return record.id != announcement.id or announcement.born_unix_ms > record.born_unix_ms
+
+    def _start_record(self, announcement: Announcement) -> None:
+        former = self.record
+        if former is not None and former.id != announcement.id:
+            self._set_state(EndpointState.GONE, "replaced by another start")
+        self._pool.close()
+        self._pool = self._make_pool()
+        self._sequence = announcement.sequence
+        self._heard_at = self._loop.time()
+        self._failures = 0.0
+        self.queue = AdmissionQueue(announcement.slots)
+        state = EndpointState.DRAINING if announcement.draining else EndpointState.READY
+        warm_ms = int(time.time() * 1000 + announcement.warm_after_s * 1000)
+        self.record = EndpointRecord(
+            id=announcement.id,
+            service=announcement.service,
+            version=announcement.version,
+            node=self._settings.name,
+            zone=self._settings.zone,
+            slots=announcement.slots,
+            born_unix_ms=announcement.born_unix_ms,
+            state=state,
+            warm_unix_ms=warm_ms,
+            revision=announcement.sequence * SEQUENCE_STEP,
+        )
+        log_info(
+            "endpoint started",
+            endpoint=announcement.id,
+            service=announcement.service,
+            upstream_version=announcement.version,
+            slots=announcement.slots,
+            state=state.value,
+        )
+        self._on_change(self.record)
+
+    def _set_state(self, state: EndpointState, cause: str, *, force: bool = False) -> None:
+        record = self.record
+        if record is None or (record.state is state and not force):
+            return
+        if record.state is EndpointState.GONE:
+            return
+        revision = max(record.revision + 1, self._sequence * SEQUENCE_STEP)
+        self.record = EndpointRecord(
+            id=record.id,
+            service=record.service,
+            version=record.version,
+            node=record.node,
+            zone=record.zone,
+            slots=record.slots,
+            born_unix_ms=record.born_unix_ms,
+            state=state,
+            warm_unix_ms=record.warm_unix_ms,
+            revision=revision,
+        )
+        log_info(
+            "endpoint state", endpoint=record.id, former=record.state.value, state=state.value,
+            cause=cause, sequence=self._sequence,
+        )
+        if state in (EndpointState.DRAINING, EndpointState.GONE):
+            self._refuse_waiting(Refusal.LEAVING)
+        elif state is EndpointState.DOWN:
+            self._refuse_waiting(Refusal.DOWN)
+        self._on_change(self.record)
+
+    def _find_refusal(self, endpoint: str) -> Refusal | None:
+        record = self.record
+        if self.closing:
+            return Refusal.LEAVING
+        if record is None or record.id != endpoint:
+            return Refusal.UNKNOWN
+        if record.state is EndpointState.DOWN:
+            return Refusal.DOWN
+        if record.state is not EndpointState.READY:
+            return Refusal.LEAVING
+        return None
+
+    async def _admit(self, ticket: Ticket, note: CallNote) -> Refusal | None:
+        queue = self.queue
+        admission = queue.offer(ticket, self._loop.time(), may_wait=note.may_wait)
+        if admission is Admission.FULL:
+            return Refusal.FULL
+        if admission is Admission.LATE:
+            return Refusal.LATE
+        if admission is Admission.START:
+            return None
+        future: asyncio.Future[Refusal | None] = self._loop.create_future()
+        self._futures[ticket] = future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            queue.withdraw(ticket)
+            if ticket in queue.running:
+                queue.finish(ticket, self._loop.time(), ran=False)
+                self._advance()
+            raise
+        finally:
+            self._futures.pop(ticket, None)
+
+    def _advance(self) -> None:
+        started, late = self.queue.advance(self._loop.time())
+        for ticket in started:
+            self._settle(ticket, None)
+        for ticket in late:
+            self._settle(ticket, Refusal.LATE)
+
+    def _refuse_waiting(self, refusal: Refusal) -> None:
+        for ticket in self.queue.clear_waiting():
+            self._settle(ticket, refusal)
+
+    def _settle(self, ticket: Ticket, refusal: Refusal | None) -> None:
+        future = self._futures.get(ticket)
+        if future is not None and not future.done():
+            future.set_result(refusal)
+
+    async def _send(
+        self, note: CallNote, request: ForwardedRequest, deadline: float
+    ) -> Exchange:
+        names = self._headers
+        left_ms = max(1, int((deadline - self._loop.time()) * 1000))
+        headers = [
+            *request.headers,
+            (names.deadline_ms, b"%d" % left_ms),
+            (names.expected_instance, note.endpoint.encode()),
+            (names.caller, note.caller.encode()),
+        ]
+        call = OutgoingCall(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            deadline=deadline,
+            idempotent=note.idempotent,
+            body=request.body,
+        )
+        return await run_exchange(self._pool, call, (names.request_id, request.request_id))
+
+    def _judge(
+        self, note: CallNote, request: ForwardedRequest, exchange: Exchange, took_s: float
+    ) -> OwnerAnswer:
+        answer = exchange.answer
+        if answer is None:
+            return self._judge_failure(note, request, exchange)
+        self._heard_at = self._loop.time()
+        if answer.status == MISDIRECTED:
+            log_warning("another endpoint has the address", endpoint=note.endpoint)
+            self._set_state(EndpointState.DOWN, "misdirected")
+            return self._refuse(request, Refusal.UNKNOWN, reached=True)
+        if answer.find_header(self._headers.not_run) is not None:
+            self._count(note, failed=True, took_s=took_s, ran=False)
+            return self._refuse(request, Refusal.SHED, reached=True)
+        failed = answer.status >= SERVER_ERROR
+        self._count(note, failed=failed, took_s=took_s, ran=True)
+        log_info(
+            "ran", request=request.request_id.decode(), endpoint=note.endpoint,
+            status=answer.status, took_ms=round(took_s * 1000, 1),
+        )
+        return OwnerAnswer(AnswerNote(ran=True, load=self.read_load()), answer)
+
+    def _judge_failure(
+        self, note: CallNote, request: ForwardedRequest, exchange: Exchange
+    ) -> OwnerAnswer:
+        error = exchange.error.value if exchange.error is not None else ""
+        log_info(
+            "endpoint did not answer", request=request.request_id.decode(),
+            endpoint=note.endpoint, handed_over=exchange.handed_over, error=error,
+        )
+        if not exchange.handed_over:
+            record = self.record
+            if record is not None and record.id == note.endpoint:
+                self._set_state(EndpointState.DOWN, "no connection")
+            return self._refuse(request, Refusal.DOWN)
+        self._count(note, failed=True, took_s=0.0, ran=False)
+        return OwnerAnswer(AnswerNote(ran=None, load=self.read_load(), error=error))
+
+    def _count(self, note: CallNote, *, failed: bool, took_s: float, ran: bool) -> None:
+        self._failures += FAILURE_WEIGHT * (float(failed) - self._failures)
+        self._on_result(note.route, note.endpoint, failed, took_s if ran else 0.0)
+
+    def _refuse(
+        self,
+        request: ForwardedRequest,
+        refusal: Refusal,
+        ticket: Ticket | None = None,
+        *,
+        reached: bool = False,
+    ) -> OwnerAnswer:
+        rank = ticket.rank if ticket is not None else 1
+        wait_ms = self.queue.estimate_wait(self._loop.time(), rank) * 1000
+        load = self.read_load()
+        log_info(
+            "refused by the owner", request=request.request_id.decode(), refusal=refusal.value,
+            running=load.running, waiting=load.waiting, slots=load.slots,
+            wait_ms=round(wait_ms, 1),
+        )
+        note = AnswerNote(
+            ran=False, load=load, refusal=refusal, wait_ms=round(wait_ms, 1), reached=reached
+        )
+        return OwnerAnswer(note)
+
+
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -0,0 +1,159 @@
+"""Joins the fleet, spreads records, and compares tables with a few peers at a time."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+import msgspec
+
+from corianderwall.mesh.configuration import ConfigurationHolder, ConfigurationSync
+from corianderwall.mesh.directory import Directory, Peer
+from corianderwall.mesh.messages import Beat, EndpointRecord, NodeRecord, Tables
+from corianderwall.mesh.peerlink import PeerLink
+from corianderwall.mesh.source import Source, SourceError
+from corianderwall.node.logs import log_info, log_warning
+
+BEAT_S = 1.0
+"""Interval of beats; half of the shortest bound within which a change has to be known."""
+TICK_S = 0.2
+"""Interval at which peers that were silent are looked at."""
+BEAT_PEERS = 2
+"""Peers that a node beats to in each interval, whatever the size of the fleet."""
+JOIN_RETRY_S = 0.5
+JOIN_RETRY_MAX_S = 3.0
+"""First and longest pause before a failed announcement at the platform is tried again."""
+
+BEAT_KIND = "beat"
+TABLES_KIND = "tables"
+
+_beat_decoder = msgspec.msgpack.Decoder(Beat)
+_tables_decoder = msgspec.msgpack.Decoder(Tables)
+
+
+class Gossip:
+    """Keeps the directory current; a lost message is made good by the next comparison."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        link: PeerLink,
+        source: Source,
+        holder: ConfigurationHolder,
+        sync: ConfigurationSync,
+        make_beat: Callable[[], Beat],
+        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        random: Random,
+    ) -> None:
+        self._directory = directory
+        self._link = link
+        self._source = source
+        self._holder = holder
+        self._sync = sync
+        self._make_beat = make_beat
+        self._spawn = spawn
+        self._random = random
+        self._loop = asyncio.get_running_loop()
+        self._asked: dict[str, float] = {}
+
+    async def join(self) -> None:
+        """Write this node's record at the platform and meet the nodes that have done so."""
+        pause_s = JOIN_RETRY_S
+        written = False
+        while True:
+            try:
+                if not written:
+                    await self._source.announce_node(self._directory.own)
+                    written = True
+                records = await self._source.list_nodes()
+            except SourceError as error:
+                log_warning("joining through the platform failed", reason=error.reason)
+                await asyncio.sleep(pause_s * (0.5 + self._random.random()))
+                pause_s = min(JOIN_RETRY_MAX_S, pause_s * 2)
+                continue
+            break
+        log_info("joined through the platform", nodes=len(records))
+        now = self._loop.time()
+        for record in records:
+            if record.name != self._directory.own.name:
+                self._directory.merge_node(record, now)
+        self.tell_all(self._directory.make_tables())
+
+    async def run(self) -> None:
+        """Send beats until cancelled."""
+        next_beat = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._loop.time()
+            for peer in self._directory.list_doubted(now):
+                # Until the answer comes, the pause that follows a failure keeps it from doubling.
+                peer.retry_at = now + BEAT_S
+                self._spawn(self._beat(peer))
+            if now < next_beat:
+                continue
+            next_beat = now + BEAT_S * (0.9 + 0.2 * self._random.random())
+            self._directory.forget_old(now)
+            self._link.close_unused()
+            live = list(self._directory.list_live())
+            for peer in self._random.sample(live, min(BEAT_PEERS, len(live))):
+                self._spawn(self._beat(peer))
+
+    def announce_endpoint(self, record: EndpointRecord) -> None:
+        """Tell all peers of a change of this node's endpoint."""
+        self._directory.merge_endpoint(record, self._loop.time())
+        self.tell_all(Tables(sender=self._directory.own, endpoints=(record,)))
+
+    def tell_all(self, tables: Tables) -> None:
+        """Send `tables` to every peer."""
+        body = msgspec.msgpack.encode(tables)
+        for peer in self._directory.peers.values():
+            self._spawn(self._tell(peer.record, body))
+
+    async def take_beat(self, body: bytes) -> bytes | None:
+        """Answer a peer's beat with one of this node's own."""
+        beat = _beat_decoder.decode(body)
+        self._directory.take_beat(beat, self._loop.time())
+        self._compare(beat)
+        return msgspec.msgpack.encode(self._make_beat())
+
+    async def take_tables(self, body: bytes) -> bytes | None:
+        """Merge a peer's tables and answer with this node's own if the peer sent all."""
+        tables = _tables_decoder.decode(body)
+        now = self._loop.time()
+        known = tables.sender.name in self._directory.peers
+        self._directory.merge(tables, now)
+        if not known:
+            self._spawn(self._beat(self._directory.peers[tables.sender.name]))
+        return msgspec.msgpack.encode(self._make_beat())
+
+    async def _tell(self, node: NodeRecord, body: bytes) -> None:
+        reply = await self._link.post(node, TABLES_KIND, body)
+        if reply:
+            self._take_reply(reply)
+
+    async def _beat(self, peer: Peer) -> None:
+        reply = await self._link.post(
+            peer.record, BEAT_KIND, msgspec.msgpack.encode(self._make_beat())
+        )
+        if reply:
+            self._take_reply(reply)
+
+    def _take_reply(self, reply: bytes) -> None:
+        beat = _beat_decoder.decode(reply)
+        self._directory.take_beat(beat, self._loop.time())
+        self._compare(beat)
+
+    def _compare(self, beat: Beat) -> None:
+        peer = self._directory.peers.get(beat.node.name)
+        if peer is None:
+            return
+        if beat.config_version < self._holder.snapshot.version:
+            self._sync.send_to(peer)
+        if beat.digest == self._directory.compute_digest():
+            return
+        now = self._loop.time()
+        # The peer's own comparison sends its tables here.
+        if now - self._asked.get(beat.node.name, 0.0) > BEAT_S / 2:
+            self._asked[beat.node.name] = now
+            body = msgspec.msgpack.encode(self._directory.make_tables())
+            self._spawn(self._tell(peer.record, body))
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/metricsport.py
@@ -0,0 +1,48 @@
+"""Serves the counters and the latency histograms of a node."""
+
+from collections.abc import Mapping
+
+from corianderwall.httpflow.call import IncomingCall
+from corianderwall.mesh.node import HostNode
+from corianderwall.mesh.output import LineOutput
+from corianderwall.node.metrics import Metrics, render_metrics
+
+METRICS_PATH = b"/metrics"
+
+
+class MetricsPort:
+    """Answers each scrape with the values of that moment."""
+
+    def __init__(
+        self, node: HostNode, platform_calls: Mapping[str, int], output: LineOutput
+    ) -> None:
+        self._node = node
+        self._platform_calls = platform_calls
+        self._output = output
+        self._metrics = Metrics()
+
+    def handle(self, call: IncomingCall) -> None:
+        """Answer one scrape."""
+        if call.target != METRICS_PATH:
+            call.respond(404, [])
+            return
+        self._export()
+        body, headers = render_metrics(self._metrics.registry, ["text/plain"])
+        encoded = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+        call.respond(200, encoded, body)
+
+    def _export(self) -> None:
+        node, metrics = self._node, self._metrics
+        node.metrics.export(metrics)
+        load = node.gate.read_load()
+        metrics.version.set({}, node.holder.snapshot.version)
+        metrics.endpoint_limit.set({}, load.slots)
+        metrics.endpoint_calls.set({"state": "running"}, load.running)
+        metrics.endpoint_calls.set({"state": "waiting"}, load.waiting)
+        metrics.running_calls.set({}, node.metrics.running)
+        live = sum(1 for _ in node.directory.list_live())
+        metrics.hosts.set({"state": "live"}, live + 1)
+        metrics.hosts.set({"state": "doubted"}, len(node.directory.peers) - live)
+        for kind, count in self._platform_calls.items():
+            metrics.platform_calls.set({"kind": kind}, count)
+        metrics.log_lines_dropped.set({}, self._output.dropped)
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -0,0 +1,229 @@
+"""The orders to move services to new versions: what each version is given, and the evidence."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from corianderwall.mesh.directory import EndpointView
+from corianderwall.mesh.messages import Evidence, MoveOrder, MoveView, RouteEvidence
+from corianderwall.model.resource import MoveState
+
+CANARY_PART = 0.6
+"""Part of the allowed share of calls that a new version is given while it is judged."""
+MIN_CALLS = 6
+"""Calls of one route from which a version is judged."""
+MIN_FAILURES = 3
+"""Failures from which a version is judged; single failures happen with good versions too."""
+FAILURE_SHARE = 0.15
+"""Share of failures above the old version's that takes a version back."""
+SLOWDOWN = 2.5
+"""Factor on the old version's mean time that takes a version back; cold starts stay below."""
+ENOUGH_CALLS = 20
+"""Calls without a finding after which a version may be completed before its time runs out."""
+EARLY_PART = 0.6
+"""Part of an order's time after which a version with enough calls is completed."""
+LAST_PART = 0.8
+"""Part of an order's time after which a version is completed with whatever calls it had."""
+UNORDERED_S = 2.0
+"""Time for which a version that nobody has ordered is held back; its order may be on the way."""
+
+
+@dataclass(slots=True)
+class _RouteCount:
+    calls: int = 0
+    failures: int = 0
+    sum_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Move:
+    """One order; `seen_at` is the monotonic second from which its time is counted."""
+
+    order: MoveOrder
+    seen_at: float
+    cut: bool = False
+    shifting: bool = False
+    evidence: dict[str, Evidence] = field(default_factory=dict)
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the order has no final state."""
+        return self.order.state in (None, MoveState.RUNNING)
+
+
+class MoveBoard:
+    """What this node knows of all orders; a newer revision of an object replaces an older one."""
+
+    def __init__(self, canary_share: float, random: Random) -> None:
+        self.moves: dict[str, Move] = {}
+        self._canary_share = canary_share * CANARY_PART
+        self._random = random
+        self._counts: dict[str, _RouteCount] = {}
+        self._counted: tuple[str, int] | None = None
+
+    def take_view(self, view: MoveView, now: float) -> bool:
+        """Take an order and what is known of it; return whether that was new."""
+        order = view.order
+        kept = self.moves.get(order.service)
+        if kept is None or _is_other_order(order, kept.order):
+            move = Move(order, now - view.age_s, view.cut, view.shifting)
+            self.moves[order.service] = move
+            return True
+        if order.created != kept.order.created or order.version != kept.order.version:
+            return False
+        former = (kept.order, kept.cut, kept.shifting)
+        if order.revision > kept.order.revision:
+            kept.order = order
+        kept.seen_at = min(kept.seen_at, now - view.age_s)
+        kept.cut |= view.cut
+        kept.shifting |= view.shifting
+        return former != (kept.order, kept.cut, kept.shifting)
+
+    def list_views(self, now: float) -> tuple[MoveView, ...]:
+        """Return all orders for another node."""
+        return tuple(
+            MoveView(
+                order=move.order,
+                age_s=round(now - move.seen_at, 3),
+                cut=move.cut,
+                shifting=move.shifting,
+            )
+            for move in self.moves.values()
+        )
+
+    def narrow(self, service: str, views: list[EndpointView]) -> list[EndpointView]:
+        """Return the endpoints that the next call of `service` may go to."""
+        move = self.moves.get(service)
+        if move is None or len(views) < 2:
+            return self._forbid(move, views)
+        version = move.order.version
+        new = [view for view in views if view.record.version == version]
+        old = [view for view in views if view.record.version != version]
+        if move.order.state is MoveState.COMPLETED:
+            return new or old
+        if move.cut or move.order.state is MoveState.TAKEN_BACK:
+            return old
+        if not new or not old:
+            return new or old
+        if move.shifting or self._random.random() < self._canary_share:
+            return new
+        return old
+
+    def count(self, service: str, version: str, route: str, *, failed: bool, took_s: float) -> None:
+        """Count a call at the endpoint beside this node while an order for its service runs."""
+        move = self.moves.get(service)
+        if move is None or not move.is_running:
+            return
+        if self._counted != (service, move.order.created):
+            self._counted = (service, move.order.created)
+            self._counts = {}
+        count = self._counts.setdefault(route, _RouteCount())
+        count.calls += 1
+        count.failures += failed
+        count.sum_ms += took_s * 1000
+
+    def make_evidence(self, service: str, version: str, node: str) -> Evidence | None:
+        """Return what this node has counted for a running order, None if there is none."""
+        move = self.moves.get(service)
+        if move is None or not move.is_running or not self._counts:
+            return None
+        routes = tuple(
+            RouteEvidence(
+                route=name, calls=c.calls, failures=c.failures, sum_ms=round(c.sum_ms, 1)
+            )
+            for name, c in self._counts.items()
+        )
+        return Evidence(
+            service=service, version=version, node=node, created=move.order.created, routes=routes
+        )
+
+    def take_evidence(self, evidence: Evidence) -> None:
+        """Keep the newest counts of an owner."""
+        move = self.moves.get(evidence.service)
+        if move is not None and move.order.created == evidence.created:
+            move.evidence[f"{evidence.node} {evidence.version}"] = evidence
+
+    def _forbid(self, move: Move | None, views: list[EndpointView]) -> list[EndpointView]:
+        if move is None or not (move.cut or move.order.state is MoveState.TAKEN_BACK):
+            return views
+        return [view for view in views if view.record.version != move.order.version]
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Why a version is bad, for the log and the audit."""
+
+    route: str
+    cause: str
+    calls: int
+    failures: int
+    mean_ms: float
+    old_mean_ms: float
+
+
+def find_badness(move: Move) -> Finding | None:
+    """Return why the new version of `move` is bad, None while nothing shows it."""
+    new, old = _sum_routes(move, new=True), _sum_routes(move, new=False)
+    total = _total(new.values())
+    finding = _judge("all", total, _total(old.values()), by_time=False)
+    if finding is not None:
+        return finding
+    for route, count in new.items():
+        finding = _judge(route, count, old.get(route, _RouteCount()), by_time=True)
+        if finding is not None:
+            return finding
+    return None
+
+
+def may_complete(move: Move, now: float) -> bool:
+    """Return whether the new version has been tried for long enough."""
+    age_s = now - move.seen_at
+    calls = _total(_sum_routes(move, new=True).values()).calls
+    early = age_s >= move.order.duration_s * EARLY_PART and calls >= ENOUGH_CALLS
+    return early or age_s >= move.order.duration_s * LAST_PART
+
+
+def _is_other_order(newer: MoveOrder, kept: MoveOrder) -> bool:
+    if newer.created != kept.created:
+        return newer.created > kept.created
+    return newer.version != kept.version and newer.revision > kept.revision
+
+
+def _judge(
+    route: str, new: _RouteCount, old: _RouteCount, *, by_time: bool
+) -> Finding | None:
+    if new.calls < MIN_CALLS:
+        return None
+    old_share = old.failures / old.calls if old.calls else 0.0
+    mean_ms = new.sum_ms / new.calls
+    old_mean_ms = old.sum_ms / old.calls if old.calls else 0.0
+    failing = new.failures >= MIN_FAILURES and new.failures / new.calls > old_share + FAILURE_SHARE
+    slow = by_time and old.calls >= MIN_CALLS and mean_ms > old_mean_ms * SLOWDOWN
+    if not failing and not slow:
+        return None
+    cause = "failures" if failing else "slow"
+    return Finding(
+        route, cause, new.calls, new.failures, round(mean_ms, 1), round(old_mean_ms, 1)
+    )
+
+
+def _sum_routes(move: Move, *, new: bool) -> dict[str, _RouteCount]:
+    sums: dict[str, _RouteCount] = {}
+    for evidence in move.evidence.values():
+        if (evidence.version == move.order.version) is not new:
+            continue
+        for item in evidence.routes:
+            count = sums.setdefault(item.route, _RouteCount())
+            count.calls += item.calls
+            count.failures += item.failures
+            count.sum_ms += item.sum_ms
+    return sums
+
+
+def _total(counts: Iterable[_RouteCount]) -> _RouteCount:
+    total = _RouteCount()
+    for count in counts:
+        total.calls += count.calls
+        total.failures += count.failures
+        total.sum_ms += count.sum_ms
+    return total
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -0,0 +1,245 @@
+"""One host node: its parts, its listeners, and the order in which it starts and stops."""
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from corianderwall.httpflow.call import CallHandler
+from corianderwall.httpflow.limits import ServerLimits
+from corianderwall.httpflow.server import CallServer
+from corianderwall.mesh.configuration import (
+    PUSH_KIND,
+    ConfigurationHolder,
+    ConfigurationSync,
+)
+from corianderwall.mesh.conductor import NOTICE_KIND, Conductor
+from corianderwall.mesh.directory import Directory, select_fresh
+from corianderwall.mesh.entry import Entry
+from corianderwall.mesh.exchange import run_exchange
+from corianderwall.mesh.gate import EndpointGate
+from corianderwall.mesh.gossip import BEAT_KIND, TABLES_KIND, Gossip
+from corianderwall.mesh.messages import (
+    Beat,
+    EndpointRecord,
+    EndpointState,
+    NodeRecord,
+    Tables,
+)
+from corianderwall.mesh.moves import MoveBoard
+from corianderwall.mesh.peerlink import PeerLink, PeerPort
+from corianderwall.mesh.settings import HeaderNames, HostSettings
+from corianderwall.mesh.source import Source
+from corianderwall.httpflow.attempt import OutgoingCall
+from corianderwall.httpflow.pool import UpstreamPool
+from corianderwall.model.endpoint import Address
+from corianderwall.model.resource import Snapshot
+from corianderwall.node.logs import log_error, log_info
+from corianderwall.node.metrics import CallMetrics
+
+NOTICE_S = 2.6
+"""Time after SIGTERM for which callers may still come: two missed looks at the readiness."""
+STOP_MARGIN_S = 0.4
+"""Time kept free at the end of the grace period for the process to end by itself."""
+RESERVED_DESCRIPTORS = 400
+"""Descriptors kept for connections to peers, the endpoint and the platform."""
+FIND_S = 0.3
+"""Interval at which a restarted node looks for the endpoint that peers say is beside it."""
+FIND_TRIES = 10
+"""Looks at the health path after a start; later the endpoint has announced itself."""
+CHECK_S = 0.5
+"""Interval at which the endpoint's silence is measured."""
+PROBE_TIMEOUT_S = 0.5
+"""Time for the answer of the endpoint's health path."""
+
+
+class HostNode:
+    """Owns all parts of a node; lives on the running loop."""
+
+    def __init__(
+        self, settings: HostSettings, headers: HeaderNames, source: Source, random: Random
+    ) -> None:
+        self.settings = settings
+        self.stopping = False
+        self._headers = headers
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        own = NodeRecord(
+            name=settings.name,
+            zone=settings.zone,
+            host=settings.inbound.host,
+            port=settings.inbound.port,
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        self.metrics = CallMetrics()
+        self.directory = Directory(own)
+        self.holder = ConfigurationHolder()
+        self.moves = MoveBoard(settings.bounds.canary_share, random)
+        self.link = PeerLink(self.directory, headers)
+        self.gate = EndpointGate(settings, headers, self._announce, self._count)
+        self.sync = ConfigurationSync(
+            self.holder, source, self.directory, self.link, self.spawn
+        )
+        self.gossip = Gossip(
+            self.directory, self.link, source, self.holder, self.sync, self.make_beat,
+            self.spawn, random,
+        )
+        self.conductor = Conductor(
+            self.moves, source, self.directory, self.link, self.sync, self.gate, self.spawn
+        )
+        self.entry = Entry(
+            settings, headers, self.directory, self.holder, self.link, self.gate, self.moves,
+            self.metrics, self.spawn, random,
+        )
+        handlers = {
+            BEAT_KIND: self.gossip.take_beat,
+            TABLES_KIND: self.gossip.take_tables,
+            PUSH_KIND: self.sync.take_push,
+            NOTICE_KIND: self.conductor.take_notice,
+        }
+        port = PeerPort(self.gate, headers, handlers, self.spawn)
+        limits = self._make_limits()
+        self._outbound = CallServer(self.entry, limits)
+        self._inbound = CallServer(port, limits)
+        self._others: list[CallServer] = []
+        self.holder.listeners.append(self._use_configuration)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return self.holder.table is not None and not self.stopping
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        """Run `work` as a task of this node and log it if it fails."""
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+        return task
+
+    async def start(self, extra: list[tuple[CallHandler, Address]]) -> None:
+        """Listen at all addresses, then join the fleet; `extra` are the adapter's handlers."""
+        await self._listen(self._inbound, self.settings.inbound)
+        for handler, address in extra:
+            server = CallServer(handler, ServerLimits(max_connections=256))
+            self._others.append(server)
+            await self._listen(server, address)
+        await self._listen(self._outbound, self.settings.outbound)
+        self.spawn(self.sync.run())
+        self.spawn(self.gossip.join())
+        self.spawn(self.gossip.run())
+        self.spawn(self.conductor.watch())
+        self.spawn(self.conductor.run())
+        self.spawn(self._watch_endpoint())
+        self.spawn(self._find_endpoint())
+        log_info(
+            "node started", outbound=str(self.settings.outbound),
+            inbound=str(self.settings.inbound), service=self.settings.service,
+            endpoint_address=str(self.settings.endpoint),
+            incarnation=self.directory.own.incarnation,
+        )
+
+    async def stop(self) -> None:
+        """Leave the fleet, finish what runs within the grace period, and return."""
+        if self.stopping:
+            return
+        self.stopping = True
+        began = self._loop.time()
+        end = began + self.settings.bounds.grace_s - STOP_MARGIN_S
+        running = self._outbound.running_calls + self._inbound.running_calls
+        log_info("stopping", running=running)
+        own = self.directory.own
+        self.directory.own = NodeRecord(
+            name=own.name, zone=own.zone, host=own.host, port=own.port,
+            incarnation=own.incarnation, leaving=True,
+        )
+        self.gate.close()
+        self.gossip.tell_all(Tables(sender=self.directory.own))
+        self.entry.latest_end = end
+        drained = [
+            server.drain(began + NOTICE_S).asFuture(self._loop)
+            for server in (self._outbound, self._inbound)
+        ]
+        _, late = await asyncio.wait(drained, timeout=end - began)
+        cut = self._outbound.running_calls + self._inbound.running_calls
+        log_info(
+            "stopped", took_s=round(self._loop.time() - began, 3), cut=cut, late=len(late)
+        )
+
+    def make_beat(self) -> Beat:
+        """Return what this node tells a peer of itself."""
+        record = self.gate.record
+        return Beat(
+            node=self.directory.own,
+            config_version=self.holder.snapshot.version,
+            digest=self.directory.compute_digest(),
+            source_ok=self.sync.source_ok,
+            load=self.gate.read_load() if record is not None else None,
+            endpoint=record.id if record is not None else "",
+        )
+
+    def _make_limits(self) -> ServerLimits:
+        most = max(64, self.settings.max_descriptors - RESERVED_DESCRIPTORS) // 2
+        return ServerLimits(max_connections=most)
+
+    async def _listen(self, server: CallServer, address: Address) -> None:
+        opening = Deferred.fromCoroutine(server.listen(address.host, address.port))
+        await opening.asFuture(self._loop)
+
+    def _announce(self, record: EndpointRecord) -> None:
+        self.gossip.announce_endpoint(record)
+
+    def _count(self, route: str, endpoint: str, failed: bool, took_s: float) -> None:
+        record = self.gate.record
+        if record is not None and record.id == endpoint:
+            self.moves.count(
+                record.service, record.version, route, failed=failed, took_s=took_s
+            )
+
+    def _use_configuration(self, snapshot: Snapshot) -> None:
+        for service in snapshot.services:
+            if service.name == self.settings.service:
+                self.gate.limit_connections(service.max_connections)
+
+    async def _watch_endpoint(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_S)
+            self.gate.check_silence()
+
+    async def _find_endpoint(self) -> None:
+        """Look for an endpoint that an earlier process here has known, by its health path."""
+        for _ in range(FIND_TRIES):
+            await asyncio.sleep(FIND_S)
+            if self.gate.record is not None:
+                return
+            records = [view.record for view in self.directory.endpoints.values()]
+            known = select_fresh(records, self.settings.name)
+            if known and known[0].state in (EndpointState.READY, EndpointState.DOWN):
+                instance = await self._probe()
+                if instance == known[0].id and self.gate.record is None:
+                    self.gate.adopt(known[0])
+
+    async def _probe(self) -> str:
+        path = "/health"
+        for service in self.holder.snapshot.services:
+            if service.name == self.settings.service:
+                path = service.health_path
+        pool = UpstreamPool(self.settings.endpoint, 1)
+        call = OutgoingCall(
+            method=b"GET", target=path.encode(), headers=[(b"host", b"endpoint")],
+            deadline=self._loop.time() + PROBE_TIMEOUT_S, idempotent=True,
+        )
+        exchange = await run_exchange(pool, call)
+        pool.close()
+        answer = exchange.answer
+        if answer is None or answer.status != 200:
+            log_info("the endpoint's health path does not say ready")
+            return ""
+        return (answer.find_header(self._headers.instance_id) or b"").decode("latin-1")
+
+    def _end_task(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_error("a task failed", error=repr(task.exception()))
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/retrybudget.py
@@ -0,0 +1,50 @@
+"""This node's part of the fleet's budget for repeated sends."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+RATIO_PART = 0.7
+"""Part of the allowed ratio that is spent; the rest covers nested calls of repeated runs."""
+SLACK_PART = 0.5
+"""Part of the fleet's slack that the nodes divide among themselves, for the same reason."""
+
+
+@dataclass(slots=True)
+class _Window:
+    requests: deque[float] = field(default_factory=deque)
+    repeats: deque[float] = field(default_factory=deque)
+
+
+class RetryBudget:
+    """Allows a repeat while the repeats in the window stay under ratio x requests + slack / nodes.
+
+    A node counts only what it has sent itself, so the nodes' parts add up to the fleet's budget.
+    """
+
+    def __init__(self, *, ratio: float, slack: int, window_s: float) -> None:
+        self._ratio = ratio * RATIO_PART
+        self._slack = slack * SLACK_PART
+        self._window_s = window_s
+        self._services: dict[str, _Window] = {}
+
+    def count_request(self, service: str, now: float) -> None:
+        """Count the first send of a request to `service`."""
+        window = self._services.setdefault(service, _Window())
+        window.requests.append(now)
+        self._forget(window, now)
+
+    def take(self, service: str, now: float, nodes: int) -> bool:
+        """Return whether one more send may be made, and count it if so."""
+        window = self._services.setdefault(service, _Window())
+        self._forget(window, now)
+        allowed = self._ratio * len(window.requests) + self._slack / max(1, nodes)
+        if len(window.repeats) + 1 > allowed:
+            return False
+        window.repeats.append(now)
+        return True
+
+    def _forget(self, window: _Window, now: float) -> None:
+        oldest = now - self._window_s
+        for times in (window.requests, window.repeats):
+            while times and times[0] < oldest:
+                times.popleft()
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/routes.py
@@ -0,0 +1,44 @@
+"""The routes of one snapshot, matched by host and longest path prefix."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from corianderwall.model.resource import Route, ServiceWeight, Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Prefixes begin and end with a slash and match the start of the path as it was sent."""
+
+    version: int
+    hosts: Mapping[str, Mapping[str, Route]]
+
+    @classmethod
+    def compile(cls, snapshot: Snapshot) -> "RouteTable":
+        """Return the table of `snapshot`."""
+        hosts: dict[str, dict[str, Route]] = {}
+        for route in snapshot.routes:
+            hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        return cls(snapshot.version, hosts)
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Return the route of a request for `target` (path and query) at `host`, or None."""
+        prefixes = self.hosts.get(host.lower())
+        if prefixes is None:
+            name = host.partition(":")[0].lower()
+            prefixes = self.hosts.get(name)
+        if prefixes is None:
+            return None
+        prefix = target.partition("?")[0]
+        end = prefix.rfind("/")
+        while end >= 0:
+            route = prefixes.get(prefix[: end + 1])
+            if route is not None:
+                return route
+            end = prefix.rfind("/", 0, end)
+        return None
+
+
+def list_backends(route: Route) -> tuple[ServiceWeight, ...]:
+    """Return the services of `route` with their weights."""
+    return route.backends or (ServiceWeight(service=route.service, weight=1),)
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -0,0 +1,70 @@
+"""Chooses the owner of a call by expected time, with its own zone first."""
+
+from collections.abc import Container, Iterable
+from dataclasses import dataclass
+from random import Random
+
+from corianderwall.mesh.directory import EndpointView
+
+LOAD_FADES_S = 1.5
+"""Age at which a reported load counts nothing; calls have mostly ended by then."""
+ZONE_PART = 0.15
+"""Part of a call's objective that a small answer may be later before it leaves the zone."""
+BIG_ZONE_PART = 1.0
+"""The same for a big answer, whose bytes between zones cost about as much as it is worth."""
+FAILURE_FACTOR = 4.0
+"""Factor by which an endpoint that fails each call seems slower."""
+JITTER = 0.1
+"""Random part of the expected time, so that nodes do not all choose the same endpoint."""
+DEFAULT_SERVICE_MS = 50.0
+"""Taken for the time of a call where no endpoint of the service has told one."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallShape:
+    """What of a call decides between endpoints."""
+
+    zone: str
+    objective_ms: float
+    big: bool
+
+
+def choose_endpoint(
+    views: Iterable[EndpointView],
+    shape: CallShape,
+    tried: Container[str],
+    now: float,
+    random: Random,
+) -> EndpointView | None:
+    """Return the endpoint with the least expected time that is not in `tried`."""
+    candidates = [view for view in views if view.record.id not in tried]
+    if not candidates:
+        return None
+    if len(candidates) == 1:
+        return candidates[0]
+    told = [view.load.service_ms for view in candidates if view.load.service_ms > 0]
+    typical_ms = sum(told) / len(told) if told else DEFAULT_SERVICE_MS
+    best: EndpointView | None = None
+    best_ms = 0.0
+    for view in candidates:
+        expected_ms = estimate_ms(view, typical_ms, now) * (1 + JITTER * random.random())
+        if view.record.zone != shape.zone:
+            expected_ms += shape.objective_ms * (BIG_ZONE_PART if shape.big else ZONE_PART)
+        if now < view.rest_until:
+            expected_ms += shape.objective_ms
+        if best is None or expected_ms < best_ms:
+            best, best_ms = view, expected_ms
+    return best
+
+
+def estimate_ms(view: EndpointView, typical_ms: float, now: float) -> float:
+    """Return the expected time of one more call at `view`, in milliseconds."""
+    load = view.load
+    slots = max(1, view.record.slots)
+    fresh = max(0.0, 1.0 - (now - view.load_at) / LOAD_FADES_S)
+    busy = max(float(view.pending), (load.running + load.waiting) * fresh)
+    service_ms = load.service_ms or typical_ms
+    crowding = max(0.0, busy + 1 - slots) / slots
+    use = 0.3 * min(1.0, busy / slots)
+    failing = 1 + FAILURE_FACTOR * load.failures
+    return service_ms * (1 + use + crowding) * failing
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -0,0 +1,54 @@
+"""What a host node is told at its start; filled in by whatever reads the settings file."""
+
+from dataclasses import dataclass
+
+from corianderwall.model.endpoint import Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeaderNames:
+    """The headers, in lower case, that callers and endpoints use; given by the adapter."""
+
+    request_id: bytes
+    deadline_ms: bytes
+    expected_instance: bytes
+    instance_id: bytes
+    not_run: bytes
+    load: bytes
+    caller: bytes
+    signature: bytes
+    retry_after: bytes = b"retry-after"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Bounds:
+    """The times and shares that the operator's terms grant; seconds unless named otherwise."""
+
+    drain_s: float = 2.0
+    grace_s: float = 6.0
+    apply_s: float = 2.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: int = 50
+    canary_share: float = 0.1
+    canary_slack: int = 50
+    take_back_s: float = 5.0
+    heartbeat_s: float = 1.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostSettings:
+    """The identity, the addresses and the bounds of one host node."""
+
+    name: str
+    zone: str
+    service: str
+    outbound: Address
+    inbound: Address
+    readiness: Address
+    announcements: Address
+    metrics: Address
+    endpoint: Address
+    seeds: tuple[Address, ...] = ()
+    max_descriptors: int = 1024
+    bounds: Bounds = Bounds()
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -0,0 +1,61 @@
+"""What the mesh needs of the platform; the adapter implements it."""
+
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+from corianderwall.mesh.messages import MoveOrder, NodeRecord
+from corianderwall.model.resource import MoveState, Snapshot
+
+Item = TypeVar("Item")
+
+
+class SourceError(Exception):
+    """The platform did not answer as asked; `reason` names the kind of failure for the log."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class HistoryLostError(SourceError):
+    """The changes since the given revision are gone; everything has to be read again."""
+
+
+class ConflictError(SourceError):
+    """Someone else has changed the object since it was read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reading(Generic[Item]):
+    """What was read, and the revision from which a watch goes on."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class Source(Protocol):
+    """The platform's store; each method is one call there, or a few for a long list."""
+
+    async def read_config(self) -> Reading[Snapshot]:
+        """Return the newest configuration, if there is one."""
+
+    async def watch_config(self, revision: int, wait_s: float) -> Reading[Snapshot]:
+        """Return the configurations written after `revision`, waiting for one."""
+
+    async def read_orders(self) -> Reading[MoveOrder]:
+        """Return all orders to move a service."""
+
+    async def watch_orders(self, revision: int, wait_s: float) -> Reading[MoveOrder]:
+        """Return the orders written after `revision`, waiting for one."""
+
+    async def write_order_state(self, order: MoveOrder, state: MoveState) -> MoveOrder:
+        """Write the state of `order` unless it has changed since; return it as written."""
+
+    async def announce_node(self, record: NodeRecord) -> None:
+        """Write the record of this node."""
+
+    async def list_nodes(self) -> tuple[NodeRecord, ...]:
+        """Return the records of all nodes that were ever written."""
+
+    async def remove_node(self, record: NodeRecord) -> None:
+        """Remove the record of this node."""
--- a/packages/model/src/corianderwall/model/delta.py
+++ b/packages/model/src/corianderwall/model/delta.py
@@ -46,6 +46,7 @@
             routes=_find_changed(base.routes, result.routes),
             subscribers=_find_changed(base.subscribers, result.subscribers),
             moves=_find_changed(base.moves, result.moves),
+            limits=result.limits,
         ),
         removed=Removal(
             services=_find_removed(base.services, result.services),
@@ -70,6 +71,7 @@
         routes=_merge(base.routes, changed.routes, removed.routes),
         subscribers=_merge(base.subscribers, changed.subscribers, removed.subscribers),
         moves=_merge(base.moves, changed.moves, removed.moves),
+        limits=changed.limits,
     )
     if compute_digest(result) != delta.result_digest:
         raise CorianderwallError(
--- a/packages/model/src/corianderwall/model/resource.py
+++ b/packages/model/src/corianderwall/model/resource.py
@@ -17,11 +17,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
-    """A named set of upstreams in one or more versions; the split sums to `PERMILLE`."""
+    """A named set of upstreams in one or more versions; the split sums to `PERMILLE`.
+
+    `max_connections` of 0 means that the connections to an upstream are not limited here.
+    """
 
     name: str
-    versions: tuple[str, ...]
-    split: tuple[VersionShare, ...]
+    versions: tuple[str, ...] = ()
+    split: tuple[VersionShare, ...] = ()
+    health_path: str = "/health"
+    max_connections: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,13 +37,23 @@
     value: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceWeight:
+    """The part of a route's calls that one service receives, relative to the other weights."""
+
+    service: str
+    weight: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """Sends the calls that match to a service.
+    """Sends the calls that match to a service, or to several by weight.
 
     An empty `host` or `methods` matches any. `pinned_version` sends all matching calls to one
     version, whatever the split. `idempotent` of None is decided by the method. Calls with equal
-    values of the header `sticky_header` go to the same version.
+    values of the header `sticky_header` go to the same version. `backends` takes the place of
+    `service` if it is not empty. A call is sent to `max_attempts` endpoints at most, and an answer
+    within `objective_ms` is in time. `priority` 0 is the most urgent.
     """
 
     name: str
@@ -51,6 +66,10 @@
     idempotent: bool | None = None
     timeout_ms: int = 15_000
     sticky_header: str = ""
+    backends: tuple[ServiceWeight, ...] = ()
+    max_attempts: int = 3
+    objective_ms: int = 1_000
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +80,16 @@
     share: int = 1
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """What one caller's connection may send, and how long it may take or stay idle."""
+
+    max_head_bytes: int = 32_768
+    max_body_bytes: int = 67_108_864
+    head_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 75_000
+
+
 class MoveState(enum.StrEnum):
     """The state of a move; all but `RUNNING` are final."""
 
@@ -119,6 +148,7 @@
     routes: tuple[Route, ...] = ()
     subscribers: tuple[Subscriber, ...] = ()
     moves: tuple[Move, ...] = ()
+    limits: CallerLimits = CallerLimits()
 
 
 EMPTY_SNAPSHOT = Snapshot()
