--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 BIN := $(VENV)/bin
 empty :=
 space := $(empty) $(empty)
-SOURCES := $(subst $(space),:,$(patsubst %,$(CURDIR)/%,$(wildcard packages/*/src)))
+SOURCES := $(subst $(space),:,$(patsubst %,$(CURDIR)/%,$(wildcard packages/*/src platform/src)))
 RUN := PYTHONPATH=$(SOURCES) PYTHONDONTWRITEBYTECODE=1 $(BIN)/python
-LIBRARIES := $(sort $(wildcard packages/*))
+LIBRARIES := $(sort $(wildcard packages/*)) platform
 
 .PHONY: setup demo test format lint types imports schema measure binary check
 
--- a/packages/mesh/src/corianderwall/mesh/conductor.py
+++ b/packages/mesh/src/corianderwall/mesh/conductor.py
@@ -1,8 +1,6 @@
 """Watches the orders to move services, gathers evidence, and writes how each move ends."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 import msgspec
 
@@ -14,6 +12,7 @@
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.ranks import find_fleet_lead
 from corianderwall.mesh.source import ConflictError, HistoryLostError, Source, SourceError
+from corianderwall.mesh.tasks import Spawn
 from corianderwall.model.resource import MoveState
 from corianderwall.node.logs import log_info, log_warning
 
@@ -39,7 +38,7 @@
         link: PeerLink,
         sync: ConfigurationSync,
         gate: EndpointGate,
-        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        spawn: Spawn,
     ) -> None:
         self._board = board
         self._source = source
@@ -127,9 +126,14 @@
         if finding is not None and not move.cut:
             move.cut = True
             log_warning(
-                "a version is bad", service=move.order.service, version_ordered=move.order.version,
-                route=finding.route, cause=finding.cause, calls=finding.calls,
-                failures=finding.failures, mean_ms=finding.mean_ms,
+                "a version is bad",
+                service=move.order.service,
+                version_ordered=move.order.version,
+                route=finding.route,
+                cause=finding.cause,
+                calls=finding.calls,
+                failures=finding.failures,
+                mean_ms=finding.mean_ms,
                 old_mean_ms=finding.old_mean_ms,
             )
             self._tell_all()
@@ -160,8 +164,12 @@
             log_info("the order has changed meanwhile", service=service)
             await self._read_again()
         except SourceError as error:
-            log_warning("the state of a move was not written", service=service,
-                        state=state.value, reason=error.reason)
+            log_warning(
+                "the state of a move was not written",
+                service=service,
+                state=state.value,
+                reason=error.reason,
+            )
             await asyncio.sleep(TICK_S)
         else:
             log_info("the state of a move was written", service=service, state=state.value)
@@ -191,8 +199,13 @@
     def _log_view(self, view: MoveView, origin: str) -> None:
         order = view.order
         log_info(
-            "order to move", service=order.service, version_ordered=order.version,
+            "order to move",
+            service=order.service,
+            version_ordered=order.version,
             state=order.state.value if order.state is not None else "none",
-            cut=view.cut, shifting=view.shifting, age_s=view.age_s, origin=origin,
+            cut=view.cut,
+            shifting=view.shifting,
+            age_s=view.age_s,
+            origin=origin,
             revision=order.revision,
         )
--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -13,11 +12,15 @@
 from corianderwall.mesh.ranks import find_zone_leads
 from corianderwall.mesh.routes import RouteTable
 from corianderwall.mesh.source import HistoryLostError, Source, SourceError
+from corianderwall.mesh.tasks import Spawn
 from corianderwall.model.delta import Delta, apply_delta, compute_delta
 from corianderwall.model.errors import CorianderwallError
 from corianderwall.model.resource import EMPTY_SNAPSHOT, Snapshot
 from corianderwall.node.logs import log_info, log_warning
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 HISTORY = 16
 """Former snapshots that are kept to send a peer a delta instead of the whole."""
 WATCH_S = 5.0
@@ -67,8 +70,11 @@
                 del self.former[min(self.former)]
         self.snapshot, self.table = snapshot, table
         log_info(
-            "configuration in force", version_former=former.version,
-            config_version=snapshot.version, origin=origin, routes=len(snapshot.routes),
+            "configuration in force",
+            version_former=former.version,
+            config_version=snapshot.version,
+            origin=origin,
+            routes=len(snapshot.routes),
         )
         for listener in self.listeners:
             listener(snapshot)
@@ -84,7 +90,7 @@
         source: Source,
         directory: Directory,
         link: PeerLink,
-        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        spawn: Spawn,
     ) -> None:
         self.source_ok = True
         self._holder = holder
@@ -176,9 +182,7 @@
             whole = False
             while peer.config_version < self._holder.snapshot.version:
                 push = self._make_push(0 if whole else peer.config_version)
-                reply = await self._link.post(
-                    peer.record, PUSH_KIND, msgspec.msgpack.encode(push)
-                )
+                reply = await self._link.post(peer.record, PUSH_KIND, msgspec.msgpack.encode(push))
                 if reply:
                     peer.config_version = int(reply)
                     whole = False
--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -86,9 +86,7 @@
         elif view.record.born_unix_ms != record.born_unix_ms:
             pending = view.pending
             load = Load(slots=record.slots)
-            self.endpoints[record.id] = EndpointView(
-                record, load, pending=pending, joined_at=now
-            )
+            self.endpoints[record.id] = EndpointView(record, load, pending=pending, joined_at=now)
         else:
             view.record = record
         if record.state is EndpointState.GONE:
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -1,10 +1,8 @@
 """Takes the calls of this host's callers and finds an owner for each."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any
 
 from corianderwall.httpflow.call import IncomingCall
 from corianderwall.mesh.body import BodyReader
@@ -19,6 +17,7 @@
 from corianderwall.mesh.selection import CallShape, choose_endpoint
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.splits import WeightedSplit
+from corianderwall.mesh.tasks import Spawn, make_canceller
 from corianderwall.model.resource import Route
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
@@ -68,7 +67,7 @@
         own: Owner,
         moves: MoveBoard,
         metrics: CallMetrics,
-        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        spawn: Spawn,
         random: Random,
     ) -> None:
         self._settings = settings
@@ -95,7 +94,7 @@
     def handle(self, call: IncomingCall) -> None:
         """Start to work on `call`."""
         task = self._spawn(self._answer(call))
-        call.on_hang_up = task.cancel
+        call.on_hang_up = make_canceller(task)
 
     async def _answer(self, call: IncomingCall) -> None:
         began = self._loop.time()
@@ -120,9 +119,7 @@
         state = _CallState(
             route=route,
             service=self._splits.pick(route),
-            request=ForwardedRequest(
-                request_id, call.method, call.target, self._strip(call), body
-            ),
+            request=ForwardedRequest(request_id, call.method, call.target, self._strip(call), body),
             deadline=deadline,
             began=began,
             nested=peer_host == self._settings.endpoint.host,
@@ -148,9 +145,7 @@
         """Return the answer, or None if the call was refused everywhere."""
         for may_wait, tries in ((False, MAX_PROBES), (True, MAX_QUEUE_TRIES)):
             if may_wait:
-                state.tried = {
-                    name for name in state.tried if name in self._list_reached(state)
-                }
+                state.tried = {name for name in state.tried if name in self._list_reached(state)}
             for _ in range(tries):
                 view = self._choose(state)
                 if view is None:
@@ -255,9 +250,7 @@
         call.respond(status, headers)
         self._log(state, status, cause)
 
-    def _refuse_early(
-        self, call: IncomingCall, request_id: bytes, status: int, cause: str
-    ) -> None:
+    def _refuse_early(self, call: IncomingCall, request_id: bytes, status: int, cause: str) -> None:
         headers = [(self._headers.request_id, request_id)]
         if status == 503:
             after_s = compute_retry_after(UNREADY_S, self._random)
@@ -265,8 +258,12 @@
         if call.is_open:
             call.respond(status, headers)
         log_info(
-            "call ended", request=request_id.decode("latin-1"), status=status, cause=cause,
-            host=call.host.decode("latin-1"), target=call.target.decode("latin-1"),
+            "call ended",
+            request=request_id.decode("latin-1"),
+            status=status,
+            cause=cause,
+            host=call.host.decode("latin-1"),
+            target=call.target.decode("latin-1"),
             config_version=self._configuration.snapshot.version,
         )
 
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -246,8 +246,12 @@
             revision=revision,
         )
         log_info(
-            "endpoint state", endpoint=record.id, former=record.state.value, state=state.value,
-            cause=cause, sequence=self._sequence,
+            "endpoint state",
+            endpoint=record.id,
+            former=record.state.value,
+            state=state.value,
+            cause=cause,
+            sequence=self._sequence,
         )
         if state in (EndpointState.DRAINING, EndpointState.GONE):
             self._refuse_waiting(Refusal.LEAVING)
@@ -305,9 +309,7 @@
         if future is not None and not future.done():
             future.set_result(refusal)
 
-    async def _send(
-        self, note: CallNote, request: ForwardedRequest, deadline: float
-    ) -> Exchange:
+    async def _send(self, note: CallNote, request: ForwardedRequest, deadline: float) -> Exchange:
         names = self._headers
         left_ms = max(1, int((deadline - self._loop.time()) * 1000))
         headers = [
@@ -343,8 +345,11 @@
         failed = answer.status >= SERVER_ERROR
         self._count(note, failed=failed, took_s=took_s, ran=True)
         log_info(
-            "ran", request=request.request_id.decode(), endpoint=note.endpoint,
-            status=answer.status, took_ms=round(took_s * 1000, 1),
+            "ran",
+            request=request.request_id.decode(),
+            endpoint=note.endpoint,
+            status=answer.status,
+            took_ms=round(took_s * 1000, 1),
         )
         return OwnerAnswer(AnswerNote(ran=True, load=self.read_load()), answer)
 
@@ -353,8 +358,11 @@
     ) -> OwnerAnswer:
         error = exchange.error.value if exchange.error is not None else ""
         log_info(
-            "endpoint did not answer", request=request.request_id.decode(),
-            endpoint=note.endpoint, handed_over=exchange.handed_over, error=error,
+            "endpoint did not answer",
+            request=request.request_id.decode(),
+            endpoint=note.endpoint,
+            handed_over=exchange.handed_over,
+            error=error,
         )
         if not exchange.handed_over:
             record = self.record
@@ -380,13 +388,15 @@
         wait_ms = self.queue.estimate_wait(self._loop.time(), rank) * 1000
         load = self.read_load()
         log_info(
-            "refused by the owner", request=request.request_id.decode(), refusal=refusal.value,
-            running=load.running, waiting=load.waiting, slots=load.slots,
+            "refused by the owner",
+            request=request.request_id.decode(),
+            refusal=refusal.value,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
             wait_ms=round(wait_ms, 1),
         )
         note = AnswerNote(
             ran=False, load=load, refusal=refusal, wait_ms=round(wait_ms, 1), reached=reached
         )
         return OwnerAnswer(note)
-
-
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -1,9 +1,8 @@
 """Joins the fleet, spreads records, and compares tables with a few peers at a time."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from random import Random
-from typing import Any
 
 import msgspec
 
@@ -12,6 +11,7 @@
 from corianderwall.mesh.messages import Beat, EndpointRecord, NodeRecord, Tables
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
+from corianderwall.mesh.tasks import Spawn
 from corianderwall.node.logs import log_info, log_warning
 
 BEAT_S = 1.0
@@ -42,7 +42,7 @@
         holder: ConfigurationHolder,
         sync: ConfigurationSync,
         make_beat: Callable[[], Beat],
-        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        spawn: Spawn,
         random: Random,
     ) -> None:
         self._directory = directory
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -128,9 +128,7 @@
         if move is None or not move.is_running or not self._counts:
             return None
         routes = tuple(
-            RouteEvidence(
-                route=name, calls=c.calls, failures=c.failures, sum_ms=round(c.sum_ms, 1)
-            )
+            RouteEvidence(route=name, calls=c.calls, failures=c.failures, sum_ms=round(c.sum_ms, 1))
             for name, c in self._counts.items()
         )
         return Evidence(
@@ -189,9 +187,7 @@
     return newer.version != kept.version and newer.revision > kept.revision
 
 
-def _judge(
-    route: str, new: _RouteCount, old: _RouteCount, *, by_time: bool
-) -> Finding | None:
+def _judge(route: str, new: _RouteCount, old: _RouteCount, *, by_time: bool) -> Finding | None:
     if new.calls < MIN_CALLS:
         return None
     old_share = old.failures / old.calls if old.calls else 0.0
@@ -202,9 +198,7 @@
     if not failing and not slow:
         return None
     cause = "failures" if failing else "slow"
-    return Finding(
-        route, cause, new.calls, new.failures, round(mean_ms, 1), round(old_mean_ms, 1)
-    )
+    return Finding(route, cause, new.calls, new.failures, round(mean_ms, 1), round(old_mean_ms, 1))
 
 
 def _sum_routes(move: Move, *, new: bool) -> dict[str, _RouteCount]:
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -8,15 +8,17 @@
 
 from twisted.internet.defer import Deferred
 
+from corianderwall.httpflow.attempt import OutgoingCall
 from corianderwall.httpflow.call import CallHandler
 from corianderwall.httpflow.limits import ServerLimits
+from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.httpflow.server import CallServer
+from corianderwall.mesh.conductor import NOTICE_KIND, Conductor
 from corianderwall.mesh.configuration import (
     PUSH_KIND,
     ConfigurationHolder,
     ConfigurationSync,
 )
-from corianderwall.mesh.conductor import NOTICE_KIND, Conductor
 from corianderwall.mesh.directory import Directory, select_fresh
 from corianderwall.mesh.entry import Entry
 from corianderwall.mesh.exchange import run_exchange
@@ -33,8 +35,6 @@
 from corianderwall.mesh.peerlink import PeerLink, PeerPort
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
-from corianderwall.httpflow.attempt import OutgoingCall
-from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import Snapshot
 from corianderwall.node.logs import log_error, log_info
@@ -80,19 +80,31 @@
         self.moves = MoveBoard(settings.bounds.canary_share, random)
         self.link = PeerLink(self.directory, headers)
         self.gate = EndpointGate(settings, headers, self._announce, self._count)
-        self.sync = ConfigurationSync(
-            self.holder, source, self.directory, self.link, self.spawn
-        )
+        self.sync = ConfigurationSync(self.holder, source, self.directory, self.link, self.spawn)
         self.gossip = Gossip(
-            self.directory, self.link, source, self.holder, self.sync, self.make_beat,
-            self.spawn, random,
+            self.directory,
+            self.link,
+            source,
+            self.holder,
+            self.sync,
+            self.make_beat,
+            self.spawn,
+            random,
         )
         self.conductor = Conductor(
             self.moves, source, self.directory, self.link, self.sync, self.gate, self.spawn
         )
         self.entry = Entry(
-            settings, headers, self.directory, self.holder, self.link, self.gate, self.moves,
-            self.metrics, self.spawn, random,
+            settings,
+            headers,
+            self.directory,
+            self.holder,
+            self.link,
+            self.gate,
+            self.moves,
+            self.metrics,
+            self.spawn,
+            random,
         )
         handlers = {
             BEAT_KIND: self.gossip.take_beat,
@@ -135,8 +147,10 @@
         self.spawn(self._watch_endpoint())
         self.spawn(self._find_endpoint())
         log_info(
-            "node started", outbound=str(self.settings.outbound),
-            inbound=str(self.settings.inbound), service=self.settings.service,
+            "node started",
+            outbound=str(self.settings.outbound),
+            inbound=str(self.settings.inbound),
+            service=self.settings.service,
             endpoint_address=str(self.settings.endpoint),
             incarnation=self.directory.own.incarnation,
         )
@@ -152,8 +166,12 @@
         log_info("stopping", running=running)
         own = self.directory.own
         self.directory.own = NodeRecord(
-            name=own.name, zone=own.zone, host=own.host, port=own.port,
-            incarnation=own.incarnation, leaving=True,
+            name=own.name,
+            zone=own.zone,
+            host=own.host,
+            port=own.port,
+            incarnation=own.incarnation,
+            leaving=True,
         )
         self.gate.close()
         self.gossip.tell_all(Tables(sender=self.directory.own))
@@ -164,9 +182,7 @@
         ]
         _, late = await asyncio.wait(drained, timeout=end - began)
         cut = self._outbound.running_calls + self._inbound.running_calls
-        log_info(
-            "stopped", took_s=round(self._loop.time() - began, 3), cut=cut, late=len(late)
-        )
+        log_info("stopped", took_s=round(self._loop.time() - began, 3), cut=cut, late=len(late))
 
     def make_beat(self) -> Beat:
         """Return what this node tells a peer of itself."""
@@ -194,9 +210,7 @@
     def _count(self, route: str, endpoint: str, failed: bool, took_s: float) -> None:
         record = self.gate.record
         if record is not None and record.id == endpoint:
-            self.moves.count(
-                record.service, record.version, route, failed=failed, took_s=took_s
-            )
+            self.moves.count(record.service, record.version, route, failed=failed, took_s=took_s)
 
     def _use_configuration(self, snapshot: Snapshot) -> None:
         for service in snapshot.services:
@@ -228,8 +242,11 @@
                 path = service.health_path
         pool = UpstreamPool(self.settings.endpoint, 1)
         call = OutgoingCall(
-            method=b"GET", target=path.encode(), headers=[(b"host", b"endpoint")],
-            deadline=self._loop.time() + PROBE_TIMEOUT_S, idempotent=True,
+            method=b"GET",
+            target=path.encode(),
+            headers=[(b"host", b"endpoint")],
+            deadline=self._loop.time() + PROBE_TIMEOUT_S,
+            idempotent=True,
         )
         exchange = await run_exchange(pool, call)
         pool.close()
--- a/packages/mesh/src/corianderwall/mesh/output.py
+++ b/packages/mesh/src/corianderwall/mesh/output.py
@@ -37,4 +37,6 @@
     start_logs(LogSettings(), node=settings.name, zone=settings.zone, read_version=read_version)
     output = LineOutput(sys.stdout.fileno())
     absl_logging.get_absl_handler().python_handler.stream = output
+    # Otherwise each line would go to standard error too.
+    absl_logging.set_stderrthreshold("fatal")
     return output
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import msgspec
 
@@ -19,6 +19,7 @@
 from corianderwall.mesh.messages import AnswerNote, CallNote, Load, NodeRecord, Refusal
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerAnswer
 from corianderwall.mesh.settings import HeaderNames
+from corianderwall.mesh.tasks import Spawn, make_canceller
 from corianderwall.model.endpoint import Address
 from corianderwall.node.logs import log_warning
 
@@ -146,9 +147,7 @@
         text = str(error) if error is not None else "no note"
         if handed_over:
             return OwnerAnswer(AnswerNote(ran=None, load=Load(), error=text))
-        note = AnswerNote(
-            ran=False, load=Load(), refusal=Refusal.DOWN, error=text, reached=False
-        )
+        note = AnswerNote(ran=False, load=Load(), refusal=Refusal.DOWN, error=text, reached=False)
         return OwnerAnswer(note)
 
 
@@ -159,8 +158,8 @@
         self,
         owner: Owner,
         headers: HeaderNames,
-        handlers: dict[str, MessageHandler],
-        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        handlers: Mapping[str, MessageHandler],
+        spawn: Spawn,
     ) -> None:
         self._owner = owner
         self._headers = headers
@@ -172,7 +171,7 @@
         raw = call.find_header(CALL_HEADER)
         if raw is not None:
             task = self._spawn(self._serve(call, raw))
-            call.on_hang_up = task.cancel
+            call.on_hang_up = make_canceller(task)
             return
         kind = call.find_header(MESSAGE_HEADER)
         if kind is not None:
--- a/packages/mesh/src/corianderwall/mesh/splits.py
+++ b/packages/mesh/src/corianderwall/mesh/splits.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
-from corianderwall.model.resource import Route
 from corianderwall.mesh.routes import list_backends
+from corianderwall.model.resource import Route
 
 
 class WeightedSplit:
--- /dev/null
+++ b/packages/mesh/tests/test_directory.py
@@ -0,0 +1,99 @@
+from itertools import permutations
+from typing import Any
+
+from corianderwall.mesh.directory import FORGET_S, SUSPECT_MIN_S, Directory
+from corianderwall.mesh.messages import Beat, EndpointState, Tables
+
+
+def list_ids(directory: Directory, service: str = "s") -> list[str]:
+    return sorted(view.record.id for view in directory.list_ready(service))
+
+
+def test_records_merge_to_the_same_state_in_any_order(make_node: Any, make_endpoint: Any) -> None:
+    records = [
+        make_endpoint(revision=1),
+        make_endpoint(revision=5, state=EndpointState.DOWN),
+        make_endpoint(revision=3, state=EndpointState.DRAINING),
+        make_endpoint(revision=9),
+    ]
+    for order in permutations(records):
+        directory = Directory(make_node())
+        for record in order:
+            directory.merge_endpoint(record, 0.0)
+        assert directory.endpoints["i-1"].record.state is EndpointState.DRAINING
+
+
+def test_a_new_start_under_the_same_id_returns_to_ready(
+    directory: Directory, make_node: Any, make_endpoint: Any
+) -> None:
+    directory.merge_node(make_node("n1"), 0.0)
+    directory.merge_endpoint(make_endpoint(state=EndpointState.GONE), 0.0)
+    assert list_ids(directory) == []
+    directory.merge_endpoint(make_endpoint(born=2), 0.0)
+    assert list_ids(directory) == ["i-1"]
+    directory.merge_endpoint(make_endpoint(born=1, revision=99), 0.0)
+    assert directory.endpoints["i-1"].record.born_unix_ms == 2
+
+
+def test_a_silent_node_gets_no_call_until_it_has_answered_a_beat(
+    directory: Directory, make_node: Any, make_endpoint: Any
+) -> None:
+    directory.merge_node(make_node("n1"), 0.0)
+    directory.merge_endpoint(make_endpoint(), 0.0)
+    directory.note_silence("n1", 0.0)
+    assert list_ids(directory) == []
+    assert directory.list_doubted(0.1) == []
+    later = SUSPECT_MIN_S + 0.1
+    assert [peer.record.name for peer in directory.list_doubted(later)] == ["n1"]
+    assert list_ids(directory) == []
+    beat = Beat(node=make_node("n1"), config_version=1, digest="", source_ok=True)
+    directory.take_beat(beat, later)
+    assert list_ids(directory) == ["i-1"]
+
+
+def test_a_leaving_node_gets_no_call_and_a_restarted_one_does(
+    directory: Directory, make_node: Any, make_endpoint: Any
+) -> None:
+    directory.merge_endpoint(make_endpoint(), 0.0)
+    leaving = make_node("n1")
+    leaving = type(leaving)(
+        name="n1", zone="a", host="127.0.0.1", port=1, incarnation=1, leaving=True
+    )
+    directory.merge_node(leaving, 0.0)
+    directory.merge_node(make_node("n1"), 0.0)
+    assert list_ids(directory) == []
+    directory.merge_node(make_node("n1", incarnation=2), 0.0)
+    assert list_ids(directory) == ["i-1"]
+
+
+def test_an_endpoint_beside_an_unknown_node_is_not_used(
+    directory: Directory, make_endpoint: Any
+) -> None:
+    directory.merge_endpoint(make_endpoint(node="unknown"), 0.0)
+    assert list_ids(directory) == []
+
+
+def test_digests_are_equal_exactly_where_the_records_are(
+    make_node: Any, make_endpoint: Any
+) -> None:
+    one, other = Directory(make_node("x")), Directory(make_node("y"))
+    for record in (make_endpoint("i-1"), make_endpoint("i-2")):
+        one.merge_endpoint(record, 0.0)
+    for record in (make_endpoint("i-2"), make_endpoint("i-1")):
+        other.merge_endpoint(record, 5.0)
+    assert one.compute_digest() == other.compute_digest()
+    other.merge_endpoint(make_endpoint("i-2", state=EndpointState.DRAINING), 5.0)
+    assert one.compute_digest() != other.compute_digest()
+    other_tables = other.make_tables()
+    one.merge(Tables(sender=other.own, endpoints=other_tables.endpoints), 6.0)
+    assert one.compute_digest() == other.compute_digest()
+
+
+def test_an_endpoint_that_is_gone_is_forgotten_after_any_late_message(
+    directory: Directory, make_endpoint: Any
+) -> None:
+    directory.merge_endpoint(make_endpoint(state=EndpointState.GONE), 0.0)
+    directory.forget_old(FORGET_S - 1)
+    assert "i-1" in directory.endpoints
+    directory.forget_old(FORGET_S + 1)
+    assert "i-1" not in directory.endpoints
--- /dev/null
+++ b/packages/mesh/tests/test_moves.py
@@ -0,0 +1,120 @@
+from random import Random
+from typing import Any
+
+from corianderwall.mesh.directory import EndpointView
+from corianderwall.mesh.messages import (
+    Evidence,
+    Load,
+    MoveOrder,
+    MoveView,
+    RouteEvidence,
+)
+from corianderwall.mesh.moves import MoveBoard, find_badness, may_complete
+from corianderwall.model.resource import MoveState
+
+
+def make_order(
+    state: MoveState | None = MoveState.RUNNING, *, revision: int = 5, created: int = 1
+) -> MoveOrder:
+    return MoveOrder(
+        service="s", version="v2", duration_s=16.0, revision=revision, created=created, state=state
+    )
+
+
+def make_board(state: MoveState | None = MoveState.RUNNING, **flags: bool) -> MoveBoard:
+    board = MoveBoard(0.1, Random(1))
+    board.take_view(MoveView(order=make_order(state), age_s=0.0, **flags), 0.0)
+    return board
+
+
+def make_views(make_endpoint: Any) -> list[EndpointView]:
+    return [
+        EndpointView(make_endpoint(f"{version}-{n}", version=version), Load())
+        for version in ("v1", "v2")
+        for n in range(2)
+    ]
+
+
+def list_versions(board: MoveBoard, make_endpoint: Any, calls: int = 1000) -> list[str]:
+    views = make_views(make_endpoint)
+    return [board.narrow("s", views)[0].record.version for _ in range(calls)]
+
+
+def make_evidence(version: str, calls: int, failures: int, mean_ms: float = 100.0) -> Evidence:
+    counts = RouteEvidence(route="r", calls=calls, failures=failures, sum_ms=mean_ms * calls)
+    return Evidence(service="s", version=version, node=version, created=1, routes=(counts,))
+
+
+def judge(*evidence: Evidence) -> str | None:
+    board = make_board()
+    for item in evidence:
+        board.take_evidence(item)
+    finding = find_badness(board.moves["s"])
+    return finding.cause if finding is not None else None
+
+
+def test_a_new_version_stays_below_the_allowed_share(make_endpoint: Any) -> None:
+    versions = list_versions(make_board(), make_endpoint)
+    assert 0 < versions.count("v2") < 100
+
+
+def test_a_version_that_is_cut_gets_nothing(make_endpoint: Any) -> None:
+    assert set(list_versions(make_board(cut=True), make_endpoint)) == {"v1"}
+    taken_back = make_board(MoveState.TAKEN_BACK)
+    assert set(list_versions(taken_back, make_endpoint)) == {"v1"}
+    only_new = [view for view in make_views(make_endpoint) if view.record.version == "v2"]
+    assert taken_back.narrow("s", only_new) == []
+
+
+def test_before_completion_all_calls_leave_the_old_version(make_endpoint: Any) -> None:
+    assert set(list_versions(make_board(shifting=True), make_endpoint)) == {"v2"}
+    assert set(list_versions(make_board(MoveState.COMPLETED), make_endpoint)) == {"v2"}
+
+
+def test_a_final_state_is_not_undone_by_an_older_revision() -> None:
+    board = make_board(MoveState.COMPLETED)
+    assert not board.take_view(MoveView(order=make_order(revision=4), age_s=0.0), 1.0)
+    assert board.moves["s"].order.state is MoveState.COMPLETED
+
+
+def test_a_second_order_starts_anew() -> None:
+    board = make_board(MoveState.TAKEN_BACK, cut=True)
+    board.take_view(MoveView(order=make_order(None, revision=20, created=19), age_s=0.0), 5.0)
+    assert not board.moves["s"].cut
+    assert board.moves["s"].seen_at == 5.0
+
+
+def test_a_version_that_fails_is_bad_and_one_as_failing_as_the_old_one_is_not() -> None:
+    assert judge(make_evidence("v2", 10, 5), make_evidence("v1", 200, 0)) == "failures"
+    assert judge(make_evidence("v2", 10, 5), make_evidence("v1", 200, 90)) is None
+    assert judge(make_evidence("v2", 50, 0), make_evidence("v1", 200, 0)) is None
+
+
+def test_a_version_that_is_several_times_slower_is_bad() -> None:
+    assert judge(make_evidence("v2", 10, 0, 400.0), make_evidence("v1", 90, 0)) == "slow"
+    # A cold start takes twice as long and is no finding.
+    assert judge(make_evidence("v2", 10, 0, 200.0), make_evidence("v1", 90, 0)) is None
+
+
+def test_a_version_is_completed_early_only_with_enough_calls() -> None:
+    board = make_board()
+    move = board.moves["s"]
+    assert not may_complete(move, 10.0)
+    board.take_evidence(make_evidence("v2", 30, 0))
+    assert not may_complete(move, 5.0)
+    assert may_complete(move, 10.0)
+
+
+def test_a_version_without_calls_is_completed_before_its_time_runs_out() -> None:
+    move = make_board().moves["s"]
+    assert may_complete(move, 13.0)
+
+
+def test_an_owner_counts_only_while_an_order_for_its_service_runs() -> None:
+    board = make_board()
+    board.count("s", "v2", "r", failed=True, took_s=0.1)
+    board.count("other", "v2", "r", failed=True, took_s=0.1)
+    evidence = board.make_evidence("s", "v2", "n")
+    assert evidence is not None
+    assert evidence.routes == (RouteEvidence(route="r", calls=1, failures=1, sum_ms=100.0),)
+    assert make_board(MoveState.COMPLETED).make_evidence("s", "v2", "n") is None
--- /dev/null
+++ b/packages/mesh/tests/test_selection.py
@@ -0,0 +1,74 @@
+from collections import Counter
+from random import Random
+from typing import Any
+
+from corianderwall.mesh.directory import EndpointView
+from corianderwall.mesh.messages import Load
+from corianderwall.mesh.selection import CallShape, choose_endpoint
+
+SMALL = CallShape(zone="a", objective_ms=600, big=False)
+BIG = CallShape(zone="a", objective_ms=600, big=True)
+
+
+def make_view(make_endpoint: Any, name: str, **fields: Any) -> EndpointView:
+    load = Load(slots=4, service_ms=fields.pop("service_ms", 100.0))
+    if "load" in fields:
+        load = fields.pop("load")
+    return EndpointView(make_endpoint(name, **fields), load)
+
+
+def choose(views: list[EndpointView], shape: CallShape = SMALL, tried: tuple[str, ...] = ()) -> str:
+    chosen = choose_endpoint(views, shape, tried, 0.0, Random(1))
+    assert chosen is not None
+    return chosen.record.id
+
+
+def test_the_own_zone_comes_first_while_it_costs_little(make_endpoint: Any) -> None:
+    near = make_view(make_endpoint, "near", service_ms=150)
+    far = make_view(make_endpoint, "far", zone="b", service_ms=100)
+    assert choose([near, far]) == "near"
+
+
+def test_a_full_endpoint_in_the_zone_loses_to_a_free_one_elsewhere(make_endpoint: Any) -> None:
+    full = Load(running=4, waiting=4, slots=4, service_ms=100.0)
+    near = make_view(make_endpoint, "near", load=full)
+    far = make_view(make_endpoint, "far", zone="b")
+    assert choose([near, far]) == "far"
+
+
+def test_big_answers_stay_in_the_zone_for_longer(make_endpoint: Any) -> None:
+    busy = Load(running=4, waiting=6, slots=4, service_ms=100.0)
+    near = make_view(make_endpoint, "near", load=busy)
+    far = make_view(make_endpoint, "far", zone="b")
+    assert choose([near, far]) == "far"
+    assert choose([near, far], BIG) == "near"
+
+
+def test_a_slow_endpoint_gets_less(make_endpoint: Any) -> None:
+    slow = make_view(make_endpoint, "slow", service_ms=900)
+    fast = make_view(make_endpoint, "fast", service_ms=100)
+    assert choose([slow, fast]) == "fast"
+
+
+def test_a_failing_endpoint_gets_less(make_endpoint: Any) -> None:
+    failing = Load(slots=4, service_ms=60.0, failures=0.5)
+    bad = make_view(make_endpoint, "bad", load=failing)
+    good = make_view(make_endpoint, "good")
+    assert choose([bad, good]) == "good"
+
+
+def test_own_calls_count_before_the_owner_has_told(make_endpoint: Any) -> None:
+    """Load pattern: a herd that arrives between two reports of load."""
+    views = [make_view(make_endpoint, f"i-{n}") for n in range(4)]
+    picks: Counter[str] = Counter()
+    for _ in range(16):
+        name = choose(views)
+        picks[name] += 1
+        next(view for view in views if view.record.id == name).pending += 1
+    assert set(picks.values()) == {4}
+
+
+def test_what_was_tried_is_left_out(make_endpoint: Any) -> None:
+    views = [make_view(make_endpoint, "a"), make_view(make_endpoint, "b", service_ms=500)]
+    assert choose(views, tried=("a",)) == "b"
+    assert choose_endpoint(views, SMALL, ("a", "b"), 0.0, Random(1)) is None
