--- /dev/null
+++ b/packages/mesh/tests/test_gate.py
@@ -0,0 +1,331 @@
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from corianderwall.mesh.gate import Announcement, EndpointGate
+from corianderwall.mesh.messages import CallNote, EndpointRecord, EndpointState, Refusal
+from corianderwall.mesh.owner import ForwardedRequest, OwnerAnswer
+from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
+from corianderwall.model.endpoint import Address
+from corianderwall.standins.scripted import ScriptedUpstream, Seen, make_answer
+
+NAMES = HeaderNames(
+    request_id=b"request-id",
+    deadline_ms=b"deadline-ms",
+    expected_instance=b"expected-instance",
+    instance_id=b"instance-id",
+    not_run=b"not-executed",
+    load=b"server-load",
+    caller=b"caller-service",
+    signature=b"response-signature",
+)
+
+
+def make_settings(endpoint: Address) -> HostSettings:
+    here = Address(host="127.0.0.1", port=0)
+    return HostSettings(
+        name="n1",
+        zone="a",
+        service="s",
+        outbound=here,
+        inbound=here,
+        readiness=here,
+        announcements=here,
+        metrics=here,
+        endpoint=endpoint,
+        bounds=Bounds(heartbeat_s=0.01),
+    )
+
+
+def make_announcement(address: Address, **fields: Any) -> Announcement:
+    values: dict[str, Any] = {
+        "id": "i-1",
+        "service": "s",
+        "version": "v1",
+        "zone": "a",
+        "address": address,
+        "slots": 1,
+        "draining": False,
+        "warm_after_s": 0.0,
+        "born_unix_ms": 100,
+        "sequence": 1,
+    }
+    return Announcement(**(values | fields))
+
+
+def make_note(**fields: Any) -> CallNote:
+    values: dict[str, Any] = {
+        "endpoint": "i-1",
+        "left_ms": 2000.0,
+        "priority": 1,
+        "caller": "s",
+        "nested": False,
+        "may_wait": True,
+        "idempotent": False,
+        "route": "r",
+    }
+    return CallNote(**(values | fields))
+
+
+def make_request(name: str = "q1") -> ForwardedRequest:
+    headers = [(b"host", b"h"), (b"request-id", name.encode())]
+    return ForwardedRequest(name.encode(), b"GET", b"/a/b?c=d", headers, b"")
+
+
+class World:
+    """A gate beside a scripted endpoint."""
+
+    def __init__(self, answer: Callable[[Seen], Awaitable[bytes | None]]) -> None:
+        self.upstream = ScriptedUpstream(answer)
+        self.records: list[EndpointRecord] = []
+
+    async def start(self, **fields: Any) -> None:
+        await self.upstream.start()
+        self.address = Address(host="127.0.0.1", port=self.upstream.port)
+        self.gate = EndpointGate(
+            make_settings(self.address), NAMES, self.records.append, lambda *_: None
+        )
+        assert self.gate.announce(make_announcement(self.address, **fields))
+
+    async def serve(self, name: str = "q1", **fields: Any) -> OwnerAnswer:
+        return await self.gate.serve(make_note(**fields), make_request(name))
+
+
+def play(
+    answer: Callable[[Seen], Awaitable[bytes | None]],
+    scenario: Callable[[World], Awaitable[None]],
+    **fields: Any,
+) -> Deferred[None]:
+    async def run() -> None:
+        world = World(answer)
+        await world.start(**fields)
+        await scenario(world)
+        world.upstream.stop()
+
+    return Deferred.fromFuture(asyncio.ensure_future(run()))
+
+
+async def answer_ok(request: Seen) -> bytes:
+    return make_answer(request)
+
+
+async def keep_silent(request: Seen) -> None:
+    return None
+
+
+def test_a_call_carries_the_time_left_the_instance_and_the_caller() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        told = await world.serve()
+        assert told.note.ran is True
+        assert told.answer is not None and told.answer.body == b"ok"
+        (seen,) = world.upstream.seen
+        assert seen.target == "/a/b?c=d"
+        assert seen.headers["expected-instance"] == "i-1"
+        assert seen.headers["caller-service"] == "s"
+        assert 1000 < int(seen.headers["deadline-ms"]) <= 2000
+
+    return play(answer_ok, scenario)
+
+
+def test_the_endpoint_never_gets_more_than_it_has_slots_for() -> Deferred[None]:
+    async def answer(request: Seen) -> bytes:
+        await asyncio.sleep(0.01)
+        return make_answer(request)
+
+    async def scenario(world: World) -> None:
+        answers = await asyncio.gather(*(world.serve(f"q{n}") for n in range(10)))
+        assert all(told.note.ran for told in answers)
+        assert world.upstream.most_at_once == 2
+
+    return play(answer, scenario, slots=2)
+
+
+def test_connections_are_used_again() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        for number in range(5):
+            await world.serve(f"q{number}")
+        assert world.upstream.accepted == 1
+
+    return play(answer_ok, scenario)
+
+
+@pytest.mark.parametrize("leave", [True, False])
+def test_after_an_acknowledged_leave_nothing_is_sent(leave: bool) -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        waiting = [asyncio.ensure_future(world.serve(f"w{n}")) for n in range(3)]
+        await asyncio.sleep(0.01)
+        if leave:
+            world.gate.leave("i-1", None)
+        else:
+            world.gate.announce(make_announcement(world.address, draining=True, sequence=2))
+        refused = await world.serve("late")
+        assert refused.note.refusal is Refusal.LEAVING
+        done, running = await asyncio.wait(waiting, timeout=0.05)
+        assert [task.result().note.refusal for task in done] == [Refusal.LEAVING] * 2
+        assert len(world.upstream.seen) == 1
+        for task in running:
+            task.cancel()
+
+    return play(keep_silent, scenario)
+
+
+def test_a_late_announcement_of_an_earlier_start_changes_nothing() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        newer = make_announcement(world.address, id="i-2", born_unix_ms=200)
+        world.gate.announce(newer)
+        world.gate.announce(make_announcement(world.address, sequence=9))
+        world.gate.leave("i-1", 100)
+        assert world.gate.record is not None
+        assert world.gate.record.id == "i-2"
+        assert world.gate.record.state is EndpointState.READY
+
+    return play(answer_ok, scenario)
+
+
+def test_a_late_announcement_of_ready_does_not_undo_a_drain() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        world.gate.announce(make_announcement(world.address, draining=True, sequence=5))
+        world.gate.announce(make_announcement(world.address, sequence=4))
+        world.gate.announce(make_announcement(world.address, sequence=6))
+        assert world.gate.record is not None
+        assert world.gate.record.state is EndpointState.DRAINING
+
+    return play(answer_ok, scenario)
+
+
+def test_an_announcement_for_another_address_is_not_acknowledged() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        elsewhere = Address(host="127.0.0.1", port=1)
+        assert not world.gate.announce(make_announcement(elsewhere, id="i-9", born_unix_ms=900))
+        assert world.gate.record is not None and world.gate.record.id == "i-1"
+
+    return play(answer_ok, scenario)
+
+
+def test_a_shed_call_has_not_run_and_counts_as_an_arrival() -> Deferred[None]:
+    async def shed(request: Seen) -> bytes:
+        return make_answer(request, "503 Service Unavailable", more="Not-Executed: 1\r\n")
+
+    async def scenario(world: World) -> None:
+        note = (await world.serve()).note
+        assert (note.ran, note.refusal, note.reached) == (False, Refusal.SHED, True)
+
+    return play(shed, scenario)
+
+
+def test_another_endpoint_at_the_address_stops_the_use_of_it() -> Deferred[None]:
+    async def misdirected(request: Seen) -> bytes:
+        return make_answer(request, "421 Misdirected Request")
+
+    async def scenario(world: World) -> None:
+        assert (await world.serve()).note.ran is False
+        assert (await world.serve("q2")).note.refusal is Refusal.DOWN
+        assert len(world.upstream.seen) == 1
+
+    return play(misdirected, scenario)
+
+
+def test_a_lost_answer_leaves_open_whether_the_call_ran() -> Deferred[None]:
+    async def cut(request: Seen) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"
+
+    async def scenario(world: World) -> None:
+        task = asyncio.ensure_future(world.serve(left_ms=100.0))
+        told = await task
+        assert told.note.ran is None
+        assert told.answer is None
+
+    return play(cut, scenario)
+
+
+def test_an_answer_to_another_request_is_never_passed_on() -> Deferred[None]:
+    async def foreign(request: Seen) -> bytes:
+        other = Seen(request.target, {"request-id": "someone-else"})
+        return make_answer(other, body=b"not yours")
+
+    async def scenario(world: World) -> None:
+        told = await world.serve()
+        assert told.answer is None
+        assert told.note.ran is None
+
+    return play(foreign, scenario)
+
+
+def test_an_extra_answer_closes_the_connection_and_reaches_nobody() -> Deferred[None]:
+    async def double(request: Seen) -> bytes:
+        return make_answer(request) + make_answer(request, body=b"again")
+
+    async def scenario(world: World) -> None:
+        first = await world.serve("q1")
+        second = await world.serve("q2")
+        assert first.answer is not None and first.answer.body == b"ok"
+        assert second.answer is not None and second.answer.body == b"ok"
+        assert world.upstream.accepted == 2
+
+    return play(double, scenario)
+
+
+def test_a_refused_connection_means_not_run_and_stops_new_calls() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        world.upstream.stop()
+        note = (await world.serve()).note
+        assert (note.ran, note.refusal, note.reached) == (False, Refusal.DOWN, False)
+        assert world.records[-1].state is EndpointState.DOWN
+        world.gate.announce(make_announcement(world.address, sequence=2))
+        assert world.records[-1].state is EndpointState.READY
+
+    return play(answer_ok, scenario)
+
+
+def test_a_caller_that_leaves_closes_the_connection_and_frees_the_slot() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        task = asyncio.ensure_future(world.serve())
+        await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.sleep(0.02)
+        assert world.upstream.open_connections == 0
+        assert not world.gate.queue.running
+
+    return play(keep_silent, scenario)
+
+
+def test_a_waiting_caller_that_leaves_frees_its_place() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        running = asyncio.ensure_future(world.serve("q1"))
+        waiting = asyncio.ensure_future(world.serve("q2"))
+        await asyncio.sleep(0.01)
+        waiting.cancel()
+        await asyncio.sleep(0.01)
+        assert world.gate.queue.waiting == []
+        running.cancel()
+        await asyncio.sleep(0.01)
+
+    return play(keep_silent, scenario)
+
+
+def test_an_endpoint_that_says_nothing_for_several_beats_is_down() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        await asyncio.sleep(0.05)
+        world.gate.check_silence()
+        assert world.records[-1].state is EndpointState.DOWN
+
+    return play(answer_ok, scenario)
+
+
+def test_a_record_of_an_earlier_process_is_taken_over_with_a_newer_revision() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        known = world.records[-1]
+        gate = EndpointGate(
+            make_settings(world.address), NAMES, world.records.append, lambda *_: None
+        )
+        refused = await gate.serve(make_note(), make_request())
+        assert refused.note.refusal is Refusal.UNKNOWN
+        gate.adopt(known)
+        assert world.records[-1].supersedes(known)
+        served = await gate.serve(make_note(), make_request())
+        assert served.note.ran is True
+
+    return play(answer_ok, scenario)
