--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -1,6 +1,7 @@
 """The configuration in force, and how it reaches this node and goes on to others."""
 
 import asyncio
+import contextlib
 import zlib
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,10 @@
 """First and longest pause after a failed call to the platform."""
 IDLE_S = 0.25
 """Interval in which a node that does not watch looks whether it should."""
+JOIN_WAIT_S = 1.5
+"""Longest wait for the other nodes' records after a start, before this node may think it leads."""
+ALONE_S = 6.0
+"""Time without any configuration after which a node reads the platform whoever leads its zone."""
 
 PUSH_KIND = "config"
 PULL_KIND = "config-pull"
@@ -90,9 +95,11 @@
         source: Source,
         directory: Directory,
         link: PeerLink,
+        joined: asyncio.Event,
         spawn: Spawn,
     ) -> None:
         self.source_ok = True
+        self._joined = joined
         self._holder = holder
         self._source = source
         self._directory = directory
@@ -107,11 +114,17 @@
         return leads.get(self._directory.own.zone) == self._directory.own.name
 
     async def run(self) -> None:
-        """Read the configuration once, then watch it whenever this node leads its zone."""
+        """Watch the platform whenever this node leads its zone; others are told by the lead."""
+        loop = asyncio.get_running_loop()
+        alone_at = loop.time() + ALONE_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(JOIN_WAIT_S):
+                await self._joined.wait()
         revision: int | None = None
         pause_s = RETRY_MIN_S
         while True:
-            if self._holder.table is not None and not self.leads_zone:
+            alone = self._holder.table is None and loop.time() > alone_at
+            if not alone and not self.leads_zone:
                 revision = None
                 await asyncio.sleep(IDLE_S)
                 continue
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -24,6 +24,9 @@
 JOIN_RETRY_MAX_S = 3.0
 """First and longest pause before a failed announcement at the platform is tried again."""
 
+STALE_TRIES = 3
+"""Cheap lists that may be old before one is asked for that is not; others may just have begun."""
+
 BEAT_KIND = "beat"
 TABLES_KIND = "tables"
 
@@ -41,6 +44,7 @@
         source: Source,
         holder: ConfigurationHolder,
         sync: ConfigurationSync,
+        joined: asyncio.Event,
         make_beat: Callable[[], Beat],
         spawn: Spawn,
         random: Random,
@@ -50,6 +54,7 @@
         self._source = source
         self._holder = holder
         self._sync = sync
+        self._joined = joined
         self._make_beat = make_beat
         self._spawn = spawn
         self._random = random
@@ -60,19 +65,27 @@
         """Write this node's record at the platform and meet the nodes that have done so."""
         pause_s = JOIN_RETRY_S
         written = False
+        tries = 0
         while True:
             try:
                 if not written:
                     await self._source.announce_node(self._directory.own)
                     written = True
-                records = await self._source.list_nodes()
+                tries += 1
+                records = await self._source.list_nodes(stale=tries <= STALE_TRIES)
             except SourceError as error:
                 log_warning("joining through the platform failed", reason=error.reason)
                 await asyncio.sleep(pause_s * (0.5 + self._random.random()))
                 pause_s = min(JOIN_RETRY_MAX_S, pause_s * 2)
                 continue
-            break
-        log_info("joined through the platform", nodes=len(records))
+            self._meet(records)
+            if self._directory.peers or tries > STALE_TRIES:
+                break
+            await asyncio.sleep(JOIN_RETRY_S)
+        log_info("joined through the platform", nodes=len(records), tries=tries)
+        self._joined.set()
+
+    def _meet(self, records: tuple[NodeRecord, ...]) -> None:
         now = self._loop.time()
         for record in records:
             if record.name != self._directory.own.name:
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -84,7 +84,7 @@
         self.nodes[record.name] = record
         self._advance()
 
-    async def list_nodes(self) -> tuple[NodeRecord, ...]:
+    async def list_nodes(self, *, stale: bool) -> tuple[NodeRecord, ...]:
         """Return all records."""
         self._count()
         return tuple(self.nodes.values())
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -80,13 +80,17 @@
         self.moves = MoveBoard(settings.bounds.canary_share, random)
         self.link = PeerLink(self.directory, headers)
         self.gate = EndpointGate(settings, headers, self._announce, self._count)
-        self.sync = ConfigurationSync(self.holder, source, self.directory, self.link, self.spawn)
+        joined = asyncio.Event()
+        self.sync = ConfigurationSync(
+            self.holder, source, self.directory, self.link, joined, self.spawn
+        )
         self.gossip = Gossip(
             self.directory,
             self.link,
             source,
             self.holder,
             self.sync,
+            joined,
             self.make_beat,
             self.spawn,
             random,
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -54,8 +54,8 @@
     async def announce_node(self, record: NodeRecord) -> None:
         """Write the record of this node."""
 
-    async def list_nodes(self) -> tuple[NodeRecord, ...]:
-        """Return the records of all nodes that were ever written."""
+    async def list_nodes(self, *, stale: bool) -> tuple[NodeRecord, ...]:
+        """Return the records of all nodes; `stale` ones cost a tenth and may be seconds old."""
 
     async def remove_node(self, record: NodeRecord) -> None:
         """Remove the record of this node."""
