--- a/packages/httpflow/src/corianderwall/httpflow/limits.py
+++ b/packages/httpflow/src/corianderwall/httpflow/limits.py
@@ -28,8 +28,11 @@
     """What one upstream may use up; times in seconds, sizes in bytes.
 
     A request that is not idempotent takes no connection that was idle for longer than
-    `max_unsafe_idle_s`. A call without any progress for `suspect_after_s` starts a comparison with
-    a fresh connection, which is over after `probe_timeout_s`.
+    `max_unsafe_idle_s`. One that was idle for longer than `stale_after_s` is looked at before its
+    use: its peer may have closed it in this turn of the loop. A call without any progress for
+    `suspect_after_s` starts a comparison with a fresh connection, which is over after
+    `probe_timeout_s`. Without `own_ticks` the owner of the pool calls `UpstreamPool.tick`, so that
+    many pools need one timer.
     """
 
     max_head_bytes: int = 64 * KIB
@@ -44,3 +47,5 @@
     keepalive_idle_s: int = 1
     keepalive_interval_s: int = 1
     keepalive_probes: int = 3
+    own_ticks: bool = True
+    stale_after_s: float = 0.0
--- a/packages/httpflow/src/corianderwall/httpflow/pool.py
+++ b/packages/httpflow/src/corianderwall/httpflow/pool.py
@@ -113,7 +113,7 @@
     def take_opened(self, connection: ClientConnection) -> None:
         """Use a new connection for the oldest call that waits for one."""
         self._connections.add(connection)
-        if self._tick_timer is None:
+        if self._tick_timer is None and self.limits.own_ticks:
             self._tick_timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
         self.take_idle(connection)
 
@@ -162,12 +162,14 @@
                 connection.close()
                 continue
             self._idle.pop()
-            if idle_s <= self.limits.max_idle_s and not self._is_stale(connection):
+            if idle_s <= self.limits.max_idle_s and not self._is_stale(connection, idle_s):
                 return connection
             connection.close()
         return None
 
-    def _is_stale(self, connection: ClientConnection) -> bool:
+    def _is_stale(self, connection: ClientConnection, idle_s: float) -> bool:
+        if idle_s < self.limits.stale_after_s:
+            return False
         self._poller.register(connection.fileno, STALE_EVENTS)
         events = self._poller.poll(0)
         self._poller.unregister(connection.fileno)
@@ -210,12 +212,16 @@
             self._watch.compare(since=attempt.started)
         attempt.expire()
 
-    def _tick(self) -> None:
-        self._tick_timer = None
+    def tick(self) -> None:
+        """Close what was idle for too long, and look for calls without progress."""
         now = self._loop.time()
         for connection in list(self._idle):
             if now - connection.idle_since > self.limits.max_idle_s:
                 connection.close()
         self._watch.tick()
+
+    def _tick(self) -> None:
+        self._tick_timer = None
+        self.tick()
         if self._connections:
             self._tick_timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
--- a/packages/httpflow/src/corianderwall/httpflow/server.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server.py
@@ -12,7 +12,10 @@
 from corianderwall.httpflow.server_connection import ServerConnection, ServerState
 from corianderwall.model.endpoint import Address
 
-SWEEP_INTERVAL_S = 0.25
+SWEEP_INTERVAL_S = 1.0
+"""Interval at which deadlines of connections are looked at; the shortest are some seconds."""
+DRAIN_SWEEP_INTERVAL_S = 0.1
+"""The same during a drain, which ends with a sweep."""
 BACKLOG = 1024
 QUIET_GRACE_S = 0.5
 """The request of a connection that was opened or used last may be on its way for this long."""
@@ -67,7 +70,8 @@
             self.draining = True
             self._quiet_deadline = quiet_deadline
             self._ended_before_drain = self.ended_calls
-            self.note_change()
+            self._stop_sweep()
+            self._sweep()
         result: Deferred[DrainReport] = Deferred()
         self._drained.addCallback(_pass_on, result)
         return result
@@ -107,7 +111,8 @@
         for connection in list(self.connections):
             if connection.deadline <= now:
                 connection.expire()
-        self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        interval_s = DRAIN_SWEEP_INTERVAL_S if self.draining else SWEEP_INTERVAL_S
+        self._sweep_timer = self._loop.call_later(interval_s, self._sweep)
         if self.draining:
             self.note_change()
 
--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -7,6 +7,8 @@
 """Weight of the newest call in the mean time of a route; follows a change within ten calls."""
 SHORTEST_CALL_S = 0.001
 """Taken for the time of a call of a route that has not been seen yet."""
+TIMELY_MARGIN = 1.3
+"""Factor on the mean time of a call when it is judged whether it will be in time."""
 RESIDUAL_PART = 0.3
 """Least part of its mean time that a running call is taken to need still."""
 
@@ -22,10 +24,14 @@
 
 @dataclass(eq=False, slots=True)
 class Ticket:
-    """One call at the owner; instants are monotonic seconds, a lower `rank` starts first."""
+    """One call at the owner; instants are monotonic seconds, a lower `rank` starts first.
+
+    An answer after `due` is late, one after `deadline` is of no use.
+    """
 
     route: str
     rank: int
+    due: float
     deadline: float
     order: int = 0
     started: float = 0.0
@@ -33,7 +39,7 @@
 
 @dataclass(slots=True)
 class AdmissionQueue:
-    """A queue by rank and deadline in front of `slots` slots."""
+    """A queue in front of `slots` slots: timely calls first, then by rank and due time."""
 
     slots: int
     running: set[Ticket] = field(default_factory=set)
@@ -43,7 +49,11 @@
     _orders: int = 0
 
     def offer(self, ticket: Ticket, now: float, *, may_wait: bool) -> Admission:
-        """Take a call or refuse it; one that is started or waits is in the queue's charge."""
+        """Take a call or refuse it; one that is started or waits is in the queue's charge.
+
+        A call waits while it is expected to be in time. One that will be late waits only where
+        nothing that can be in time does: otherwise the late ones would make all calls late.
+        """
         if now + self.estimate_call(ticket.route) > ticket.deadline:
             return Admission.LATE
         if len(self.running) < self.slots and not self.waiting:
@@ -51,13 +61,15 @@
             return Admission.START
         if not may_wait:
             return Admission.FULL
-        wait_s = self.estimate_wait(now, ticket.rank)
-        if now + wait_s + self.estimate_call(ticket.route) > ticket.deadline:
-            return Admission.LATE
+        start = now + self.estimate_wait(now, ticket.rank)
+        if not self._is_timely(ticket, start):
+            if any(self._is_timely(waiting, now) for waiting in self.waiting):
+                return Admission.LATE
+            if start + self.estimate_call(ticket.route) > ticket.deadline:
+                return Admission.LATE
         self._orders += 1
         ticket.order = self._orders
         self.waiting.append(ticket)
-        self.waiting.sort(key=_read_order)
         return Admission.WAIT
 
     def finish(self, ticket: Ticket, now: float, *, ran: bool) -> None:
@@ -82,7 +94,8 @@
         for ticket in late:
             self.waiting.remove(ticket)
         while self.waiting and len(self.running) < self.slots:
-            ticket = self.waiting.pop(0)
+            ticket = min(self.waiting, key=lambda waiting: self._read_order(waiting, now))
+            self.waiting.remove(ticket)
             self._start(ticket, now)
             started.append(ticket)
         return started, late
@@ -108,6 +121,13 @@
         mean_s = self.estimate_call(ticket.route)
         return max(mean_s - (now - ticket.started), mean_s * RESIDUAL_PART)
 
+    def _is_timely(self, ticket: Ticket, start: float) -> bool:
+        return start + TIMELY_MARGIN * self.estimate_call(ticket.route) <= ticket.due
+
+    def _read_order(self, ticket: Ticket, now: float) -> tuple[bool, int, float, int]:
+        late = ticket.rank > 0 and not self._is_timely(ticket, now)
+        return late, ticket.rank, ticket.due, ticket.order
+
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started = now
         self.running.add(ticket)
@@ -115,7 +135,3 @@
 
 def _blend(kept: float, newest: float) -> float:
     return kept + MEAN_WEIGHT * (newest - kept)
-
-
-def _read_order(ticket: Ticket) -> tuple[int, float, int]:
-    return ticket.rank, ticket.deadline, ticket.order
--- a/packages/mesh/src/corianderwall/mesh/body.py
+++ b/packages/mesh/src/corianderwall/mesh/body.py
@@ -1,6 +1,6 @@
 """Reads the whole body of an incoming request."""
 
-import asyncio
+from twisted.internet.defer import Deferred
 
 from corianderwall.httpflow.call import IncomingCall
 
@@ -13,7 +13,7 @@
         self._limit = limit
         self._chunks: list[bytes] = []
         self._size = 0
-        self._done: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
+        self._done: Deferred[bytes | None] = Deferred()
 
     async def read(self) -> bytes | None:
         """Return the body once it is whole."""
@@ -33,10 +33,10 @@
 
     def end_body(self) -> None:
         """Take note that the body is whole."""
-        if not self._done.done():
-            self._done.set_result(b"".join(self._chunks))
+        if not self._done.called:
+            self._done.callback(b"".join(self._chunks))
 
     def abort_body(self) -> None:
         """Take note that the rest of the body will not come."""
-        if not self._done.done():
-            self._done.set_result(None)
+        if not self._done.called:
+            self._done.callback(None)
--- a/packages/mesh/src/corianderwall/mesh/conductor.py
+++ b/packages/mesh/src/corianderwall/mesh/conductor.py
@@ -24,6 +24,8 @@
 """Interval of evidence and of judgement; a small part of the time to take a version back."""
 SHIFT_S = 1.3
 """Time between the last call to an old version and its end, enough for nearly all calls."""
+REST_S = 1.0
+"""The same while no move is under way."""
 NOTICE_KIND = "moves"
 
 
@@ -76,7 +78,8 @@
     async def run(self) -> None:
         """Send evidence, and judge while this node leads the fleet."""
         while True:
-            await asyncio.sleep(TICK_S)
+            moving = any(move.is_running for move in self._board.moves.values())
+            await asyncio.sleep(TICK_S if moving else REST_S)
             evidence = self._make_evidence()
             lead = find_fleet_lead(self._directory, self._sync.source_ok)
             if lead == self._directory.own.name:
@@ -89,7 +92,7 @@
                 node = self._directory.peers[lead].record
                 self._spawn(self._tell(node.name, notice))
 
-    async def take_notice(self, body: bytes) -> bytes | None:
+    def take_notice(self, body: bytes) -> bytes | None:
         """Take a peer's views or evidence."""
         notice = msgspec.msgpack.decode(body, type=MoveNotice)
         now = self._loop.time()
--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -31,7 +31,7 @@
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 2.0
 """First and longest pause after a failed call to the platform."""
-IDLE_S = 0.25
+IDLE_S = 0.5
 """Interval in which a node that does not watch looks whether it should."""
 JOIN_WAIT_S = 1.5
 """Longest wait for the other nodes' records after a start, before this node may think it leads."""
@@ -141,7 +141,7 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
 
-    async def take_push(self, body: bytes) -> bytes | None:
+    def take_push(self, body: bytes) -> bytes | None:
         """Take a configuration from a peer; None asks for the whole one."""
         push = msgspec.msgpack.decode(body, type=ConfigPush)
         holder = self._holder
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from twisted.internet.defer import CancelledError, Deferred
+
 from corianderwall.httpflow.call import IncomingCall
 from corianderwall.mesh.body import BodyReader
 from corianderwall.mesh.configuration import ConfigurationHolder
@@ -11,13 +13,14 @@
 from corianderwall.mesh.messages import AnswerNote, CallNote, Refusal
 from corianderwall.mesh.moves import MoveBoard
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerAnswer
+from corianderwall.mesh.patience import PatienceMemory
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
 from corianderwall.mesh.refusals import UNREADY_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
 from corianderwall.mesh.selection import CallShape, choose_endpoint
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.splits import WeightedSplit
-from corianderwall.mesh.tasks import Spawn, make_canceller
+from corianderwall.mesh.tasks import run_call
 from corianderwall.model.resource import Route
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
@@ -45,6 +48,7 @@
     service: str
     request: ForwardedRequest
     deadline: float
+    due: float
     began: float
     nested: bool
     tried: set[str] = field(default_factory=set)
@@ -67,7 +71,6 @@
         own: Owner,
         moves: MoveBoard,
         metrics: CallMetrics,
-        spawn: Spawn,
         random: Random,
     ) -> None:
         self._settings = settings
@@ -78,7 +81,6 @@
         self._own = own
         self._moves = moves
         self._metrics = metrics
-        self._spawn = spawn
         self._random = random
         self._loop = asyncio.get_running_loop()
         self._splits = WeightedSplit(random)
@@ -86,6 +88,7 @@
         self._budget = RetryBudget(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
         )
+        self._patience = PatienceMemory()
         self._lines = LogBudget(CALL_LINES_PER_S)
         self._sizes: dict[str, float] = {}
         self.latest_end = float("inf")
@@ -93,8 +96,9 @@
 
     def handle(self, call: IncomingCall) -> None:
         """Start to work on `call`."""
-        task = self._spawn(self._answer(call))
-        call.on_hang_up = make_canceller(task)
+        cancel = run_call(self._answer(call))
+        if call.is_open:
+            call.on_hang_up = cancel
 
     async def _answer(self, call: IncomingCall) -> None:
         began = self._loop.time()
@@ -114,28 +118,31 @@
             self._refuse_early(call, request_id, 413, "the body is too large")
             return
         peer_host = call.connection.peer_host if call.connection is not None else ""
-        left_s = min(self._read_left_s(call), route.timeout_ms / 1000)
-        deadline = min(began + left_s, self.latest_end)
+        given_s = self._read_left_s(call)
+        deadline = min(began + min(given_s, route.timeout_ms / 1000), self.latest_end)
         state = _CallState(
             route=route,
             service=self._splits.pick(route),
             request=ForwardedRequest(request_id, call.method, call.target, self._strip(call), body),
             deadline=deadline,
+            due=began + route.objective_ms / 1000 - self._patience.read_used_s(route.name, given_s),
             began=began,
             nested=peer_host == self._settings.endpoint.host,
         )
         self._budget.count_request(state.service, began)
         self._metrics.running += 1
+        search = Deferred.fromCoroutine(self._find_answer(state))
+        timer = self._loop.call_at(deadline, search.cancel)
         try:
-            async with asyncio.timeout_at(deadline):
-                answer = await self._find_answer(state)
-        except TimeoutError:
-            self._finish(call, state, 504, "deadline")
+            answer = await search
+        except CancelledError:
+            if call.is_open:
+                self._finish(call, state, 504, "deadline")
+            else:
+                self._log(state, 0, "caller left")
             return
-        except asyncio.CancelledError:
-            self._log(state, 0, "caller left")
-            raise
         finally:
+            timer.cancel()
             self._metrics.running -= 1
         self._deliver(call, state, answer)
 
@@ -173,9 +180,11 @@
         record = view.record
         state.tried.add(record.id)
         route = state.route
+        now = self._loop.time()
         note = CallNote(
             endpoint=record.id,
-            left_ms=round((state.deadline - self._loop.time()) * 1000, 1),
+            left_ms=round((state.deadline - now) * 1000, 1),
+            due_ms=round((state.due - now) * 1000, 1),
             priority=route.priority,
             caller=self._settings.service,
             nested=state.nested,
@@ -233,7 +242,8 @@
             waits = state.refused_wait_ms
             self._finish(call, state, 503, "refused", min(waits) / 1000 if waits else UNREADY_S)
         elif told.answer is None:
-            self._finish(call, state, 502, "answer lost")
+            late = self._loop.time() >= state.deadline
+            self._finish(call, state, 504 if late else 502, "answer lost")
         else:
             answer = told.answer
             self._note_size(state.route.name, len(answer.body))
--- a/packages/mesh/src/corianderwall/mesh/exchange.py
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -1,8 +1,10 @@
-"""One request and its whole answer on a pooled connection, as a coroutine."""
+"""One request and its whole answer on a pooled connection, as a coroutine of Twisted."""
 
 import asyncio
 from dataclasses import dataclass
 
+from twisted.internet.defer import CancelledError, Deferred
+
 from corianderwall.httpflow.attempt import AnswerHead, Attempt, AttemptResult, OutgoingCall
 from corianderwall.httpflow.flow import Headers
 from corianderwall.httpflow.pool import UpstreamPool
@@ -41,8 +43,7 @@
     """Collects the answer; one that echoes another request's id is treated as lost."""
 
     def __init__(self, echo: tuple[bytes, bytes] | None) -> None:
-        loop = asyncio.get_running_loop()
-        self.done: asyncio.Future[AttemptResult] = loop.create_future()
+        self.done: Deferred[AttemptResult] = Deferred()
         self.body: list[bytes] = []
         self.foreign = False
         self.attempt: Attempt | None = None
@@ -61,8 +62,8 @@
         self.body.append(data)
 
     def finish(self, result: AttemptResult) -> None:
-        if not self.done.done():
-            self.done.set_result(result)
+        if not self.done.called:
+            self.done.callback(result)
 
 
 async def run_exchange(
@@ -77,7 +78,7 @@
     collector.attempt = attempt
     try:
         result = await collector.done
-    except asyncio.CancelledError:
+    except CancelledError:
         attempt.cancel()
         raise
     head = result.head
@@ -85,3 +86,11 @@
         handed_over = attempt.handed_over
         return Exchange(None, handed_over, result.error or ErrorCode.UPSTREAM_LOST)
     return Exchange(Answer(head.status, head.headers, b"".join(collector.body)), True)
+
+
+async def await_exchange(
+    pool: UpstreamPool, call: OutgoingCall, echo: tuple[bytes, bytes] | None = None
+) -> Exchange:
+    """Do the same as `run_exchange` for a task of asyncio."""
+    exchange = Deferred.fromCoroutine(run_exchange(pool, call, echo))
+    return await exchange.asFuture(asyncio.get_running_loop())
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from twisted.internet.defer import CancelledError, Deferred
+
 from corianderwall.httpflow.attempt import OutgoingCall
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
@@ -32,10 +34,14 @@
 """Weight of the newest call in the share of failures; follows a change within ten calls."""
 SEQUENCE_STEP = 1000
 """Changes of a record that fit between two announcements of its endpoint."""
+DEADLINE_MARGIN_S = 0.1
+"""Time beyond the deadline after which the owner gives a call up by itself; the entry is first."""
 DEFAULT_CONNECTIONS = 64
 """Connections to the endpoint when the configuration names no limit; above any slot count."""
 KEPT_IDLE_S = 8.0
 """Idle time after which a connection is not used again; endpoints close theirs soon after."""
+STALE_AFTER_S = 0.2
+"""Idle time after which a connection is looked at before its use; endpoints close some early."""
 KEPT_UNSAFE_IDLE_S = 2.0
 """The same for a call that may not be repeated, which a reset would lose."""
 
@@ -78,7 +84,7 @@
         self._on_result = on_result
         self._loop = asyncio.get_running_loop()
         self._pool = self._make_pool()
-        self._futures: dict[Ticket, asyncio.Future[Refusal | None]] = {}
+        self._waits: dict[Ticket, Deferred[Refusal | None]] = {}
         self._sequence = 0
         self._heard_at = -math.inf
         self._failures = 0.0
@@ -155,12 +161,13 @@
 
     async def serve(self, note: CallNote, request: ForwardedRequest) -> OwnerAnswer:
         """Run a call at the endpoint, or refuse it before it is sent."""
-        deadline = self._loop.time() + note.left_ms / 1000
+        now = self._loop.time()
+        deadline = now + note.left_ms / 1000
         refusal = self._find_refusal(note.endpoint)
         if refusal is not None:
             return self._refuse(request, refusal)
         rank = 0 if note.nested else 1 + note.priority
-        ticket = Ticket(note.route, rank, deadline)
+        ticket = Ticket(note.route, rank, now + note.due_ms / 1000, deadline)
         refusal = await self._admit(ticket, note)
         if refusal is not None:
             return self._refuse(request, refusal, ticket)
@@ -186,6 +193,7 @@
             max_unsafe_idle_s=KEPT_UNSAFE_IDLE_S,
             # Calls take as long as they take here; comparisons would cost the endpoint slots.
             suspect_after_s=math.inf,
+            stale_after_s=STALE_AFTER_S,
         )
         return UpstreamPool(self._settings.endpoint, DEFAULT_CONNECTIONS, limits)
 
@@ -280,18 +288,18 @@
             return Refusal.LATE
         if admission is Admission.START:
             return None
-        future: asyncio.Future[Refusal | None] = self._loop.create_future()
-        self._futures[ticket] = future
+        wait: Deferred[Refusal | None] = Deferred()
+        self._waits[ticket] = wait
         try:
-            return await future
-        except asyncio.CancelledError:
+            return await wait
+        except CancelledError:
             queue.withdraw(ticket)
             if ticket in queue.running:
                 queue.finish(ticket, self._loop.time(), ran=False)
                 self._advance()
             raise
         finally:
-            self._futures.pop(ticket, None)
+            self._waits.pop(ticket, None)
 
     def _advance(self) -> None:
         started, late = self.queue.advance(self._loop.time())
@@ -305,9 +313,9 @@
             self._settle(ticket, refusal)
 
     def _settle(self, ticket: Ticket, refusal: Refusal | None) -> None:
-        future = self._futures.get(ticket)
-        if future is not None and not future.done():
-            future.set_result(refusal)
+        wait = self._waits.pop(ticket, None)
+        if wait is not None:
+            wait.callback(refusal)
 
     async def _send(self, note: CallNote, request: ForwardedRequest, deadline: float) -> Exchange:
         names = self._headers
@@ -322,7 +330,7 @@
             method=request.method,
             target=request.target,
             headers=headers,
-            deadline=deadline,
+            deadline=deadline + DEADLINE_MARGIN_S,
             idempotent=note.idempotent,
             body=request.body,
         )
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -16,7 +16,7 @@
 
 BEAT_S = 1.0
 """Interval of beats; half of the shortest bound within which a change has to be known."""
-TICK_S = 0.2
+TICK_S = 0.25
 """Interval at which peers that were silent are looked at."""
 BEAT_PEERS = 2
 """Peers that a node beats to in each interval, whatever the size of the fleet."""
@@ -98,6 +98,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = self._loop.time()
+            self._link.tick()
             for peer in self._directory.list_doubted(now):
                 # Until the answer comes, the pause that follows a failure keeps it from doubling.
                 peer.retry_at = now + BEAT_S
@@ -122,14 +123,14 @@
         for peer in self._directory.peers.values():
             self._spawn(self._tell(peer.record, body))
 
-    async def take_beat(self, body: bytes) -> bytes | None:
+    def take_beat(self, body: bytes) -> bytes | None:
         """Answer a peer's beat with one of this node's own."""
         beat = _beat_decoder.decode(body)
         self._directory.take_beat(beat, self._loop.time())
         self._compare(beat)
         return msgspec.msgpack.encode(self._make_beat())
 
-    async def take_tables(self, body: bytes) -> bytes | None:
+    def take_tables(self, body: bytes) -> bytes | None:
         """Merge a peer's tables and answer with this node's own if the peer sent all."""
         tables = _tables_decoder.decode(body)
         now = self._loop.time()
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -83,11 +83,13 @@
 class CallNote(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What the entry tells the owner of a call; `left_ms` is the time until its deadline.
 
+    An answer later than `due_ms` from now is late.
     `may_wait` allows the owner to queue the call; `nested` marks a call of a running call.
     """
 
     endpoint: str
     left_ms: float
+    due_ms: float
     priority: int
     caller: str
     nested: bool
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -21,7 +21,7 @@
 )
 from corianderwall.mesh.directory import Directory, select_fresh
 from corianderwall.mesh.entry import Entry
-from corianderwall.mesh.exchange import run_exchange
+from corianderwall.mesh.exchange import await_exchange
 from corianderwall.mesh.gate import EndpointGate
 from corianderwall.mesh.gossip import BEAT_KIND, TABLES_KIND, Gossip
 from corianderwall.mesh.messages import (
@@ -107,7 +107,6 @@
             self.gate,
             self.moves,
             self.metrics,
-            self.spawn,
             random,
         )
         handlers = {
@@ -116,7 +115,7 @@
             PUSH_KIND: self.sync.take_push,
             NOTICE_KIND: self.conductor.take_notice,
         }
-        port = PeerPort(self.gate, headers, handlers, self.spawn)
+        port = PeerPort(self.gate, headers, handlers)
         limits = self._make_limits()
         self._outbound = CallServer(self.entry, limits)
         self._inbound = CallServer(port, limits)
@@ -259,7 +258,7 @@
             deadline=self._loop.time() + PROBE_TIMEOUT_S,
             idempotent=True,
         )
-        exchange = await run_exchange(pool, call)
+        exchange = await await_exchange(pool, call)
         pool.close()
         answer = exchange.answer
         if answer is None or answer.status != 200:
--- a/packages/mesh/src/corianderwall/mesh/output.py
+++ b/packages/mesh/src/corianderwall/mesh/output.py
@@ -11,7 +11,7 @@
 from corianderwall.mesh.settings import HostSettings
 from corianderwall.node.logs import LogSettings, start_logs
 
-FLUSH_S = 0.05
+FLUSH_S = 0.2
 """Longest time that a line is kept back, so that a burst of lines is written at once."""
 MAX_KEPT_BYTES = 256 * 1024
 """Lines kept while the reader does not keep up; older ones stay, newer ones are counted."""
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -15,11 +15,11 @@
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.body import BodyReader
 from corianderwall.mesh.directory import Directory
-from corianderwall.mesh.exchange import Answer, run_exchange
+from corianderwall.mesh.exchange import Answer, await_exchange, run_exchange
 from corianderwall.mesh.messages import AnswerNote, CallNote, Load, NodeRecord, Refusal
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerAnswer
 from corianderwall.mesh.settings import HeaderNames
-from corianderwall.mesh.tasks import Spawn, make_canceller
+from corianderwall.mesh.tasks import run_call
 from corianderwall.model.endpoint import Address
 from corianderwall.node.logs import log_warning
 
@@ -42,6 +42,8 @@
 """Silence of a call after which a fresh connection is compared with the old ones."""
 MESSAGE_TIMEOUT_S = 1.0
 """Time for the answer to a message between nodes."""
+STALE_AFTER_S = 1.0
+"""Idle time after which a connection is looked at before its use; closes are rare before."""
 OWNER_MARGIN_S = 0.05
 """Time that an entry waits beyond the deadline for the owner's account of a call."""
 
@@ -50,7 +52,7 @@
 _answer_decoder = msgspec.json.Decoder(AnswerNote)
 
 MessageType = TypeVar("MessageType")
-MessageHandler = Callable[[bytes], Awaitable[bytes | None]]
+MessageHandler = Callable[[bytes], bytes | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +113,7 @@
             idempotent=True,
             body=body,
         )
-        exchange = await run_exchange(self._find_pool(node), call)
+        exchange = await await_exchange(self._find_pool(node), call)
         answer = exchange.answer
         if answer is None or answer.status != 200:
             self._directory.note_silence(node.name, self._loop.time())
@@ -119,6 +121,12 @@
         self._directory.note_answer(node.name, self._loop.time())
         return answer.body
 
+    def tick(self) -> None:
+        """Look after all connections; to be called a few times a second."""
+        for pool in self._pools.values():
+            if pool.open_connections:
+                pool.tick()
+
     def close_unused(self) -> None:
         """Close the connections to addresses that no known node has."""
         used = {
@@ -139,6 +147,8 @@
                 suspect_after_s=PEER_SUSPECT_S,
                 probe_timeout_s=PEER_CONNECT_S,
                 user_timeout_ms=PEER_USER_TIMEOUT_MS,
+                own_ticks=False,
+                stale_after_s=STALE_AFTER_S,
             )
             pool = self._pools[address] = UpstreamPool(address, PEER_CONNECTIONS, limits)
         return pool
@@ -159,23 +169,22 @@
         owner: Owner,
         headers: HeaderNames,
         handlers: Mapping[str, MessageHandler],
-        spawn: Spawn,
     ) -> None:
         self._owner = owner
         self._headers = headers
         self._handlers = handlers
-        self._spawn = spawn
 
     def handle(self, call: IncomingCall) -> None:
         """Start to work on a call or a message."""
         raw = call.find_header(CALL_HEADER)
         if raw is not None:
-            task = self._spawn(self._serve(call, raw))
-            call.on_hang_up = make_canceller(task)
+            cancel = run_call(self._serve(call, raw))
+            if call.is_open:
+                call.on_hang_up = cancel
             return
         kind = call.find_header(MESSAGE_HEADER)
         if kind is not None:
-            self._spawn(self._answer_message(call, kind.decode("latin-1")))
+            run_call(self._answer_message(call, kind.decode("latin-1")))
             return
         # The comparison of connections asks for the health of a node.
         call.respond(200 if call.target == b"/health" else 404, [])
@@ -207,7 +216,7 @@
             call.respond(404, [])
             return
         try:
-            reply = await handler(body)
+            reply = handler(body)
         except msgspec.DecodeError as error:
             log_warning("a damaged message", kind=kind, error=str(error))
             call.respond(400, [])
