--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -5,9 +5,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
+import pytest
 from twisted.internet.defer import Deferred
 
+from corianderwall.mesh import entry as entry_module
 from corianderwall.mesh.gate import Announcement
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import EndpointState
@@ -124,7 +127,7 @@
     async def ask(self, name: str, target: str = "/r/x", **headers: str) -> Reply:
         port = self.hosts[name].node.settings.outbound.port
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        lines = {"Host": "h.example", "Request-Id": "q1", "Deadline-Ms": "2000"} | headers
+        lines = {"host": "h.example", "request_id": "q1", "deadline_ms": "2000"} | headers
         head = "".join(f"{key.replace('_', '-')}: {value}\r\n" for key, value in lines.items())
         writer.write(f"GET {target} HTTP/1.1\r\n{head}\r\n".encode())
         raw = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -389,3 +392,48 @@
         assert count_seen(fleet)["n2"] == seen
 
     return play(scenario)
+
+
+def test_a_refused_call_does_not_ask_an_owner_that_has_just_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    """Load pattern: a herd at an entry while the only endpoint is full."""
+    monkeypatch.setattr(entry_module, "FULL_S", 600.0)
+    monkeypatch.setattr(entry_module, "LATE_S", 600.0)
+
+    async def scenario(fleet: Fleet) -> None:
+        release = asyncio.Event()
+
+        async def answer(request: Seen) -> bytes:
+            await release.wait()
+            return make_answer(request)
+
+        fleet.answer = answer
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", timeout_ms=60_000)))
+        owner = await fleet.add("n1")
+        await fleet.add("n2", announce=False)
+        await fleet.meet()
+        gate = owner.node.gate
+        gate.queue.means_s["r"] = 45.0
+        running = [asyncio.ensure_future(fleet.ask("n2", deadline_ms="60000")) for _ in range(2)]
+        await fleet.settle(lambda: len(gate.queue.running) == 2)
+        asked = 0
+        serve = gate.serve
+
+        def count(*arguments: Any) -> Any:
+            nonlocal asked
+            asked += 1
+            return serve(*arguments)
+
+        # The port of the owner looks the method up at each call.
+        gate.serve = count  # type: ignore[method-assign]
+        for _ in range(10):
+            reply = await fleet.ask("n2", deadline_ms="60000")
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+        # The first call asked for a slot and for a place in the queue; the others asked nothing.
+        assert asked == 2
+        release.set()
+        assert [reply.status for reply in await asyncio.gather(*running)] == [200, 200]
+
+    return play(scenario)
