--- a/packages/ctl/src/corianderwall/ctl/main.py
+++ b/packages/ctl/src/corianderwall/ctl/main.py
@@ -11,6 +11,7 @@
 from corianderwall.ctl.output import JSON, TABLE
 from corianderwall.ctl.resource_commands import route, service, subscriber, version
 from corianderwall.ctl.session import Session
+from corianderwall.ctl.story import explain_request
 
 NODES_VARIABLE = "CORIANDERWALL_NODES"
 TOKEN_VARIABLE = "CORIANDERWALL_TOKEN"
@@ -101,6 +102,7 @@
     audit,
     operation,
     explain,
+    explain_request,
 )
 for _command in _COMMANDS:
     ctl.add_command(_command)
--- /dev/null
+++ b/packages/ctl/tests/test_story.py
@@ -0,0 +1,47 @@
+import json
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+
+from corianderwall.ctl.story import explain_request, read_lines, select_story
+
+
+def make_line(time: float, node: str, message: str, **fields: Any) -> str:
+    return json.dumps({"time": time, "level": "info", "node": node, "message": message} | fields)
+
+
+LINES = [
+    make_line(1.0, "n2", "endpoint state", state="draining"),
+    make_line(7.0, "n2", "endpoint state", state="down"),
+    make_line(8.0, "n3", "endpoint state", state="gone"),
+    make_line(9.2, "n1", "call ended", request="q1", status=503),
+    make_line(9.1, "n2", "refused by the owner", request="q1", refusal="down"),
+    make_line(9.15, "n2", "ran", request="q2"),
+    make_line(9.9, "n2", "endpoint state", state="ready"),
+]
+
+
+def test_a_story_has_the_request_s_lines_in_order_and_what_its_nodes_believed() -> None:
+    story = select_story(read_lines(LINES), "q1")
+    assert [(line.node, line.message) for line in story] == [
+        ("n2", "endpoint state"),
+        ("n2", "refused by the owner"),
+        ("n1", "call ended"),
+    ]
+
+
+def test_other_output_is_passed_over() -> None:
+    texts = ["plain text", "{broken", "[1]", '{"a": 1}', "  12.5 node-1 " + LINES[3]]
+    assert [line.request for line in read_lines(texts)] == ["q1"]
+
+
+def test_the_command_prints_the_story_or_says_that_there_is_none(tmp_path: Path) -> None:
+    log = tmp_path / "node.log"
+    log.write_text("\n".join(LINES))
+    found = CliRunner().invoke(explain_request, ["q1", str(log)])
+    assert found.exit_code == 0
+    assert "* 9.200 n1 call ended: status=503" in found.output
+    missing = CliRunner().invoke(explain_request, ["q9", str(log)])
+    assert missing.exit_code == 1
+    assert "no line of 7 names the request q9" in missing.output
