--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -53,12 +53,6 @@
         """Return whether answers have to tell the caller to leave."""
         return self._state.draining
 
-    @property
-    def peer_host(self) -> str:
-        """Return the IP address that the caller's connection comes from."""
-        peer = self._transport.get_extra_info("peername")
-        return str(peer[0]) if peer else ""
-
     @property
     def is_quiet(self) -> bool:
         """Return whether no request is running, waiting or partly read."""
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -1,6 +1,7 @@
 """Takes the calls of this host's callers and finds an owner for each."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -73,6 +74,7 @@
         configuration: ConfigurationHolder,
         link: PeerLink,
         own: Owner,
+        is_nested: Callable[[bytes], bool],
         moves: MoveBoard,
         metrics: CallMetrics,
         random: Random,
@@ -83,6 +85,7 @@
         self._configuration = configuration
         self._link = link
         self._own = own
+        self._is_nested = is_nested
         self._moves = moves
         self._metrics = metrics
         self._random = random
@@ -121,7 +124,6 @@
         if body is None:
             self._refuse_early(call, request_id, 413, "the body is too large")
             return
-        peer_host = call.connection.peer_host if call.connection is not None else ""
         given_s = self._read_left_s(call)
         deadline = min(began + min(given_s, route.timeout_ms / 1000), self.latest_end)
         state = _CallState(
@@ -131,7 +133,7 @@
             deadline=deadline,
             due=began + route.objective_ms / 1000 - self._patience.read_used_s(route.name, given_s),
             began=began,
-            nested=peer_host == self._settings.endpoint.host,
+            nested=self._is_nested(request_id),
         )
         self._budget.count_request(state.service, began)
         self._metrics.running += 1
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -87,6 +87,7 @@
         self._on_result = on_result
         self._loop = asyncio.get_running_loop()
         self._pool = self._make_pool()
+        self._running_ids: set[bytes] = set()
         self._waits: dict[Ticket, Deferred[Refusal | None]] = {}
         self._sequence = 0
         self._heard_at = -math.inf
@@ -175,14 +176,24 @@
         if refusal is not None:
             return self._refuse(request, refusal, ticket)
         exchange: Exchange | None = None
+        self._running_ids.add(request.request_id)
         try:
             exchange = await self._send(note, request, deadline)
         finally:
             ran = exchange is not None and exchange.answer is not None
+            self._running_ids.discard(request.request_id)
             self.queue.finish(ticket, self._loop.time(), ran=ran)
             self._advance()
         return self._judge(note, request, exchange, self._loop.time() - ticket.started)
 
+    def is_nested(self, request_id: bytes) -> bool:
+        """Return whether `request_id` extends the id of a call that runs at the endpoint.
+
+        Such a call is one that the running call needs, so refusing it wastes what has been done.
+        """
+        parent, separator, _ = request_id.rpartition(b".")
+        return bool(separator) and parent in self._running_ids
+
     def close(self) -> None:
         """Refuse what waits and take nothing more; running calls go on."""
         self.closing = True
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -105,6 +105,7 @@
             self.holder,
             self.link,
             self.gate,
+            self.gate.is_nested,
             self.moves,
             self.metrics,
             random,
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -336,3 +336,17 @@
         assert served.note.ran is True
 
     return play(answer_ok, scenario)
+
+
+def test_a_call_whose_id_extends_that_of_a_running_call_is_nested() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        task = asyncio.ensure_future(world.serve("q1"))
+        await asyncio.sleep(0.01)
+        assert world.gate.is_nested(b"q1.x")
+        assert not world.gate.is_nested(b"q2.x")
+        assert not world.gate.is_nested(b"q1")
+        task.cancel()
+        await asyncio.sleep(0.01)
+        assert not world.gate.is_nested(b"q1.x")
+
+    return play(keep_silent, scenario)
