--- a/packages/bench/src/corianderwall/bench/platform_path.py
+++ b/packages/bench/src/corianderwall/bench/platform_path.py
@@ -24,9 +24,7 @@
     expected_instance=b"expected-instance",
     instance_id=b"instance-id",
     not_run=b"not-executed",
-    load=b"server-load",
     caller=b"caller-service",
-    signature=b"response-signature",
 )
 REQUEST = b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %d\r\nDeadline-Ms: 5000\r\n\r\n"
 WARM_UP_CALLS = 100
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -89,12 +89,6 @@
         self._count()
         return tuple(self.nodes.values())
 
-    async def remove_node(self, record: NodeRecord) -> None:
-        """Remove the record of a node."""
-        self._count()
-        self.nodes.pop(record.name, None)
-        self._advance()
-
     def _advance(self) -> int:
         self.revision += 1
         self._changed.set()
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -14,9 +14,7 @@
     expected_instance: bytes
     instance_id: bytes
     not_run: bytes
-    load: bytes
     caller: bytes
-    signature: bytes
     retry_after: bytes = b"retry-after"
 
 
@@ -24,15 +22,11 @@
 class Bounds:
     """The times and shares that the operator's terms grant; seconds unless named otherwise."""
 
-    drain_s: float = 2.0
     grace_s: float = 6.0
-    apply_s: float = 2.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: int = 50
     canary_share: float = 0.1
-    canary_slack: int = 50
-    take_back_s: float = 5.0
     heartbeat_s: float = 1.5
 
 
@@ -49,6 +43,5 @@
     announcements: Address
     metrics: Address
     endpoint: Address
-    seeds: tuple[Address, ...] = ()
     max_descriptors: int = 1024
     bounds: Bounds = Bounds()
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -56,6 +56,3 @@
 
     async def list_nodes(self, *, stale: bool) -> tuple[NodeRecord, ...]:
         """Return the records of all nodes; `stale` ones cost a tenth and may be seconds old."""
-
-    async def remove_node(self, record: NodeRecord) -> None:
-        """Remove the record of this node."""
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -18,9 +18,7 @@
     expected_instance=b"expected-instance",
     instance_id=b"instance-id",
     not_run=b"not-executed",
-    load=b"server-load",
     caller=b"caller-service",
-    signature=b"response-signature",
 )
 
 
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -26,9 +26,7 @@
     expected_instance=b"expected-instance",
     instance_id=b"instance-id",
     not_run=b"not-executed",
-    load=b"server-load",
     caller=b"caller-service",
-    signature=b"response-signature",
 )
 WAIT_S = 5.0
 """Bound of a wait for what has to come; passed only by a fault."""
