--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -180,7 +180,7 @@
         now = self._loop.time()
         route = state.route
         views = self._directory.list_ready(state.service)
-        views = self._moves.narrow(state.service, views)
+        views = self._moves.narrow(state.service, views, now)
         if may_wait:
             views = [view for view in views if view.late_until.get(route.name, 0.0) <= now]
         else:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -225,6 +225,7 @@
         former = self.record
         if former is not None and former.id != announcement.id:
             self._set_state(EndpointState.GONE, "replaced by another start")
+        self._refuse_waiting(Refusal.UNKNOWN)
         self._pool.close()
         self._pool = self._make_pool()
         self._sequence = announcement.sequence
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -9,6 +9,7 @@
 from corianderwall.mesh.configuration import ConfigurationHolder, ConfigurationSync
 from corianderwall.mesh.directory import Directory, Peer
 from corianderwall.mesh.messages import Beat, EndpointRecord, NodeRecord, Tables
+from corianderwall.mesh.moves import MoveBoard
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
 from corianderwall.mesh.tasks import Spawn
@@ -45,6 +46,7 @@
         holder: ConfigurationHolder,
         sync: ConfigurationSync,
         joined: asyncio.Event,
+        moves: MoveBoard,
         make_beat: Callable[[], Beat],
         spawn: Spawn,
         random: Random,
@@ -55,6 +57,7 @@
         self._holder = holder
         self._sync = sync
         self._joined = joined
+        self._moves = moves
         self._make_beat = make_beat
         self._spawn = spawn
         self._random = random
@@ -169,6 +172,8 @@
         peer = self._directory.peers.get(beat.node.name)
         if peer is None:
             return
+        for view in beat.moves:
+            self._moves.take_view(view, self._loop.time())
         if beat.config_version < self._holder.snapshot.version:
             self._sync.send_to(peer)
         if beat.digest == self._directory.compute_digest():
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -126,17 +126,6 @@
     reached: bool = True
 
 
-class Beat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """What a node tells a peer from time to time; `digest` is over all endpoint records."""
-
-    node: NodeRecord
-    config_version: int
-    digest: str
-    source_ok: bool
-    load: Load | None = None
-    endpoint: str = ""
-
-
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """All nodes and endpoints that a node knows, or those that have just changed."""
 
@@ -191,6 +180,21 @@
     shifting: bool = False
 
 
+class Beat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a node tells a peer from time to time; `digest` is over all endpoint records.
+
+    `moves` are all orders that it knows, so that a restarted node learns them from its peers.
+    """
+
+    node: NodeRecord
+    config_version: int
+    digest: str
+    source_ok: bool
+    load: Load | None = None
+    endpoint: str = ""
+    moves: tuple[MoveView, ...] = ()
+
+
 class MoveNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Views of orders, for all nodes, or evidence, for the node that decides."""
 
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -91,10 +91,12 @@
             for move in self.moves.values()
         )
 
-    def narrow(self, service: str, views: list[EndpointView]) -> list[EndpointView]:
+    def narrow(self, service: str, views: list[EndpointView], now: float) -> list[EndpointView]:
         """Return the endpoints that the next call of `service` may go to."""
         move = self.moves.get(service)
-        if move is None or len(views) < 2:
+        if move is None:
+            return _hold_back_unordered(views, now)
+        if len(views) < 2:
             return self._forbid(move, views)
         version = move.order.version
         new = [view for view in views if view.record.version == version]
@@ -141,8 +143,8 @@
         if move is not None and move.order.created == evidence.created:
             move.evidence[f"{evidence.node} {evidence.version}"] = evidence
 
-    def _forbid(self, move: Move | None, views: list[EndpointView]) -> list[EndpointView]:
-        if move is None or not (move.cut or move.order.state is MoveState.TAKEN_BACK):
+    def _forbid(self, move: Move, views: list[EndpointView]) -> list[EndpointView]:
+        if not move.cut and move.order.state is not MoveState.TAKEN_BACK:
             return views
         return [view for view in views if view.record.version != move.order.version]
 
@@ -181,6 +183,12 @@
     return early or age_s >= move.order.duration_s * LAST_PART
 
 
+def _hold_back_unordered(views: list[EndpointView], now: float) -> list[EndpointView]:
+    """Return `views` without those of a version that has just come and is not ordered yet."""
+    settled = {v.record.version for v in views if now - v.joined_at >= UNORDERED_S}
+    return [v for v in views if v.record.version in settled] if settled else views
+
+
 def _is_other_order(newer: MoveOrder, kept: MoveOrder) -> bool:
     if newer.created != kept.created:
         return newer.created > kept.created
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -91,6 +91,7 @@
             self.holder,
             self.sync,
             joined,
+            self.moves,
             self.make_beat,
             self.spawn,
             random,
@@ -205,6 +206,7 @@
             source_ok=self.sync.source_ok,
             load=self.gate.read_load() if record is not None else None,
             endpoint=record.id if record is not None else "",
+            moves=self.moves.list_views(self._loop.time()),
         )
 
     def _make_limits(self) -> ServerLimits:
--- a/packages/mesh/src/corianderwall/mesh/selection.py
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -8,6 +8,8 @@
 
 LOAD_FADES_S = 1.5
 """Age at which a reported load counts nothing; calls have mostly ended by then."""
+TIME_FADES_S = 8.0
+"""Age at which a told time of calls counts nothing; a cold start has passed by then."""
 ZONE_PART = 0.15
 """Part of a call's objective that a small answer may be later before it leaves the zone."""
 BIG_ZONE_PART = 1.0
@@ -16,6 +18,8 @@
 """Factor by which an endpoint that fails each call seems slower."""
 JITTER = 0.1
 """Random part of the expected time, so that nodes do not all choose the same endpoint."""
+EXPLORED_PART = 0.02
+"""Part of the calls that go to any endpoint, so that new and recovered ones are noticed."""
 DEFAULT_SERVICE_MS = 50.0
 """Taken for the time of a call where no endpoint of the service has told one."""
 
@@ -42,8 +46,9 @@
         return None
     if len(candidates) == 1:
         return candidates[0]
-    told = [view.load.service_ms for view in candidates if view.load.service_ms > 0]
-    typical_ms = sum(told) / len(told) if told else DEFAULT_SERVICE_MS
+    if not shape.big and random.random() < EXPLORED_PART:
+        return random.choice(candidates)
+    typical_ms = _compute_typical(candidates, now)
     best: EndpointView | None = None
     best_ms = 0.0
     for view in candidates:
@@ -63,8 +68,18 @@
     slots = max(1, view.record.slots)
     fresh = max(0.0, 1.0 - (now - view.load_at) / LOAD_FADES_S)
     busy = max(float(view.pending), (load.running + load.waiting) * fresh)
-    service_ms = load.service_ms or typical_ms
+    # What was told long ago counts less, so that a slow start is not held against an endpoint.
+    believed = max(0.0, 1.0 - (now - view.load_at) / TIME_FADES_S) if load.service_ms else 0.0
+    service_ms = typical_ms + (load.service_ms - typical_ms) * believed
     crowding = max(0.0, busy + 1 - slots) / slots
     use = 0.3 * min(1.0, busy / slots)
     failing = 1 + FAILURE_FACTOR * load.failures
     return service_ms * (1 + use + crowding) * failing
+
+
+def _compute_typical(views: list[EndpointView], now: float) -> float:
+    told = [view for view in views if view.load.service_ms > 0]
+    recent = [view for view in told if now - view.load_at < TIME_FADES_S] or told
+    if not recent:
+        return DEFAULT_SERVICE_MS
+    return sum(view.load.service_ms for view in recent) / len(recent)
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -352,3 +352,15 @@
         assert world.gate.find_parent(b"q1.x") is None
 
     return play(keep_silent, scenario, slots=2)
+
+
+def test_a_new_start_under_the_same_id_ends_the_wait_for_the_former_one() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        running = asyncio.ensure_future(world.serve("q1"))
+        waiting = asyncio.ensure_future(world.serve("q2"))
+        await asyncio.sleep(0.01)
+        world.gate.announce(make_announcement(world.address, born_unix_ms=200))
+        assert (await waiting).note.refusal is Refusal.UNKNOWN
+        running.cancel()
+
+    return play(keep_silent, scenario)
--- a/packages/mesh/tests/test_moves.py
+++ b/packages/mesh/tests/test_moves.py
@@ -37,7 +37,7 @@
 
 def list_versions(board: MoveBoard, make_endpoint: Any, calls: int = 1000) -> list[str]:
     views = make_views(make_endpoint)
-    return [board.narrow("s", views)[0].record.version for _ in range(calls)]
+    return [board.narrow("s", views, 0.0)[0].record.version for _ in range(calls)]
 
 
 def make_evidence(version: str, calls: int, failures: int, mean_ms: float = 100.0) -> Evidence:
@@ -63,7 +63,7 @@
     taken_back = make_board(MoveState.TAKEN_BACK)
     assert set(list_versions(taken_back, make_endpoint)) == {"v1"}
     only_new = [view for view in make_views(make_endpoint) if view.record.version == "v2"]
-    assert taken_back.narrow("s", only_new) == []
+    assert taken_back.narrow("s", only_new, 0.0) == []
 
 
 def test_before_completion_all_calls_leave_the_old_version(make_endpoint: Any) -> None:
@@ -118,3 +118,18 @@
     assert evidence is not None
     assert evidence.routes == (RouteEvidence(route="r", calls=1, failures=1, sum_ms=100.0),)
     assert make_board(MoveState.COMPLETED).make_evidence("s", "v2", "n") is None
+
+
+def test_a_version_that_nobody_has_ordered_yet_is_held_back_for_a_moment(
+    make_endpoint: Any,
+) -> None:
+    views = make_views(make_endpoint)
+    for view in views:
+        view.joined_at = 100.0 if view.record.version == "v2" else 0.0
+    board = MoveBoard(0.1, Random(1))
+    assert {v.record.version for v in board.narrow("s", views, 101.0)} == {"v1"}
+    assert {v.record.version for v in board.narrow("s", views, 103.0)} == {"v1", "v2"}
+    # A node that has just started knows no version for longer than another.
+    for view in views:
+        view.joined_at = 100.0
+    assert {v.record.version for v in board.narrow("s", views, 101.0)} == {"v1", "v2"}
--- a/packages/mesh/tests/test_selection.py
+++ b/packages/mesh/tests/test_selection.py
@@ -72,3 +72,27 @@
     views = [make_view(make_endpoint, "a"), make_view(make_endpoint, "b", service_ms=500)]
     assert choose(views, tried=("a",)) == "b"
     assert choose_endpoint(views, SMALL, ("a", "b"), 0.0, Random(1)) is None
+
+
+def test_a_slow_start_is_not_held_against_an_endpoint_for_ever(make_endpoint: Any) -> None:
+    cold = make_view(make_endpoint, "cold", service_ms=400)
+    busy = Load(running=4, waiting=2, slots=4, service_ms=100.0)
+    warm = make_view(make_endpoint, "warm", load=busy)
+    cold.load_at = warm.load_at = 20.0
+    assert choose_at(20.0, cold, warm)["cold"] < 10
+    cold.load_at = 10.0
+    assert choose_at(20.0, cold, warm)["cold"] > 90
+
+
+def test_each_endpoint_gets_a_few_calls(make_endpoint: Any) -> None:
+    slow, fast = make_view(make_endpoint, "slow", service_ms=900), make_view(make_endpoint, "fast")
+    assert 0 < choose_at(0.0, slow, fast)["slow"] < 10
+
+
+def choose_at(now: float, *views: EndpointView) -> Counter[str]:
+    picks: Counter[str] = Counter()
+    for seed in range(100):
+        chosen = choose_endpoint(views, SMALL, (), now, Random(seed))
+        assert chosen is not None
+        picks[chosen.record.id] += 1
+    return picks
