Compare all records only in beats

Cause: at the start of 80 nodes each pair would have sent its whole tables, 8 KB, some 50 MB in all (worked out); a node that joins now asks two peers, and tells all others only of itself.

--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -19,6 +19,8 @@
 """Interval of beats; half of the shortest bound within which a change has to be known."""
 TICK_S = 0.25
 """Interval at which peers that were silent are looked at."""
+FIRST_BEATS = 2
+"""Peers from which a node that joins gets all records and the configuration."""
 FAR_PART = 0.34
 """Part of the beats that leave the zone, whose bytes are paid for; changes are told at once."""
 JOIN_RETRY_S = 0.5
@@ -94,6 +96,10 @@
             if record.name != self._directory.own.name:
                 self._directory.merge_node(record, now)
         self.tell_all(self._directory.make_tables())
+        # All peers hear of this node; a few are enough for it to hear what they know.
+        peers = list(self._directory.peers.values())
+        for peer in self._random.sample(peers, min(FIRST_BEATS, len(peers))):
+            self._spawn(self._beat(peer))
 
     async def run(self) -> None:
         """Send beats until cancelled."""
@@ -137,49 +143,44 @@
     def take_beat(self, body: bytes) -> bytes | None:
         """Answer a peer's beat with one of this node's own."""
         beat = _beat_decoder.decode(body)
-        self._directory.take_beat(beat, self._loop.time())
+        self._take_beat(beat)
         self._compare(beat)
         return msgspec.msgpack.encode(self._make_beat())
 
     def take_tables(self, body: bytes) -> bytes | None:
-        """Merge a peer's tables and answer with this node's own if the peer sent all."""
-        tables = _tables_decoder.decode(body)
-        now = self._loop.time()
-        known = tables.sender.name in self._directory.peers
-        self._directory.merge(tables, now)
-        if not known:
-            self._spawn(self._beat(self._directory.peers[tables.sender.name]))
+        """Merge a peer's tables and answer with a beat."""
+        self._directory.merge(_tables_decoder.decode(body), self._loop.time())
         return msgspec.msgpack.encode(self._make_beat())
 
     async def _tell(self, node: NodeRecord, body: bytes) -> None:
         reply = await self._link.post(node, TABLES_KIND, body)
         if reply:
-            self._take_reply(reply)
+            self._take_beat(_beat_decoder.decode(reply))
 
     async def _beat(self, peer: Peer) -> None:
         reply = await self._link.post(
             peer.record, BEAT_KIND, msgspec.msgpack.encode(self._make_beat())
         )
         if reply:
-            self._take_reply(reply)
+            beat = _beat_decoder.decode(reply)
+            self._take_beat(beat)
+            self._compare(beat)
 
-    def _take_reply(self, reply: bytes) -> None:
-        beat = _beat_decoder.decode(reply)
-        self._directory.take_beat(beat, self._loop.time())
-        self._compare(beat)
+    def _take_beat(self, beat: Beat) -> None:
+        now = self._loop.time()
+        self._directory.take_beat(beat, now)
+        for view in beat.moves:
+            self._moves.take_view(view, now)
+        peer = self._directory.peers.get(beat.node.name)
+        if peer is not None and beat.config_version < self._holder.snapshot.version:
+            self._sync.send_to(peer)
 
     def _compare(self, beat: Beat) -> None:
+        """Send all records to a peer that knows others; its own comparison sends its records."""
         peer = self._directory.peers.get(beat.node.name)
-        if peer is None:
-            return
-        for view in beat.moves:
-            self._moves.take_view(view, self._loop.time())
-        if beat.config_version < self._holder.snapshot.version:
-            self._sync.send_to(peer)
-        if beat.digest == self._directory.compute_digest():
+        if peer is None or beat.digest == self._directory.compute_digest():
             return
         now = self._loop.time()
-        # The peer's own comparison sends its tables here.
         if now - self._asked.get(beat.node.name, 0.0) > BEAT_S / 2:
             self._asked[beat.node.name] = now
             body = msgspec.msgpack.encode(self._directory.make_tables())
