--- a/packages/node/src/corianderwall/node/logs.py
+++ b/packages/node/src/corianderwall/node/logs.py
@@ -63,7 +63,7 @@
         line.update(getattr(record, FIELDS_ATTRIBUTE, {}))
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
-        return _encoder.encode(line).decode()
+        return msgspec.json.format(_encoder.encode(line), indent=0).decode()
 
 
 def start_logs(
