--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -48,7 +48,10 @@
 
 @dataclass(slots=True)
 class _CallState:
-    """One call on its way; instants are monotonic seconds."""
+    """One call on its way; instants are monotonic seconds.
+
+    A nested call is of use until its deadline: refusing it fails the call that runs and needs it.
+    """
 
     route: Route
     service: str
@@ -129,12 +132,16 @@
         given_s = self._read_left_s(call)
         deadline = min(began + min(given_s, route.timeout_ms / 1000), self.latest_end)
         parent = self._find_parent(request_id)
+        due = deadline
+        if parent is None:
+            used_s = self._patience.read_used_s(route.name, given_s)
+            due = began + route.objective_ms / 1000 - used_s
         state = _CallState(
             route=route,
             service=self._splits.pick(route),
             request=ForwardedRequest(request_id, call.method, call.target, self._strip(call), body),
             deadline=deadline,
-            due=began + route.objective_ms / 1000 - self._patience.read_used_s(route.name, given_s),
+            due=due,
             began=began,
             nested=parent is not None,
             repeat=parent is not None and parent.repeat,
@@ -181,9 +188,9 @@
         route = state.route
         views = self._directory.list_ready(state.service)
         views = self._moves.narrow(state.service, views, now)
-        if may_wait:
+        if may_wait and not state.nested:
             views = [view for view in views if view.late_until.get(route.name, 0.0) <= now]
-        else:
+        elif not may_wait:
             views = [view for view in views if view.full_until <= now]
         shape = CallShape(
             zone=self._settings.zone,
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -456,3 +456,39 @@
         assert peer.failures == 0
 
     return play(scenario)
+
+
+def test_a_nested_call_waits_until_its_deadline_in_spite_of_refusals() -> Deferred[None]:
+    """Load pattern: calls of running calls while their service is overloaded."""
+
+    async def scenario(fleet: Fleet) -> None:
+        release = asyncio.Event()
+
+        async def answer(request: Seen) -> bytes:
+            await release.wait()
+            return make_answer(request)
+
+        fleet.answer = answer
+        route = make_route("r", "s", timeout_ms=60_000, objective_ms=10)
+        fleet.source.put_config(make_snapshot(1, route))
+        owner = await fleet.add("n1")
+        await fleet.meet()
+        queue = owner.node.gate.queue
+        queue.means_s["r"] = 5.0
+        calls = [
+            asyncio.ensure_future(fleet.ask("n1", request_id=f"q{n}", deadline_ms="60000"))
+            for n in range(2)
+        ]
+        await fleet.settle(lambda: len(queue.running) == 2)
+        calls.append(asyncio.ensure_future(fleet.ask("n1", request_id="q2", deadline_ms="60000")))
+        await fleet.settle(lambda: len(queue.waiting) == 1)
+        for view in owner.node.directory.endpoints.values():
+            view.late_until["r"] = float("inf")
+        nested = asyncio.ensure_future(fleet.ask("n1", request_id="q0.x", deadline_ms="60000"))
+        await fleet.settle(lambda: len(queue.waiting) == 2 or nested.done())
+        assert not nested.done()
+        release.set()
+        assert (await nested).status == 200
+        await asyncio.gather(*calls)
+
+    return play(scenario)
