--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -108,9 +108,7 @@
 
     def handle(self, call: IncomingCall) -> None:
         """Start to work on `call`."""
-        cancel = run_call(self._answer(call))
-        if call.is_open:
-            call.on_hang_up = cancel
+        run_call(call, self._answer(call))
 
     async def _answer(self, call: IncomingCall) -> None:
         began = self._loop.time()
@@ -127,7 +125,8 @@
         limit = self._configuration.snapshot.limits.max_body_bytes
         body = await BodyReader(call, limit).read()
         if body is None:
-            self._refuse_early(call, request_id, 413, "the body is too large")
+            cause = "the body is too large" if call.is_open else "caller left"
+            self._refuse_early(call, request_id, 413, cause)
             return
         given_s = self._read_left_s(call)
         deadline = min(began + min(given_s, route.timeout_ms / 1000), self.latest_end)
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -179,13 +179,11 @@
         """Start to work on a call or a message."""
         raw = call.find_header(CALL_HEADER)
         if raw is not None:
-            cancel = run_call(self._serve(call, raw))
-            if call.is_open:
-                call.on_hang_up = cancel
+            run_call(call, self._serve(call, raw))
             return
         kind = call.find_header(MESSAGE_HEADER)
         if kind is not None:
-            run_call(self._answer_message(call, kind.decode("latin-1")))
+            run_call(call, self._answer_message(call, kind.decode("latin-1")))
             return
         # The comparison of connections asks for the health of a node.
         call.respond(200 if call.target == b"/health" else 404, [])
--- /dev/null
+++ b/packages/mesh/tests/test_tasks.py
@@ -0,0 +1,54 @@
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
+
+from corianderwall.mesh.tasks import run_call
+
+
+class FakeCall:
+    """Stands in for an incoming call that its caller waits for."""
+
+    def __init__(self) -> None:
+        self.is_open = True
+        self.answered = False
+        self.aborted = False
+        self.status = 0
+        self.on_hang_up: Callable[[], None] | None = None
+
+    def respond(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        self.status = status
+
+    def abort_answer(self) -> None:
+        self.aborted = True
+
+
+async def fail() -> None:
+    raise RuntimeError("broken")
+
+
+async def wait(deferred: Deferred[None]) -> None:
+    await deferred
+
+
+def test_failed_work_is_answered_with_500() -> None:
+    call = FakeCall()
+    run_call(call, fail())  # type: ignore[arg-type]
+    assert call.status == 500
+
+
+def test_failed_work_after_a_started_answer_breaks_it_off() -> None:
+    call = FakeCall()
+    call.answered = True
+    run_call(call, fail())  # type: ignore[arg-type]
+    assert (call.status, call.aborted) == (0, True)
+
+
+def test_a_caller_that_leaves_cancels_the_work() -> None:
+    call = FakeCall()
+    cancelled: list[bool] = []
+    run_call(call, wait(Deferred(lambda _: cancelled.append(True))))  # type: ignore[arg-type]
+    assert call.on_hang_up is not None
+    call.is_open = False
+    call.on_hang_up()
+    assert cancelled == [True]
+    assert call.status == 0
