--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 RUN := PYTHONPATH=$(SOURCES) PYTHONDONTWRITEBYTECODE=1 $(BIN)/python
 LIBRARIES := $(sort $(wildcard packages/*)) platform
 
-.PHONY: setup demo test format lint types imports schema measure binary check
+.PHONY: setup demo test units scenarios format lint types imports schema measure binary check
 
 $(VENV)/ready: requirements.txt requirements-dev.txt constraints.txt
 	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) 1>&2
@@ -21,7 +21,12 @@
 	@$(RUN) -m corianderwall.app.main demo
 
 test: setup
+	@$(MAKE) -s -j2 --output-sync=target units scenarios
+
+units: setup
 	@$(RUN) -m pytest
+
+scenarios: setup
 	@$(RUN) -m behave --no-capture --format progress features
 
 measure: setup
