--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -1,5 +1,6 @@
 """What this node knows of the other nodes and of all endpoints."""
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -18,6 +19,10 @@
 """First pause before a node that did not answer is tried again; a few times the usual answer."""
 SUSPECT_MAX_S = 3.0
 """Longest such pause; the time within which a returned node has to get calls again."""
+OVERHEAD_WEIGHT = 0.3
+"""Weight of the newest answer's time on the way; a full link shows within a few answers."""
+OVERHEAD_FADES_S = 8.0
+"""Age at which a seen time on the way counts nothing, so that a link is tried again."""
 FORGET_S = 60.0
 """A record of an endpoint that is gone is kept this long, beyond any late message."""
 
@@ -34,6 +39,26 @@
     source_ok: bool = True
 
 
+@dataclass(slots=True)
+class Overhead:
+    """The mean time that answers of one size class took on the way, beside the owner's time."""
+
+    mean_ms: float = 0.0
+    told_at: float = -math.inf
+
+    def note(self, overhead_ms: float, now: float) -> None:
+        """Take the time of one more answer."""
+        if now - self.told_at > OVERHEAD_FADES_S:
+            self.mean_ms = overhead_ms
+        else:
+            self.mean_ms += OVERHEAD_WEIGHT * (overhead_ms - self.mean_ms)
+        self.told_at = now
+
+    def estimate_ms(self, now: float) -> float:
+        """Return the expected time; what was seen long ago counts less."""
+        return self.mean_ms * max(0.0, 1.0 - (now - self.told_at) / OVERHEAD_FADES_S)
+
+
 @dataclass(slots=True)
 class EndpointView:
     """An endpoint with its load; `pending` counts this node's own calls there.
@@ -50,6 +75,8 @@
     joined_at: float = 0.0
     full_until: float = 0.0
     late_until: dict[str, float] = field(default_factory=dict)
+    small_overhead: Overhead = field(default_factory=Overhead)
+    big_overhead: Overhead = field(default_factory=Overhead)
 
 
 class Directory:
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -19,7 +19,7 @@
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
 from corianderwall.mesh.refusals import UNREADY_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
-from corianderwall.mesh.selection import CallShape, choose_endpoint
+from corianderwall.mesh.selection import CallShape, choose_endpoint, keep_in_zone
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.splits import WeightedSplit
 from corianderwall.mesh.tasks import run_call
@@ -187,19 +187,22 @@
         route = state.route
         views = self._directory.list_ready(state.service)
         views = self._moves.narrow(state.service, views, now)
+        shape = self._make_shape(route)
         if may_wait and not state.nested:
             views = [view for view in views if view.late_until.get(route.name, 0.0) <= now]
-        elif not may_wait:
+        if shape.big:
+            # A free slot elsewhere costs more than a place in the queue here.
+            views = keep_in_zone(views, shape, now)
+        if not may_wait:
             views = [view for view in views if view.full_until <= now]
-        shape = CallShape(
+        return choose_endpoint(views, shape, passed_over, now, self._random)
+
+    def _make_shape(self, route: Route) -> CallShape:
+        return CallShape(
             zone=self._settings.zone,
             objective_ms=route.objective_ms,
             big=self._sizes.get(route.name, 0.0) > BIG_ANSWER_BYTES,
         )
-        if shape.big and not may_wait:
-            # A free slot elsewhere costs more than a place in the queue here.
-            views = [view for view in views if view.record.zone == shape.zone]
-        return choose_endpoint(views, shape, passed_over, now, self._random)
 
     async def _ask(self, state: _CallState, view: EndpointView, *, may_wait: bool) -> OwnerAnswer:
         record = view.record
@@ -226,6 +229,10 @@
         finally:
             view.pending -= 1
         self._learn(state, view, told.note)
+        if told.note.ran:
+            ended = self._loop.time()
+            overhead = view.big_overhead if self._make_shape(route).big else view.small_overhead
+            overhead.note(max(0.0, (ended - now) * 1000 - told.note.took_ms), ended)
         return told
 
     def _learn(self, state: _CallState, view: EndpointView, note: AnswerNote) -> None:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -194,7 +194,9 @@
             self._running.pop(request.request_id, None)
             self.queue.finish(ticket, self._loop.time(), ran=ran)
             self._advance()
-        return self._judge(note, request, exchange, self._loop.time() - ticket.started)
+        ended = self._loop.time()
+        whole_ms = round((ended - now) * 1000, 1)
+        return self._judge(note, request, exchange, ended - ticket.started, whole_ms)
 
     def find_parent(self, request_id: bytes) -> RunningCall | None:
         """Return the call at the endpoint whose id `request_id` extends, None if there is none.
@@ -373,7 +375,12 @@
         return await run_exchange(self._pool, call, (names.request_id, request.request_id))
 
     def _judge(
-        self, note: CallNote, request: ForwardedRequest, exchange: Exchange, took_s: float
+        self,
+        note: CallNote,
+        request: ForwardedRequest,
+        exchange: Exchange,
+        took_s: float,
+        whole_ms: float,
     ) -> OwnerAnswer:
         answer = exchange.answer
         if answer is None:
@@ -395,7 +402,7 @@
             status=answer.status,
             took_ms=round(took_s * 1000, 1),
         )
-        return OwnerAnswer(AnswerNote(ran=True, load=self.read_load()), answer)
+        return OwnerAnswer(AnswerNote(ran=True, load=self.read_load(), took_ms=whole_ms), answer)
 
     def _judge_failure(
         self, note: CallNote, request: ForwardedRequest, exchange: Exchange
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -115,7 +115,7 @@
     """What the owner tells the entry with an answer.
 
     `ran` is None when the owner can't tell whether the endpoint ran the call; `refusal` is set if
-    it has not run. `wait_ms` is when room is expected.
+    it has not run. `wait_ms` is when room is expected, `took_ms` the whole time at the owner.
     """
 
     ran: bool | None
@@ -124,6 +124,7 @@
     error: str = ""
     wait_ms: float = 0.0
     reached: bool = True
+    took_ms: float = 0.0
 
 
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/selection.py
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -14,6 +14,8 @@
 """Part of a call's objective that a small answer may be later before it leaves the zone."""
 BIG_ZONE_PART = 1.0
 """The same for a big answer, whose bytes between zones cost about as much as it is worth."""
+CROWDED_LINK_PART = 0.5
+"""Part of a call's objective that its answer may spend on the way before the link is crowded."""
 FAILURE_FACTOR = 4.0
 """Factor by which an endpoint that fails each call seems slower."""
 JITTER = 0.1
@@ -52,7 +54,9 @@
     best: EndpointView | None = None
     best_ms = 0.0
     for view in candidates:
-        expected_ms = estimate_ms(view, typical_ms, now) * (1 + JITTER * random.random())
+        overhead = view.big_overhead if shape.big else view.small_overhead
+        expected_ms = estimate_ms(view, typical_ms, now) + overhead.estimate_ms(now)
+        expected_ms *= 1 + JITTER * random.random()
         if view.record.zone != shape.zone:
             expected_ms += shape.objective_ms * (BIG_ZONE_PART if shape.big else ZONE_PART)
         if now < view.rest_until:
@@ -62,6 +66,17 @@
     return best
 
 
+def keep_in_zone(views: list[EndpointView], shape: CallShape, now: float) -> list[EndpointView]:
+    """Return the endpoints of the zone whose links carry a big answer well, or else all."""
+    near = [
+        view
+        for view in views
+        if view.record.zone == shape.zone
+        and view.big_overhead.estimate_ms(now) < shape.objective_ms * CROWDED_LINK_PART
+    ]
+    return near or views
+
+
 def estimate_ms(view: EndpointView, typical_ms: float, now: float) -> float:
     """Return the expected time of one more call at `view`, in milliseconds."""
     load = view.load
--- a/packages/mesh/tests/test_selection.py
+++ b/packages/mesh/tests/test_selection.py
@@ -2,9 +2,9 @@
 from random import Random
 from typing import Any
 
-from corianderwall.mesh.directory import EndpointView
+from corianderwall.mesh.directory import OVERHEAD_FADES_S, EndpointView
 from corianderwall.mesh.messages import Load
-from corianderwall.mesh.selection import CallShape, choose_endpoint
+from corianderwall.mesh.selection import CallShape, choose_endpoint, keep_in_zone
 
 SMALL = CallShape(zone="a", objective_ms=600, big=False)
 BIG = CallShape(zone="a", objective_ms=600, big=True)
@@ -96,3 +96,22 @@
         assert chosen is not None
         picks[chosen.record.id] += 1
     return picks
+
+
+def test_a_crowded_link_in_the_zone_loses_its_big_answers(make_endpoint: Any) -> None:
+    """Load pattern: all big answers of a zone pass the thin link of its only endpoint."""
+    near = make_view(make_endpoint, "near")
+    far = make_view(make_endpoint, "far", zone="b")
+    assert keep_in_zone([near, far], BIG, 0.0) == [near]
+    for _ in range(5):
+        near.big_overhead.note(900.0, 0.0)
+    assert keep_in_zone([near, far], BIG, 0.0) == [near, far]
+    assert choose([near, far], BIG) == "far"
+    # Small answers are judged by their own time on the way, and the link is tried again later.
+    assert choose([near, far]) == "near"
+    assert keep_in_zone([near, far], BIG, OVERHEAD_FADES_S) == [near]
+
+
+def test_where_the_zone_has_no_endpoint_all_are_kept(make_endpoint: Any) -> None:
+    far = make_view(make_endpoint, "far", zone="b")
+    assert keep_in_zone([far], BIG, 0.0) == [far]
