Let a leave outlive its acknowledging process, and let all zones' leads judge moves

All leads of zones now get evidence, cut at once and write one after another; a node tells all peers when the store stops or starts to answer it, and asks it again every 2 s: before, one failure excluded a node for good (no line 'the platform answers again').

--- a/packages/mesh/src/corianderwall/mesh/conductor.py
+++ b/packages/mesh/src/corianderwall/mesh/conductor.py
@@ -10,7 +10,7 @@
 from corianderwall.mesh.messages import Evidence, MoveNotice, MoveOrder, MoveView
 from corianderwall.mesh.moves import Move, MoveBoard, find_badness, may_complete
 from corianderwall.mesh.peerlink import PeerLink
-from corianderwall.mesh.ranks import find_fleet_lead
+from corianderwall.mesh.ranks import list_leads
 from corianderwall.mesh.source import ConflictError, HistoryLostError, Source, SourceError
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.model.resource import MoveState
@@ -22,6 +22,8 @@
 """Pause between two watches and after a failed call."""
 TICK_S = 0.3
 """Interval of evidence and of judgement; a small part of the time to take a version back."""
+STAGGER_S = 0.8
+"""Time by which each lead waits for the one before it to write; a few calls to the platform."""
 SHIFT_S = 1.3
 """Time between the last call to an old version and its end, enough for nearly all calls."""
 REST_S = 1.0
@@ -30,7 +32,11 @@
 
 
 class Conductor:
-    """One of these runs in each node; only the node that leads the fleet writes."""
+    """One of these runs in each node; the leads of all zones judge, and write one after another.
+
+    A lead that is cut off from the platform can't write and its peers learn that late, so no
+    move depends on one node; conditional writes make a second one harmless.
+    """
 
     def __init__(
         self,
@@ -51,6 +57,7 @@
         self._spawn = spawn
         self._loop = asyncio.get_running_loop()
         self._shift_until: dict[tuple[str, int], float] = {}
+        self._due_at: dict[tuple[str, int], float] = {}
         self._writing: set[str] = set()
 
     async def watch(self) -> None:
@@ -76,21 +83,25 @@
             await asyncio.sleep(PAUSE_S)
 
     async def run(self) -> None:
-        """Send evidence, and judge while this node leads the fleet."""
+        """Send evidence to the leads, and judge while this node is one."""
         while True:
             moving = any(move.is_running for move in self._board.moves.values())
             await asyncio.sleep(TICK_S if moving else REST_S)
+            if not moving:
+                continue
             evidence = self._make_evidence()
-            lead = find_fleet_lead(self._directory, self._sync.source_ok)
-            if lead == self._directory.own.name:
-                if evidence is not None:
-                    self._board.take_evidence(evidence)
-                for move in list(self._board.moves.values()):
-                    self._judge(move)
-            elif evidence is not None and lead in self._directory.peers:
+            leads = list_leads(self._directory, self._sync.source_ok)
+            own = self._directory.own.name
+            if evidence is not None:
+                self._board.take_evidence(evidence)
                 notice = MoveNotice(sender=self._directory.own, evidence=evidence)
-                node = self._directory.peers[lead].record
-                self._spawn(self._tell(node.name, notice))
+                for lead in leads:
+                    if lead != own:
+                        self._spawn(self._tell(lead, notice))
+            if own in leads:
+                patience_s = leads.index(own) * STAGGER_S
+                for move in list(self._board.moves.values()):
+                    self._judge(move, patience_s)
 
     def take_notice(self, body: bytes) -> bytes | None:
         """Take a peer's views or evidence."""
@@ -120,12 +131,15 @@
             return None
         return self._board.make_evidence(record.service, record.version, record.node)
 
-    def _judge(self, move: Move) -> None:
+    def _judge(self, move: Move, patience_s: float) -> None:
+        """Cut a bad version at once, and write after `patience_s` what others may write before."""
         if not move.is_running:
             return
         finding = find_badness(move)
         key = (move.order.service, move.order.created)
         now = self._loop.time()
+        if finding is not None or move.cut:
+            self._due_at.setdefault(key, now + patience_s)
         if finding is not None and not move.cut:
             move.cut = True
             log_warning(
@@ -141,16 +155,17 @@
             )
             self._tell_all()
         if move.cut:
-            self._write(move, MoveState.TAKEN_BACK)
+            if now >= self._due_at[key]:
+                self._write(move, MoveState.TAKEN_BACK)
         elif move.shifting:
-            if now >= self._shift_until.setdefault(key, now + SHIFT_S):
+            if now >= self._shift_until.setdefault(key, now + SHIFT_S + patience_s):
                 self._write(move, MoveState.COMPLETED)
-        elif may_complete(move, now):
+        elif may_complete(move, now - patience_s):
             log_info("the old version gets no more calls", service=move.order.service)
             move.shifting = True
             self._shift_until[key] = now + SHIFT_S
             self._tell_all()
-        elif move.order.state is None:
+        elif move.order.state is None and now - move.seen_at >= patience_s:
             self._write(move, MoveState.RUNNING)
 
     def _write(self, move: Move, state: MoveState) -> None:
--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -33,6 +33,8 @@
 """First and longest pause after a failed call to the platform."""
 IDLE_S = 0.5
 """Interval in which a node that does not watch looks whether it should."""
+TEST_S = 2.0
+"""Interval at which a node asks again that the platform did not answer; costs a tenth of a call."""
 SEND_TRIES = 2
 """Times that a lost push is sent again; after that the next beat finds the difference."""
 JOIN_WAIT_S = 1.5
@@ -101,6 +103,8 @@
         spawn: Spawn,
     ) -> None:
         self.source_ok = True
+        self.source_listeners: list[Callable[[], None]] = []
+        self._test_at = 0.0
         self._joined = joined
         self._holder = holder
         self._source = source
@@ -129,6 +133,8 @@
             if not alone and not self.leads_zone:
                 revision = None
                 await asyncio.sleep(IDLE_S)
+                if not self.source_ok and loop.time() >= self._test_at:
+                    await self._test_source()
                 continue
             try:
                 revision = await self._follow(revision)
@@ -139,7 +145,9 @@
                 log_info("the history of the configuration is gone; reading it again")
                 revision = None
             except SourceError as error:
-                self._set_source_ok(False, error.reason)
+                # A single failure may be a cut connection; a second one tells of the platform.
+                if pause_s > RETRY_MIN_S:
+                    self._set_source_ok(False, error.reason)
                 await asyncio.sleep(pause_s)
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
 
@@ -170,6 +178,15 @@
         if peer.record.name not in self._sending and self._holder.table is not None:
             self._spawn(self._send_to(peer))
 
+    async def _test_source(self) -> None:
+        """Find out by a cheap call whether the platform answers a node that does not watch it."""
+        self._test_at = asyncio.get_running_loop().time() + TEST_S
+        try:
+            await self._source.list_nodes(stale=True)
+        except SourceError:
+            return
+        self._set_source_ok(True, "")
+
     async def _follow(self, revision: int | None) -> int:
         if revision is None:
             reading = await self._source.read_config()
@@ -227,6 +244,8 @@
     def _set_source_ok(self, ok: bool, reason: str) -> None:
         if ok is not self.source_ok:
             self.source_ok = ok
+            for listener in self.source_listeners:
+                listener()
             if ok:
                 log_info("the platform answers again")
             else:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -14,6 +14,7 @@
 from corianderwall.mesh.admission import Admission, AdmissionQueue, Ticket
 from corianderwall.mesh.exchange import Exchange, run_exchange
 from corianderwall.mesh.messages import (
+    STATE_RANK,
     AnswerNote,
     CallNote,
     EndpointRecord,
@@ -89,6 +90,7 @@
         self.record: EndpointRecord | None = None
         self.queue = AdmissionQueue(0)
         self.closing = False
+        self.synced = False
         self.lines = LogBudget(CALL_LINES_PER_S)
         self._settings = settings
         self._headers = headers
@@ -138,6 +140,14 @@
             return
         self._set_state(EndpointState.GONE, "left")
 
+    def learn(self, record: EndpointRecord) -> None:
+        """Take what peers know of the endpoint from an earlier process of this node."""
+        own = self.record
+        if own is None or (own.id, own.born_unix_ms) != (record.id, record.born_unix_ms):
+            return
+        if STATE_RANK[record.state] > STATE_RANK[own.state]:
+            self._set_state(record.state, "acknowledged by an earlier process")
+
     def adopt(self, record: EndpointRecord) -> None:
         """Take over the record of an endpoint that an earlier process here has known."""
         if self.record is None:
@@ -298,6 +308,9 @@
         record = self.record
         if self.closing:
             return Refusal.LEAVING
+        if not self.synced:
+            # An earlier process here may have acknowledged that the endpoint leaves.
+            return Refusal.UNKNOWN
         if record is None or record.id != endpoint:
             return Refusal.UNKNOWN
         if record.state is EndpointState.DOWN:
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -8,6 +8,7 @@
 
 from corianderwall.mesh.configuration import ConfigurationHolder, ConfigurationSync
 from corianderwall.mesh.directory import Directory, Peer
+from corianderwall.mesh.gate import EndpointGate
 from corianderwall.mesh.messages import Beat, EndpointRecord, NodeRecord, Tables
 from corianderwall.mesh.moves import MoveBoard
 from corianderwall.mesh.peerlink import PeerLink
@@ -19,6 +20,13 @@
 """Interval of beats; half of the shortest bound within which a change has to be known."""
 TICK_S = 0.25
 """Interval at which peers that were silent are looked at."""
+CONFIRMING_PEERS = 2
+"""Peers that have to know of a leave before it is acknowledged; two hosts may fail at once."""
+CONFIRM_S = 0.5
+"""Longest wait for them; the endpoint takes an answer within a second."""
+CONFIRM_TICK_S = 0.005
+SYNC_S = 1.0
+"""Longest wait after the join for the records of peers before the endpoint is given calls."""
 FIRST_BEATS = 2
 """Peers from which a node that joins gets all records and the configuration."""
 FAR_PART = 0.34
@@ -32,6 +40,7 @@
 
 BEAT_KIND = "beat"
 TABLES_KIND = "tables"
+PULL_KIND = "tables-pull"
 
 _beat_decoder = msgspec.msgpack.Decoder(Beat)
 _tables_decoder = msgspec.msgpack.Decoder(Tables)
@@ -49,6 +58,7 @@
         sync: ConfigurationSync,
         joined: asyncio.Event,
         moves: MoveBoard,
+        gate: EndpointGate,
         make_beat: Callable[[], Beat],
         spawn: Spawn,
         random: Random,
@@ -60,11 +70,13 @@
         self._sync = sync
         self._joined = joined
         self._moves = moves
+        self._gate = gate
         self._make_beat = make_beat
         self._spawn = spawn
         self._random = random
         self._loop = asyncio.get_running_loop()
         self._asked: dict[str, float] = {}
+        self._confirmed = 0
 
     async def join(self) -> None:
         """Write this node's record at the platform and meet the nodes that have done so."""
@@ -99,6 +111,7 @@
         # All peers hear of this node; a few are enough for it to hear what they know.
         peers = list(self._directory.peers.values())
         for peer in self._random.sample(peers, min(FIRST_BEATS, len(peers))):
+            self._spawn(self._pull(peer))
             self._spawn(self._beat(peer))
 
     async def run(self) -> None:
@@ -132,14 +145,34 @@
     def announce_endpoint(self, record: EndpointRecord) -> None:
         """Tell all peers of a change of this node's endpoint."""
         self._directory.merge_endpoint(record, self._loop.time())
+        self._confirmed = 0
         self.tell_all(Tables(sender=self._directory.own, endpoints=(record,)))
 
+    async def confirm_leave(self) -> None:
+        """Return once peers know the last change, so that it outlives this process, or soon."""
+        wanted = min(CONFIRMING_PEERS, sum(1 for _ in self._directory.list_live()))
+        end = self._loop.time() + CONFIRM_S
+        while self._confirmed < wanted and self._loop.time() < end:
+            await asyncio.sleep(CONFIRM_TICK_S)
+
+    async def limit_sync(self) -> None:
+        """Let the endpoint be used after a while though no peer has sent its records."""
+        await asyncio.sleep(SYNC_S)
+        if not self._gate.synced:
+            log_info("no peer has sent its records; the endpoint is used all the same")
+            self._gate.synced = True
+
     def tell_all(self, tables: Tables) -> None:
         """Send `tables` to every peer."""
         body = msgspec.msgpack.encode(tables)
         for peer in self._directory.peers.values():
             self._spawn(self._tell(peer.record, body))
 
+    def beat_all(self) -> None:
+        """Send a beat to every peer, since what it says decides who works for whom."""
+        for peer in list(self._directory.list_live()):
+            self._spawn(self._beat(peer))
+
     def take_beat(self, body: bytes) -> bytes | None:
         """Answer a peer's beat with one of this node's own."""
         beat = _beat_decoder.decode(body)
@@ -149,12 +182,29 @@
 
     def take_tables(self, body: bytes) -> bytes | None:
         """Merge a peer's tables and answer with a beat."""
-        self._directory.merge(_tables_decoder.decode(body), self._loop.time())
+        self._merge(_tables_decoder.decode(body))
         return msgspec.msgpack.encode(self._make_beat())
 
+    def take_pull(self, body: bytes) -> bytes | None:
+        """Answer a node that joins with all that this one knows."""
+        return msgspec.msgpack.encode(self._directory.make_tables())
+
+    def _merge(self, tables: Tables) -> None:
+        self._directory.merge(tables, self._loop.time())
+        for record in tables.endpoints:
+            if record.node == self._directory.own.name:
+                self._gate.learn(record)
+
+    async def _pull(self, peer: Peer) -> None:
+        reply = await self._link.post(peer.record, PULL_KIND, b"")
+        if reply:
+            self._merge(_tables_decoder.decode(reply))
+            self._gate.synced = True
+
     async def _tell(self, node: NodeRecord, body: bytes) -> None:
         reply = await self._link.post(node, TABLES_KIND, body)
         if reply:
+            self._confirmed += 1
             self._take_beat(_beat_decoder.decode(reply))
 
     async def _beat(self, peer: Peer) -> None:
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -23,7 +23,7 @@
 from corianderwall.mesh.entry import Entry
 from corianderwall.mesh.exchange import await_exchange
 from corianderwall.mesh.gate import EndpointGate
-from corianderwall.mesh.gossip import BEAT_KIND, TABLES_KIND, Gossip
+from corianderwall.mesh.gossip import BEAT_KIND, PULL_KIND, TABLES_KIND, Gossip
 from corianderwall.mesh.messages import (
     Beat,
     EndpointRecord,
@@ -94,6 +94,7 @@
             self.sync,
             joined,
             self.moves,
+            self.gate,
             self.make_beat,
             self.spawn,
             random,
@@ -116,6 +117,7 @@
         handlers = {
             BEAT_KIND: self.gossip.take_beat,
             TABLES_KIND: self.gossip.take_tables,
+            PULL_KIND: self.gossip.take_pull,
             PUSH_KIND: self.sync.take_push,
             NOTICE_KIND: self.conductor.take_notice,
         }
@@ -125,6 +127,7 @@
         self._inbound = CallServer(port, limits)
         self._others: list[CallServer] = []
         self.holder.listeners.append(self._use_configuration)
+        self.sync.source_listeners.append(self._tell_beat)
 
     @property
     def is_ready(self) -> bool:
@@ -149,6 +152,7 @@
         self.spawn(self.sync.run())
         self.spawn(self.gossip.join())
         self.spawn(self.gossip.run())
+        self.spawn(self.gossip.limit_sync())
         self.spawn(self.conductor.watch())
         self.spawn(self.conductor.run())
         self.spawn(self._watch_endpoint())
@@ -211,6 +215,9 @@
             moves=self.moves.list_views(self._loop.time()),
         )
 
+    def _tell_beat(self) -> None:
+        self.gossip.beat_all()
+
     def _make_limits(self) -> ServerLimits:
         most = max(64, self.settings.max_descriptors - RESERVED_DESCRIPTORS) // 2
         return ServerLimits(max_connections=most)
--- a/packages/mesh/src/corianderwall/mesh/ranks.py
+++ b/packages/mesh/src/corianderwall/mesh/ranks.py
@@ -21,13 +21,12 @@
     return {zone: min(ranks)[2] for zone, ranks in candidates.items()}
 
 
-def find_fleet_lead(directory: Directory, source_ok: bool) -> str:
-    """Return the node that decides for the whole fleet."""
+def list_leads(directory: Directory, source_ok: bool) -> list[str]:
+    """Return the leads of all zones in the order in which they decide for the whole fleet."""
     leads = find_zone_leads(directory, source_ok)
     oks = {peer.record.name: peer.source_ok for peer in directory.peers.values()}
     oks[directory.own.name] = source_ok
-    ranks = [_rank(name, oks.get(name, False)) for name in leads.values()]
-    return min(ranks)[2] if ranks else directory.own.name
+    return sorted(leads.values(), key=lambda name: _rank(name, oks.get(name, False)))
 
 
 def _rank(name: str, source_ok: bool) -> tuple[bool, int, str]:
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -94,6 +94,7 @@
         self.gate = EndpointGate(
             make_settings(self.address), NAMES, self.records.append, lambda *_: None
         )
+        self.gate.synced = True
         assert self.gate.announce(make_announcement(self.address, **fields))
 
     async def serve(self, name: str = "q1", **fields: Any) -> OwnerAnswer:
@@ -329,6 +330,7 @@
         )
         refused = await serve(gate)
         assert refused.note.refusal is Refusal.UNKNOWN
+        gate.synced = True
         gate.adopt(known)
         assert world.records[-1].supersedes(known)
         served = await serve(gate)
@@ -378,3 +380,24 @@
         running.cancel()
 
     return play(keep_silent, scenario)
+
+
+def test_nothing_is_served_before_the_records_of_peers_have_come() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        world.gate.synced = False
+        assert (await world.serve()).note.refusal is Refusal.UNKNOWN
+        assert world.upstream.seen == []
+
+    return play(answer_ok, scenario)
+
+
+def test_a_leave_that_an_earlier_process_acknowledged_binds(make_endpoint: Any) -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        # A late announcement of ready has come first.
+        known = make_endpoint("i-1", born=100, revision=5000, state=EndpointState.DRAINING)
+        world.gate.learn(make_endpoint("i-1", born=99, state=EndpointState.GONE))
+        assert (await world.serve()).note.ran is True
+        world.gate.learn(known)
+        assert (await world.serve()).note.refusal is Refusal.LEAVING
+
+    return play(answer_ok, scenario)
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -150,6 +150,7 @@
                 set(node.directory.endpoints) == ids
                 and len(node.directory.peers) == len(nodes) - 1
                 and node.holder.snapshot.version == version
+                and node.gate.synced
                 for node in nodes
             )
         )
@@ -492,3 +493,26 @@
         await asyncio.gather(*calls)
 
     return play(scenario)
+
+
+def test_an_acknowledged_leave_outlives_the_process_that_acknowledged_it() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        leaving = await fleet.add("n1")
+        await fleet.add("n2", announce=False)
+        await fleet.meet()
+        leaving.announce(draining=True, sequence=2)
+        await leaving.node.gossip.confirm_leave()
+        leaving.node.close()
+        node = HostNode(leaving.node.settings, NAMES, fleet.source, Random(9))
+        await node.start([])
+        fleet.hosts["n1"] = restarted = Host(node, leaving.upstream)
+        # It was sent before the leave and arrives after the restart.
+        restarted.announce(sequence=1)
+        await fleet.settle(lambda: node.gate.synced)
+        before = count_seen(fleet)["n1"]
+        for name in ("n1", "n2"):
+            assert (await fleet.ask(name)).status == 503
+        assert count_seen(fleet)["n1"] == before
+
+    return play(scenario)
--- a/packages/mesh/tests/test_ranks.py
+++ b/packages/mesh/tests/test_ranks.py
@@ -1,7 +1,7 @@
 from typing import Any
 
 from corianderwall.mesh.directory import Directory
-from corianderwall.mesh.ranks import find_fleet_lead, find_zone_leads
+from corianderwall.mesh.ranks import find_zone_leads, list_leads
 
 
 def make_fleet(make_node: Any, own: str) -> Directory:
@@ -12,12 +12,14 @@
     return directory
 
 
-def test_all_nodes_agree_on_one_lead_per_zone_and_one_of_the_fleet(make_node: Any) -> None:
+def test_all_nodes_agree_on_one_lead_per_zone_and_their_order(make_node: Any) -> None:
     fleets = [make_fleet(make_node, own) for own in ("a1", "a2", "b1", "b2")]
     leads = [find_zone_leads(fleet, True) for fleet in fleets]
     assert all(lead == leads[0] for lead in leads)
     assert set(leads[0]) == {"a", "b"}
-    assert len({find_fleet_lead(fleet, True) for fleet in fleets}) == 1
+    orders = [list_leads(fleet, True) for fleet in fleets]
+    assert all(order == orders[0] for order in orders)
+    assert set(orders[0]) == set(leads[0].values())
 
 
 def test_a_lead_that_does_not_reach_the_platform_is_replaced(make_node: Any) -> None:
