--- a/packages/mesh/src/corianderwall/mesh/conductor.py
+++ b/packages/mesh/src/corianderwall/mesh/conductor.py
@@ -22,12 +22,12 @@
 """Pause between two watches and after a failed call."""
 TICK_S = 0.3
 """Interval of evidence and of judgement; a small part of the time to take a version back."""
+REST_S = 1.0
+"""Interval at which it is looked whether a move is under way."""
 STAGGER_S = 0.8
 """Time by which each lead waits for the one before it to write; a few calls to the platform."""
 SHIFT_S = 1.3
 """Time between the last call to an old version and its end, enough for nearly all calls."""
-REST_S = 1.0
-"""The same while no move is under way."""
 NOTICE_KIND = "moves"
 
 
