--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -15,7 +15,9 @@
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import EndpointState
 from corianderwall.mesh.node import HostNode
+from corianderwall.mesh.ranks import list_leads
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
+from corianderwall.mesh.source import SourceError
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import MoveState, Route, Service, ServiceWeight, Snapshot
 from corianderwall.standins.scripted import ScriptedUpstream, Seen, make_answer
@@ -77,6 +79,24 @@
         )
 
 
+@dataclass
+class CutSource:
+    """Passes calls on to the fleet's source until it is cut off from one node."""
+
+    source: MemorySource
+    cut: bool = False
+
+    def __getattr__(self, name: str) -> Callable[..., Any]:
+        method = getattr(self.source, name)
+
+        async def call(*arguments: Any, **options: Any) -> Any:
+            if self.cut:
+                raise SourceError("cut off")
+            return await method(*arguments, **options)
+
+        return call
+
+
 @dataclass
 class Reply:
     """An answer as a caller reads it."""
@@ -113,7 +133,7 @@
                 bounds=Bounds(heartbeat_s=60.0, grace_s=1.0, canary_share=0.1),
             ),
             NAMES,
-            self.source,
+            CutSource(self.source),  # type: ignore[arg-type]
             Random(len(self.hosts)),
         )
         await node.start([])
@@ -516,3 +536,32 @@
         assert count_seen(fleet)["n1"] == before
 
     return play(scenario)
+
+
+def test_a_bad_version_is_taken_back_though_the_first_lead_is_cut_off() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        async def answer(request: Seen) -> bytes:
+            bad = request.headers["expected-instance"] == "i-n2"
+            return make_answer(request, "500 Internal Server Error" if bad else "200 OK")
+
+        fleet.answer = answer
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=1)))
+        await fleet.add("n1", zone="a")
+        newcomer = await fleet.add("n2", zone="b", announce=False)
+        await fleet.add("n3", zone="c", announce=False)
+        newcomer.announce(version="v2")
+        await fleet.meet()
+        first = list_leads(fleet.hosts["n1"].node.directory, True)[0]
+        # It knows that the platform does not answer it, and its peers do not know that yet.
+        node = fleet.hosts[first].node
+        node.sync.source_listeners.clear()
+        node.sync.source_ok = False
+        source = node.sync._source
+        assert isinstance(source, CutSource)
+        source.cut = True
+        fleet.source.put_order("s", "v2", 60.0)
+        async with asyncio.timeout(WAIT_S * 4):
+            while fleet.source.orders["s"].state is not MoveState.TAKEN_BACK:
+                await fleet.ask("n3")
+
+    return play(scenario)
