--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from msgspec import structs
 from twisted.internet.defer import Deferred
 
 from corianderwall.mesh import entry as entry_module
@@ -554,8 +555,9 @@
         first = list_leads(fleet.hosts["n1"].node.directory, True)[0]
         # It knows that the platform does not answer it, and its peers do not know that yet.
         node = fleet.hosts[first].node
-        node.sync.source_listeners.clear()
         node.sync.source_ok = False
+        make_beat = node.make_beat
+        node.gossip._make_beat = lambda: structs.replace(make_beat(), source_ok=True)
         source = node.sync._source
         assert isinstance(source, CutSource)
         source.cut = True
