Drop what the mesh keeps and never reads

A byte counter, the headers of a peer link, the instant a peer was heard, and a wrapper. Behaviour is the same: lint, types, imports and the 152 tests of mesh and adapter pass.

--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -34,7 +34,6 @@
     record: NodeRecord
     failures: int = 0
     retry_at: float = 0.0
-    heard_at: float = 0.0
     config_version: int = 0
     source_ok: bool = True
 
@@ -96,7 +95,7 @@
             return False
         peer = self.peers.get(record.name)
         if peer is None:
-            self.peers[record.name] = Peer(record, heard_at=now)
+            self.peers[record.name] = Peer(record)
             return True
         if not record.supersedes(peer.record):
             return False
@@ -147,7 +146,6 @@
         peer = self.peers.get(beat.node.name)
         if peer is None:
             return
-        peer.heard_at = now
         peer.config_version = beat.config_version
         peer.source_ok = beat.source_ok
         self.note_answer(beat.node.name, now)
@@ -167,7 +165,6 @@
         if peer is not None:
             peer.failures = 0
             peer.retry_at = 0.0
-            peer.heard_at = now
 
     def note_silence(self, node: str, now: float) -> None:
         """Avoid `node` for a pause that doubles with each failure in a row."""
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -80,7 +80,7 @@
         self.directory = Directory(own)
         self.holder = ConfigurationHolder()
         self.moves = MoveBoard(settings.bounds.canary_share, random)
-        self.link = PeerLink(self.directory, headers)
+        self.link = PeerLink(self.directory)
         self.gate = EndpointGate(settings, headers, self._announce, self._count)
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
@@ -127,7 +127,7 @@
         self._inbound = CallServer(port, limits)
         self._others: list[CallServer] = []
         self.holder.listeners.append(self._use_configuration)
-        self.sync.source_listeners.append(self._tell_beat)
+        self.sync.source_listeners.append(self.gossip.beat_all)
 
     @property
     def is_ready(self) -> bool:
@@ -215,9 +215,6 @@
             moves=self.moves.list_views(self._loop.time()),
         )
 
-    def _tell_beat(self) -> None:
-        self.gossip.beat_all()
-
     def _make_limits(self) -> ServerLimits:
         most = max(64, self.settings.max_descriptors - RESERVED_DESCRIPTORS) // 2
         return ServerLimits(max_connections=most)
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -70,10 +70,8 @@
 class PeerLink:
     """The connections from this node to the others."""
 
-    def __init__(self, directory: Directory, headers: HeaderNames) -> None:
-        self.bytes_sent = 0
+    def __init__(self, directory: Directory) -> None:
         self._directory = directory
-        self._headers = headers
         self._loop = asyncio.get_running_loop()
         self._pools: dict[Address, UpstreamPool] = {}
 
