--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -1,6 +1,7 @@
 """Takes the calls of this host's callers and finds an owner for each."""
 
 import asyncio
+import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -46,6 +47,33 @@
 SERVER_ERROR = 500
 
 
+class Reach(enum.Enum):
+    """Which owners are asked, by their zone."""
+
+    ANY = "any"
+    NEAR = "near"
+    FAR = "far"
+
+
+@dataclass(frozen=True, slots=True)
+class AskingRound:
+    """A round of asking owners, at most `tries` of them."""
+
+    may_wait: bool
+    tries: int
+    reach: Reach = Reach.ANY
+
+
+ROUNDS = (AskingRound(may_wait=False, tries=MAX_PROBES), AskingRound(True, MAX_QUEUE_TRIES))
+"""A call waits only where no owner that is asked has a free slot."""
+BIG_ROUNDS = (
+    AskingRound(may_wait=False, tries=MAX_PROBES, reach=Reach.NEAR),
+    AskingRound(may_wait=True, tries=MAX_QUEUE_TRIES, reach=Reach.NEAR),
+    AskingRound(may_wait=False, tries=MAX_PROBES, reach=Reach.FAR),
+)
+"""A big answer leaves the zone only if no owner there can give it in time: its bytes are dear."""
+
+
 @dataclass(slots=True)
 class _CallState:
     """One call on its way; instants are monotonic seconds.
@@ -168,32 +196,33 @@
 
     async def _find_answer(self, state: _CallState) -> OwnerAnswer | None:
         """Return the answer, or None if the call was refused everywhere."""
-        for may_wait, tries in ((False, MAX_PROBES), (True, MAX_QUEUE_TRIES)):
+        for round_ in BIG_ROUNDS if self._make_shape(state.route).big else ROUNDS:
             passed_over = set(state.given_up)
-            for _ in range(tries):
-                view = self._choose(state, passed_over, may_wait=may_wait)
+            for _ in range(round_.tries):
+                view = self._choose(state, passed_over, round_)
                 if view is None:
                     break
                 passed_over.add(view.record.id)
-                told = await self._ask(state, view, may_wait=may_wait)
+                told = await self._ask(state, view, may_wait=round_.may_wait)
                 if self._is_final(state, told):
                     return told
         return state.failure
 
     def _choose(
-        self, state: _CallState, passed_over: set[str], *, may_wait: bool
+        self, state: _CallState, passed_over: set[str], round_: AskingRound
     ) -> EndpointView | None:
         now = self._loop.time()
         route = state.route
         views = self._directory.list_ready(state.service)
         views = self._moves.narrow(state.service, views, now)
         shape = self._make_shape(route)
-        if may_wait and not state.nested:
+        if round_.may_wait and not state.nested:
             views = [view for view in views if view.late_until.get(route.name, 0.0) <= now]
-        if shape.big:
-            # A free slot elsewhere costs more than a place in the queue here.
+        if round_.reach is Reach.NEAR:
             views = keep_in_zone(views, shape, now)
-        if not may_wait:
+        elif round_.reach is Reach.FAR:
+            views = [view for view in views if view.record.zone != shape.zone]
+        if not round_.may_wait:
             views = [view for view in views if view.full_until <= now]
         return choose_endpoint(views, shape, passed_over, now, self._random)
 
@@ -219,9 +248,10 @@
             may_wait=may_wait,
             idempotent=bool(route.idempotent),
             route=route.name,
+            over_link=record.node != self._settings.name,
         )
         owner: Owner = self._own
-        if record.node != self._settings.name:
+        if note.over_link:
             owner = RemoteOwner(self._link, self._directory.peers[record.node].record)
         view.pending += 1
         try:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -24,6 +24,7 @@
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerAnswer
 from corianderwall.mesh.settings import HeaderNames, HostSettings
+from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
 from corianderwall.node.logs import LogBudget, log_info, log_warning
 
@@ -41,6 +42,8 @@
 """Interval at which waiting calls are looked at; callers told that late still come back in time."""
 DEADLINE_MARGIN_S = 0.1
 """Time beyond the deadline after which the owner gives a call up by itself; the entry is first."""
+UNRANKED = 1
+"""Rank at which the wait is told to a call that was refused before it was ranked."""
 DEFAULT_CONNECTIONS = 64
 """Connections to the endpoint when the configuration names no limit; above any slot count."""
 KEPT_IDLE_S = 8.0
@@ -86,9 +89,10 @@
         headers: HeaderNames,
         on_change: Callable[[EndpointRecord], None],
         on_result: Callable[[str, str, bool, float], None],
+        uplink: Uplink,
     ) -> None:
         self.record: EndpointRecord | None = None
-        self.queue = AdmissionQueue(0)
+        self.queue = AdmissionQueue(0, uplink)
         self.closing = False
         self.synced = False
         self.lines = LogBudget(CALL_LINES_PER_S)
@@ -96,6 +100,7 @@
         self._headers = headers
         self._on_change = on_change
         self._on_result = on_result
+        self._uplink = uplink
         self._loop = asyncio.get_running_loop()
         self._pool = self._make_pool()
         self._running: dict[bytes, RunningCall] = {}
@@ -191,7 +196,8 @@
         if refusal is not None:
             return self._refuse(request, refusal)
         rank = 0 if note.nested else 1 + note.priority
-        ticket = Ticket(note.route, rank, now + note.due_ms / 1000, deadline)
+        sending_s = self._uplink.estimate_sending(note.route) if note.over_link else 0.0
+        ticket = Ticket(note.route, rank, now + note.due_ms / 1000, deadline, sending_s)
         refusal = await self._admit(ticket, note)
         if refusal is not None:
             return self._refuse(request, refusal, ticket)
@@ -246,7 +252,7 @@
         self._sequence = announcement.sequence
         self._heard_at = self._loop.time()
         self._failures = 0.0
-        self.queue = AdmissionQueue(announcement.slots)
+        self.queue = AdmissionQueue(announcement.slots, self._uplink)
         state = EndpointState.DRAINING if announcement.draining else EndpointState.READY
         warm_ms = int(time.time() * 1000 + announcement.warm_after_s * 1000)
         self.record = EndpointRecord(
@@ -407,6 +413,8 @@
             self._count(note, failed=True, took_s=took_s, ran=False)
             return self._refuse(request, Refusal.SHED, reached=True)
         failed = answer.status >= SERVER_ERROR
+        if not failed:
+            self._uplink.note_size(note.route, len(answer.body))
         self._count(note, failed=failed, took_s=took_s, ran=True)
         self._log(
             "ran",
@@ -452,8 +460,11 @@
         *,
         reached: bool = False,
     ) -> OwnerAnswer:
-        rank = ticket.rank if ticket is not None else 1
-        wait_ms = self.queue.estimate_wait(self._loop.time(), rank) * 1000
+        now = self._loop.time()
+        if ticket is not None:
+            wait_ms = self.queue.estimate_start(ticket, now) * 1000
+        else:
+            wait_ms = self.queue.estimate_wait(now, UNRANKED) * 1000
         load = self.read_load()
         self._log(
             "refused by the owner",
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -85,7 +85,8 @@
 
     An answer later than `due_ms` from now is late.
     `may_wait` allows the owner to queue the call; `nested` marks a call of a running call, and
-    `repeat` one that has reached an endpoint before or that a repeated run makes.
+    `repeat` one that has reached an endpoint before or that a repeated run makes. `over_link` is
+    set if the answer has to leave the owner's host.
     """
 
     endpoint: str
@@ -98,6 +99,7 @@
     may_wait: bool
     idempotent: bool
     route: str
+    over_link: bool = False
 
 
 class Refusal(enum.StrEnum):
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -33,8 +33,10 @@
 )
 from corianderwall.mesh.moves import MoveBoard
 from corianderwall.mesh.peerlink import PeerLink, PeerPort
+from corianderwall.mesh.sending import AnswerSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
+from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import Snapshot
 from corianderwall.node.logs import log_error, log_info
@@ -81,7 +83,9 @@
         self.holder = ConfigurationHolder()
         self.moves = MoveBoard(settings.bounds.canary_share, random)
         self.link = PeerLink(self.directory)
-        self.gate = EndpointGate(settings, headers, self._announce, self._count)
+        uplink = Uplink(settings.link_bytes_per_s)
+        sender = AnswerSender(uplink)
+        self.gate = EndpointGate(settings, headers, self._announce, self._count, uplink)
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
             self.holder, source, self.directory, self.link, joined, self.spawn
@@ -121,7 +125,7 @@
             PUSH_KIND: self.sync.take_push,
             NOTICE_KIND: self.conductor.take_notice,
         }
-        port = PeerPort(self.gate, headers, handlers)
+        port = PeerPort(self.gate, headers, handlers, sender)
         limits = self._make_limits()
         self._outbound = CallServer(self.entry, limits)
         self._inbound = CallServer(port, limits)
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -18,6 +18,7 @@
 from corianderwall.mesh.exchange import Answer, await_exchange, run_exchange
 from corianderwall.mesh.messages import AnswerNote, CallNote, Load, NodeRecord, Refusal
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerAnswer
+from corianderwall.mesh.sending import AnswerSender
 from corianderwall.mesh.settings import HeaderNames
 from corianderwall.mesh.tasks import run_call
 from corianderwall.model.endpoint import Address
@@ -168,8 +169,10 @@
         owner: Owner,
         headers: HeaderNames,
         handlers: Mapping[str, MessageHandler],
+        sender: AnswerSender,
     ) -> None:
         self._owner = owner
+        self._sender = sender
         self._headers = headers
         self._handlers = handlers
 
@@ -204,7 +207,8 @@
         if told.answer is None:
             call.respond(503, [encoded])
         else:
-            call.respond(told.answer.status, [*told.answer.headers, encoded], told.answer.body)
+            headers = [*told.answer.headers, encoded]
+            self._sender.send(call, told.answer.status, headers, told.answer.body)
 
     async def _answer_message(self, call: IncomingCall, kind: str) -> None:
         body = await BodyReader(call, math.inf).read()
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -1,5 +1,6 @@
 """What a host node is told at its start; filled in by whatever reads the settings file."""
 
+import math
 from dataclasses import dataclass
 
 from corianderwall.model.endpoint import Address
@@ -44,4 +45,5 @@
     metrics: Address
     endpoint: Address
     max_descriptors: int = 1024
+    link_bytes_per_s: float = math.inf
     bounds: Bounds = Bounds()
--- a/packages/mesh/tests/test_admission.py
+++ b/packages/mesh/tests/test_admission.py
@@ -1,12 +1,18 @@
 from heapq import heappop, heappush
 
 from corianderwall.mesh.admission import Admission, AdmissionQueue, Ticket
+from corianderwall.mesh.uplink import USED_PART, Uplink
 
 
 def make_ticket(
-    deadline: float = 10.0, *, rank: int = 1, route: str = "r", due: float | None = None
+    deadline: float = 10.0,
+    *,
+    rank: int = 1,
+    route: str = "r",
+    due: float | None = None,
+    sending_s: float = 0.0,
 ) -> Ticket:
-    return Ticket(route, rank, deadline if due is None else due, deadline)
+    return Ticket(route, rank, deadline if due is None else due, deadline, sending_s)
 
 
 def run_call(queue: AdmissionQueue, took_s: float, route: str = "r") -> None:
@@ -160,3 +166,86 @@
     # Two run now, and four rounds of two follow at 0.1 s each; the estimate errs by half a call.
     assert (started, waiting) == (2, 8)
     assert outcomes[10:] == [Admission.LATE] * 10
+
+
+def make_link_queue() -> AdmissionQueue:
+    """Return a queue of two slots on a link that sends 100 KB in 0.2 s; calls take 0.1 s."""
+    queue = AdmissionQueue(2, Uplink(100_000 / 0.2 / USED_PART))
+    run_call(queue, 0.1)
+    return queue
+
+
+def test_a_big_answer_waits_for_the_link_while_short_ones_go_ahead() -> None:
+    queue = make_link_queue()
+    queue.uplink.book(150_000, 1.0)
+    big, short = make_ticket(sending_s=0.2), make_ticket(rank=2)
+    assert queue.offer(big, 1.0, may_wait=False) is Admission.FULL
+    assert queue.offer(big, 1.0, may_wait=True) is Admission.WAIT
+    assert queue.offer(short, 1.0, may_wait=False) is Admission.START
+    assert queue.advance(1.1) == ([], [])
+    assert queue.advance(1.2) == ([big], [])
+
+
+def test_a_second_big_answer_counts_on_the_link_as_soon_as_its_call_runs() -> None:
+    queue = make_link_queue()
+    assert queue.offer(make_ticket(sending_s=0.2), 1.0, may_wait=False) is Admission.START
+    assert queue.offer(make_ticket(sending_s=0.2), 1.0, may_wait=False) is Admission.FULL
+
+
+def test_a_big_answer_that_the_link_cannot_send_in_time_is_refused_at_once() -> None:
+    queue = make_link_queue()
+    queue.uplink.book(500_000, 1.0)
+    assert queue.offer(make_ticket(2.0, sending_s=0.2), 1.0, may_wait=True) is Admission.LATE
+    assert queue.offer(make_ticket(2.4, sending_s=0.2), 1.0, may_wait=True) is Admission.WAIT
+    assert queue.estimate_start(make_ticket(sending_s=0.2), 1.0) > 1.0
+
+
+def play_thin_link(queue: AdmissionQueue, uplink: Uplink) -> tuple[int, int]:
+    """Return how many short and big answers are in time on a link that sends in order.
+
+    Five calls arrive each 0.1 s, one of them with an answer that takes the link 0.2 s, so that
+    twice as much would have to be sent as the link can.
+    """
+    link_free, big_in_time, short_in_time = 0.0, 0, 0
+    arrivals = [(i * 0.02, i % 5 == 0) for i in range(500)]
+    ending: list[tuple[float, int, Ticket]] = []
+
+    def begin(tickets: list[Ticket], now: float) -> None:
+        for ticket in tickets:
+            heappush(ending, (now + 0.03, id(ticket), ticket))
+
+    def end_until(now: float) -> None:
+        nonlocal link_free, big_in_time, short_in_time
+        while ending and ending[0][0] <= now:
+            at, _, ticket = heappop(ending)
+            queue.finish(ticket, at, ran=True)
+            is_big = ticket.route == "big"
+            link_free = max(link_free, at) + (0.2 if is_big else 0.001)
+            if is_big:
+                uplink.book(100_000, at)
+                big_in_time += link_free <= ticket.due
+            else:
+                short_in_time += link_free <= ticket.due
+            begin(queue.advance(at)[0], at)
+
+    for now, is_big in arrivals:
+        end_until(now)
+        begin(queue.advance(now)[0], now)
+        sending_s = uplink.estimate_sending("big") if is_big else 0.0
+        ticket = make_ticket(now + 1.0, route="big" if is_big else "short", sending_s=sending_s)
+        if queue.offer(ticket, now, may_wait=True) is Admission.START:
+            begin([ticket], now)
+    end_until(now + 1.0)
+    return short_in_time, big_in_time
+
+
+def test_short_answers_do_not_wait_behind_big_ones_on_a_thin_link() -> None:
+    """Load pattern: a thin link is asked for twice the big answers that it can send."""
+    unaware = Uplink()
+    short_before, big_before = play_thin_link(AdmissionQueue(6, unaware), unaware)
+    aware = Uplink(100_000 / 0.2)
+    aware.note_size("big", 100_000)
+    short_after, big_after = play_thin_link(AdmissionQueue(6, aware), aware)
+    assert short_before < 100
+    assert short_after == 400
+    assert big_after > 4 * big_before
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -9,6 +9,7 @@
 from corianderwall.mesh.messages import CallNote, EndpointRecord, EndpointState, Refusal
 from corianderwall.mesh.owner import ForwardedRequest, OwnerAnswer
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
+from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
 from corianderwall.standins.scripted import ScriptedUpstream, Seen, make_answer
 
@@ -92,7 +93,7 @@
         await self.upstream.start()
         self.address = Address(host="127.0.0.1", port=self.upstream.port)
         self.gate = EndpointGate(
-            make_settings(self.address), NAMES, self.records.append, lambda *_: None
+            make_settings(self.address), NAMES, self.records.append, lambda *_: None, Uplink()
         )
         self.gate.synced = True
         assert self.gate.announce(make_announcement(self.address, **fields))
@@ -326,7 +327,7 @@
     async def scenario(world: World) -> None:
         known = world.records[-1]
         gate = EndpointGate(
-            make_settings(world.address), NAMES, world.records.append, lambda *_: None
+            make_settings(world.address), NAMES, world.records.append, lambda *_: None, Uplink()
         )
         refused = await serve(gate)
         assert refused.note.refusal is Refusal.UNKNOWN
