Do not count a failure for want of a nested call against the endpoint or its version

From 13 s marekebisho sheds, so calls that notice-lookup makes there fail and the endpoints answer 500, old and new alike; the old version gets no calls by then, as the move is at its shift, so its share of failures is that of before. The node beside an endpoint sees the calls that its running calls make; when one of them fails, the failure of the call that needed it counts neither for the version nor for the choice of endpoints. Ruled out: a higher share of failures (a version that fails a fifth of its calls is bad). Test: a_failure_for_want_of_a_nested_call_says_nothing_about_the_endpoint failed before.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -87,7 +87,7 @@
     deadline: float
     due: float
     began: float
-    nested: bool
+    parent: RunningCall | None
     repeat: bool
     given_up: set[str] = field(default_factory=set)
     reached: int = 0
@@ -95,6 +95,16 @@
     trail: list[str] = field(default_factory=list)
     failure: OwnerAnswer | None = None
 
+    @property
+    def nested(self) -> bool:
+        """Return whether a running call needs this one."""
+        return self.parent is not None
+
+    def note_end(self, status: int) -> None:
+        """Tell the running call that needs this one if it will miss the answer."""
+        if self.parent is not None and not 200 <= status < 300:
+            self.parent.starved = True
+
 
 class Entry:
     """Handles the calls of callers; at most one owner holds a call at any time."""
@@ -170,7 +180,7 @@
             deadline=deadline,
             due=due,
             began=began,
-            nested=parent is not None,
+            parent=parent,
             repeat=parent is not None and parent.repeat,
         )
         self._budget.count_request(state.service, began)
@@ -331,6 +341,9 @@
         if status == 503:
             after_s = compute_retry_after(UNREADY_S, self._random)
             headers.append((self._headers.retry_after, encode_seconds(after_s)))
+        parent = self._find_parent(request_id)
+        if parent is not None:
+            parent.starved = True
         if call.is_open:
             call.respond(status, headers)
         if not self.lines.take(self._loop.time()):
@@ -350,6 +363,7 @@
         self._sizes[route] = kept + SIZE_WEIGHT * (size - kept)
 
     def _log(self, state: _CallState, status: int, cause: str) -> None:
+        state.note_end(status)
         now = self._loop.time()
         took_s = now - state.began
         self._metrics.count_call(state.service, "", status, took_s)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -70,11 +70,16 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RunningCall:
-    """A call at the endpoint; `repeat` if its run counts as a repeated one."""
+    """A call at the endpoint; `repeat` if its run counts as a repeated one.
+
+    `starved` is set once a call that it made has failed: its own failure then says nothing about
+    the endpoint or its version.
+    """
 
     repeat: bool
+    starved: bool = False
 
 
 class EndpointGate:
@@ -202,7 +207,7 @@
         if refusal is not None:
             return self._refuse(request, refusal, ticket)
         exchange: Exchange | None = None
-        self._running[request.request_id] = RunningCall(note.repeat)
+        running = self._running[request.request_id] = RunningCall(note.repeat)
         try:
             exchange = await self._send(note, request, deadline)
         finally:
@@ -212,7 +217,8 @@
             self._advance()
         ended = self._loop.time()
         whole_ms = round((ended - now) * 1000, 1)
-        return self._judge(note, request, exchange, ended - ticket.started, whole_ms)
+        took_s = ended - ticket.started
+        return self._judge(note, request, exchange, took_s, whole_ms, starved=running.starved)
 
     def find_parent(self, request_id: bytes) -> RunningCall | None:
         """Return the call at the endpoint whose id `request_id` extends, None if there is none.
@@ -400,6 +406,8 @@
         exchange: Exchange,
         took_s: float,
         whole_ms: float,
+        *,
+        starved: bool,
     ) -> OwnerAnswer:
         answer = exchange.answer
         if answer is None:
@@ -415,13 +423,15 @@
         failed = answer.status >= SERVER_ERROR
         if not failed:
             self._uplink.note_size(note.route, len(answer.body))
-        self._count(note, failed=failed, took_s=took_s, ran=True)
+        if not (failed and starved):
+            self._count(note, failed=failed, took_s=took_s, ran=True)
         self._log(
             "ran",
             request=request.request_id.decode(),
             endpoint=note.endpoint,
             status=answer.status,
             took_ms=round(took_s * 1000, 1),
+            starved=starved,
         )
         return OwnerAnswer(AnswerNote(ran=True, load=self.read_load(), took_ms=whole_ms), answer)
 
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -432,6 +432,30 @@
     return play(scenario)
 
 
+@pytest.mark.parametrize("starved", [True, False])
+def test_a_failure_for_want_of_a_nested_call_says_nothing_about_the_endpoint(
+    starved: bool,
+) -> Deferred[None]:
+    """Load pattern: a crowded service makes the calls of all that need it fail."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def answer(request: Seen) -> bytes:
+            if starved:
+                nested = await fleet.ask("n1", "/t/x", request_id="q0.x")
+                assert nested.status == 503
+            return make_answer(request, "500 Internal Server Error")
+
+        fleet.answer = answer
+        routes = (make_route("r", "s", max_attempts=1), make_route("t", "none"))
+        fleet.source.put_config(make_snapshot(1, *routes))
+        host = await fleet.add("n1")
+        await fleet.meet()
+        assert (await fleet.ask("n1", request_id="q0")).status == 500
+        assert (host.node.gate.read_load().failures == 0.0) is starved
+
+    return play(scenario)
+
+
 def test_a_refused_call_does_not_ask_an_owner_that_has_just_refused(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
