Use the endpoint at once where all nodes began together, and write a node's record only once

Beats now say whether their sender has records: a node pulls from those that do, and once eight peers say that they began too, and none that it has records, its endpoint is used.

--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -33,6 +33,9 @@
 """Rounds of pulls after a start; all nodes may have begun together and have nothing to send."""
 FIRST_PULLS = 2
 """Peers that are asked at once; with a third of them gone, four tries miss one in a thousand."""
+BEGUN_TOGETHER = 8
+"""Peers that lack records too, and none that has them, from which all nodes are taken to have begun
+together; if six of ten did, eight in a row are one case in sixty."""
 FIRST_BEATS = 2
 """Peers from which a node that joins gets all records and the configuration."""
 FAR_PART = 0.34
@@ -90,19 +93,25 @@
         self._differences = 0
         self._confirmed = 0
         self._pulled = False
+        self._synced_peers: dict[str, bool] = {}
 
     async def join(self) -> None:
-        """Write this node's record at the platform and meet the nodes that have done so."""
+        """Write this node's record at the platform and meet the nodes that have done so.
+
+        A node that starts again at its address finds its record there; a list costs far less than
+        a write, and its peers learn its new incarnation from itself.
+        """
         pause_s = JOIN_RETRY_S
         written = False
         tries = 0
         while True:
             try:
-                if not written:
-                    await self._source.announce_node(self._directory.own)
-                    written = True
                 tries += 1
                 records = await self._source.list_nodes(stale=tries <= STALE_TRIES)
+                if not written and not self._is_listed(records):
+                    await self._source.announce_node(self._directory.own)
+                    records = await self._source.list_nodes(stale=tries <= STALE_TRIES)
+                written = True
             except SourceError as error:
                 log_warning("joining through the platform failed", reason=error.reason)
                 await asyncio.sleep(pause_s * (0.5 + self._random.random()))
@@ -115,6 +124,11 @@
         log_info("joined through the platform", nodes=len(records), tries=tries)
         self._joined.set()
 
+    def _is_listed(self, records: tuple[NodeRecord, ...]) -> bool:
+        own = self._directory.own
+        place = (own.name, own.zone, own.host, own.port)
+        return any((each.name, each.zone, each.host, each.port) == place for each in records)
+
     def _meet(self, records: tuple[NodeRecord, ...]) -> None:
         now = self._loop.time()
         for record in records:
@@ -171,20 +185,35 @@
     async def sync(self) -> None:
         """Pull the records of peers until one has sent them, and then let the endpoint be used.
 
-        After a while it is used all the same: all peers may have started like this node.
+        It is used all the same after a while, and once it is clear that all nodes began together.
         """
         end = self._loop.time() + SYNC_S
         tries = 0
-        while not self._pulled and tries < PULL_TRIES:
-            peers = list(self._directory.peers.values())
+        while not self._pulled and (tries < PULL_TRIES or not self._gate.synced):
+            peers = self._list_pulled_peers()
             for peer in self._random.sample(peers, min(FIRST_PULLS, len(peers))):
                 self._spawn(self._pull(peer))
             tries += 1
             await asyncio.sleep(PULL_RETRY_S if self._loop.time() < end else BEAT_S)
-            if not self._gate.synced and self._loop.time() >= end:
-                log_info("no peer has sent its records; the endpoint is used all the same")
+            if not self._gate.synced and (self._loop.time() >= end or self._began_together()):
+                log_info(
+                    "no peer has sent its records; the endpoint is used all the same",
+                    peers=len(self._directory.peers),
+                    answered=len(self._synced_peers),
+                )
                 self._gate.synced = True
 
+    def _list_pulled_peers(self) -> list[Peer]:
+        """Return the peers that say they have records, or all while none does."""
+        peers = self._directory.peers
+        synced = [peers[name] for name, synced in self._synced_peers.items() if synced]
+        return synced or list(peers.values())
+
+    def _began_together(self) -> bool:
+        answers = self._synced_peers.values()
+        wanted = min(BEGUN_TOGETHER, len(self._directory.peers))
+        return 0 < wanted <= len(answers) and not any(answers)
+
     def tell_all(self, tables: Tables) -> None:
         """Send `tables` to every peer."""
         body = msgspec.msgpack.encode(tables)
@@ -245,6 +274,8 @@
     def _take_beat(self, beat: Beat) -> None:
         now = self._loop.time()
         self._directory.take_beat(beat, now)
+        if not self._pulled and beat.node.name in self._directory.peers:
+            self._synced_peers[beat.node.name] = beat.synced
         for view in beat.moves:
             self._moves.take_view(view, now)
         peer = self._directory.peers.get(beat.node.name)
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -187,6 +187,7 @@
     """What a node tells a peer from time to time; `digest` is over all endpoint records.
 
     `moves` are all orders that it knows, so that a restarted node learns them from its peers.
+    `synced` is not set while a node that has just started lacks the records of its peers.
     """
 
     node: NodeRecord
@@ -196,6 +197,7 @@
     load: Load | None = None
     endpoint: str = ""
     moves: tuple[MoveView, ...] = ()
+    synced: bool = True
 
 
 class MoveNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -242,6 +242,7 @@
             load=self.gate.read_load() if record is not None else None,
             endpoint=record.id if record is not None else "",
             moves=self.moves.list_views(self._loop.time()),
+            synced=self.gate.synced,
         )
 
     def _make_limits(self) -> ServerLimits:
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -10,7 +10,14 @@
 
 from corianderwall.mesh.configuration import ConfigurationHolder
 from corianderwall.mesh.directory import Directory
-from corianderwall.mesh.gossip import PULL_KIND, RECENT_S, TABLES_KIND, WHOLE_EVERY, Gossip
+from corianderwall.mesh.gossip import (
+    BEGUN_TOGETHER,
+    PULL_KIND,
+    RECENT_S,
+    TABLES_KIND,
+    WHOLE_EVERY,
+    Gossip,
+)
 from corianderwall.mesh.messages import Beat, EndpointRecord, EndpointState, NodeRecord, Tables
 from corianderwall.mesh.moves import MoveBoard
 
@@ -42,10 +49,12 @@
     """A platform whose list names these nodes."""
 
     def __init__(self, records: tuple[NodeRecord, ...]) -> None:
+        self.announced: list[NodeRecord] = []
         self._records = records
 
     async def announce_node(self, record: NodeRecord) -> None:
         """Take the record."""
+        self.announced.append(record)
 
     async def list_nodes(self, *, stale: bool) -> tuple[NodeRecord, ...]:
         """Return the nodes."""
@@ -60,11 +69,12 @@
         self.link = RecordingLink(reply)
         self.gate = SimpleNamespace(synced=False, learn=self.learned.append)
         self.directory = Directory(make_record("own"))
+        self.source = KnownNodes(records)
         self.tasks: set[asyncio.Task[None]] = set()
         self.gossip = Gossip(
             self.directory,
             self.link,  # type: ignore[arg-type]
-            KnownNodes(records),  # type: ignore[arg-type]
+            self.source,  # type: ignore[arg-type]
             ConfigurationHolder(),
             SimpleNamespace(send_to=lambda peer: None),  # type: ignore[arg-type]
             asyncio.Event(),
@@ -110,6 +120,21 @@
     return run(scenario())
 
 
+@pytest.mark.parametrize(("listed", "writes"), [("own", 0), ("n2", 1)])
+def test_a_node_is_written_at_the_platform_only_if_it_is_not_listed_there(
+    listed: str, writes: int
+) -> Deferred[None]:
+    """Load pattern: all nodes start again together; each write at the store is paid for."""
+
+    async def scenario() -> None:
+        records = (make_record("n1"), make_record(listed))
+        newcomer = Newcomer(records, lambda kind, body: None)
+        await newcomer.gossip.join()
+        assert [record.name for record in newcomer.source.announced] == ["own"] * writes
+
+    return run(scenario())
+
+
 def test_records_are_pulled_until_a_peer_sends_them_though_the_endpoint_is_used_meanwhile(
     monkeypatch: pytest.MonkeyPatch, make_endpoint: Any
 ) -> Deferred[None]:
@@ -157,3 +182,54 @@
         assert sizes == [1] * (WHOLE_EVERY - 1) + [31]
 
     return run(scenario())
+
+
+def make_beat(name: str, *, synced: bool) -> bytes:
+    node = make_record(name)
+    beat = Beat(node=node, config_version=0, digest="", source_ok=True, synced=synced)
+    return msgspec.msgpack.encode(beat)
+
+
+@pytest.mark.parametrize(("peers", "others_synced"), [(3, 0), (20, 0), (20, 1)])
+def test_the_endpoint_is_used_at_once_where_all_nodes_began_together(
+    monkeypatch: pytest.MonkeyPatch, peers: int, others_synced: int
+) -> Deferred[None]:
+    """Load pattern: all hosts lost power; callers come as soon as the nodes are ready."""
+    monkeypatch.setattr("corianderwall.mesh.gossip.SYNC_S", 600.0)
+    monkeypatch.setattr("corianderwall.mesh.gossip.PULL_RETRY_S", 0.001)
+
+    async def scenario() -> None:
+        newcomer = Newcomer((), lambda kind, body: None)
+        for i in range(peers):
+            name = f"n{i}"
+            newcomer.directory.merge_node(make_record(name), 0.0)
+            newcomer.gossip.take_beat(make_beat(name, synced=i < others_synced))
+        syncing = newcomer.spawn(newcomer.gossip.sync())
+        await asyncio.wait([syncing], timeout=1.0)
+        assert newcomer.gate.synced is (others_synced == 0)
+        pulls = {name for name, kind, _ in newcomer.link.posted if kind == PULL_KIND}
+        if others_synced:
+            assert pulls == {"n0"}
+        syncing.cancel()
+
+    return run(scenario())
+
+
+def test_silent_peers_do_not_prove_that_all_nodes_began_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr("corianderwall.mesh.gossip.SYNC_S", 600.0)
+    monkeypatch.setattr("corianderwall.mesh.gossip.PULL_RETRY_S", 0.001)
+
+    async def scenario() -> None:
+        newcomer = Newcomer((), lambda kind, body: None)
+        for i in range(20):
+            newcomer.directory.merge_node(make_record(f"n{i}"), 0.0)
+        for i in range(BEGUN_TOGETHER - 1):
+            newcomer.gossip.take_beat(make_beat(f"n{i}", synced=False))
+        syncing = newcomer.spawn(newcomer.gossip.sync())
+        await asyncio.wait([syncing], timeout=1.0)
+        assert not newcomer.gate.synced
+        syncing.cancel()
+
+    return run(scenario())
