--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -1,7 +1,6 @@
 """Takes the calls of this host's callers and finds an owner for each."""
 
 import asyncio
-import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -20,7 +19,14 @@
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
 from corianderwall.mesh.refusals import UNREADY_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
-from corianderwall.mesh.selection import CallShape, choose_endpoint, keep_in_zone
+from corianderwall.mesh.selection import (
+    BIG_ROUNDS,
+    ROUNDS,
+    AskingRound,
+    CallShape,
+    choose_endpoint,
+    list_candidates,
+)
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.splits import WeightedSplit
 from corianderwall.mesh.tasks import run_call
@@ -28,10 +34,6 @@
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
 
-MAX_PROBES = 3
-"""Owners that are asked for a free slot before the call waits at one of them."""
-MAX_QUEUE_TRIES = 2
-"""Owners at which a call tries to wait."""
 FULL_S = 0.05
 """Time for which a refusal for want of a slot is believed; a part of the time of a call."""
 LATE_S = 0.15
@@ -47,33 +49,6 @@
 SERVER_ERROR = 500
 
 
-class Reach(enum.Enum):
-    """Which owners are asked, by their zone."""
-
-    ANY = "any"
-    NEAR = "near"
-    FAR = "far"
-
-
-@dataclass(frozen=True, slots=True)
-class AskingRound:
-    """A round of asking owners, at most `tries` of them."""
-
-    may_wait: bool
-    tries: int
-    reach: Reach = Reach.ANY
-
-
-ROUNDS = (AskingRound(may_wait=False, tries=MAX_PROBES), AskingRound(True, MAX_QUEUE_TRIES))
-"""A call waits only where no owner that is asked has a free slot."""
-BIG_ROUNDS = (
-    AskingRound(may_wait=False, tries=MAX_PROBES, reach=Reach.NEAR),
-    AskingRound(may_wait=True, tries=MAX_QUEUE_TRIES, reach=Reach.NEAR),
-    AskingRound(may_wait=False, tries=MAX_PROBES, reach=Reach.FAR),
-)
-"""A big answer leaves the zone only if no owner there can give it in time: its bytes are dear."""
-
-
 @dataclass(slots=True)
 class _CallState:
     """One call on its way; instants are monotonic seconds.
@@ -226,18 +201,12 @@
         self, state: _CallState, passed_over: set[str], round_: AskingRound
     ) -> EndpointView | None:
         now = self._loop.time()
-        route = state.route
         views = self._directory.list_ready(state.service)
         views = self._moves.narrow(state.service, views, now)
-        shape = self._make_shape(route)
-        if round_.may_wait and not state.nested:
-            views = [view for view in views if view.late_until.get(route.name, 0.0) <= now]
-        if round_.reach is Reach.NEAR:
-            views = keep_in_zone(views, shape, now)
-        elif round_.reach is Reach.FAR:
-            views = [view for view in views if view.record.zone != shape.zone]
-        if not round_.may_wait:
-            views = [view for view in views if view.full_until <= now]
+        shape = self._make_shape(state.route)
+        # A nested call asks in spite of refusals: the running call needs it.
+        route = "" if state.nested else state.route.name
+        views = list_candidates(views, shape, round_, route, now)
         return choose_endpoint(views, shape, passed_over, now, self._random)
 
     def _make_shape(self, route: Route) -> CallShape:
--- a/packages/mesh/src/corianderwall/mesh/selection.py
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -1,11 +1,16 @@
 """Chooses the owner of a call by expected time, with its own zone first."""
 
+import enum
 from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from random import Random
 
 from corianderwall.mesh.directory import EndpointView
 
+MAX_PROBES = 3
+"""Owners that are asked for a free slot before the call waits at one of them."""
+MAX_QUEUE_TRIES = 2
+"""Owners at which a call tries to wait."""
 LOAD_FADES_S = 1.5
 """Age at which a reported load counts nothing; calls have mostly ended by then."""
 TIME_FADES_S = 8.0
@@ -35,6 +40,51 @@
     big: bool
 
 
+class Reach(enum.Enum):
+    """Which owners are asked, by their zone."""
+
+    ANY = "any"
+    NEAR = "near"
+    FAR = "far"
+
+
+@dataclass(frozen=True, slots=True)
+class AskingRound:
+    """A round of asking owners, at most `tries` of them."""
+
+    may_wait: bool
+    tries: int
+    reach: Reach = Reach.ANY
+
+
+ROUNDS = (AskingRound(may_wait=False, tries=MAX_PROBES), AskingRound(True, MAX_QUEUE_TRIES))
+"""A call waits only where no owner that is asked has a free slot."""
+BIG_ROUNDS = (
+    AskingRound(may_wait=False, tries=MAX_PROBES, reach=Reach.NEAR),
+    AskingRound(may_wait=True, tries=MAX_QUEUE_TRIES, reach=Reach.NEAR),
+    AskingRound(may_wait=False, tries=MAX_PROBES, reach=Reach.FAR),
+)
+"""A big answer leaves the zone only if no owner there can give it in time: its bytes are dear."""
+
+
+def list_candidates(
+    views: list[EndpointView], shape: CallShape, round_: AskingRound, route: str, now: float
+) -> list[EndpointView]:
+    """Return the endpoints whose owners may be asked in this round.
+
+    Those that have just refused a call of `route`, or any call for want of a slot, are left out.
+    """
+    if round_.may_wait:
+        views = [view for view in views if view.late_until.get(route, 0.0) <= now]
+    if round_.reach is Reach.NEAR:
+        views = keep_in_zone(views, shape, now)
+    elif round_.reach is Reach.FAR:
+        views = [view for view in views if view.record.zone != shape.zone]
+    if not round_.may_wait:
+        views = [view for view in views if view.full_until <= now]
+    return views
+
+
 def choose_endpoint(
     views: Iterable[EndpointView],
     shape: CallShape,
