--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -205,13 +205,20 @@
         sending_s = self._uplink.estimate_sending(note.route) if note.over_link else 0.0
         due = now + note.due_ms / 1000
         ticket = Ticket(note.route, rank, due, deadline, sending_s, note.priority)
-        refusal = await self._admit(ticket, note)
+        try:
+            refusal = await self._admit(ticket, note)
+        except CancelledError:
+            self._log_given_up(request, note, "waiting", now)
+            raise
         if refusal is not None:
             return self._refuse(request, refusal, ticket)
         exchange: Exchange | None = None
         running = self._running[request.request_id] = RunningCall(note.repeat, note.priority)
         try:
             exchange = await self._send(note, request, deadline)
+        except CancelledError:
+            self._log_given_up(request, note, "running", ticket.started)
+            raise
         finally:
             ran = exchange is not None and exchange.answer is not None
             self._running.pop(request.request_id, None)
@@ -460,6 +467,18 @@
         if self.lines.take(self._loop.time()):
             log_info(message, **fields)
 
+    def _log_given_up(
+        self, request: ForwardedRequest, note: CallNote, phase: str, since: float
+    ) -> None:
+        """Log that the entry gave up a call: its deadline has passed, or its caller has left."""
+        self._log(
+            "given up by the entry",
+            request=request.request_id.decode(),
+            endpoint=note.endpoint,
+            phase=phase,
+            took_ms=round((self._loop.time() - since) * 1000, 1),
+        )
+
     def _count(self, note: CallNote, *, failed: bool, took_s: float, ran: bool) -> None:
         self._failures += FAILURE_WEIGHT * (float(failed) - self._failures)
         self._on_result(note.route, note.endpoint, failed, took_s if ran else 0.0)
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -5,6 +5,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
+from corianderwall.mesh import gate as gate_module
 from corianderwall.mesh.gate import Announcement, EndpointGate, RunningCall
 from corianderwall.mesh.messages import CallNote, EndpointRecord, EndpointState, Refusal
 from corianderwall.mesh.owner import ForwardedRequest, OwnerAnswer
@@ -300,16 +301,33 @@
     return play(keep_silent, scenario)
 
 
-def test_a_waiting_caller_that_leaves_frees_its_place() -> Deferred[None]:
+def collect_lines(monkeypatch: pytest.MonkeyPatch) -> list[tuple[str, dict[str, object]]]:
+    """Return a list to which the gate's log lines will go."""
+    lines: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(
+        gate_module, "log_info", lambda message, **fields: lines.append((message, fields))
+    )
+    return lines
+
+
+def test_a_waiting_caller_that_leaves_frees_its_place(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
     async def scenario(world: World) -> None:
         running = asyncio.ensure_future(world.serve("q1"))
         waiting = asyncio.ensure_future(world.serve("q2"))
         await asyncio.sleep(0.01)
+        lines = collect_lines(monkeypatch)
         waiting.cancel()
         await asyncio.sleep(0.01)
         assert world.gate.queue.waiting == []
         running.cancel()
         await asyncio.sleep(0.01)
+        given_up = [fields for message, fields in lines if message == "given up by the entry"]
+        assert [(line["request"], line["phase"]) for line in given_up] == [
+            ("q2", "waiting"),
+            ("q1", "running"),
+        ]
 
     return play(keep_silent, scenario)
 
