Keep what is believed of the endpoint apart from serving its calls

gate.py had two jobs in 510 lines: EndpointKeeper (endpoint.py) keeps the record from announcements, notices and answers, EndpointGate its queue and connections. The adapter's heartbeat port needs the former only. No change of behaviour; the tests call the new place.

--- a/packages/bench/src/corianderwall/bench/platform_path.py
+++ b/packages/bench/src/corianderwall/bench/platform_path.py
@@ -10,7 +10,7 @@
 import click
 
 from corianderwall.bench.running import install_reactor
-from corianderwall.mesh.gate import Announcement
+from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.node import HostNode
 from corianderwall.mesh.settings import HeaderNames, HostSettings
@@ -59,7 +59,7 @@
     )
     for node in (owner, entry):
         await node.start([])
-    owner.gate.announce(
+    owner.gate.endpoint.announce(
         Announcement(
             id="i-1",
             service="s",
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -0,0 +1,183 @@
+"""What this node believes of the endpoint beside it, from announcements, notices and answers."""
+
+import asyncio
+import math
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from corianderwall.mesh.messages import STATE_RANK, EndpointRecord, EndpointState
+from corianderwall.mesh.settings import HostSettings
+from corianderwall.model.endpoint import Address
+from corianderwall.node.logs import log_info, log_warning
+
+SILENT_BEATS = 3.5
+"""Announcements in a row that may be missing before an endpoint without answers is down."""
+SEQUENCE_STEP = 1000
+"""Changes of a record that fit between two announcements of its endpoint."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Announcement:
+    """What an endpoint says of itself; `warm_after_s` is how much longer it stays slow."""
+
+    id: str
+    service: str
+    version: str
+    zone: str
+    address: Address
+    slots: int
+    draining: bool
+    warm_after_s: float
+    born_unix_ms: int
+    sequence: int
+
+
+class EndpointKeeper:
+    """Keeps the record of the endpoint at this host's address.
+
+    `on_start` is called with the record of each new start and `on_change` with each new record.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        on_start: Callable[[EndpointRecord], None],
+        on_change: Callable[[EndpointRecord], None],
+    ) -> None:
+        self.record: EndpointRecord | None = None
+        self._settings = settings
+        self._on_start = on_start
+        self._on_change = on_change
+        self._loop = asyncio.get_running_loop()
+        self._sequence = 0
+        self._heard_at = -math.inf
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Take an announcement; return whether it is acknowledged."""
+        if announcement.address != self._settings.endpoint:
+            log_warning("an announcement names another address", endpoint=announcement.id)
+            return False
+        record = self.record
+        if record is not None and announcement.born_unix_ms < record.born_unix_ms:
+            log_info("an announcement of an earlier start is ignored", endpoint=announcement.id)
+            return True
+        if record is None or self._is_new_start(record, announcement):
+            self._start_record(announcement)
+            return True
+        self._heard_at = self._loop.time()
+        if announcement.sequence <= self._sequence:
+            return True
+        self._sequence = announcement.sequence
+        if announcement.draining:
+            self._set_state(EndpointState.DRAINING, "announced")
+        elif record.state is EndpointState.DOWN:
+            self._set_state(EndpointState.READY, "announced again")
+        return True
+
+    def leave(self, endpoint: str, born_unix_ms: int | None) -> None:
+        """Take a notice that `endpoint` leaves; without a record it names nothing to stop."""
+        record = self.record
+        if record is None or record.id != endpoint:
+            log_info("an unknown endpoint leaves", endpoint=endpoint)
+            return
+        if born_unix_ms is not None and born_unix_ms < record.born_unix_ms:
+            log_info("an earlier start of the endpoint leaves", endpoint=endpoint)
+            return
+        self._set_state(EndpointState.GONE, "left")
+
+    def learn(self, record: EndpointRecord) -> None:
+        """Take what peers know of the endpoint from an earlier process of this node."""
+        own = self.record
+        if own is None or (own.id, own.born_unix_ms) != (record.id, record.born_unix_ms):
+            return
+        if STATE_RANK[record.state] > STATE_RANK[own.state]:
+            self._set_state(record.state, "acknowledged by an earlier process")
+
+    def adopt(self, record: EndpointRecord) -> None:
+        """Take over the record of an endpoint that an earlier process here has known."""
+        if self.record is None:
+            self.record = record
+            self._sequence = record.revision // SEQUENCE_STEP
+            self._heard_at = self._loop.time()
+            self._set_state(EndpointState.READY, "found by its health path", force=True)
+
+    def check_silence(self) -> None:
+        """Take an endpoint that says nothing and answers nothing for down."""
+        record = self.record
+        silent_s = self._settings.bounds.heartbeat_s * SILENT_BEATS
+        if record is None or record.state is not EndpointState.READY:
+            return
+        if self._loop.time() - self._heard_at > silent_s:
+            self._set_state(EndpointState.DOWN, "silent")
+
+    def note_answer(self) -> None:
+        """Take note that the endpoint has answered."""
+        self._heard_at = self._loop.time()
+
+    def take_down(self, cause: str) -> None:
+        """Do not use the endpoint until it announces itself again."""
+        self._set_state(EndpointState.DOWN, cause)
+
+    def _is_new_start(self, record: EndpointRecord, announcement: Announcement) -> bool:
+        return record.id != announcement.id or announcement.born_unix_ms > record.born_unix_ms
+
+    def _start_record(self, announcement: Announcement) -> None:
+        former = self.record
+        if former is not None and former.id != announcement.id:
+            self._set_state(EndpointState.GONE, "replaced by another start")
+        self._sequence = announcement.sequence
+        self._heard_at = self._loop.time()
+        state = EndpointState.DRAINING if announcement.draining else EndpointState.READY
+        warm_ms = int(time.time() * 1000 + announcement.warm_after_s * 1000)
+        self.record = EndpointRecord(
+            id=announcement.id,
+            service=announcement.service,
+            version=announcement.version,
+            node=self._settings.name,
+            zone=self._settings.zone,
+            slots=announcement.slots,
+            born_unix_ms=announcement.born_unix_ms,
+            state=state,
+            warm_unix_ms=warm_ms,
+            revision=announcement.sequence * SEQUENCE_STEP,
+        )
+        self._on_start(self.record)
+        log_info(
+            "endpoint started",
+            endpoint=announcement.id,
+            service=announcement.service,
+            upstream_version=announcement.version,
+            slots=announcement.slots,
+            state=state.value,
+        )
+        self._on_change(self.record)
+
+    def _set_state(self, state: EndpointState, cause: str, *, force: bool = False) -> None:
+        record = self.record
+        if record is None or (record.state is state and not force):
+            return
+        if record.state is EndpointState.GONE:
+            return
+        revision = max(record.revision + 1, self._sequence * SEQUENCE_STEP)
+        self.record = EndpointRecord(
+            id=record.id,
+            service=record.service,
+            version=record.version,
+            node=record.node,
+            zone=record.zone,
+            slots=record.slots,
+            born_unix_ms=record.born_unix_ms,
+            state=state,
+            warm_unix_ms=record.warm_unix_ms,
+            revision=revision,
+        )
+        log_info(
+            "endpoint state",
+            endpoint=record.id,
+            former=record.state.value,
+            state=state.value,
+            cause=cause,
+            sequence=self._sequence,
+        )
+        self._on_change(self.record)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -1,8 +1,7 @@
-"""The endpoint beside this node: its state, the calls that run there, and those that wait."""
+"""The calls that run at the endpoint beside this node, and those that wait there."""
 
 import asyncio
 import math
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,9 +11,9 @@
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.admission import NESTED_RANK, Admission, AdmissionQueue, Ticket
+from corianderwall.mesh.endpoint import EndpointKeeper
 from corianderwall.mesh.exchange import Exchange, run_exchange
 from corianderwall.mesh.messages import (
-    STATE_RANK,
     AnswerNote,
     CallNote,
     EndpointRecord,
@@ -25,17 +24,12 @@
 from corianderwall.mesh.owner import ForwardedRequest, OwnerAnswer
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
-from corianderwall.model.endpoint import Address
 from corianderwall.node.logs import LogBudget, log_info, log_warning
 
-SILENT_BEATS = 3.5
-"""Announcements in a row that may be missing before an endpoint without answers is down."""
 MISDIRECTED = 421
 SERVER_ERROR = 500
 FAILURE_WEIGHT = 0.1
 """Weight of the newest call in the share of failures; follows a change within ten calls."""
-SEQUENCE_STEP = 1000
-"""Changes of a record that fit between two announcements of its endpoint."""
 CALL_LINES_PER_S = 200
 """Log lines of calls in a second; several times what an endpoint runs."""
 WAITING_TICK_S = 0.05
@@ -54,22 +48,6 @@
 """The same for a call that may not be repeated, which a reset would lose."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Announcement:
-    """What an endpoint says of itself; `warm_after_s` is how much longer it stays slow."""
-
-    id: str
-    service: str
-    version: str
-    zone: str
-    address: Address
-    slots: int
-    draining: bool
-    warm_after_s: float
-    born_unix_ms: int
-    sequence: int
-
-
 @dataclass(slots=True)
 class RunningCall:
     """A call at the endpoint with its priority; `repeat` if its run counts as a repeated one.
@@ -97,7 +75,7 @@
         on_result: Callable[[str, str, bool, float], None],
         uplink: Uplink,
     ) -> None:
-        self.record: EndpointRecord | None = None
+        self.endpoint = EndpointKeeper(settings, self._use_start, self._use_change)
         self.queue = AdmissionQueue(0, uplink)
         self.closing = False
         self.synced = False
@@ -112,75 +90,19 @@
         self._running: dict[bytes, RunningCall] = {}
         self._waiting_timer: asyncio.TimerHandle | None = None
         self._waits: dict[Ticket, Deferred[Refusal | None]] = {}
-        self._sequence = 0
-        self._heard_at = -math.inf
         self._failures = 0.0
 
-    # What the endpoint says.
+    @property
+    def record(self) -> EndpointRecord | None:
+        """Return what is believed of the endpoint, None while it has not been heard."""
+        return self.endpoint.record
 
-    def announce(self, announcement: Announcement) -> bool:
-        """Take an announcement; return whether it is acknowledged."""
-        if announcement.address != self._settings.endpoint:
-            log_warning("an announcement names another address", endpoint=announcement.id)
-            return False
-        record = self.record
-        if record is not None and announcement.born_unix_ms < record.born_unix_ms:
-            log_info("an announcement of an earlier start is ignored", endpoint=announcement.id)
-            return True
-        if record is None or self._is_new_start(record, announcement):
-            self._start_record(announcement)
-            return True
-        self._heard_at = self._loop.time()
-        if announcement.sequence <= self._sequence:
-            return True
-        self._sequence = announcement.sequence
-        if announcement.draining:
-            self._set_state(EndpointState.DRAINING, "announced")
-        elif record.state is EndpointState.DOWN:
-            self._set_state(EndpointState.READY, "announced again")
-        return True
-
-    def leave(self, endpoint: str, born_unix_ms: int | None) -> None:
-        """Take a notice that `endpoint` leaves; without a record it names nothing to stop."""
-        record = self.record
-        if record is None or record.id != endpoint:
-            log_info("an unknown endpoint leaves", endpoint=endpoint)
-            return
-        if born_unix_ms is not None and born_unix_ms < record.born_unix_ms:
-            log_info("an earlier start of the endpoint leaves", endpoint=endpoint)
-            return
-        self._set_state(EndpointState.GONE, "left")
-
-    def learn(self, record: EndpointRecord) -> None:
-        """Take what peers know of the endpoint from an earlier process of this node."""
-        own = self.record
-        if own is None or (own.id, own.born_unix_ms) != (record.id, record.born_unix_ms):
-            return
-        if STATE_RANK[record.state] > STATE_RANK[own.state]:
-            self._set_state(record.state, "acknowledged by an earlier process")
-
-    def adopt(self, record: EndpointRecord) -> None:
-        """Take over the record of an endpoint that an earlier process here has known."""
-        if self.record is None:
-            self.record = record
-            self.queue.slots = record.slots
-            self._sequence = record.revision // SEQUENCE_STEP
-            self._heard_at = self._loop.time()
-            self._set_state(EndpointState.READY, "found by its health path", force=True)
+    # What the node and the endpoint tell.
 
     def limit_connections(self, limit: int) -> None:
         """Bound the connections to the endpoint."""
         self._pool.max_connections = limit or DEFAULT_CONNECTIONS
 
-    def check_silence(self) -> None:
-        """Take an endpoint that says nothing and answers nothing for down."""
-        record = self.record
-        silent_s = self._settings.bounds.heartbeat_s * SILENT_BEATS
-        if record is None or record.state is not EndpointState.READY:
-            return
-        if self._loop.time() - self._heard_at > silent_s:
-            self._set_state(EndpointState.DOWN, "silent")
-
     # What entries ask.
 
     def read_load(self) -> Load:
@@ -254,76 +176,22 @@
         )
         return UpstreamPool(self._settings.endpoint, DEFAULT_CONNECTIONS, limits)
 
-    def _is_new_start(self, record: EndpointRecord, announcement: Announcement) -> bool:
-        return record.id != announcement.id or announcement.born_unix_ms > record.born_unix_ms
-
-    def _start_record(self, announcement: Announcement) -> None:
-        former = self.record
-        if former is not None and former.id != announcement.id:
-            self._set_state(EndpointState.GONE, "replaced by another start")
+    def _use_start(self, record: EndpointRecord) -> None:
+        """Begin afresh with an endpoint that has just started: it knows nothing of before."""
         self._refuse_waiting(Refusal.UNKNOWN)
         self._pool.close()
         self._pool = self._make_pool()
-        self._sequence = announcement.sequence
-        self._heard_at = self._loop.time()
         self._failures = 0.0
-        self.queue = AdmissionQueue(announcement.slots, self._uplink)
-        state = EndpointState.DRAINING if announcement.draining else EndpointState.READY
-        warm_ms = int(time.time() * 1000 + announcement.warm_after_s * 1000)
-        self.record = EndpointRecord(
-            id=announcement.id,
-            service=announcement.service,
-            version=announcement.version,
-            node=self._settings.name,
-            zone=self._settings.zone,
-            slots=announcement.slots,
-            born_unix_ms=announcement.born_unix_ms,
-            state=state,
-            warm_unix_ms=warm_ms,
-            revision=announcement.sequence * SEQUENCE_STEP,
-        )
-        log_info(
-            "endpoint started",
-            endpoint=announcement.id,
-            service=announcement.service,
-            upstream_version=announcement.version,
-            slots=announcement.slots,
-            state=state.value,
-        )
-        self._on_change(self.record)
+        self.queue = AdmissionQueue(record.slots, self._uplink)
 
-    def _set_state(self, state: EndpointState, cause: str, *, force: bool = False) -> None:
-        record = self.record
-        if record is None or (record.state is state and not force):
-            return
-        if record.state is EndpointState.GONE:
-            return
-        revision = max(record.revision + 1, self._sequence * SEQUENCE_STEP)
-        self.record = EndpointRecord(
-            id=record.id,
-            service=record.service,
-            version=record.version,
-            node=record.node,
-            zone=record.zone,
-            slots=record.slots,
-            born_unix_ms=record.born_unix_ms,
-            state=state,
-            warm_unix_ms=record.warm_unix_ms,
-            revision=revision,
-        )
-        log_info(
-            "endpoint state",
-            endpoint=record.id,
-            former=record.state.value,
-            state=state.value,
-            cause=cause,
-            sequence=self._sequence,
-        )
-        if state in (EndpointState.DRAINING, EndpointState.GONE):
+    def _use_change(self, record: EndpointRecord) -> None:
+        """Refuse what waits if the endpoint may not be used any more, and tell of the change."""
+        self.queue.slots = record.slots
+        if record.state in (EndpointState.DRAINING, EndpointState.GONE):
             self._refuse_waiting(Refusal.LEAVING)
-        elif state is EndpointState.DOWN:
+        elif record.state is EndpointState.DOWN:
             self._refuse_waiting(Refusal.DOWN)
-        self._on_change(self.record)
+        self._on_change(record)
 
     def _find_refusal(self, endpoint: str) -> Refusal | None:
         record = self.record
@@ -421,10 +289,10 @@
         answer = exchange.answer
         if answer is None:
             return self._judge_failure(note, request, exchange)
-        self._heard_at = self._loop.time()
+        self.endpoint.note_answer()
         if answer.status == MISDIRECTED:
             log_warning("another endpoint has the address", endpoint=note.endpoint)
-            self._set_state(EndpointState.DOWN, "misdirected")
+            self.endpoint.take_down("misdirected")
             return self._refuse(request, Refusal.UNKNOWN, reached=True)
         if answer.find_header(self._headers.not_run) is not None:
             self._count(note, failed=True, took_s=took_s, ran=False)
@@ -458,7 +326,7 @@
         if not exchange.handed_over:
             record = self.record
             if record is not None and record.id == note.endpoint:
-                self._set_state(EndpointState.DOWN, "no connection")
+                self.endpoint.take_down("no connection")
             return self._refuse(request, Refusal.DOWN)
         self._count(note, failed=True, took_s=0.0, ran=False)
         return OwnerAnswer(AnswerNote(ran=None, load=self.read_load(), error=error))
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -269,7 +269,7 @@
     async def _watch_endpoint(self) -> None:
         while True:
             await asyncio.sleep(CHECK_S)
-            self.gate.check_silence()
+            self.gate.endpoint.check_silence()
 
     async def _find_endpoint(self) -> None:
         """Look for an endpoint that an earlier process here has known, by its health path."""
@@ -282,7 +282,7 @@
             if known and known[0].state in (EndpointState.READY, EndpointState.DOWN):
                 instance = await self._probe()
                 if instance == known[0].id and self.gate.record is None:
-                    self.gate.adopt(known[0])
+                    self.gate.endpoint.adopt(known[0])
 
     async def _probe(self) -> str:
         path = "/health"
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -6,7 +6,8 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.mesh import gate as gate_module
-from corianderwall.mesh.gate import Announcement, EndpointGate, RunningCall
+from corianderwall.mesh.endpoint import Announcement
+from corianderwall.mesh.gate import EndpointGate, RunningCall
 from corianderwall.mesh.messages import CallNote, EndpointRecord, EndpointState, Refusal
 from corianderwall.mesh.owner import ForwardedRequest, OwnerAnswer
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
@@ -97,7 +98,7 @@
             make_settings(self.address), NAMES, self.records.append, lambda *_: None, Uplink()
         )
         self.gate.synced = True
-        assert self.gate.announce(make_announcement(self.address, **fields))
+        assert self.gate.endpoint.announce(make_announcement(self.address, **fields))
 
     async def serve(self, name: str = "q1", **fields: Any) -> OwnerAnswer:
         return await serve(self.gate, name, **fields)
@@ -167,9 +168,11 @@
         waiting = [asyncio.ensure_future(world.serve(f"w{n}")) for n in range(3)]
         await asyncio.sleep(0.01)
         if leave:
-            world.gate.leave("i-1", None)
+            world.gate.endpoint.leave("i-1", None)
         else:
-            world.gate.announce(make_announcement(world.address, draining=True, sequence=2))
+            world.gate.endpoint.announce(
+                make_announcement(world.address, draining=True, sequence=2)
+            )
         refused = await world.serve("late")
         assert refused.note.refusal is Refusal.LEAVING
         done, running = await asyncio.wait(waiting, timeout=0.05)
@@ -184,9 +187,9 @@
 def test_a_late_announcement_of_an_earlier_start_changes_nothing() -> Deferred[None]:
     async def scenario(world: World) -> None:
         newer = make_announcement(world.address, id="i-2", born_unix_ms=200)
-        world.gate.announce(newer)
-        world.gate.announce(make_announcement(world.address, sequence=9))
-        world.gate.leave("i-1", 100)
+        world.gate.endpoint.announce(newer)
+        world.gate.endpoint.announce(make_announcement(world.address, sequence=9))
+        world.gate.endpoint.leave("i-1", 100)
         assert world.gate.record is not None
         assert world.gate.record.id == "i-2"
         assert world.gate.record.state is EndpointState.READY
@@ -196,9 +199,9 @@
 
 def test_a_late_announcement_of_ready_does_not_undo_a_drain() -> Deferred[None]:
     async def scenario(world: World) -> None:
-        world.gate.announce(make_announcement(world.address, draining=True, sequence=5))
-        world.gate.announce(make_announcement(world.address, sequence=4))
-        world.gate.announce(make_announcement(world.address, sequence=6))
+        world.gate.endpoint.announce(make_announcement(world.address, draining=True, sequence=5))
+        world.gate.endpoint.announce(make_announcement(world.address, sequence=4))
+        world.gate.endpoint.announce(make_announcement(world.address, sequence=6))
         assert world.gate.record is not None
         assert world.gate.record.state is EndpointState.DRAINING
 
@@ -208,7 +211,9 @@
 def test_an_announcement_for_another_address_is_not_acknowledged() -> Deferred[None]:
     async def scenario(world: World) -> None:
         elsewhere = Address(host="127.0.0.1", port=1)
-        assert not world.gate.announce(make_announcement(elsewhere, id="i-9", born_unix_ms=900))
+        assert not world.gate.endpoint.announce(
+            make_announcement(elsewhere, id="i-9", born_unix_ms=900)
+        )
         assert world.gate.record is not None and world.gate.record.id == "i-1"
 
     return play(answer_ok, scenario)
@@ -283,7 +288,7 @@
         note = (await world.serve()).note
         assert (note.ran, note.refusal, note.reached) == (False, Refusal.DOWN, False)
         assert world.records[-1].state is EndpointState.DOWN
-        world.gate.announce(make_announcement(world.address, sequence=2))
+        world.gate.endpoint.announce(make_announcement(world.address, sequence=2))
         assert world.records[-1].state is EndpointState.READY
 
     return play(answer_ok, scenario)
@@ -335,7 +340,7 @@
 def test_an_endpoint_that_says_nothing_for_several_beats_is_down() -> Deferred[None]:
     async def scenario(world: World) -> None:
         await asyncio.sleep(0.05)
-        world.gate.check_silence()
+        world.gate.endpoint.check_silence()
         assert world.records[-1].state is EndpointState.DOWN
 
     return play(answer_ok, scenario)
@@ -350,7 +355,7 @@
         refused = await serve(gate)
         assert refused.note.refusal is Refusal.UNKNOWN
         gate.synced = True
-        gate.adopt(known)
+        gate.endpoint.adopt(known)
         assert world.records[-1].supersedes(known)
         served = await serve(gate)
         assert served.note.ran is True
@@ -380,7 +385,7 @@
         running = asyncio.ensure_future(world.serve("q1"))
         waiting = asyncio.ensure_future(world.serve("q2"))
         await asyncio.sleep(0.01)
-        world.gate.announce(make_announcement(world.address, born_unix_ms=200))
+        world.gate.endpoint.announce(make_announcement(world.address, born_unix_ms=200))
         assert (await waiting).note.refusal is Refusal.UNKNOWN
         running.cancel()
 
@@ -414,9 +419,9 @@
     async def scenario(world: World) -> None:
         # A late announcement of ready has come first.
         known = make_endpoint("i-1", born=100, revision=5000, state=EndpointState.DRAINING)
-        world.gate.learn(make_endpoint("i-1", born=99, state=EndpointState.GONE))
+        world.gate.endpoint.learn(make_endpoint("i-1", born=99, state=EndpointState.GONE))
         assert (await world.serve()).note.ran is True
-        world.gate.learn(known)
+        world.gate.endpoint.learn(known)
         assert (await world.serve()).note.refusal is Refusal.LEAVING
 
     return play(answer_ok, scenario)
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -67,7 +67,8 @@
     def __init__(self, records: tuple[NodeRecord, ...], reply: Reply) -> None:
         self.learned: list[EndpointRecord] = []
         self.link = RecordingLink(reply)
-        self.gate = SimpleNamespace(synced=False, learn=self.learned.append)
+        keeper = SimpleNamespace(learn=self.learned.append)
+        self.gate = SimpleNamespace(synced=False, endpoint=keeper)
         self.directory = Directory(make_record("own"))
         self.source = KnownNodes(records)
         self.tasks: set[asyncio.Task[None]] = set()
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.mesh import entry as entry_module
-from corianderwall.mesh.gate import Announcement
+from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import EndpointState
 from corianderwall.mesh.node import NOTICE_S, STOP_MARGIN_S, HostNode, plan_stop
@@ -64,7 +64,7 @@
     upstream: ScriptedUpstream
 
     def announce(self, *, draining: bool = False, sequence: int = 1, version: str = "v1") -> None:
-        self.node.gate.announce(
+        self.node.gate.endpoint.announce(
             Announcement(
                 id=f"i-{self.node.settings.name}",
                 service=self.node.settings.service,
