Take back like parts of callers' and less urgent nested calls: nested calls come first again

A failed try. Conclusion: a nested call that waits holds a slot of the call that needs it; two services were full instead of one. Its load tests go with it; what they covered of the present rule stays in test_calls_of_running_calls_start_first_then_the_urgent_then_the_earlier_due.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -1,7 +1,6 @@
 """Decides which calls run at the endpoint beside this node, which wait and which are refused."""
 
 import enum
-import math
 from dataclasses import dataclass, field
 
 from corianderwall.mesh.uplink import Uplink
@@ -18,49 +17,6 @@
 """Time by which an answer may be ready before the link is free for it, so that the link is used."""
 
 
-NESTED_RANK = 0
-"""Rank of calls that running calls need."""
-FAIR_LEAD = 0.1
-"""Lead in the part of their work that has started which calls of running calls keep."""
-SHARE_FADES_S = 2.0
-"""Time constant with which work that was asked for is forgotten; some times a usual call."""
-
-
-@dataclass(slots=True)
-class WorkShare:
-    """How much of the work that one kind of calls asks for is started, in seconds that fade."""
-
-    asked_s: float = 0.0
-    got_s: float = 0.0
-    _faded_at: float = 0.0
-
-    def ask(self, work_s: float, now: float) -> None:
-        """Take note of a call that asks for a slot."""
-        self._fade(now)
-        self.asked_s += work_s
-
-    def get(self, work_s: float, now: float) -> None:
-        """Take note of a call that starts."""
-        self._fade(now)
-        self.got_s += work_s
-
-    def read_asked(self, now: float) -> float:
-        """Return the work that was asked for lately."""
-        self._fade(now)
-        return self.asked_s
-
-    def compute_part(self, now: float) -> float:
-        """Return the part that has started, 1 if nothing was asked for."""
-        self._fade(now)
-        return self.got_s / self.asked_s if self.asked_s > 0 else 1.0
-
-    def _fade(self, now: float) -> None:
-        factor = math.exp(min(0.0, self._faded_at - now) / SHARE_FADES_S)
-        self._faded_at = max(now, self._faded_at)
-        self.asked_s *= factor
-        self.got_s *= factor
-
-
 class Admission(enum.Enum):
     """What becomes of a call that is offered."""
 
@@ -75,8 +31,7 @@
     """One call at the owner; instants are monotonic seconds, a lower `rank` starts first.
 
     An answer after `due` is late, one after `deadline` is of no use. `sending_s` is how long a big
-    answer will occupy the host's link, 0 for one that is short. `priority` is that of the caller's
-    call, for a nested one that of the call that needs it; 0 is the most urgent.
+    answer will occupy the host's link, 0 for one that is short.
     """
 
     route: str
@@ -84,38 +39,20 @@
     due: float
     deadline: float
     sending_s: float = 0.0
-    priority: int = 0
     order: int = 0
     started: float = 0.0
 
-    @property
-    def is_nested(self) -> bool:
-        """Return whether a running call needs this one."""
-        return self.rank == NESTED_RANK
-
-    def contests(self, other: "Ticket") -> bool:
-        """Return whether one is a caller's call and the other needed by a less urgent one."""
-        if self.is_nested is other.is_nested:
-            return False
-        nested, direct = (self, other) if self.is_nested else (other, self)
-        return direct.priority < nested.priority
-
 
 @dataclass(slots=True)
 class AdmissionQueue:
     """A queue in front of `slots` slots: timely calls first, then by rank and due time.
 
-    Calls of running calls come first. Where more urgent calls of callers wait too, both start in
-    like parts of what they ask for: a crowded endpoint would leave those callers nothing otherwise.
-
     A call with a big answer does not start before `uplink` can take its answer: the answer would
     only wait there, and calls with short answers go ahead meanwhile.
     """
 
     slots: int
     uplink: Uplink = field(default_factory=Uplink)
-    nested_share: WorkShare = field(default_factory=WorkShare)
-    direct_share: WorkShare = field(default_factory=WorkShare)
     running: set[Ticket] = field(default_factory=set)
     waiting: list[Ticket] = field(default_factory=list)
     means_s: dict[str, float] = field(default_factory=dict)
@@ -131,12 +68,10 @@
         if self._estimate_end(ticket, now) > ticket.deadline:
             return Admission.LATE
         if self._has_room(ticket, now):
-            self._find_share(ticket).ask(self.estimate_call(ticket.route), now)
             self._start(ticket, now)
             return Admission.START
         if not may_wait:
             return Admission.FULL
-        self._find_share(ticket).ask(self.estimate_call(ticket.route), now)
         start = now + self.estimate_start(ticket, now)
         if not self._is_timely(ticket, start):
             if any(self._is_timely(waiting, now) for waiting in self.waiting):
@@ -173,7 +108,6 @@
             ready = [t for t in self.waiting if self._is_link_free(t, now)]
             if not ready:
                 break
-            ready = self._prefer_short_changed(ready, now)
             ticket = min(ready, key=lambda waiting: self._read_order(waiting, now))
             self.waiting.remove(ticket)
             self._start(ticket, now)
@@ -189,17 +123,17 @@
         """Return the expected time of a call of `route` at the endpoint, in seconds."""
         return self.means_s.get(route) or self.mean_s or SHORTEST_CALL_S
 
-    def estimate_wait(self, ticket: Ticket, now: float) -> float:
-        """Return after how many seconds a new call would get a slot."""
+    def estimate_wait(self, now: float, rank: int) -> float:
+        """Return after how many seconds a new call of `rank` would start."""
         if len(self.running) < self.slots and not self.waiting:
             return 0.0
-        ahead = self._estimate_ahead(ticket, now)
+        ahead = sum(self.estimate_call(t.route) for t in self.waiting if t.rank <= rank)
         residual = sum(self._estimate_residual(ticket, now) for ticket in self.running)
         return (ahead + residual) / max(1, self.slots)
 
     def estimate_start(self, ticket: Ticket, now: float) -> float:
         """Return after how many seconds a new call would start, for want of a slot or the link."""
-        wait_s = self.estimate_wait(ticket, now)
+        wait_s = self.estimate_wait(now, ticket.rank)
         if not ticket.sending_s:
             return wait_s
         ahead_s = sum(t.sending_s for t in self.waiting if t.rank <= ticket.rank)
@@ -240,35 +174,7 @@
         late = ticket.rank > 0 and not self._is_timely(ticket, now)
         return late, ticket.rank, ticket.due, ticket.order
 
-    def _estimate_ahead(self, ticket: Ticket, now: float) -> float:
-        """Return the work before a new call, as if all slots did it, in seconds."""
-        before = [t for t in self.waiting if t.rank <= ticket.rank]
-        if not any(map(ticket.contests, self.waiting)):
-            return sum(self.estimate_call(t.route) for t in before)
-        alike_s = sum(
-            self.estimate_call(t.route) for t in before if t.is_nested is ticket.is_nested
-        )
-        own, others = self.nested_share, self.direct_share
-        if not ticket.is_nested:
-            own, others = others, own
-        own_asked_s = own.read_asked(now)
-        return alike_s * (1 + others.read_asked(now) / own_asked_s) if own_asked_s else alike_s
-
-    def _find_share(self, ticket: Ticket) -> WorkShare:
-        return self.nested_share if ticket.is_nested else self.direct_share
-
-    def _prefer_short_changed(self, ready: list[Ticket], now: float) -> list[Ticket]:
-        """Leave out nested calls that contest others if such have got more of what they asked."""
-        contested = [each for each in ready if any(map(each.contests, ready))]
-        if not contested:
-            return ready
-        lead = self.nested_share.compute_part(now) - self.direct_share.compute_part(now)
-        if lead <= FAIR_LEAD:
-            return ready
-        return [each for each in ready if not (each.is_nested and each in contested)]
-
     def _start(self, ticket: Ticket, now: float) -> None:
-        self._find_share(ticket).get(self.estimate_call(ticket.route), now)
         ticket.started = now
         self.running.add(ticket)
 
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -76,11 +76,6 @@
         """Return whether a running call needs this one."""
         return self.parent is not None
 
-    @property
-    def priority(self) -> int:
-        """Return the priority of the caller's call; a nested one is as urgent as what needs it."""
-        return self.parent.priority if self.parent is not None else self.route.priority
-
     def note_end(self, status: int) -> None:
         """Tell the running call that needs this one if it will miss the answer."""
         if self.parent is not None and not 200 <= status < 300:
@@ -229,7 +224,7 @@
             endpoint=record.id,
             left_ms=round((state.deadline - now) * 1000, 1),
             due_ms=round((state.due - now) * 1000, 1),
-            priority=state.priority,
+            priority=route.priority,
             caller=self._settings.service,
             nested=state.nested,
             repeat=state.repeat or state.reached > 0,
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -10,7 +10,7 @@
 from corianderwall.httpflow.attempt import OutgoingCall
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
-from corianderwall.mesh.admission import NESTED_RANK, Admission, AdmissionQueue, Ticket
+from corianderwall.mesh.admission import Admission, AdmissionQueue, Ticket
 from corianderwall.mesh.endpoint import EndpointKeeper
 from corianderwall.mesh.exchange import Exchange, run_exchange
 from corianderwall.mesh.messages import (
@@ -50,14 +50,13 @@
 
 @dataclass(slots=True)
 class RunningCall:
-    """A call at the endpoint with its priority; `repeat` if its run counts as a repeated one.
+    """A call at the endpoint; `repeat` if its run counts as a repeated one.
 
     `starved` is set once a call that it made has failed: its own failure then says nothing about
     the endpoint or its version.
     """
 
     repeat: bool
-    priority: int = 0
     starved: bool = False
 
 
@@ -123,10 +122,10 @@
         refusal = self._find_refusal(note.endpoint)
         if refusal is not None:
             return self._refuse(request, refusal)
-        rank = NESTED_RANK if note.nested else NESTED_RANK + 1 + note.priority
+        rank = 0 if note.nested else 1 + note.priority
         sending_s = self._uplink.estimate_sending(note.route) if note.over_link else 0.0
         due = now + note.due_ms / 1000
-        ticket = Ticket(note.route, rank, due, deadline, sending_s, note.priority)
+        ticket = Ticket(note.route, rank, due, deadline, sending_s)
         try:
             refusal = await self._admit(ticket, note)
         except CancelledError:
@@ -135,7 +134,7 @@
         if refusal is not None:
             return self._refuse(request, refusal, ticket)
         exchange: Exchange | None = None
-        running = self._running[request.request_id] = RunningCall(note.repeat, note.priority)
+        running = self._running[request.request_id] = RunningCall(note.repeat)
         try:
             exchange = await self._send(note, request, deadline)
         except CancelledError:
--- a/packages/mesh/tests/test_admission.py
+++ b/packages/mesh/tests/test_admission.py
@@ -1,6 +1,4 @@
-from collections import Counter
 from heapq import heappop, heappush
-from typing import ClassVar
 
 from corianderwall.mesh.admission import Admission, AdmissionQueue, Ticket
 from corianderwall.mesh.uplink import USED_PART, Uplink
@@ -13,9 +11,8 @@
     route: str = "r",
     due: float | None = None,
     sending_s: float = 0.0,
-    priority: int = 0,
 ) -> Ticket:
-    return Ticket(route, rank, deadline if due is None else due, deadline, sending_s, priority)
+    return Ticket(route, rank, deadline if due is None else due, deadline, sending_s)
 
 
 def run_call(queue: AdmissionQueue, took_s: float, route: str = "r") -> None:
@@ -155,8 +152,8 @@
     run_call(queue, 1.0)
     queue.offer(make_ticket(100.0), 0.0, may_wait=True)
     queue.offer(make_ticket(100.0, rank=3), 0.0, may_wait=True)
-    assert queue.estimate_wait(make_ticket(rank=3), 0.0) == 2.0
-    assert queue.estimate_wait(make_ticket(rank=1), 0.0) == 1.0
+    assert queue.estimate_wait(0.0, 3) == 2.0
+    assert queue.estimate_wait(0.0, 1) == 1.0
 
 
 def test_a_step_of_load_above_capacity_is_refused_and_not_queued_to_its_deadline() -> None:
@@ -252,71 +249,3 @@
     assert short_before < 100
     assert short_after == 400
     assert big_after > 4 * big_before
-
-
-class CrowdedEndpoint:
-    """An endpoint that callers and running calls ask for twice what it can do."""
-
-    kinds: ClassVar[dict[str, tuple[float, float, float, float]]] = {
-        "direct": (26.4, 0.29, 0.8, 2.0),
-        "nested": (80.0, 0.055, 0.6, 0.6),
-    }
-    """Calls a second, seconds of a call, seconds until it is late and until its deadline."""
-
-    def __init__(self, nested_priority: int) -> None:
-        self.nested_priority = nested_priority
-        self.queue = AdmissionQueue(6)
-        self.asked: Counter[str] = Counter()
-        self.served: Counter[str] = Counter()
-        self._ending: list[tuple[float, int, Ticket]] = []
-
-    def play(self, lasts_s: float) -> None:
-        arrivals = sorted(
-            (i / rate, kind)
-            for kind, (rate, *_) in self.kinds.items()
-            for i in range(int(lasts_s * rate))
-        )
-        for now, kind in arrivals:
-            self._end_until(now)
-            _, _, due_s, deadline_s = self.kinds[kind]
-            rank = 0 if kind == "nested" else 2
-            priority = self.nested_priority if kind == "nested" else rank - 1
-            ticket = make_ticket(
-                now + deadline_s, rank=rank, route=kind, due=now + due_s, priority=priority
-            )
-            self.asked[kind] += 1
-            if self.queue.offer(ticket, now, may_wait=True) is Admission.START:
-                self._begin(ticket, now)
-
-    def _end_until(self, now: float) -> None:
-        while self._ending and self._ending[0][0] <= now:
-            at, _, ticket = heappop(self._ending)
-            self.queue.finish(ticket, at, ran=True)
-            self.served[ticket.route] += 1
-            self._advance(at)
-        self._advance(now)
-
-    def _advance(self, now: float) -> None:
-        for ticket in self.queue.advance(now)[0]:
-            self._begin(ticket, now)
-
-    def _begin(self, ticket: Ticket, now: float) -> None:
-        heappush(self._ending, (now + self.kinds[ticket.route][1], id(ticket), ticket))
-
-
-def test_calls_of_less_urgent_running_calls_do_not_starve_those_of_callers() -> None:
-    """Load pattern: one endpoint is left of a service that callers and running calls need."""
-    endpoint = CrowdedEndpoint(nested_priority=2)
-    endpoint.play(20.0)
-    parts = {kind: endpoint.served[kind] / endpoint.asked[kind] for kind in endpoint.kinds}
-    assert parts["direct"] > 0.75 * parts["nested"]
-    assert parts["nested"] > 0.75 * parts["direct"]
-    work_s = sum(endpoint.served[kind] * call_s for kind, (_, call_s, *_) in endpoint.kinds.items())
-    assert work_s > 0.95 * 20.0 * endpoint.queue.slots
-
-
-def test_calls_that_an_urgent_running_call_needs_come_before_those_of_callers() -> None:
-    """Load pattern: the same endpoint, asked by running calls as urgent as its callers."""
-    endpoint = CrowdedEndpoint(nested_priority=1)
-    endpoint.play(20.0)
-    assert endpoint.served["nested"] > 0.95 * endpoint.asked["nested"]
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -368,8 +368,8 @@
         first = asyncio.ensure_future(world.serve("q1"))
         second = asyncio.ensure_future(world.serve("q2", repeat=True))
         await asyncio.sleep(0.01)
-        assert world.gate.find_parent(b"q1.x") == RunningCall(repeat=False, priority=1)
-        assert world.gate.find_parent(b"q2.x") == RunningCall(repeat=True, priority=1)
+        assert world.gate.find_parent(b"q1.x") == RunningCall(repeat=False)
+        assert world.gate.find_parent(b"q2.x") == RunningCall(repeat=True)
         assert world.gate.find_parent(b"q3.x") is None
         assert world.gate.find_parent(b"q1") is None
         first.cancel()
