Let a leave bind that comes before the endpoint is known

A notice for an endpoint without a record was acknowledged and forgotten ('an unknown endpoint leaves'); then the node took the endpoint's record over from its peers, as its health path was good. Now the leave is kept with the start that it is about, applies to the record however it comes, and is told to peers at once where these know the endpoint. Both tests fail without it.

--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -13,6 +13,8 @@
 
 SILENT_BEATS = 3.5
 """Announcements in a row that may be missing before an endpoint without answers is down."""
+MAX_LEFT = 64
+"""Leaves of unknown endpoints that are remembered; an address sees a few in an hour."""
 SEQUENCE_STEP = 1000
 """Changes of a record that fit between two announcements of its endpoint."""
 
@@ -37,6 +39,7 @@
     """Keeps the record of the endpoint at this host's address.
 
     `on_start` is called with the record of each new start and `on_change` with each new record.
+    `find_known` returns what peers know of an endpoint that an earlier process here has kept.
     """
 
     def __init__(
@@ -44,11 +47,15 @@
         settings: HostSettings,
         on_start: Callable[[EndpointRecord], None],
         on_change: Callable[[EndpointRecord], None],
+        find_known: Callable[[str], EndpointRecord | None],
     ) -> None:
         self.record: EndpointRecord | None = None
         self._settings = settings
         self._on_start = on_start
         self._on_change = on_change
+        self._find_known = find_known
+        # Unix milliseconds up to which a start of the endpoint has left, by its id.
+        self._left: dict[str, int] = {}
         self._loop = asyncio.get_running_loop()
         self._sequence = 0
         self._heard_at = -math.inf
@@ -64,6 +71,7 @@
             return True
         if record is None or self._is_new_start(record, announcement):
             self._start_record(announcement)
+            self._apply_leave()
             return True
         self._heard_at = self._loop.time()
         if announcement.sequence <= self._sequence:
@@ -76,10 +84,18 @@
         return True
 
     def leave(self, endpoint: str, born_unix_ms: int | None) -> None:
-        """Take a notice that `endpoint` leaves; without a record it names nothing to stop."""
+        """Take a notice that `endpoint` leaves, which binds also if it comes before its record."""
         record = self.record
         if record is None or record.id != endpoint:
             log_info("an unknown endpoint leaves", endpoint=endpoint)
+            left_ms = born_unix_ms if born_unix_ms is not None else int(time.time() * 1000)
+            self._left[endpoint] = max(left_ms, self._left.pop(endpoint, 0))
+            if len(self._left) > MAX_LEFT:
+                del self._left[next(iter(self._left))]
+            known = self._find_known(endpoint)
+            if record is None and known is not None:
+                self._take_over(known)
+                self._apply_leave()
             return
         if born_unix_ms is not None and born_unix_ms < record.born_unix_ms:
             log_info("an earlier start of the endpoint leaves", endpoint=endpoint)
@@ -89,6 +105,10 @@
     def learn(self, record: EndpointRecord) -> None:
         """Take what peers know of the endpoint from an earlier process of this node."""
         own = self.record
+        if own is None and record.born_unix_ms <= self._left.get(record.id, 0):
+            self._take_over(record)
+            self._apply_leave()
+            return
         if own is None or (own.id, own.born_unix_ms) != (record.id, record.born_unix_ms):
             return
         if STATE_RANK[record.state] > STATE_RANK[own.state]:
@@ -97,10 +117,9 @@
     def adopt(self, record: EndpointRecord) -> None:
         """Take over the record of an endpoint that an earlier process here has known."""
         if self.record is None:
-            self.record = record
-            self._sequence = record.revision // SEQUENCE_STEP
-            self._heard_at = self._loop.time()
+            self._take_over(record)
             self._set_state(EndpointState.READY, "found by its health path", force=True)
+            self._apply_leave()
 
     def check_silence(self) -> None:
         """Take an endpoint that says nothing and answers nothing for down."""
@@ -119,6 +138,16 @@
         """Do not use the endpoint until it announces itself again."""
         self._set_state(EndpointState.DOWN, cause)
 
+    def _take_over(self, record: EndpointRecord) -> None:
+        self.record = record
+        self._sequence = record.revision // SEQUENCE_STEP
+        self._heard_at = self._loop.time()
+
+    def _apply_leave(self) -> None:
+        record = self.record
+        if record is not None and record.born_unix_ms <= self._left.get(record.id, 0):
+            self._set_state(EndpointState.GONE, "left before it was known here")
+
     def _is_new_start(self, record: EndpointRecord, announcement: Announcement) -> bool:
         return record.id != announcement.id or announcement.born_unix_ms > record.born_unix_ms
 
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -73,8 +73,9 @@
         on_change: Callable[[EndpointRecord], None],
         on_result: Callable[[str, str, bool, float], None],
         uplink: Uplink,
+        find_known: Callable[[str], EndpointRecord | None] = lambda _: None,
     ) -> None:
-        self.endpoint = EndpointKeeper(settings, self._use_start, self._use_change)
+        self.endpoint = EndpointKeeper(settings, self._use_start, self._use_change, find_known)
         self.queue = AdmissionQueue(0, uplink)
         self.closing = False
         self.synced = False
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -111,7 +111,9 @@
         self.link = PeerLink(self.directory)
         uplink = Uplink(settings.link_bytes_per_s)
         sender = AnswerSender(uplink)
-        self.gate = EndpointGate(settings, headers, self._announce, self._count, uplink)
+        self.gate = EndpointGate(
+            settings, headers, self._announce, self._count, uplink, self._find_known
+        )
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
             self.holder, source, self.directory, self.link, joined, self.spawn
@@ -256,6 +258,10 @@
     def _announce(self, record: EndpointRecord) -> None:
         self.gossip.announce_endpoint(record)
 
+    def _find_known(self, endpoint: str) -> EndpointRecord | None:
+        view = self.directory.endpoints.get(endpoint)
+        return view.record if view is not None and view.record.node == self.settings.name else None
+
     def _count(self, route: str, endpoint: str, failed: bool, took_s: float) -> None:
         record = self.gate.record
         if record is not None and record.id == endpoint:
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -363,6 +364,53 @@
     return play(answer_ok, scenario)
 
 
+def make_fresh_gate(world: World, known: EndpointRecord | None = None) -> EndpointGate:
+    """Return the gate of a process that has just started beside the world's endpoint."""
+    gate = EndpointGate(
+        make_settings(world.address),
+        NAMES,
+        world.records.append,
+        lambda *_: None,
+        Uplink(),
+        find_known=lambda name: known if known is not None and known.id == name else None,
+    )
+    gate.synced = True
+    return gate
+
+
+def test_a_leave_that_comes_before_the_endpoint_is_known_binds() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        known = world.records[-1]
+        for tell in (
+            lambda gate: gate.endpoint.adopt(known),
+            lambda gate: gate.endpoint.announce(make_announcement(world.address, sequence=9)),
+            lambda gate: gate.endpoint.learn(known),
+        ):
+            gate = make_fresh_gate(world)
+            gate.endpoint.leave("i-1", None)
+            tell(gate)
+            assert (await serve(gate)).note.refusal is Refusal.LEAVING
+            assert world.records[-1].state is EndpointState.GONE
+            assert world.records[-1].supersedes(known)
+        # A later start under the same id has not left.
+        later = make_announcement(world.address, born_unix_ms=int(time.time() * 1000) + 60_000)
+        gate.endpoint.announce(later)
+        assert (await serve(gate)).note.ran is True
+
+    return play(answer_ok, scenario)
+
+
+def test_a_leave_of_an_endpoint_that_peers_know_is_told_to_them() -> Deferred[None]:
+    async def scenario(world: World) -> None:
+        known = world.records[-1]
+        gate = make_fresh_gate(world, known)
+        gate.endpoint.leave("i-1", None)
+        assert (world.records[-1].id, world.records[-1].state) == ("i-1", EndpointState.GONE)
+        assert world.records[-1].supersedes(known)
+
+    return play(answer_ok, scenario)
+
+
 def test_a_call_whose_id_extends_that_of_a_running_call_is_nested() -> Deferred[None]:
     async def scenario(world: World) -> None:
         first = asyncio.ensure_future(world.serve("q1"))
