Fetch a newer configuration from one peer instead of letting all send it

Cause: a node that heard a beat with an older version sent its configuration, whoever had sent it already. Now the node that is behind fetches, one at a time, and one that has a configuration first leaves its zone's lead a quarter of a second to send the change. Leads send changes as before.

--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -39,11 +39,13 @@
 """Times that a lost push is sent again; after that the next beat finds the difference."""
 JOIN_WAIT_S = 1.5
 """Longest wait for the other nodes' records after a start, before this node may think it leads."""
+PULL_PATIENCE_S = 0.25
+"""Time for which a node that has a configuration waits for its zone's lead to send a newer one."""
 ALONE_S = 6.0
 """Time without any configuration after which a node reads the platform whoever leads its zone."""
 
 PUSH_KIND = "config"
-PULL_KIND = "config-pull"
+CONFIG_PULL_KIND = "config-pull"
 
 
 class ConfigPush(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -112,6 +114,7 @@
         self._link = link
         self._spawn = spawn
         self._sending: set[str] = set()
+        self._fetching = False
 
     @property
     def leads_zone(self) -> bool:
@@ -151,8 +154,8 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
 
-    def take_push(self, body: bytes) -> bytes | None:
-        """Take a configuration from a peer; None asks for the whole one."""
+    def take_push(self, body: bytes, *, spread: bool = True) -> bytes | None:
+        """Take a configuration from a peer and send it on; None asks for the whole one."""
         push = msgspec.msgpack.decode(body, type=ConfigPush)
         holder = self._holder
         if push.version <= holder.snapshot.version:
@@ -169,10 +172,44 @@
                 return None
         else:
             snapshot = msgspec.json.decode(raw, type=Snapshot)
-        if holder.apply(snapshot, push.sender.name):
+        if holder.apply(snapshot, push.sender.name) and spread:
             self._spread(push.sender.zone)
         return str(holder.snapshot.version).encode()
 
+    def note_version(self, peer: Peer, version: int) -> None:
+        """Take note that `peer` has `version`, and fetch it from there if no one else sends it.
+
+        One fetch at a time: after all hosts have lost power, a node hears of the configuration
+        from dozens of peers at once, and each copy takes a thin link a good part of a second.
+        """
+        if version > self._holder.snapshot.version and not self._fetching:
+            self._fetching = True
+            self._spawn(self._fetch_from(peer, version))
+
+    def take_pull(self, body: bytes) -> bytes | None:
+        """Answer a peer that asks for what is newer than its version; None if nothing is."""
+        known = int(body)
+        if known >= self._holder.snapshot.version:
+            return None
+        return msgspec.msgpack.encode(self._make_push(known))
+
+    async def _fetch_from(self, peer: Peer, version: int) -> None:
+        try:
+            if self._holder.table is not None:
+                await asyncio.sleep(PULL_PATIENCE_S)
+            known = self._holder.snapshot.version
+            if version <= known:
+                return
+            reply = await self._link.post(peer.record, CONFIG_PULL_KIND, str(known).encode())
+            # A zone whose lead did not send a change may lack it as a whole; a node that has just
+            # started is behind for itself.
+            if reply and self.take_push(reply, spread=known > 0) is None:
+                whole = await self._link.post(peer.record, CONFIG_PULL_KIND, b"0")
+                if whole:
+                    self.take_push(whole)
+        finally:
+            self._fetching = False
+
     def send_to(self, peer: Peer) -> None:
         """Bring `peer` to the version of this node, unless that is under way."""
         if peer.record.name not in self._sending and self._holder.table is not None:
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -279,8 +279,8 @@
         for view in beat.moves:
             self._moves.take_view(view, now)
         peer = self._directory.peers.get(beat.node.name)
-        if peer is not None and beat.config_version < self._holder.snapshot.version:
-            self._sync.send_to(peer)
+        if peer is not None:
+            self._sync.note_version(peer, beat.config_version)
 
     def _compare(self, beat: Beat) -> None:
         """Send records to a peer that knows others; its own comparison sends its records.
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -16,6 +16,7 @@
 from corianderwall.httpflow.server import CallServer
 from corianderwall.mesh.conductor import NOTICE_KIND, Conductor
 from corianderwall.mesh.configuration import (
+    CONFIG_PULL_KIND,
     PUSH_KIND,
     ConfigurationHolder,
     ConfigurationSync,
@@ -150,6 +151,7 @@
             BEAT_KIND: self.gossip.take_beat,
             TABLES_KIND: self.gossip.take_tables,
             PULL_KIND: self.gossip.take_pull,
+            CONFIG_PULL_KIND: self.sync.take_pull,
             PUSH_KIND: self.sync.take_push,
             NOTICE_KIND: self.conductor.take_notice,
         }
--- /dev/null
+++ b/packages/mesh/tests/test_configuration.py
@@ -0,0 +1,165 @@
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+import pytest
+from twisted.internet.defer import Deferred
+
+from corianderwall.mesh import configuration as configuration_module
+from corianderwall.mesh.configuration import (
+    CONFIG_PULL_KIND,
+    PUSH_KIND,
+    ConfigPush,
+    ConfigurationHolder,
+    ConfigurationSync,
+)
+from corianderwall.mesh.directory import Directory
+from corianderwall.mesh.messages import NodeRecord
+from corianderwall.mesh.source import Source
+from corianderwall.model.resource import Route, Service, Snapshot
+
+
+def make_snapshot(version: int) -> Snapshot:
+    routes = tuple(
+        Route(name=f"r{i}", service="s", host="h.example", path_prefix=f"/{i}/")
+        for i in range(version)
+    )
+    return Snapshot(version=version, services=(Service(name="s"),), routes=routes)
+
+
+def make_record(name: str, zone: str = "a") -> NodeRecord:
+    return NodeRecord(name=name, zone=zone, host="127.0.0.1", port=1, incarnation=1)
+
+
+class Member:
+    """One node's part in spreading configurations; `peers` are reached without network."""
+
+    def __init__(self, name: str, version: int, *, former: int = 0, zone: str = "a") -> None:
+        self.directory = Directory(make_record(name, zone))
+        self.holder = ConfigurationHolder()
+        for each in (former, version):
+            if each:
+                self.holder.apply(make_snapshot(each), "test")
+        self.peers: dict[str, Member] = {}
+        self.asked: list[tuple[str, str]] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        source: Source = None  # type: ignore[assignment]
+        link: Any = self
+        self.sync = ConfigurationSync(
+            self.holder, source, self.directory, link, asyncio.Event(), self.spawn
+        )
+
+    def meet(self, *others: "Member") -> None:
+        for other in others:
+            name = other.directory.own.name
+            self.peers[name] = other
+            self.directory.merge_node(other.directory.own, 0.0)
+
+    async def post(self, node: NodeRecord, kind: str, body: bytes) -> bytes | None:
+        """Hand a message to a peer, as the link does."""
+        self.asked.append((node.name, kind))
+        await asyncio.sleep(0.001)
+        sync = self.peers[node.name].sync
+        handlers: dict[str, Callable[[bytes], bytes | None]] = {
+            CONFIG_PULL_KIND: sync.take_pull,
+            PUSH_KIND: sync.take_push,
+        }
+        return handlers[kind](body)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def hear(self, other: "Member") -> None:
+        """Take a beat of `other`."""
+        peer = self.directory.peers[other.directory.own.name]
+        self.sync.note_version(peer, other.holder.snapshot.version)
+
+    async def settle(self) -> None:
+        while self.tasks:
+            await asyncio.wait(set(self.tasks), timeout=5.0)
+
+
+def run(work: Coroutine[Any, Any, None]) -> Deferred[None]:
+    return Deferred.fromFuture(asyncio.ensure_future(work))
+
+
+def test_a_node_without_configuration_fetches_it_from_one_of_many_peers() -> Deferred[None]:
+    """Load pattern: all hosts lost power, and each node hears of all others at once."""
+
+    async def scenario() -> None:
+        newcomer = Member("n0", 0)
+        others = [Member(f"n{i}", 5) for i in range(1, 30)]
+        newcomer.meet(*others)
+        for other in others:
+            newcomer.hear(other)
+        await newcomer.settle()
+        assert newcomer.holder.snapshot.version == 5
+        assert newcomer.asked == [("n1", CONFIG_PULL_KIND)]
+
+    return run(scenario())
+
+
+def test_a_change_that_the_lead_sends_meanwhile_is_not_fetched(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr(configuration_module, "PULL_PATIENCE_S", 0.02)
+
+    async def scenario() -> None:
+        node, far = Member("n0", 4), Member("n1", 5, zone="b")
+        node.meet(far)
+        node.hear(far)
+        node.holder.apply(make_snapshot(5), "lead")
+        await node.settle()
+        assert node.asked == []
+
+    return run(scenario())
+
+
+def test_a_change_that_no_lead_sends_is_fetched_and_sent_on_in_the_zone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr(configuration_module, "PULL_PATIENCE_S", 0.01)
+
+    async def scenario() -> None:
+        node, far, near = Member("n0", 4), Member("n1", 5, former=4, zone="b"), Member("n2", 4)
+        node.meet(far, near)
+        node.hear(far)
+        await node.settle()
+        assert node.holder.snapshot.version == 5
+        assert near.holder.snapshot.version == 5
+
+    return run(scenario())
+
+
+def test_a_delta_that_does_not_fit_is_followed_by_the_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr(configuration_module, "PULL_PATIENCE_S", 0.01)
+
+    async def scenario() -> None:
+        node, other = Member("n0", 3), Member("n1", 6, former=3)
+        node.meet(other)
+        make_push = other.sync._make_push
+
+        def make_unfit_push(known: int) -> ConfigPush:
+            push = make_push(known)
+            return msgspec.structs.replace(push, base_version=2) if known else push
+
+        monkeypatch.setattr(other.sync, "_make_push", make_unfit_push)
+        node.hear(other)
+        await node.settle()
+        assert node.holder.snapshot == make_snapshot(6)
+        assert [kind for _, kind in node.asked][:2] == [CONFIG_PULL_KIND] * 2
+
+    return run(scenario())
+
+
+def test_a_peer_that_has_nothing_newer_is_answered_so() -> Deferred[None]:
+    async def scenario() -> None:
+        assert Member("n0", 4).sync.take_pull(b"4") is None
+
+    return run(scenario())
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -77,7 +77,7 @@
             self.link,  # type: ignore[arg-type]
             self.source,  # type: ignore[arg-type]
             ConfigurationHolder(),
-            SimpleNamespace(send_to=lambda peer: None),  # type: ignore[arg-type]
+            SimpleNamespace(note_version=lambda peer, version: None),  # type: ignore[arg-type]
             asyncio.Event(),
             MoveBoard(0.1, Random(1)),
             self.gate,  # type: ignore[arg-type]
