Answer the calls that a stop would cut before the process ends

Only calls taken after SIGTERM were bound to the end of the process. Now running ones are too, 0.15 s before it. The test failed before (no byte of an answer).

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -117,8 +117,17 @@
         self._patience = PatienceMemory()
         self.lines = LogBudget(CALL_LINES_PER_S)
         self._sizes: dict[str, float] = {}
-        self.latest_end = float("inf")
-        """Monotonic second at which this node ends; no call is given more time."""
+        self._latest_end = float("inf")
+        self._searches: set[Deferred[OwnerAnswer | None]] = set()
+
+    def end_by(self, latest_end: float) -> None:
+        """Give no call more time than until `latest_end`, a monotonic second; this node ends then.
+
+        Calls that run already are answered by then too: a closed connection tells callers less.
+        """
+        self._latest_end = latest_end
+        for search in self._searches:
+            self._loop.call_at(latest_end, search.cancel)
 
     def handle(self, call: IncomingCall) -> None:
         """Start to work on `call`."""
@@ -143,7 +152,7 @@
             self._refuse_early(call, request_id, 413, cause)
             return
         given_s = self._read_left_s(call)
-        deadline = min(began + min(given_s, route.timeout_ms / 1000), self.latest_end)
+        deadline = min(began + min(given_s, route.timeout_ms / 1000), self._latest_end)
         parent = self._find_parent(request_id)
         due = deadline
         if parent is None:
@@ -168,6 +177,7 @@
         self._metrics.running += 1
         search = Deferred.fromCoroutine(self._find_answer(state))
         timer = self._loop.call_at(deadline, search.cancel)
+        self._searches.add(search)
         try:
             answer = await search
         except CancelledError:
@@ -178,6 +188,7 @@
             return
         finally:
             timer.cancel()
+            self._searches.discard(search)
             self._metrics.running -= 1
         self._deliver(call, state, answer)
 
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -50,6 +50,8 @@
 """Part of the grace period for which the endpoint is given calls; its rest is for their ends."""
 STOP_MARGIN_S = 0.4
 """Time kept free at the end of the grace period for the process to end by itself."""
+ANSWER_MARGIN_S = 0.15
+"""Time for the last answers to reach their callers before the process ends; ten times their way."""
 RESERVED_DESCRIPTORS = 400
 """Descriptors kept for connections to peers, the endpoint and the platform."""
 FIND_S = 0.3
@@ -209,7 +211,7 @@
         plan = plan_stop(began, self.settings.bounds.grace_s)
         running = self._outbound.running_calls + self._inbound.running_calls
         log_info("stopping", running=running)
-        self.entry.latest_end = plan.end
+        self.entry.end_by(plan.end - ANSWER_MARGIN_S)
         quiet = self._outbound.drain(plan.quiet_from).asFuture(self._loop)
         await asyncio.sleep(plan.serve_until - began)
         own = self.directory.own
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -391,6 +391,24 @@
     return play(scenario)
 
 
+def test_a_call_that_outlasts_the_grace_period_is_answered_before_the_node_ends() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        async def answer(request: Seen) -> None:
+            return None
+
+        fleet.answer = answer
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", timeout_ms=60_000)))
+        host = await fleet.add("n1")
+        await fleet.meet()
+        asked = asyncio.ensure_future(fleet.ask("n1", deadline_ms="60000"))
+        await fleet.settle(lambda: bool(host.node.gate.queue.running))
+        await host.node.stop()
+        host.node.close()
+        assert (await asked).status == 504
+
+    return play(scenario)
+
+
 def test_a_restarted_node_gets_the_configuration_from_its_peers() -> Deferred[None]:
     async def scenario(fleet: Fleet) -> None:
         fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
