--- a/packages/mesh/tests/test_selection.py
+++ b/packages/mesh/tests/test_selection.py
@@ -4,7 +4,15 @@
 
 from corianderwall.mesh.directory import OVERHEAD_FADES_S, EndpointView
 from corianderwall.mesh.messages import Load
-from corianderwall.mesh.selection import CallShape, choose_endpoint, keep_in_zone
+from corianderwall.mesh.selection import (
+    BIG_ROUNDS,
+    ROUNDS,
+    AskingRound,
+    CallShape,
+    choose_endpoint,
+    keep_in_zone,
+    list_candidates,
+)
 
 SMALL = CallShape(zone="a", objective_ms=600, big=False)
 BIG = CallShape(zone="a", objective_ms=600, big=True)
@@ -115,3 +123,27 @@
 def test_where_the_zone_has_no_endpoint_all_are_kept(make_endpoint: Any) -> None:
     far = make_view(make_endpoint, "far", zone="b")
     assert keep_in_zone([far], BIG, 0.0) == [far]
+
+
+def list_names(views: list[EndpointView], round_: AskingRound, route: str = "r") -> list[str]:
+    return [view.record.id for view in list_candidates(views, BIG, round_, route, 1.0)]
+
+
+def test_a_big_answer_leaves_the_zone_only_after_its_zone_was_asked(make_endpoint: Any) -> None:
+    near = make_view(make_endpoint, "near")
+    far = make_view(make_endpoint, "far", zone="b")
+    names = [list_names([near, far], round_) for round_ in BIG_ROUNDS]
+    assert names == [["near"], ["near"], ["far"]]
+    assert [round_.may_wait for round_ in BIG_ROUNDS] == [False, True, False]
+    assert all(list_names([near, far], round_) == ["near", "far"] for round_ in ROUNDS)
+
+
+def test_who_has_just_refused_is_not_asked_for_the_same_again(make_endpoint: Any) -> None:
+    full, late = make_view(make_endpoint, "full"), make_view(make_endpoint, "late")
+    full.full_until = late.late_until["r"] = 2.0
+    probe, wait = ROUNDS
+    assert list_names([full, late], probe) == ["late"]
+    assert list_names([full, late], wait) == ["full"]
+    # Another route may have shorter calls, and nested calls ask in spite of refusals.
+    assert list_names([full, late], wait, "other") == ["full", "late"]
+    assert list_names([full, late], wait, "") == ["full", "late"]
