Keep the instants of a move with its order, not with the object that holds it

The operator puts a second order into the object of the first, so service and creation are the same; the leads kept the end of the shift by these two and took that of the first order, long past: a quarter of a second after the old version got no more calls the move was written as completed, before the version, bad under load only, could be judged at full load, and the old endpoints stopped with calls under way. The counts of the owners were kept over the same way. Instants now lie in the move, counts are told apart by version too. The test of the next order in the same object failed before (the owner's old counts).

--- a/packages/mesh/src/corianderwall/mesh/conductor.py
+++ b/packages/mesh/src/corianderwall/mesh/conductor.py
@@ -56,8 +56,6 @@
         self._gate = gate
         self._spawn = spawn
         self._loop = asyncio.get_running_loop()
-        self._shift_until: dict[tuple[str, int], float] = {}
-        self._due_at: dict[tuple[str, int], float] = {}
         self._writing: set[str] = set()
 
     async def watch(self) -> None:
@@ -136,10 +134,9 @@
         if not move.is_running:
             return
         finding = find_badness(move)
-        key = (move.order.service, move.order.created)
         now = self._loop.time()
-        if finding is not None or move.cut:
-            self._due_at.setdefault(key, now + patience_s)
+        if (finding is not None or move.cut) and move.cut_write_at is None:
+            move.cut_write_at = now + patience_s
         if finding is not None and not move.cut:
             move.cut = True
             log_warning(
@@ -155,19 +152,26 @@
             )
             self._tell_all()
         if move.cut:
-            if now >= self._due_at[key]:
+            if move.cut_write_at is not None and now >= move.cut_write_at:
                 self._write(move, MoveState.TAKEN_BACK)
         elif move.shifting:
-            if now >= self._shift_until.setdefault(key, now + SHIFT_S + patience_s):
-                self._write(move, MoveState.COMPLETED)
+            self._end_shift(move, patience_s)
         elif may_complete(move, now - patience_s):
             log_info("the old version gets no more calls", service=move.order.service)
             move.shifting = True
-            self._shift_until[key] = now + SHIFT_S
+            move.shift_until = now + SHIFT_S
             self._tell_all()
         elif move.order.state is None and now - move.seen_at >= patience_s:
             self._write(move, MoveState.RUNNING)
 
+    def _end_shift(self, move: Move, patience_s: float) -> None:
+        """Complete a move once the calls to the old version have ended."""
+        now = self._loop.time()
+        if move.shift_until is None:
+            move.shift_until = now + SHIFT_S + patience_s
+        if now >= move.shift_until:
+            self._write(move, MoveState.COMPLETED)
+
     def _write(self, move: Move, state: MoveState) -> None:
         service = move.order.service
         if service not in self._writing:
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -37,12 +37,18 @@
 
 @dataclass(slots=True)
 class Move:
-    """One order; `seen_at` is the monotonic second from which its time is counted."""
+    """One order; instants are monotonic seconds, its time is counted from `seen_at`.
+
+    This node writes that the version is taken back at `cut_write_at` and that the move is completed
+    at `shift_until`; each is None until it is due.
+    """
 
     order: MoveOrder
     seen_at: float
     cut: bool = False
     shifting: bool = False
+    cut_write_at: float | None = None
+    shift_until: float | None = None
     evidence: dict[str, Evidence] = field(default_factory=dict)
 
     @property
@@ -59,7 +65,7 @@
         self._canary_share = canary_share * CANARY_PART
         self._random = random
         self._counts: dict[str, _RouteCount] = {}
-        self._counted: tuple[str, int] | None = None
+        self._counted: tuple[str, int, str] | None = None
 
     def take_view(self, view: MoveView, now: float) -> bool:
         """Take an order and what is known of it; return whether that was new."""
@@ -116,8 +122,8 @@
         move = self.moves.get(service)
         if move is None or not move.is_running:
             return
-        if self._counted != (service, move.order.created):
-            self._counted = (service, move.order.created)
+        if self._counted != _identify(move.order):
+            self._counted = _identify(move.order)
             self._counts = {}
         count = self._counts.setdefault(route, _RouteCount())
         count.calls += 1
@@ -127,7 +133,7 @@
     def make_evidence(self, service: str, version: str, node: str) -> Evidence | None:
         """Return what this node has counted for a running order, None if there is none."""
         move = self.moves.get(service)
-        if move is None or not move.is_running or not self._counts:
+        if move is None or not move.is_running or self._counted != _identify(move.order):
             return None
         routes = tuple(
             RouteEvidence(route=name, calls=c.calls, failures=c.failures, sum_ms=round(c.sum_ms, 1))
@@ -189,6 +195,11 @@
     return [v for v in views if v.record.version in settled] if settled else views
 
 
+def _identify(order: MoveOrder) -> tuple[str, int, str]:
+    """Return what tells orders apart: an operator may put the next one into the same object."""
+    return order.service, order.created, order.version
+
+
 def _is_other_order(newer: MoveOrder, kept: MoveOrder) -> bool:
     if newer.created != kept.created:
         return newer.created > kept.created
--- a/packages/mesh/tests/test_moves.py
+++ b/packages/mesh/tests/test_moves.py
@@ -14,10 +14,19 @@
 
 
 def make_order(
-    state: MoveState | None = MoveState.RUNNING, *, revision: int = 5, created: int = 1
+    state: MoveState | None = MoveState.RUNNING,
+    *,
+    revision: int = 5,
+    created: int = 1,
+    version: str = "v2",
 ) -> MoveOrder:
     return MoveOrder(
-        service="s", version="v2", duration_s=16.0, revision=revision, created=created, state=state
+        service="s",
+        version=version,
+        duration_s=16.0,
+        revision=revision,
+        created=created,
+        state=state,
     )
 
 
@@ -84,6 +93,23 @@
     assert board.moves["s"].seen_at == 5.0
 
 
+def test_the_next_order_in_the_same_object_starts_anew() -> None:
+    board = make_board()
+    board.count("s", "v2", "r", failed=False, took_s=0.1)
+    move = board.moves["s"]
+    move.shifting, move.shift_until, move.cut_write_at = True, 3.0, 4.0
+    following = make_order(None, revision=9, version="v3")
+    assert board.take_view(MoveView(order=following, age_s=0.0), 20.0)
+    move = board.moves["s"]
+    assert (move.shifting, move.shift_until, move.cut_write_at) == (False, None, None)
+    # What the owner counted was for the order before.
+    assert board.make_evidence("s", "v2", "n1") is None
+    board.count("s", "v2", "r", failed=False, took_s=0.1)
+    evidence = board.make_evidence("s", "v2", "n1")
+    assert evidence is not None
+    assert evidence.routes[0].calls == 1
+
+
 def test_a_version_that_fails_is_bad_and_one_as_failing_as_the_old_one_is_not() -> None:
     assert judge(make_evidence("v2", 10, 5), make_evidence("v1", 200, 0)) == "failures"
     assert judge(make_evidence("v2", 10, 5), make_evidence("v1", 200, 90)) is None
