--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -139,6 +139,7 @@
                 if not self.source_ok and loop.time() >= self._next_test_at:
                     await self._test_source()
                 continue
+            started = loop.time()
             try:
                 revision = await self._read_changes(revision)
                 pause_s = RETRY_MIN_S
@@ -148,6 +149,12 @@
                 log_info("the history of the configuration has expired; reading all of it")
                 revision = None
             except SourceError as error:
+                log_warning(
+                    "reading the configuration from the platform failed",
+                    reason=error.reason,
+                    revision=revision,
+                    took_s=round(loop.time() - started, 3),
+                )
                 # One failure may be a broken connection; a second one shows a platform failure.
                 if pause_s > RETRY_MIN_S:
                     self._set_source_ok(False, error.reason)
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -52,6 +52,8 @@
 class _CallState:
     """The state of a call at the entry; instants are monotonic seconds.
 
+    `version` is the version of the endpoint whose owner was asked last, empty before that.
+
     A nested call has no latency objective before its deadline: refusing it would fail the running
     call that made it.
     """
@@ -70,6 +72,7 @@
     refused_wait_ms: list[float] = field(default_factory=list)
     trail: list[str] = field(default_factory=list)
     failure: OwnerResponse | None = None
+    version: str = ""
 
     @property
     def nested(self) -> bool:
@@ -234,6 +237,7 @@
         self, state: _CallState, view: EndpointView, *, may_wait: bool
     ) -> OwnerResponse:
         record = view.record
+        state.version = record.version
         route = state.route
         now = self._loop.time()
         metadata = CallMetadata(
@@ -369,7 +373,7 @@
         state.report_end(status)
         now = self._loop.time()
         took_s = now - state.began
-        self._metrics.count_call(state.service, "", status, took_s)
+        self._metrics.count_call(state.service, state.version, status, took_s)
         if not self.log_budget.take(now):
             return
         log_info(
@@ -379,6 +383,7 @@
             cause=cause,
             route=state.route.name,
             service=state.service,
+            upstream_version=state.version,
             nested=state.nested,
             trail=state.trail,
             took_ms=round(took_s * 1000, 1),
--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -9,7 +9,13 @@
 from corianderwall.mesh.gate import EndpointGate
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.messages import Evidence, MoveNotice, MoveOrder, MoveView
-from corianderwall.mesh.moves import Move, MoveTracker, find_regression, may_complete
+from corianderwall.mesh.moves import (
+    Move,
+    MoveTracker,
+    find_regression,
+    may_complete,
+    sum_evidence,
+)
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import ConflictError, HistoryLostError, Source, SourceError
 from corianderwall.mesh.tasks import Spawn
@@ -152,6 +158,8 @@
                 failures=finding.failures,
                 mean_ms=finding.mean_ms,
                 old_mean_ms=finding.old_mean_ms,
+                shifting=move.shifting,
+                age_s=round(now - move.seen_at, 3),
             )
             self._broadcast_views()
         if move.cut:
@@ -160,9 +168,16 @@
         elif move.shifting:
             self._finish_shift(move, write_delay_s)
         elif may_complete(move, now - write_delay_s):
+            new, old = sum_evidence(move)
             log_info(
                 "the move can complete; the old version gets no more calls",
                 service=move.order.service,
+                version_ordered=move.order.version,
+                age_s=round(now - move.seen_at, 3),
+                calls=new.calls,
+                failures=new.failures,
+                old_calls=old.calls,
+                old_failures=old.failures,
             )
             move.shifting = True
             move.shift_until = now + SHIFT_DURATION_S
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -30,7 +30,9 @@
 
 
 @dataclass(slots=True)
-class _RouteCounts:
+class RouteCounts:
+    """Calls, failures and the sum of the call times of one route or of a whole version."""
+
     calls: int = 0
     failures: int = 0
     sum_ms: float = 0.0
@@ -65,7 +67,7 @@
         self.moves: dict[str, Move] = {}
         self._canary_share = canary_share * CANARY_FRACTION
         self._random = random
-        self._counts: dict[str, _RouteCounts] = {}
+        self._counts: dict[str, RouteCounts] = {}
         self._counted_order: tuple[str, int, str] | None = None
 
     def merge_view(self, view: MoveView, now: float) -> bool:
@@ -130,7 +132,7 @@
         if self._counted_order != _make_order_key(move.order):
             self._counted_order = _make_order_key(move.order)
             self._counts = {}
-        count = self._counts.setdefault(route, _RouteCounts())
+        count = self._counts.setdefault(route, RouteCounts())
         count.calls += 1
         count.failures += failed
         count.sum_ms += took_s * 1000
@@ -184,12 +186,18 @@
     if finding is not None:
         return finding
     for route, count in new.items():
-        finding = _compare_counts(route, count, old.get(route, _RouteCounts()), compare_times=True)
+        finding = _compare_counts(route, count, old.get(route, RouteCounts()), compare_times=True)
         if finding is not None:
             return finding
     return None
 
 
+def sum_evidence(move: Move) -> tuple[RouteCounts, RouteCounts]:
+    """Return the counts of the new version of `move` and of all other versions."""
+    new, old = _sum_routes(move, new=True), _sum_routes(move, new=False)
+    return _sum_counts(new.values()), _sum_counts(old.values())
+
+
 def may_complete(move: Move, now: float) -> bool:
     """Return whether the new version has been tested for long enough."""
     age_s = now - move.seen_at
@@ -219,7 +227,7 @@
 
 
 def _compare_counts(
-    route: str, new: _RouteCounts, old: _RouteCounts, *, compare_times: bool
+    route: str, new: RouteCounts, old: RouteCounts, *, compare_times: bool
 ) -> Finding | None:
     if new.calls < MIN_CALLS:
         return None
@@ -237,21 +245,21 @@
     return Finding(route, cause, new.calls, new.failures, round(mean_ms, 1), round(old_mean_ms, 1))
 
 
-def _sum_routes(move: Move, *, new: bool) -> dict[str, _RouteCounts]:
-    sums: dict[str, _RouteCounts] = {}
+def _sum_routes(move: Move, *, new: bool) -> dict[str, RouteCounts]:
+    sums: dict[str, RouteCounts] = {}
     for evidence in move.evidence.values():
         if (evidence.version == move.order.version) is not new:
             continue
         for item in evidence.routes:
-            count = sums.setdefault(item.route, _RouteCounts())
+            count = sums.setdefault(item.route, RouteCounts())
             count.calls += item.calls
             count.failures += item.failures
             count.sum_ms += item.sum_ms
     return sums
 
 
-def _sum_counts(counts: Iterable[_RouteCounts]) -> _RouteCounts:
-    total = _RouteCounts()
+def _sum_counts(counts: Iterable[RouteCounts]) -> RouteCounts:
+    total = RouteCounts()
     for count in counts:
         total.calls += count.calls
         total.failures += count.failures
