Notice within the contact time that the platform responds again

Cause: the leaders' watches waited 5 s and counted as lost after 6 s. A watch that was sent while the platform was silent got no response, so nobody asked the platform again for 4.1 s after it was back.

Change: watches wait 1.5 s (configuration) and 2 s (orders) and count as lost 0.5 s later; after a failure a leader reads instead of watching again and pauses for 1 s at most. The in-memory source can lose responses like a silent platform.

--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -24,12 +24,14 @@
 
 MAX_FORMER_SNAPSHOTS = 16
 """Number of former snapshots that are kept, so that a peer can be sent a delta."""
-WATCH_TIMEOUT_S = 5.0
-"""Timeout of one watch; also the time in which a watch on a broken connection is noticed."""
+WATCH_TIMEOUT_S = 1.5
+"""Timeout of one watch. The response to a watch that is sent during an outage is lost, so this also
+bounds the time for which a leader does not notice that the platform responds again: a version has
+to be active within 3 s of that."""
 WATCH_PAUSE_S = 0.25
 """Pause between two watches, so that versions in quick succession cost one request."""
 RETRY_MIN_S = 0.25
-RETRY_MAX_S = 2.0
+RETRY_MAX_S = 1.0
 """First and longest pause after a failed request to the platform."""
 LEADER_CHECK_INTERVAL_S = 0.5
 """Interval at which a node that does not watch checks whether it should."""
@@ -155,6 +157,8 @@
                     revision=revision,
                     took_s=round(loop.time() - started, 3),
                 )
+                # A watch could be lost again; a read shows sooner that the platform responds.
+                revision = None
                 # One failure may be a broken connection; a second one shows a platform failure.
                 if pause_s > RETRY_MIN_S:
                     self._set_source_ok(False, error.reason)
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -1,13 +1,21 @@
 """An in-memory platform store for tests and benchmarks; it can be made to fail."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
 from corianderwall.mesh.messages import MoveOrder, NodeRecord
-from corianderwall.mesh.source import ConflictError, HistoryLostError, Reading, SourceError
+from corianderwall.mesh.source import (
+    CALL_TIMEOUT_S,
+    WATCH_TIMEOUT_MARGIN_S,
+    ConflictError,
+    HistoryLostError,
+    Reading,
+    SourceError,
+)
 from corianderwall.model.resource import MoveState, Snapshot
 
 Condition = Callable[[], bool]
@@ -25,6 +33,8 @@
     orders: dict[str, MoveOrder] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     config_revision: int = 0
+    silent: bool = False
+    _outages: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put_config(self, snapshot: Snapshot) -> None:
@@ -43,9 +53,18 @@
             created=revision,
         )
 
+    def start_silence(self) -> None:
+        """Lose the responses to all requests in progress and to new ones until `end_silence`."""
+        self.silent = True
+        self._outages += 1
+
+    def end_silence(self) -> None:
+        """Respond to new requests again; the responses lost so far stay lost."""
+        self.silent = False
+
     async def read_config(self) -> Reading[Snapshot]:
         """Return the newest configuration, if there is one."""
-        self._count_request()
+        await self._admit()
         items = (self.snapshot,) if self.snapshot is not None else ()
         return Reading(items, self.revision)
 
@@ -58,7 +77,7 @@
 
     async def read_orders(self) -> Reading[MoveOrder]:
         """Return all move orders."""
-        self._count_request()
+        await self._admit()
         return Reading(tuple(self.orders.values()), self.revision)
 
     async def watch_orders(self, revision: int, wait_s: float) -> Reading[MoveOrder]:
@@ -71,7 +90,7 @@
 
     async def write_order_state(self, order: MoveOrder, state: MoveState) -> MoveOrder:
         """Write the state of `order` unless it has changed since."""
-        self._count_request()
+        await self._admit()
         if self.orders[order.service].revision != order.revision:
             raise ConflictError("the order has changed")
         written = msgspec.structs.replace(order, state=state, revision=self._advance())
@@ -80,13 +99,13 @@
 
     async def announce_node(self, record: NodeRecord) -> None:
         """Write the record of a node."""
-        self._count_request()
+        await self._admit()
         self.nodes[record.name] = record
         self._advance()
 
     async def list_nodes(self, *, stale: bool) -> tuple[NodeRecord, ...]:
         """Return the records of all nodes."""
-        self._count_request()
+        await self._admit()
         return tuple(self.nodes.values())
 
     def _advance(self) -> int:
@@ -103,11 +122,22 @@
             self.history_lost = False
             raise HistoryLostError("the history has expired")
 
+    async def _admit(self) -> None:
+        self._count_request()
+        if self.silent:
+            await self._lose_response(asyncio.get_running_loop().time() + CALL_TIMEOUT_S)
+
     async def _wait(self, is_due: "Condition", wait_s: float) -> None:
         self._count_request()
-        try:
-            async with asyncio.timeout(wait_s):
+        lost, outages = self.silent, self._outages
+        end = asyncio.get_running_loop().time() + wait_s
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end):
                 while not is_due():
                     await self._changed.wait()
-        except TimeoutError:
-            return
+        if lost or outages != self._outages:
+            await self._lose_response(end + WATCH_TIMEOUT_MARGIN_S)
+
+    async def _lose_response(self, timeout_at: float) -> None:
+        await asyncio.sleep(timeout_at - asyncio.get_running_loop().time())
+        raise SourceError("no response")
--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -22,8 +22,9 @@
 from corianderwall.model.resource import MoveState
 from corianderwall.node.logs import log_info, log_warning
 
-WATCH_TIMEOUT_S = 10.0
-"""Timeout of one watch for orders; other nodes watch too and make up for one that hangs."""
+WATCH_TIMEOUT_S = 2.0
+"""Timeout of one watch for orders. A lost watch has to be noticed before the endpoints of a new
+version get calls without a known order, `UNORDERED_HOLD_S` after they appear."""
 WATCH_PAUSE_S = 0.5
 """Pause between two watches and after a failed request to the platform."""
 EVALUATION_INTERVAL_S = 0.3
@@ -83,7 +84,10 @@
                 log_info("the history of the move orders has expired; reading all of them")
                 revision = None
             except SourceError as error:
-                log_warning("watching the move orders failed", reason=error.reason)
+                log_warning(
+                    "watching the move orders failed", reason=error.reason, revision=revision
+                )
+                revision = None
             await asyncio.sleep(WATCH_PAUSE_S)
 
     async def run(self) -> None:
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -6,6 +6,11 @@
 from corianderwall.mesh.messages import MoveOrder, NodeRecord
 from corianderwall.model.resource import MoveState, Snapshot
 
+CALL_TIMEOUT_S = 1.5
+"""Time after which a request that is not a watch has failed; hundreds of usual response times."""
+WATCH_TIMEOUT_MARGIN_S = 0.5
+"""Time after the end of a watch's wait at which its response counts as lost."""
+
 Item = TypeVar("Item")
 
 
@@ -34,7 +39,11 @@
 
 
 class Source(Protocol):
-    """The platform's store; each method makes one request, or a few for a long list."""
+    """The platform's store; each method makes one request, or a few for a long list.
+
+    Without a response, a request raises `SourceError` after `CALL_TIMEOUT_S`, a watch
+    `WATCH_TIMEOUT_MARGIN_S` after the end of its wait.
+    """
 
     async def read_config(self) -> Reading[Snapshot]:
         """Return the newest configuration, if there is one."""
--- a/packages/mesh/tests/test_configuration.py
+++ b/packages/mesh/tests/test_configuration.py
@@ -15,10 +15,14 @@
     ConfigurationSync,
 )
 from corianderwall.mesh.directory import Directory
+from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import NodeRecord
 from corianderwall.mesh.source import Source
 from corianderwall.model.resource import Route, Service, Snapshot
 
+CONTACT_S = 3.0
+"""Time after an outage of the platform from which the operator's bounds hold again."""
+
 
 def make_snapshot(version: int) -> Snapshot:
     routes = tuple(
@@ -35,7 +39,15 @@
 class SyncNode:
     """The configuration sync of one node; its messages reach `peers` without a network."""
 
-    def __init__(self, name: str, version: int, *, former: int = 0, zone: str = "a") -> None:
+    def __init__(
+        self,
+        name: str,
+        version: int,
+        *,
+        former: int = 0,
+        zone: str = "a",
+        source: Source | None = None,
+    ) -> None:
         self.directory = Directory(make_record(name, zone))
         self.holder = ConfigurationHolder()
         for each in (former, version):
@@ -44,10 +56,11 @@
         self.peers: dict[str, SyncNode] = {}
         self.sent: list[tuple[str, str]] = []
         self.tasks: set[asyncio.Task[None]] = set()
-        source: Source = None  # type: ignore[assignment]
+        joined = asyncio.Event()
+        joined.set()
         link: Any = self
         self.sync = ConfigurationSync(
-            self.holder, source, self.directory, link, asyncio.Event(), self.spawn
+            self.holder, source or MemorySource(), self.directory, link, joined, self.spawn
         )
 
     def connect(self, *others: "SyncNode") -> None:
@@ -82,6 +95,12 @@
         while self.tasks:
             await asyncio.wait(set(self.tasks), timeout=5.0)
 
+    async def wait_for_version(self, version: int, timeout_s: float) -> None:
+        """Wait until `version` is active; raise `TimeoutError` after `timeout_s`."""
+        async with asyncio.timeout(timeout_s):
+            while self.holder.snapshot.version != version:
+                await asyncio.sleep(0.01)
+
 
 def run(work: Coroutine[Any, Any, None]) -> Deferred[None]:
     return Deferred.fromFuture(asyncio.ensure_future(work))
@@ -167,3 +186,26 @@
         assert SyncNode("n0", 4).sync.handle_pull(b"4") is None
 
     return run(scenario())
+
+
+# Guards against configurations that are not in force after the platform was silent: a watch whose
+# response is lost must not hide that the platform responds again.
+@pytest.mark.parametrize("silence_s", [0.5, 2.0, 6.5])
+def test_a_version_written_after_a_silence_of_the_platform_is_active_within_the_contact_time(
+    silence_s: float,
+) -> Deferred[None]:
+    async def scenario() -> None:
+        source = MemorySource()
+        source.put_config(make_snapshot(1))
+        node = SyncNode("n0", 0, source=source)
+        watching = node.spawn(node.sync.run())
+        await node.wait_for_version(1, 1.0)
+        await asyncio.sleep(configuration_module.WATCH_PAUSE_S + 0.05)
+        source.start_silence()
+        await asyncio.sleep(silence_s)
+        source.end_silence()
+        source.put_config(make_snapshot(2))
+        await node.wait_for_version(2, CONTACT_S)
+        watching.cancel()
+
+    return run(scenario())
