Grant the share of a new version once for each call

Cause: the draw for the new version was repeated for each owner that a call asked. While the owners of the old version are full, a call asks up to five.

Change: a call asks once whether it may try the new version. The answer follows from counts instead of a draw: requests of this node that reached either version, and those in progress at the new one. Refused calls, which reach nothing, no longer count. A call that has reached an endpoint goes on to the old version.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -53,6 +53,7 @@
     """The state of a call at the entry; instants are monotonic seconds.
 
     `version` is the version of the endpoint whose owner was asked last, empty before that.
+    `try_new` allows the new version of a running move; it is None until it is decided.
 
     A nested call has no latency objective before its deadline: refusing it would fail the running
     call that made it.
@@ -73,6 +74,7 @@
     trail: list[str] = field(default_factory=list)
     failure: OwnerResponse | None = None
     version: str = ""
+    try_new: bool | None = None
 
     @property
     def nested(self) -> bool:
@@ -216,10 +218,21 @@
 
     def _choose(
         self, state: _CallState, excluded: set[str], round_: SelectionRound
+    ) -> EndpointView | None:
+        view = self._choose_version(state, excluded, round_)
+        if view is None and state.try_new:
+            state.try_new = False
+            view = self._choose_version(state, excluded, round_)
+        return view
+
+    def _choose_version(
+        self, state: _CallState, excluded: set[str], round_: SelectionRound
     ) -> EndpointView | None:
         now = self._loop.time()
         views = self._directory.list_ready(state.service)
-        views = self._moves.filter_endpoints(state.service, views, now)
+        if state.try_new is None:
+            state.try_new = self._moves.may_try_new_version(state.service, views)
+        views = self._moves.filter_endpoints(state.service, views, now, try_new=state.try_new)
         traits = self._make_traits(state.route)
         # Nested calls ignore earlier refusals, because a running call depends on them.
         route = "" if state.nested else state.route.name
@@ -259,6 +272,9 @@
         view.pending += 1
         try:
             reply = await owner.serve(metadata, state.request)
+        except CancelledError:
+            self._moves.count_arrival(state.service, record.version)
+            raise
         finally:
             view.pending -= 1
         self._record_reply(state, view, reply.metadata)
@@ -280,6 +296,10 @@
             else "ran" if metadata.ran else "lost"
         )
         state.trail.append(f"{view.record.id} {outcome}")
+        if metadata.reached:
+            self._moves.count_arrival(state.service, view.record.version)
+            # A repeated request goes to the proven version.
+            state.try_new = False
         if metadata.refusal is Refusal.FULL:
             view.full_until = now + AVOID_WHEN_FULL_S
         elif metadata.refusal is Refusal.LATE:
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -38,6 +38,19 @@
     sum_ms: float = 0.0
 
 
+@dataclass(slots=True)
+class _Arrivals:
+    """The requests of this node that have reached an endpoint since it knows an order.
+
+    `offset`, less than one request, spreads the first requests of all nodes to the new version.
+    """
+
+    order_key: tuple[str, int, str]
+    offset: float
+    total: int = 0
+    new: int = 0
+
+
 @dataclass(slots=True)
 class Move:
     """The state of one order; times are monotonic seconds, and its time starts at `seen_at`.
@@ -67,6 +80,7 @@
         self.moves: dict[str, Move] = {}
         self._canary_share = canary_share * CANARY_FRACTION
         self._random = random
+        self._arrivals: dict[str, _Arrivals] = {}
         self._counts: dict[str, RouteCounts] = {}
         self._counted_order: tuple[str, int, str] | None = None
 
@@ -100,10 +114,36 @@
             for move in self.moves.values()
         )
 
+    def may_try_new_version(self, service: str, views: list[EndpointView]) -> bool:
+        """Return whether the new version's share of the requests has room for one more.
+
+        Ask once for each call: a call that asks again for each attempt would exceed the share.
+        """
+        move = self.moves.get(service)
+        if move is None:
+            return False
+        arrivals = self._find_arrivals(move.order)
+        version = move.order.version
+        pending = sum(view.pending for view in views if view.record.version == version)
+        allowed = self._canary_share * arrivals.total + arrivals.offset
+        return arrivals.new + pending + 1 <= allowed
+
+    def count_arrival(self, service: str, version: str) -> None:
+        """Count a request of this node that has reached an endpoint of `version`."""
+        move = self.moves.get(service)
+        if move is None or not move.is_running:
+            return
+        arrivals = self._find_arrivals(move.order)
+        arrivals.total += 1
+        arrivals.new += version == move.order.version
+
     def filter_endpoints(
-        self, service: str, views: list[EndpointView], now: float
+        self, service: str, views: list[EndpointView], now: float, *, try_new: bool
     ) -> list[EndpointView]:
-        """Return the endpoints that the state of the move allows for the next call of `service`."""
+        """Return the endpoints that the state of the move allows for the next call of `service`.
+
+        While the new version is being tested, it gets the calls with `try_new`.
+        """
         move = self.moves.get(service)
         if move is None:
             return _exclude_unordered(views, now)
@@ -118,9 +158,7 @@
             return old
         if not new or not old:
             return new or old
-        if move.shifting or self._random.random() < self._canary_share:
-            return new
-        return old
+        return new if move.shifting or try_new else old
 
     def count_call(
         self, service: str, version: str, route: str, *, failed: bool, took_s: float
@@ -160,6 +198,14 @@
         if move is not None and move.order.created == evidence.created:
             move.evidence[f"{evidence.node} {evidence.version}"] = evidence
 
+    def _find_arrivals(self, order: MoveOrder) -> "_Arrivals":
+        key = _make_order_key(order)
+        arrivals = self._arrivals.get(order.service)
+        if arrivals is None or arrivals.order_key != key:
+            arrivals = _Arrivals(key, offset=self._random.random())
+            self._arrivals[order.service] = arrivals
+        return arrivals
+
     def _exclude_bad_version(self, move: Move, views: list[EndpointView]) -> list[EndpointView]:
         if not move.cut and move.order.state is not MoveState.TAKEN_BACK:
             return views
--- a/packages/mesh/tests/test_moves.py
+++ b/packages/mesh/tests/test_moves.py
@@ -46,7 +46,13 @@
 
 def list_versions(tracker: MoveTracker, make_endpoint: Any, calls: int = 1000) -> list[str]:
     views = make_views(make_endpoint)
-    return [tracker.filter_endpoints("s", views, 0.0)[0].record.version for _ in range(calls)]
+    versions = []
+    for _ in range(calls):
+        try_new = tracker.may_try_new_version("s", views)
+        version = tracker.filter_endpoints("s", views, 0.0, try_new=try_new)[0].record.version
+        tracker.count_arrival("s", version)
+        versions.append(version)
+    return versions
 
 
 def make_evidence(version: str, calls: int, failures: int, mean_ms: float = 100.0) -> Evidence:
@@ -67,12 +73,22 @@
     assert 0 < versions.count("v2") < 100
 
 
+def test_calls_in_progress_count_towards_the_share_of_a_new_version(make_endpoint: Any) -> None:
+    tracker = make_tracker()
+    views = make_views(make_endpoint)
+    for _ in range(40):
+        tracker.count_arrival("s", "v1")
+    assert tracker.may_try_new_version("s", views)
+    views[-1].pending = 3
+    assert not tracker.may_try_new_version("s", views)
+
+
 def test_a_bad_version_gets_no_calls(make_endpoint: Any) -> None:
     assert set(list_versions(make_tracker(cut=True), make_endpoint)) == {"v1"}
     taken_back = make_tracker(MoveState.TAKEN_BACK)
     assert set(list_versions(taken_back, make_endpoint)) == {"v1"}
     only_new = [view for view in make_views(make_endpoint) if view.record.version == "v2"]
-    assert taken_back.filter_endpoints("s", only_new, 0.0) == []
+    assert taken_back.filter_endpoints("s", only_new, 0.0, try_new=False) == []
 
 
 def test_the_old_version_gets_no_calls_before_completion(make_endpoint: Any) -> None:
@@ -153,9 +169,14 @@
     for view in views:
         view.joined_at = 100.0 if view.record.version == "v2" else 0.0
     tracker = MoveTracker(0.1, Random(1))
-    assert {v.record.version for v in tracker.filter_endpoints("s", views, 101.0)} == {"v1"}
-    assert {v.record.version for v in tracker.filter_endpoints("s", views, 103.0)} == {"v1", "v2"}
+
+    def list_allowed(now: float) -> set[str]:
+        allowed = tracker.filter_endpoints("s", views, now, try_new=False)
+        return {view.record.version for view in allowed}
+
+    assert list_allowed(101.0) == {"v1"}
+    assert list_allowed(103.0) == {"v1", "v2"}
     # A node that has just started has learned of all versions at the same time.
     for view in views:
         view.joined_at = 100.0
-    assert {v.record.version for v in tracker.filter_endpoints("s", views, 101.0)} == {"v1", "v2"}
+    assert list_allowed(101.0) == {"v1", "v2"}
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -459,6 +459,36 @@
     return run_scenario(scenario)
 
 
+# Guards against a bad version that gets too many requests while the owners of the old one are full:
+# the share of the new version is granted once for each call, not for each owner that is asked.
+def test_full_owners_of_the_old_version_do_not_raise_the_share_of_the_new_one() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            await asyncio.sleep(0.02)
+            return make_response(request)
+
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=1)))
+        await fleet.add("n1")
+        newcomer = await fleet.add("n2", announce=False)
+        fleet.source.put_order("s", "v2", 600.0)
+        newcomer.announce(version="v2")
+        await fleet.wait_until_synced()
+        await fleet.wait_for(
+            lambda: all("s" in host.node.moves.moves for host in fleet.hosts.values())
+        )
+
+        async def send_calls() -> None:
+            for _ in range(40):
+                await fleet.send_call("n1")
+
+        await asyncio.gather(*(send_calls() for _ in range(6)))
+        seen = count_seen(fleet)
+        assert 0 < seen["n2"] <= fleet.bounds.canary_share * sum(seen.values())
+
+    return run_scenario(scenario)
+
+
 def test_nested_calls_add_nothing_to_the_retry_budget() -> Deferred[None]:
     """An overloaded service that rejects calls gets far more nested calls than calls of callers."""
 
