Judge a shifting version by its recent calls, ten times a second

Cause: a move that passed its test takes all calls off the old version. Some versions are bad only then, under load or late.

Change: the calls of the last 2 s are compared on their own as well; nodes send evidence every 0.1 s from the moment of the shift on; the test takes half of the allowed share instead of 0.6 of it, which leaves more for the shift.

--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -1,6 +1,7 @@
 """Watches move orders, collects evidence about new versions, and writes the state of each move."""
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -29,6 +30,8 @@
 """Pause between two watches and after a failed request to the platform."""
 EVALUATION_INTERVAL_S = 0.3
 """Interval at which evidence is sent and evaluated; short compared with the time of a rollback."""
+SHIFT_EVALUATION_INTERVAL_S = 0.1
+"""The same while the new version gets all calls, so that a bad one is cut within its allowance."""
 IDLE_INTERVAL_S = 1.0
 """Interval at which to check for a running move while there is none."""
 LEADER_DELAY_S = 0.8
@@ -64,6 +67,8 @@
         self._spawn = spawn
         self._loop = asyncio.get_running_loop()
         self._writing: set[str] = set()
+        # Set when a move changes, so that a shift is evaluated at its interval from the start.
+        self._changed = asyncio.Event()
 
     async def watch_orders(self) -> None:
         """Watch the platform for orders while this node is the leader of its zone."""
@@ -93,10 +98,16 @@
     async def run(self) -> None:
         """Send evidence to the leaders, and evaluate moves while this node is one of them."""
         while True:
-            has_running_move = any(move.is_running for move in self._tracker.moves.values())
-            await asyncio.sleep(EVALUATION_INTERVAL_S if has_running_move else IDLE_INTERVAL_S)
-            if not has_running_move:
+            running = [move for move in self._tracker.moves.values() if move.is_running]
+            if not running:
+                await asyncio.sleep(IDLE_INTERVAL_S)
                 continue
+            shifting = any(move.shifting and not move.cut for move in running)
+            interval_s = SHIFT_EVALUATION_INTERVAL_S if shifting else EVALUATION_INTERVAL_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self._changed.wait()
+            self._changed.clear()
             evidence = self._collect_evidence()
             leaders = list_leaders(self._directory, self._sync.source_ok)
             own = self._directory.own.name
@@ -116,6 +127,8 @@
         notice = msgspec.msgpack.decode(body, type=MoveNotice)
         now = self._loop.time()
         changed = [view for view in notice.views if self._tracker.merge_view(view, now)]
+        if changed:
+            self._changed.set()
         for view in changed:
             self._log_view(view, notice.sender.name)
         if notice.evidence is not None:
@@ -148,6 +161,7 @@
             return
         finding = find_regression(move)
         now = self._loop.time()
+        move.add_checkpoint(now)
         if (finding is not None or move.cut) and move.cut_write_at is None:
             move.cut_write_at = now + write_delay_s
         if finding is not None and not move.cut:
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -1,15 +1,19 @@
 """Moves of services to new versions: the traffic of each version, and the evidence about it."""
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
+
 from corianderwall.mesh.directory import EndpointView
 from corianderwall.mesh.messages import Evidence, MoveOrder, MoveView, RouteEvidence
 from corianderwall.model.resource import MoveState
 
-CANARY_FRACTION = 0.6
-"""Fraction of the allowed canary share that a new version gets during its evaluation."""
+CANARY_FRACTION = 0.5
+"""Fraction of the allowed canary share that a new version gets during its evaluation. The rest is
+for the calls that it gets in a shift until it is found to be bad."""
 MIN_CALLS = 6
 """Calls that a version needs, in total or of one route, before it is evaluated."""
 MIN_FAILURES = 3
@@ -25,6 +29,12 @@
 """Fraction of an order's time after which a move with enough calls completes."""
 LATEST_COMPLETION_FRACTION = 0.8
 """Fraction of an order's time after which a move completes with any number of calls."""
+RECENT_EVIDENCE_S = 2.0
+"""Time after which a call no longer counts as recent; a version may turn bad after a good start."""
+RECENT_MIN_CALLS = 12
+"""Recent calls that a version needs before they are evaluated on their own."""
+RECENT_MIN_FAILURES = 5
+"""Recent failures below which a version is not failing."""
 UNORDERED_HOLD_S = 2.0
 """Time for which a version without an order gets no calls; its order may still be in transit."""
 
@@ -66,12 +76,26 @@
     cut_write_at: float | None = None
     shift_until: float | None = None
     evidence: dict[str, Evidence] = field(default_factory=dict)
+    _checkpoints: deque[tuple[float, dict[str, Evidence]]] = field(default_factory=deque)
 
     @property
     def is_running(self) -> bool:
         """Return whether the order has no final state."""
         return self.order.state in (None, MoveState.RUNNING)
 
+    def add_checkpoint(self, now: float) -> None:
+        """Keep the evidence of now, as the start of a later span of recent evidence."""
+        self._checkpoints.append((now, dict(self.evidence)))
+        while len(self._checkpoints) > 1 and self._checkpoints[1][0] <= now - RECENT_EVIDENCE_S:
+            self._checkpoints.popleft()
+
+    def list_recent_evidence(self) -> list[Evidence]:
+        """Return the evidence of the last `RECENT_EVIDENCE_S`, or all of it if there is less."""
+        if not self._checkpoints:
+            return list(self.evidence.values())
+        earlier = self._checkpoints[0][1]
+        return [_subtract(each, earlier.get(key)) for key, each in self.evidence.items()]
+
 
 class MoveTracker:
     """The moves that this node knows; a newer revision of an order replaces an older one."""
@@ -225,29 +249,36 @@
 
 
 def find_regression(move: Move) -> Finding | None:
-    """Return the evidence that the new version of `move` is bad, or None if there is none."""
-    new, old = _sum_routes(move, new=True), _sum_routes(move, new=False)
-    total = _sum_counts(new.values())
-    finding = _compare_counts("all", total, _sum_counts(old.values()), compare_times=False)
-    if finding is not None:
-        return finding
-    for route, count in new.items():
-        finding = _compare_counts(route, count, old.get(route, RouteCounts()), compare_times=True)
-        if finding is not None:
-            return finding
-    return None
+    """Return the evidence that the new version of `move` is bad, or None if there is none.
+
+    The recent calls are also compared on their own: many good calls from before would hide that
+    the version has turned bad, for example because it gets more calls than in its test.
+    """
+    every = list(move.evidence.values())
+    recent = move.list_recent_evidence()
+    return _compare_versions(
+        move.order.version, every, every, min_calls=MIN_CALLS, min_failures=MIN_FAILURES
+    ) or _compare_versions(
+        move.order.version,
+        recent,
+        every,
+        min_calls=RECENT_MIN_CALLS,
+        min_failures=RECENT_MIN_FAILURES,
+    )
 
 
 def sum_evidence(move: Move) -> tuple[RouteCounts, RouteCounts]:
     """Return the counts of the new version of `move` and of all other versions."""
-    new, old = _sum_routes(move, new=True), _sum_routes(move, new=False)
+    version = move.order.version
+    new = _sum_routes(move.evidence.values(), version, new=True)
+    old = _sum_routes(move.evidence.values(), version, new=False)
     return _sum_counts(new.values()), _sum_counts(old.values())
 
 
 def may_complete(move: Move, now: float) -> bool:
     """Return whether the new version has been tested for long enough."""
     age_s = now - move.seen_at
-    calls = _sum_counts(_sum_routes(move, new=True).values()).calls
+    calls = sum_evidence(move)[0].calls
     early = (
         age_s >= move.order.duration_s * EARLY_COMPLETION_FRACTION
         and calls >= EARLY_COMPLETION_CALLS
@@ -272,31 +303,66 @@
     return newer.version != current.version and newer.revision > current.revision
 
 
-def _compare_counts(
-    route: str, new: RouteCounts, old: RouteCounts, *, compare_times: bool
+def _compare_versions(
+    version: str,
+    evidence: list[Evidence],
+    every: list[Evidence],
+    *,
+    min_calls: int,
+    min_failures: int,
 ) -> Finding | None:
-    if new.calls < MIN_CALLS:
-        return None
-    old_failure_rate = old.failures / old.calls if old.calls else 0.0
-    mean_ms = new.sum_ms / new.calls
-    old_mean_ms = old.sum_ms / old.calls if old.calls else 0.0
-    failing = (
-        new.failures >= MIN_FAILURES
-        and new.failures / new.calls > old_failure_rate + MAX_FAILURE_RATE_INCREASE
-    )
-    slow = compare_times and old.calls >= MIN_CALLS and mean_ms > old_mean_ms * MAX_SLOWDOWN_FACTOR
-    if not failing and not slow:
-        return None
-    cause = "failures" if failing else "slow"
-    return Finding(route, cause, new.calls, new.failures, round(mean_ms, 1), round(old_mean_ms, 1))
+    """Compare `version` with the others by `evidence`; fall back to `every` for those without."""
+    new = _sum_routes(evidence, version, new=True)
+    old = _sum_routes(evidence, version, new=False)
+    if _sum_counts(old.values()).calls < min_calls:
+        old = _sum_routes(every, version, new=False)
+    comparison = _Comparison(min_calls, min_failures)
+    total = _sum_counts(new.values())
+    finding = comparison.run("all", total, _sum_counts(old.values()), compare_times=False)
+    if finding is not None:
+        return finding
+    for route, count in new.items():
+        finding = comparison.run(route, count, old.get(route, RouteCounts()), compare_times=True)
+        if finding is not None:
+            return finding
+    return None
+
+
+@dataclass(frozen=True, slots=True)
+class _Comparison:
+    """Compares two versions once the new one has at least these calls and failures."""
+
+    min_calls: int
+    min_failures: int
 
+    def run(
+        self, route: str, new: RouteCounts, old: RouteCounts, *, compare_times: bool
+    ) -> Finding | None:
+        if new.calls < self.min_calls:
+            return None
+        old_failure_rate = old.failures / old.calls if old.calls else 0.0
+        mean_ms = new.sum_ms / new.calls
+        old_mean_ms = old.sum_ms / old.calls if old.calls else 0.0
+        failing = (
+            new.failures >= self.min_failures
+            and new.failures / new.calls > old_failure_rate + MAX_FAILURE_RATE_INCREASE
+        )
+        enough_old = old.calls >= self.min_calls
+        slow = compare_times and enough_old and mean_ms > old_mean_ms * MAX_SLOWDOWN_FACTOR
+        if not failing and not slow:
+            return None
+        cause = "failures" if failing else "slow"
+        return Finding(
+            route, cause, new.calls, new.failures, round(mean_ms, 1), round(old_mean_ms, 1)
+        )
 
-def _sum_routes(move: Move, *, new: bool) -> dict[str, RouteCounts]:
+
+def _sum_routes(evidence: Iterable[Evidence], version: str, *, new: bool) -> dict[str, RouteCounts]:
     sums: dict[str, RouteCounts] = {}
-    for evidence in move.evidence.values():
-        if (evidence.version == move.order.version) is not new:
+    for each in evidence:
+        if (each.version == version) is not new:
             continue
-        for item in evidence.routes:
+        for item in each.routes:
             count = sums.setdefault(item.route, RouteCounts())
             count.calls += item.calls
             count.failures += item.failures
@@ -304,6 +370,25 @@
     return sums
 
 
+def _subtract(evidence: Evidence, earlier: Evidence | None) -> Evidence:
+    """Return the counts of `evidence` since `earlier`; a restarted node counts from zero again."""
+    if earlier is None:
+        return evidence
+    before = {item.route: item for item in earlier.routes}
+    routes = []
+    for item in evidence.routes:
+        base = before.get(item.route)
+        if base is not None and base.calls <= item.calls:
+            item = RouteEvidence(
+                route=item.route,
+                calls=item.calls - base.calls,
+                failures=item.failures - base.failures,
+                sum_ms=item.sum_ms - base.sum_ms,
+            )
+        routes.append(item)
+    return msgspec.structs.replace(evidence, routes=tuple(routes))
+
+
 def _sum_counts(counts: Iterable[RouteCounts]) -> RouteCounts:
     total = RouteCounts()
     for count in counts:
--- a/packages/mesh/tests/test_moves.py
+++ b/packages/mesh/tests/test_moves.py
@@ -132,6 +132,40 @@
     assert judge(make_evidence("v2", 50, 0), make_evidence("v1", 200, 0)) is None
 
 
+# Guards against a bad version that gets all calls for too long because of its many good calls before.
+def test_a_version_that_turns_bad_after_many_good_calls_is_found_by_its_recent_calls() -> None:
+    tracker = make_tracker()
+    move = tracker.moves["s"]
+    tracker.store_evidence(make_evidence("v2", 400, 4))
+    tracker.store_evidence(make_evidence("v1", 6000, 60))
+    move.add_checkpoint(10.0)
+    assert find_regression(move) is None
+    tracker.store_evidence(make_evidence("v2", 430, 19))
+    finding = find_regression(move)
+    assert finding is not None
+    assert (finding.cause, finding.calls, finding.failures) == ("failures", 30, 15)
+
+
+def test_failures_that_both_versions_have_recently_are_not_held_against_the_new_one() -> None:
+    tracker = make_tracker()
+    move = tracker.moves["s"]
+    tracker.store_evidence(make_evidence("v2", 400, 4))
+    tracker.store_evidence(make_evidence("v1", 6000, 60))
+    move.add_checkpoint(10.0)
+    tracker.store_evidence(make_evidence("v2", 430, 19))
+    tracker.store_evidence(make_evidence("v1", 6300, 210))
+    assert find_regression(move) is None
+
+
+def test_recent_evidence_covers_the_last_seconds_only() -> None:
+    tracker = make_tracker()
+    move = tracker.moves["s"]
+    for second in range(10):
+        tracker.store_evidence(make_evidence("v2", 10 * second, 0))
+        move.add_checkpoint(float(second))
+    assert move.list_recent_evidence()[0].routes[0].calls == 20
+
+
 def test_a_version_that_is_several_times_slower_is_bad() -> None:
     assert judge(make_evidence("v2", 10, 0, 400.0), make_evidence("v1", 90, 0)) == "slow"
     # A cold start takes twice as long and must not count as slow.
