Keep a rejected version out of the calls of the next order

Cause: the order for v3 at 12.293 s replaced the move to v2, whose endpoints were still there. Every version but v3 counted as old and so as good.

Change: a move keeps the versions that earlier orders of its service were found bad with and gives them no calls; the views of moves that nodes exchange name them. An order for such a version lets it be tested again.

Evidence: test_a_version_that_was_rolled_back_gets_no_calls_during_the_next_order failed before (['v1', 'v2'] == ['v1']).

--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -179,13 +179,15 @@
     """A node's view of an order; `age_s` is the time since any node first saw it.
 
     `cut` stops calls to the new version before the rollback is written to the platform; `shifting`
-    stops calls to the old version before the move is completed.
+    stops calls to the old version before the move is completed. `rejected` are the versions of
+    earlier orders for the service that were found to be bad.
     """
 
     order: MoveOrder
     age_s: float
     cut: bool = False
     shifting: bool = False
+    rejected: tuple[str, ...] = ()
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -65,6 +65,7 @@
 class Move:
     """The state of one order; times are monotonic seconds, and its time starts at `seen_at`.
 
+    `rejected` are the versions of earlier orders that were found to be bad; they get no calls.
     This node writes the rollback at `cut_write_at` and the completion at `shift_until`. Each is
     None until it is scheduled.
     """
@@ -73,6 +74,7 @@
     seen_at: float
     cut: bool = False
     shifting: bool = False
+    rejected: frozenset[str] = frozenset()
     cut_write_at: float | None = None
     shift_until: float | None = None
     evidence: dict[str, Evidence] = field(default_factory=dict)
@@ -83,6 +85,11 @@
         """Return whether the order has no final state."""
         return self.order.state in (None, MoveState.RUNNING)
 
+    @property
+    def is_rejected(self) -> bool:
+        """Return whether the new version has been found to be bad."""
+        return self.cut or self.order.state is MoveState.TAKEN_BACK
+
     def add_checkpoint(self, now: float) -> None:
         """Keep the evidence of now, as the start of a later span of recent evidence."""
         self._checkpoints.append((now, dict(self.evidence)))
@@ -113,18 +120,29 @@
         order = view.order
         current = self.moves.get(order.service)
         if current is None or _replaces_order(order, current.order):
-            move = Move(order, now - view.age_s, view.cut, view.shifting)
-            self.moves[order.service] = move
+            rejected = set(view.rejected)
+            if current is not None:
+                rejected |= current.rejected
+                if current.is_rejected:
+                    rejected.add(current.order.version)
+            self.moves[order.service] = Move(
+                order,
+                now - view.age_s,
+                view.cut,
+                view.shifting,
+                rejected=frozenset(rejected - {order.version}),
+            )
             return True
         if order.created != current.order.created or order.version != current.order.version:
             return False
-        former = (current.order, current.cut, current.shifting)
+        former = (current.order, current.cut, current.shifting, current.rejected)
         if order.revision > current.order.revision:
             current.order = order
         current.seen_at = min(current.seen_at, now - view.age_s)
         current.cut |= view.cut
         current.shifting |= view.shifting
-        return former != (current.order, current.cut, current.shifting)
+        current.rejected |= frozenset(view.rejected) - {order.version}
+        return former != (current.order, current.cut, current.shifting, current.rejected)
 
     def list_views(self, now: float) -> tuple[MoveView, ...]:
         """Return the views of all orders, to be sent to another node."""
@@ -134,6 +152,7 @@
                 age_s=round(now - move.seen_at, 3),
                 cut=move.cut,
                 shifting=move.shifting,
+                rejected=tuple(sorted(move.rejected)),
             )
             for move in self.moves.values()
         )
@@ -171,6 +190,7 @@
         move = self.moves.get(service)
         if move is None:
             return _exclude_unordered(views, now)
+        views = [view for view in views if view.record.version not in move.rejected]
         if len(views) < 2:
             return self._exclude_bad_version(move, views)
         version = move.order.version
@@ -178,7 +198,7 @@
         old = [view for view in views if view.record.version != version]
         if move.order.state is MoveState.COMPLETED:
             return new or old
-        if move.cut or move.order.state is MoveState.TAKEN_BACK:
+        if move.is_rejected:
             return old
         if not new or not old:
             return new or old
@@ -231,7 +251,7 @@
         return arrivals
 
     def _exclude_bad_version(self, move: Move, views: list[EndpointView]) -> list[EndpointView]:
-        if not move.cut and move.order.state is not MoveState.TAKEN_BACK:
+        if not move.is_rejected:
             return views
         return [view for view in views if view.record.version != move.order.version]
 
--- a/packages/mesh/tests/test_moves.py
+++ b/packages/mesh/tests/test_moves.py
@@ -126,13 +126,38 @@
     assert evidence.routes[0].calls == 1
 
 
+# Guards against calls to a bad version that the next order makes an old one.
+def test_a_version_that_was_rolled_back_gets_no_calls_during_the_next_order(
+    make_endpoint: Any,
+) -> None:
+    views = [
+        EndpointView(make_endpoint(version, version=version), Load())
+        for version in ("v1", "v2", "v3")
+    ]
+    tracker = make_tracker(MoveState.TAKEN_BACK, cut=True)
+    following = make_order(revision=20, created=19, version="v3")
+    tracker.merge_view(MoveView(order=following, age_s=0.0), 5.0)
+    allowed = tracker.filter_endpoints("s", views, 5.0, try_new=False)
+    assert [view.record.version for view in allowed] == ["v1"]
+    # A node that starts now gets this from its peers.
+    restarted = MoveTracker(0.1, Random(1))
+    for view in tracker.list_views(6.0):
+        restarted.merge_view(view, 6.0)
+    assert restarted.filter_endpoints("s", views, 6.0, try_new=False) == allowed
+    # An order for that version lets it be tested again.
+    again = make_order(None, revision=30, created=29, version="v2")
+    tracker.merge_view(MoveView(order=again, age_s=0.0), 7.0)
+    allowed = tracker.filter_endpoints("s", views, 7.0, try_new=True)
+    assert [view.record.version for view in allowed] == ["v2"]
+
+
 def test_a_version_is_bad_only_if_it_fails_more_often_than_the_old_one() -> None:
     assert judge(make_evidence("v2", 10, 5), make_evidence("v1", 200, 0)) == "failures"
     assert judge(make_evidence("v2", 10, 5), make_evidence("v1", 200, 90)) is None
     assert judge(make_evidence("v2", 50, 0), make_evidence("v1", 200, 0)) is None
 
 
-# Guards against a bad version that gets all calls for too long because of its many good calls before.
+# Guards against a bad version that gets all calls for too long: many good calls must not hide it.
 def test_a_version_that_turns_bad_after_many_good_calls_is_found_by_its_recent_calls() -> None:
     tracker = make_tracker()
     move = tracker.moves["s"]
