Tell the eras of the store apart

What callers would see: after a drill in which the store comes back from a copy some seconds old, its revisions are given out again. A watch from a revision that exists again skips the changes up to it; an order that is written again counts as older than the lost one and is ignored, or tests a bad version again; a final state stays lost; nodes that joined since are not found by later ones.

Orders of a newer era with the same version continue the move, orders before it in an old copy are ignored, lost final states and node records are written again, and no state is written for an order of another era.

--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -12,7 +12,7 @@
 from corianderwall.mesh.messages import NodeRecord
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.routes import RouteTable
-from corianderwall.mesh.source import HistoryLostError, Source, SourceError
+from corianderwall.mesh.source import HistoryLostError, Position, Source, SourceError
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.model.delta import Delta, apply_delta, compute_delta
 from corianderwall.model.errors import CorianderwallError
@@ -108,6 +108,8 @@
     ) -> None:
         self.source_ok = True
         self.source_listeners: list[Callable[[], None]] = []
+        self.era_listeners: list[Callable[[], None]] = []
+        self._era: int | None = None
         self._next_test_at = 0.0
         self._joined = joined
         self._holder = holder
@@ -131,34 +133,34 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(JOIN_TIMEOUT_S):
                 await self._joined.wait()
-        revision: int | None = None
+        position: Position | None = None
         pause_s = RETRY_MIN_S
         while True:
             bypass_leader = self._holder.table is None and loop.time() > bypass_leader_at
             if not bypass_leader and not self.is_zone_leader:
-                revision = None
+                position = None
                 await asyncio.sleep(LEADER_CHECK_INTERVAL_S)
                 if not self.source_ok and loop.time() >= self._next_test_at:
                     await self._test_source()
                 continue
             started = loop.time()
             try:
-                revision = await self._read_changes(revision)
+                position = await self._read_changes(position)
                 pause_s = RETRY_MIN_S
                 self._set_source_ok(True, "")
                 await asyncio.sleep(WATCH_PAUSE_S)
             except HistoryLostError:
                 log_info("the history of the configuration has expired; reading all of it")
-                revision = None
+                position = None
             except SourceError as error:
                 log_warning(
                     "reading the configuration from the platform failed",
                     reason=error.reason,
-                    revision=revision,
+                    revision=position.revision if position is not None else None,
                     took_s=round(loop.time() - started, 3),
                 )
                 # A watch could be lost again; a read shows sooner that the platform responds.
-                revision = None
+                position = None
                 # One failure may be a broken connection; a second one shows a platform failure.
                 if pause_s > RETRY_MIN_S:
                     self._set_source_ok(False, error.reason)
@@ -244,15 +246,26 @@
             return
         self._set_source_ok(True, "")
 
-    async def _read_changes(self, revision: int | None) -> int:
-        if revision is None:
+    async def _read_changes(self, position: Position | None) -> Position:
+        if position is None:
             reading = await self._source.read_config()
         else:
-            reading = await self._source.watch_config(revision, WATCH_TIMEOUT_S)
+            reading = await self._source.watch_config(position, WATCH_TIMEOUT_S)
         for snapshot in reading.items:
             if self._holder.apply(snapshot, "platform"):
                 self._forward(None)
-        return reading.revision
+            elif snapshot.version < self._holder.snapshot.version:
+                log_warning(
+                    "the platform has an older configuration than the active one",
+                    config_version=self._holder.snapshot.version,
+                    version_stored=snapshot.version,
+                    era=reading.position.era,
+                )
+        if self._era is not None and reading.position.era > self._era:
+            for listener in self.era_listeners:
+                listener()
+        self._era = reading.position.era
+        return reading.position
 
     def _forward(self, from_zone: str | None) -> None:
         """Forward the configuration to the peers in this zone.
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -44,6 +44,8 @@
 JOIN_RETRY_MAX_S = 3.0
 """First and longest pause before a failed announcement to the platform is repeated."""
 
+MAX_RESTORE_TRIES = 20
+"""Tries to restore records after the platform has come back from an earlier copy."""
 MAX_STALE_LISTS = 3
 """Number of cheap list requests, which may return old data, before a consistent one is made.
 Other nodes may have started only just before."""
@@ -125,6 +127,26 @@
         log_info("joined the fleet through the platform", nodes=len(records), tries=tries)
         self._joined.set()
 
+    async def restore_records(self) -> None:
+        """Write the records of this zone's nodes again if the platform has lost them.
+
+        A platform that comes back from an earlier copy has lost the nodes that joined since, and
+        nodes that start later would not find them.
+        """
+        for _ in range(MAX_RESTORE_TRIES):
+            try:
+                listed = {record.name for record in await self._source.list_nodes(stale=False)}
+                zone = self._directory.own.zone
+                known = [self._directory.own, *(p.record for p in self._directory.list_live())]
+                for record in known:
+                    if record.zone == zone and record.name not in listed:
+                        await self._source.announce_node(record)
+                        log_info("wrote a lost node record again", lost=record.name)
+                return
+            except SourceError as error:
+                log_warning("restoring node records failed", reason=error.reason)
+                await asyncio.sleep(JOIN_RETRY_MIN_S)
+
     def _is_listed(self, records: tuple[NodeRecord, ...]) -> bool:
         own = self._directory.own
         address = (own.name, own.zone, own.host, own.port)
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -13,6 +13,7 @@
     WATCH_TIMEOUT_MARGIN_S,
     ConflictError,
     HistoryLostError,
+    Position,
     Reading,
     SourceError,
 )
@@ -33,6 +34,7 @@
     orders: dict[str, MoveOrder] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     config_revision: int = 0
+    era: int = 1
     silent: bool = False
     _outages: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -51,6 +53,7 @@
             duration_s=duration_s,
             revision=revision,
             created=revision,
+            era=self.era,
         )
 
     def start_silence(self) -> None:
@@ -62,36 +65,54 @@
         """Respond to new requests again; the responses lost so far stay lost."""
         self.silent = False
 
+    def take_copy(self) -> "MemorySource":
+        """Return a copy of the stored objects, for `restore_copy`."""
+        return replace(self, orders=dict(self.orders), nodes=dict(self.nodes))
+
+    def restore_copy(self, copy: "MemorySource") -> None:
+        """Come back from an earlier copy: later changes are gone, their revisions are reused."""
+        self.era += 1
+        self.revision, self.config_revision = copy.revision, copy.config_revision
+        self.snapshot, self.orders, self.nodes = copy.snapshot, copy.orders, copy.nodes
+        self._notify()
+
+    @property
+    def _position(self) -> Position:
+        return Position(self.era, self.revision)
+
     async def read_config(self) -> Reading[Snapshot]:
         """Return the newest configuration, if there is one."""
         await self._admit()
         items = (self.snapshot,) if self.snapshot is not None else ()
-        return Reading(items, self.revision)
+        return Reading(items, self._position)
 
-    async def watch_config(self, revision: int, wait_s: float) -> Reading[Snapshot]:
-        """Return the newest configuration, waiting until it is newer than `revision`."""
-        await self._wait(lambda: self.config_revision > revision, wait_s)
-        if self.snapshot is None or self.config_revision <= revision:
-            return Reading((), self.revision)
-        return Reading((self.snapshot,), self.revision)
+    async def watch_config(self, after: Position, wait_s: float) -> Reading[Snapshot]:
+        """Return the newest configuration, waiting until it is newer than `after`."""
+        await self._wait(lambda: self.config_revision > after.revision, after, wait_s)
+        if self.snapshot is None or self.config_revision <= after.revision:
+            return Reading((), self._position)
+        return Reading((self.snapshot,), self._position)
 
     async def read_orders(self) -> Reading[MoveOrder]:
         """Return all move orders."""
         await self._admit()
-        return Reading(tuple(self.orders.values()), self.revision)
+        orders = (msgspec.structs.replace(each, era=self.era) for each in self.orders.values())
+        return Reading(tuple(orders), self._position)
 
-    async def watch_orders(self, revision: int, wait_s: float) -> Reading[MoveOrder]:
-        """Return the orders that are newer than `revision`, waiting for one."""
-        await self._wait(
-            lambda: any(order.revision > revision for order in self.orders.values()), wait_s
-        )
-        newer = tuple(order for order in self.orders.values() if order.revision > revision)
-        return Reading(newer, self.revision)
+    async def watch_orders(self, after: Position, wait_s: float) -> Reading[MoveOrder]:
+        """Return the orders that are newer than `after`, waiting for one."""
+
+        def list_newer() -> tuple[MoveOrder, ...]:
+            return tuple(each for each in self.orders.values() if each.revision > after.revision)
+
+        await self._wait(lambda: bool(list_newer()), after, wait_s)
+        return Reading(list_newer(), self._position)
 
     async def write_order_state(self, order: MoveOrder, state: MoveState) -> MoveOrder:
         """Write the state of `order` unless it has changed since."""
         await self._admit()
-        if self.orders[order.service].revision != order.revision:
+        stored = self.orders.get(order.service)
+        if stored is None or (order.era, order.revision) != (self.era, stored.revision):
             raise ConflictError("the order has changed")
         written = msgspec.structs.replace(order, state=state, revision=self._advance())
         self.orders[order.service] = written
@@ -110,9 +131,12 @@
 
     def _advance(self) -> int:
         self.revision += 1
+        self._notify()
+        return self.revision
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return self.revision
 
     def _count_request(self) -> None:
         self.calls += 1
@@ -127,16 +151,18 @@
         if self.silent:
             await self._lose_response(asyncio.get_running_loop().time() + CALL_TIMEOUT_S)
 
-    async def _wait(self, is_due: "Condition", wait_s: float) -> None:
+    async def _wait(self, is_due: "Condition", after: Position, wait_s: float) -> None:
         self._count_request()
         lost, outages = self.silent, self._outages
         end = asyncio.get_running_loop().time() + wait_s
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end):
-                while not is_due():
+                while after.era == self.era and not is_due():
                     await self._changed.wait()
         if lost or outages != self._outages:
             await self._lose_response(end + WATCH_TIMEOUT_MARGIN_S)
+        if after.era != self.era or after.revision > self.revision:
+            raise HistoryLostError("the store has come back from an earlier copy")
 
     async def _lose_response(self, timeout_at: float) -> None:
         await asyncio.sleep(timeout_at - asyncio.get_running_loop().time())
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -145,7 +145,8 @@
     """An operator's order to move a service to a new version, as stored at the platform.
 
     `revision` is the current revision of the stored object and `created` its first one, which
-    distinguishes two orders for one service. `state` is None until the system has written one.
+    distinguishes two orders for one service; both belong to an era of the store, see `Position`.
+    `state` is None until the system has written one.
     """
 
     service: str
@@ -154,6 +155,7 @@
     revision: int
     created: int
     state: MoveState | None = None
+    era: int = 0
 
 
 class RouteEvidence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -18,7 +18,13 @@
     sum_evidence,
 )
 from corianderwall.mesh.peerlink import PeerLink
-from corianderwall.mesh.source import ConflictError, HistoryLostError, Source, SourceError
+from corianderwall.mesh.source import (
+    ConflictError,
+    HistoryLostError,
+    Position,
+    Source,
+    SourceError,
+)
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.model.resource import MoveState
 from corianderwall.node.logs import log_info, log_warning
@@ -72,33 +78,39 @@
 
     async def watch_orders(self) -> None:
         """Watch the platform for orders while this node is the leader of its zone."""
-        revision: int | None = None
+        position: Position | None = None
         while True:
             if not self._sync.is_zone_leader:
-                revision = None
+                position = None
                 await asyncio.sleep(WATCH_PAUSE_S)
                 continue
             try:
-                if revision is None:
+                if position is None:
                     reading = await self._source.read_orders()
                 else:
-                    reading = await self._source.watch_orders(revision, WATCH_TIMEOUT_S)
-                revision = reading.revision
+                    reading = await self._source.watch_orders(position, WATCH_TIMEOUT_S)
+                position = reading.position
                 self._apply_orders(reading.items)
             except HistoryLostError:
                 log_info("the history of the move orders has expired; reading all of them")
-                revision = None
+                position = None
             except SourceError as error:
                 log_warning(
-                    "watching the move orders failed", reason=error.reason, revision=revision
+                    "watching the move orders failed",
+                    reason=error.reason,
+                    revision=position.revision if position is not None else None,
                 )
-                revision = None
+                position = None
             await asyncio.sleep(WATCH_PAUSE_S)
 
     async def run(self) -> None:
         """Send evidence to the leaders, and evaluate moves while this node is one of them."""
         while True:
-            running = [move for move in self._tracker.moves.values() if move.is_running]
+            running = [
+                move
+                for move in self._tracker.moves.values()
+                if move.is_running or move.is_state_lost
+            ]
             if not running:
                 await asyncio.sleep(IDLE_INTERVAL_S)
                 continue
@@ -157,7 +169,9 @@
 
         Leaders earlier in the order have a shorter delay, so usually one of them has written it.
         """
-        if not move.is_running:
+        if move.settled is not None:
+            if move.is_state_lost:
+                self._start_write(move, move.settled)
             return
         finding = find_regression(move)
         now = self._loop.time()
@@ -224,6 +238,7 @@
         except ConflictError:
             log_info("a move order changed before its state was written", service=service)
             await self._reload_orders()
+            await asyncio.sleep(WATCH_PAUSE_S)
         except SourceError as error:
             log_warning(
                 "writing the state of a move failed",
@@ -269,4 +284,5 @@
             age_s=view.age_s,
             origin=origin,
             revision=order.revision,
+            era=order.era,
         )
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -35,6 +35,7 @@
 """Recent calls that a version needs before they are evaluated on their own."""
 RECENT_MIN_FAILURES = 5
 """Recent failures below which a version is not failing."""
+FINAL_STATES = (MoveState.COMPLETED, MoveState.TAKEN_BACK)
 UNORDERED_HOLD_S = 2.0
 """Time for which a version without an order gets no calls; its order may still be in transit."""
 
@@ -66,6 +67,8 @@
     """The state of one order; times are monotonic seconds, and its time starts at `seen_at`.
 
     `rejected` are the versions of earlier orders that were found to be bad; they get no calls.
+    `settled` is the final state once it is known; the store may have lost it with an era. `former`
+    holds the last known orders of other versions, by version, to recognise them in an old copy.
     This node writes the rollback at `cut_write_at` and the completion at `shift_until`. Each is
     None until it is scheduled.
     """
@@ -75,20 +78,41 @@
     cut: bool = False
     shifting: bool = False
     rejected: frozenset[str] = frozenset()
+    settled: MoveState | None = None
+    former: dict[str, MoveOrder] = field(default_factory=dict)
     cut_write_at: float | None = None
     shift_until: float | None = None
     evidence: dict[str, Evidence] = field(default_factory=dict)
     _checkpoints: deque[tuple[float, dict[str, Evidence]]] = field(default_factory=deque)
 
+    def __post_init__(self) -> None:
+        if self.order.state in FINAL_STATES:
+            self.settled = self.order.state
+
     @property
     def is_running(self) -> bool:
         """Return whether the order has no final state."""
-        return self.order.state in (None, MoveState.RUNNING)
+        return self.settled is None
+
+    @property
+    def is_state_lost(self) -> bool:
+        """Return whether the store has lost the final state with an era."""
+        return self.settled is not None and self.order.state is not self.settled
 
     @property
     def is_rejected(self) -> bool:
         """Return whether the new version has been found to be bad."""
-        return self.cut or self.order.state is MoveState.TAKEN_BACK
+        return self.cut or self.settled is MoveState.TAKEN_BACK
+
+    def update_order(self, order: MoveOrder) -> None:
+        """Replace the order by a newer state of it."""
+        if order.created != self.order.created:
+            # The counts so far are those of the object that the store has lost.
+            self.evidence.clear()
+            self._checkpoints.clear()
+        self.order = order
+        if order.state in FINAL_STATES:
+            self.settled = order.state
 
     def add_checkpoint(self, now: float) -> None:
         """Keep the evidence of now, as the start of a later span of recent evidence."""
@@ -119,25 +143,17 @@
         """Merge a view of an order; return whether it changed anything."""
         order = view.order
         current = self.moves.get(order.service)
-        if current is None or _replaces_order(order, current.order):
-            rejected = set(view.rejected)
-            if current is not None:
-                rejected |= current.rejected
-                if current.is_rejected:
-                    rejected.add(current.order.version)
-            self.moves[order.service] = Move(
-                order,
-                now - view.age_s,
-                view.cut,
-                view.shifting,
-                rejected=frozenset(rejected - {order.version}),
-            )
+        if current is None or _replaces_order(order, current):
+            self.moves[order.service] = _start_move(view, current, now)
             return True
-        if order.created != current.order.created or order.version != current.order.version:
+        if not _is_same_order(order, current.order):
             return False
         former = (current.order, current.cut, current.shifting, current.rejected)
-        if order.revision > current.order.revision:
-            current.order = order
+        if (order.era, order.revision) > (current.order.era, current.order.revision):
+            current.update_order(order)
+        elif current.settled is None and order.state in FINAL_STATES:
+            # A peer knows a state that the store has lost.
+            current.settled = order.state
         current.seen_at = min(current.seen_at, now - view.age_s)
         current.cut |= view.cut
         current.shifting |= view.shifting
@@ -196,7 +212,7 @@
         version = move.order.version
         new = [view for view in views if view.record.version == version]
         old = [view for view in views if view.record.version != version]
-        if move.order.state is MoveState.COMPLETED:
+        if move.settled is MoveState.COMPLETED:
             return new or old
         if move.is_rejected:
             return old
@@ -317,10 +333,46 @@
     return order.service, order.created, order.version
 
 
-def _replaces_order(newer: MoveOrder, current: MoveOrder) -> bool:
-    if newer.created != current.created:
-        return newer.created > current.created
-    return newer.version != current.version and newer.revision > current.revision
+def _start_move(view: MoveView, current: Move | None, now: float) -> Move:
+    """Return the move of a new order, which replaces `current`."""
+    order = view.order
+    rejected = set(view.rejected)
+    former: dict[str, MoveOrder] = {}
+    if current is not None:
+        former = current.former | {current.order.version: current.order}
+        rejected |= current.rejected
+        if current.is_rejected:
+            rejected.add(current.order.version)
+    return Move(
+        order,
+        now - view.age_s,
+        view.cut,
+        view.shifting,
+        rejected=frozenset(rejected - {order.version}),
+        former=former,
+    )
+
+
+def _is_same_order(order: MoveOrder, other: MoveOrder) -> bool:
+    """Return whether both are states of one order; an order written again has another `created`."""
+    same_object = order.created == other.created or order.era != other.era
+    return order.version == other.version and same_object
+
+
+def _replaces_order(newer: MoveOrder, current: Move) -> bool:
+    order = current.order
+    if newer.era != order.era:
+        # An earlier copy of the store may hold the order before the current one, which the
+        # operator writes again.
+        former = current.former.get(newer.version)
+        restored = former is not None and (newer.created, newer.revision) <= (
+            former.created,
+            former.revision,
+        )
+        return newer.era > order.era and newer.version != order.version and not restored
+    if newer.created != order.created:
+        return newer.created > order.created
+    return newer.version != order.version and newer.revision > order.revision
 
 
 def _compare_versions(
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -171,6 +171,7 @@
         self._extra_servers: list[CallServer] = []
         self.holder.listeners.append(self._apply_configuration)
         self.sync.source_listeners.append(self.gossip.broadcast_heartbeat)
+        self.sync.era_listeners.append(self._restore_records)
 
     @property
     def is_ready(self) -> bool:
@@ -260,6 +261,9 @@
         opening = Deferred.fromCoroutine(server.listen(address.host, address.port))
         await opening.asFuture(self._loop)
 
+    def _restore_records(self) -> None:
+        self.spawn(self.gossip.restore_records())
+
     def _announce_endpoint(self, record: EndpointRecord) -> None:
         self.gossip.announce_endpoint(record)
 
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -30,12 +30,24 @@
     """The object has been changed since it was read."""
 
 
+@dataclass(frozen=True, slots=True)
+class Position:
+    """A state of the store.
+
+    A store that comes back from an earlier copy starts the next `era` and gives out the revisions
+    after that copy again, so that revisions of different eras can't be compared.
+    """
+
+    era: int
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Reading(Generic[Item]):
-    """The result of a read or a watch, and the revision from which to watch next."""
+    """The result of a read or a watch, and the position from which to watch next."""
 
     items: tuple[Item, ...]
-    revision: int
+    position: Position
 
 
 class Source(Protocol):
@@ -48,17 +60,26 @@
     async def read_config(self) -> Reading[Snapshot]:
         """Return the newest configuration, if there is one."""
 
-    async def watch_config(self, revision: int, wait_s: float) -> Reading[Snapshot]:
-        """Return the configurations written after `revision`, waiting until there is one."""
+    async def watch_config(self, after: Position, wait_s: float) -> Reading[Snapshot]:
+        """Return the configurations written after `after`, waiting until there is one.
+
+        Raise `HistoryLostError` if the store no longer has that position.
+        """
 
     async def read_orders(self) -> Reading[MoveOrder]:
         """Return all move orders."""
 
-    async def watch_orders(self, revision: int, wait_s: float) -> Reading[MoveOrder]:
-        """Return the orders written after `revision`, waiting until there is one."""
+    async def watch_orders(self, after: Position, wait_s: float) -> Reading[MoveOrder]:
+        """Return the orders written after `after`, waiting until there is one.
+
+        Raise `HistoryLostError` if the store no longer has that position.
+        """
 
     async def write_order_state(self, order: MoveOrder, state: MoveState) -> MoveOrder:
-        """Write the state of `order` unless it has changed since; return it as written."""
+        """Write the state of `order` unless it has changed since; return it as written.
+
+        Raise `ConflictError` if it has changed, or if the store is in another era.
+        """
 
     async def announce_node(self, record: NodeRecord) -> None:
         """Write the record of this node."""
--- a/packages/mesh/tests/test_configuration.py
+++ b/packages/mesh/tests/test_configuration.py
@@ -209,3 +209,26 @@
         watching.cancel()
 
     return run(scenario())
+
+
+# Guards against configurations that are skipped after the store came back from an earlier copy and
+# has given out the revision of the last watch again.
+def test_a_version_is_active_although_its_revision_was_given_out_before() -> Deferred[None]:
+    async def scenario() -> None:
+        source = MemorySource()
+        source.put_config(make_snapshot(1))
+        node = SyncNode("n0", 0, source=source)
+        watching = node.spawn(node.sync.run())
+        await node.wait_for_version(1, 1.0)
+        copy = source.take_copy()
+        for version in (2, 3):
+            source.put_config(make_snapshot(version))
+        await node.wait_for_version(3, 1.0)
+        source.restore_copy(copy)
+        source.put_config(make_snapshot(4))
+        for _ in range(3):
+            source.put_order("s", "v2", 60.0)
+        await node.wait_for_version(4, CONTACT_S)
+        watching.cancel()
+
+    return run(scenario())
--- a/packages/mesh/tests/test_moves.py
+++ b/packages/mesh/tests/test_moves.py
@@ -1,6 +1,8 @@
 from random import Random
 from typing import Any
 
+import pytest
+
 from corianderwall.mesh.directory import EndpointView
 from corianderwall.mesh.messages import (
     Evidence,
@@ -19,6 +21,7 @@
     revision: int = 5,
     created: int = 1,
     version: str = "v2",
+    era: int = 0,
 ) -> MoveOrder:
     return MoveOrder(
         service="s",
@@ -27,6 +30,7 @@
         revision=revision,
         created=created,
         state=state,
+        era=era,
     )
 
 
@@ -239,3 +243,66 @@
     for view in views:
         view.joined_at = 100.0
     assert list_allowed(101.0) == {"v1", "v2"}
+
+
+# Guards against a bad version that is tested again because the store has lost its order.
+def test_an_order_that_the_store_lost_and_got_again_keeps_its_verdict(make_endpoint: Any) -> None:
+    tracker = make_tracker(cut=True)
+    again = make_order(None, revision=4, created=4, era=1)
+    assert tracker.merge_view(MoveView(order=again, age_s=0.0), 9.0)
+    move = tracker.moves["s"]
+    assert (move.order, move.cut, move.seen_at) == (again, True, 0.0)
+    assert set(list_versions(tracker, make_endpoint)) == {"v1"}
+
+
+# Guards against a finished move whose state stays lost after the store came back from a copy.
+@pytest.mark.parametrize("state", [MoveState.COMPLETED, MoveState.TAKEN_BACK])
+def test_a_final_state_that_the_store_has_lost_is_to_be_written_again(
+    state: MoveState, make_endpoint: Any
+) -> None:
+    tracker = make_tracker(state)
+    served = set(list_versions(tracker, make_endpoint))
+    restored = make_order(MoveState.RUNNING, revision=3, era=1)
+    tracker.merge_view(MoveView(order=restored, age_s=0.0), 9.0)
+    move = tracker.moves["s"]
+    assert move.is_state_lost
+    assert not move.is_running
+    assert set(list_versions(tracker, make_endpoint)) == served
+    written = make_order(state, revision=4, era=1)
+    tracker.merge_view(MoveView(order=written, age_s=0.0), 10.0)
+    assert not move.is_state_lost
+
+
+def test_a_final_state_that_the_store_has_lost_reaches_a_restarted_node() -> None:
+    tracker = make_tracker(MoveState.COMPLETED)
+    restarted = MoveTracker(0.1, Random(1))
+    restored = make_order(MoveState.RUNNING, revision=3, era=1)
+    restarted.merge_view(MoveView(order=restored, age_s=0.0), 9.0)
+    for view in tracker.list_views(9.0):
+        restarted.merge_view(view, 9.0)
+    assert restarted.moves["s"].is_state_lost
+
+
+# Guards against calls to the former version because an old copy of the store names its order.
+def test_the_former_order_in_an_old_copy_does_not_replace_the_current_one() -> None:
+    tracker = make_tracker(MoveState.COMPLETED)
+    following = make_order(revision=20, created=19, version="v3")
+    tracker.merge_view(MoveView(order=following, age_s=0.0), 5.0)
+    restored = make_order(MoveState.COMPLETED, era=1)
+    assert not tracker.merge_view(MoveView(order=restored, age_s=0.0), 9.0)
+    assert tracker.moves["s"].order == following
+    # The operator writes the lost order again, or another one.
+    again = make_order(None, revision=8, created=8, version="v3", era=1)
+    assert tracker.merge_view(MoveView(order=again, age_s=0.0), 10.0)
+    assert tracker.moves["s"].seen_at == 5.0
+    other = make_order(None, revision=9, created=9, version="v2", era=1)
+    assert tracker.merge_view(MoveView(order=other, age_s=0.0), 11.0)
+    assert tracker.moves["s"].order == other
+
+
+def test_an_order_of_an_earlier_era_replaces_nothing() -> None:
+    tracker = MoveTracker(0.1, Random(1))
+    current = make_order(revision=3, created=3, version="v3", era=2)
+    tracker.merge_view(MoveView(order=current, age_s=0.0), 0.0)
+    late = make_order(revision=50, created=40, version="v2", era=1)
+    assert not tracker.merge_view(MoveView(order=late, age_s=0.0), 1.0)
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -489,6 +489,28 @@
     return run_scenario(scenario)
 
 
+# Guards against what the store loses when it comes back from an earlier copy: the states of moves
+# and the records through which new nodes find the others.
+def test_what_the_nodes_wrote_is_written_again_after_the_store_has_lost_it() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        await fleet.add("n1")
+        copy = fleet.source.take_copy()
+        await fleet.add("n2", announce=False)
+        fleet.source.put_order("s", "v1", 0.5)
+        orders = fleet.source.orders
+        await fleet.wait_until_synced()
+        await fleet.wait_for(lambda: orders["s"].state is MoveState.COMPLETED)
+        fleet.source.restore_copy(copy)
+        assert "n2" not in fleet.source.nodes
+        fleet.source.put_order("s", "v1", 0.5)
+        orders = fleet.source.orders
+        await fleet.wait_for(lambda: orders["s"].state is MoveState.COMPLETED)
+        await fleet.wait_for(lambda: "n2" in fleet.source.nodes)
+
+    return run_scenario(scenario)
+
+
 def test_nested_calls_add_nothing_to_the_retry_budget() -> Deferred[None]:
     """An overloaded service that rejects calls gets far more nested calls than calls of callers."""
 
