Start no more calls than the rate that an endpoint names

Cause: nothing read Server-Limit. The owner limits how many calls run at once, not how many start.

Change: the owner's admission queue has a token bucket with the named rate. Waits, Retry-After and the refusal of late calls count it. Entries know the limit with the load, avoid the endpoint until its next call may start, and tell a restarted owner.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from corianderwall.mesh.ratelimit import RateLimit
 from corianderwall.mesh.uplink import Uplink
 
 EWMA_WEIGHT = 0.15
@@ -48,11 +49,13 @@
     """A queue in front of `slots` slots: timely calls first, then by rank and due time.
 
     A call with a big response starts only when `uplink` will be free to send the response, which
-    would otherwise wait there. Meanwhile calls with small responses may overtake it.
+    would otherwise wait there. Meanwhile calls with small responses may overtake it. No call starts
+    beyond the rate `limit` that the endpoint has named.
     """
 
     slots: int
     uplink: Uplink = field(default_factory=Uplink)
+    limit: RateLimit = field(default_factory=RateLimit)
     running: set[QueuedCall] = field(default_factory=set)
     waiting: list[QueuedCall] = field(default_factory=list)
     route_means_s: dict[str, float] = field(default_factory=dict)
@@ -109,7 +112,7 @@
         late = [t for t in self.waiting if self._estimate_end(t, now) > t.deadline]
         for call in late:
             self.waiting.remove(call)
-        while len(self.running) < self.slots:
+        while len(self.running) < self.slots and self.limit.permits(now):
             ready = [t for t in self.waiting if self._is_link_free(t, now)]
             if not ready:
                 break
@@ -138,7 +141,8 @@
 
     def estimate_start(self, call: QueuedCall, now: float) -> float:
         """Return the seconds until a new call could start, given the slots and the link."""
-        wait_s = self.estimate_wait(now, call.rank)
+        ahead = sum(1 for waiting in self.waiting if waiting.rank <= call.rank)
+        wait_s = max(self.estimate_wait(now, call.rank), self.limit.estimate_wait(now, ahead))
         if not call.sending_s:
             return wait_s
         ahead_s = sum(t.sending_s for t in self.waiting if t.rank <= call.rank)
@@ -154,6 +158,8 @@
         """Return whether a new call may start now; small ones pass calls waiting for the link."""
         if len(self.running) >= self.slots or not self._is_link_free(call, now):
             return False
+        if not self.limit.permits(now):
+            return False
         return not any(
             call.sending_s or self._is_link_free(waiting, now) for waiting in self.waiting
         )
@@ -181,6 +187,7 @@
 
     def _start(self, call: QueuedCall, now: float) -> None:
         call.started = now
+        self.limit.take(now)
         self.running.add(call)
 
 
--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -62,6 +62,8 @@
 class EndpointView:
     """An endpoint with its load; `pending` counts the calls from this node.
 
+    `limit_per_s` is the rate that it last named, also if its owner has restarted since.
+
     Its owner has recently refused calls: until `full_until` it is assumed to have no free slot,
     and until the time in `late_until` to be too slow for the deadlines of that route's calls.
     """
@@ -71,6 +73,7 @@
     load_at: float = 0.0
     changed_at: float = 0.0
     pending: int = 0
+    limit_per_s: float | None = None
     deprioritized_until: float = 0.0
     joined_at: float = 0.0
     full_until: float = 0.0
@@ -166,6 +169,8 @@
         if view is not None:
             view.load = load
             view.load_at = now
+            if load.has_responded:
+                view.limit_per_s = load.limit_per_s
 
     def record_response(self, node: str, now: float) -> None:
         """Record that `node` responds."""
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -37,6 +37,8 @@
 
 AVOID_WHEN_FULL_S = 0.05
 """How long an endpoint without a free slot is not asked for one; shorter than a typical call."""
+AVOID_WHEN_LIMITED_S = 1.0
+"""Longest time for which an endpoint that has named a rate limit is not asked for a slot."""
 AVOID_WHEN_LATE_S = 0.15
 """How long an endpoint whose queue is too long is not asked to queue; about one queue length."""
 BIG_RESPONSE_BYTES = 16_384
@@ -265,6 +267,7 @@
             idempotent=bool(route.idempotent),
             route=route.name,
             over_link=record.node != self._settings.name,
+            limit_per_s=view.limit_per_s,
         )
         owner: Owner = self._local_owner
         if metadata.over_link:
@@ -301,7 +304,10 @@
             # A repeated request goes to the proven version.
             state.try_new = False
         if metadata.refusal is Refusal.FULL:
-            view.full_until = now + AVOID_WHEN_FULL_S
+            avoid_s = AVOID_WHEN_FULL_S
+            if metadata.load.limit_per_s is not None:
+                avoid_s = max(avoid_s, min(metadata.wait_ms / 1000, AVOID_WHEN_LIMITED_S))
+            view.full_until = now + avoid_s
         elif metadata.refusal is Refusal.LATE:
             state.refused_wait_ms.append(metadata.wait_ms)
             view.late_until[state.route.name] = now + AVOID_WHEN_LATE_S
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -12,7 +12,7 @@
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
 from corianderwall.mesh.endpoint import EndpointTracker
-from corianderwall.mesh.exchange import Exchange, run_exchange
+from corianderwall.mesh.exchange import Exchange, Response, run_exchange
 from corianderwall.mesh.messages import (
     CallMetadata,
     EndpointRecord,
@@ -22,6 +22,7 @@
     ResponseMetadata,
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
+from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.node.logs import LogBudget, log_info, log_warning
@@ -93,6 +94,8 @@
         self._waiting_timer: asyncio.TimerHandle | None = None
         self._waits: dict[QueuedCall, Deferred[Refusal | None]] = {}
         self._failure_rate = 0.0
+        # Set once the endpoint has responded to this process, whose knowledge then decides.
+        self._has_responded = False
 
     @property
     def record(self) -> EndpointRecord | None:
@@ -116,6 +119,8 @@
             slots=queue.slots,
             service_ms=round(queue.mean_s * 1000, 1),
             failures=round(self._failure_rate, 3),
+            limit_per_s=queue.limit.rate_per_s,
+            has_responded=self._has_responded,
         )
 
     async def serve(self, metadata: CallMetadata, request: ForwardedRequest) -> OwnerResponse:
@@ -125,6 +130,8 @@
         refusal = self._find_refusal(metadata.endpoint)
         if refusal is not None:
             return self._refuse(request, refusal)
+        if not self._has_responded and metadata.limit_per_s is not None:
+            self._set_limit(metadata.limit_per_s, "an entry")
         rank = 0 if metadata.nested else 1 + metadata.priority
         sending_s = self._uplink.estimate_sending_s(metadata.route) if metadata.over_link else 0.0
         due = now + metadata.due_ms / 1000
@@ -186,6 +193,7 @@
         self._pool.close()
         self._pool = self._make_pool()
         self._failure_rate = 0.0
+        self._has_responded = False
         self.queue = AdmissionQueue(record.slots, self._uplink)
 
     def _handle_change(self, record: EndpointRecord) -> None:
@@ -296,6 +304,7 @@
         if response is None:
             return self._handle_failure(metadata, request, exchange)
         self.endpoint.record_response()
+        self._read_notices(metadata, response)
         if response.status == MISDIRECTED:
             log_warning(
                 "another endpoint uses the address of this endpoint", endpoint=metadata.endpoint
@@ -322,6 +331,27 @@
             ResponseMetadata(ran=True, load=self.read_load(), took_ms=total_ms), response
         )
 
+    def _read_notices(self, metadata: CallMetadata, response: Response) -> None:
+        """Apply what an endpoint says of itself in each response."""
+        record = self.record
+        if record is None or record.id != metadata.endpoint or response.status == MISDIRECTED:
+            return
+        self._has_responded = True
+        self._set_limit(parse_rate(response.find_header(self._headers.limit)), "the endpoint")
+
+    def _set_limit(self, limit_per_s: float | None, origin: str) -> None:
+        limit = self.queue.limit
+        former = limit.rate_per_s
+        limit.set_rate(limit_per_s, self._loop.time())
+        if limit.rate_per_s != former:
+            self._log(
+                "the rate limit of the endpoint changed",
+                endpoint=self.record.id if self.record is not None else "",
+                former_per_s=former,
+                limit_per_s=limit.rate_per_s,
+                origin=origin,
+            )
+
     def _handle_failure(
         self, metadata: CallMetadata, request: ForwardedRequest, exchange: Exchange
     ) -> OwnerResponse:
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -74,6 +74,8 @@
     """The load of an endpoint as its owner counts it.
 
     `service_ms` is the mean time of a call, `failures` the share of calls that failed.
+    `limit_per_s` is how many calls a second the endpoint takes, None if it has named no limit;
+    this is not known before it `has_responded` to the owner's process.
     """
 
     running: int = 0
@@ -81,6 +83,8 @@
     slots: int = 0
     service_ms: float = 0.0
     failures: float = 0.0
+    limit_per_s: float | None = None
+    has_responded: bool = False
 
 
 class CallMetadata(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -89,7 +93,8 @@
     A response later than `due_ms` from now is late. `may_wait` allows the owner to queue the call.
     `nested` marks a call that a running call makes. `is_retry` marks a call that has reached an
     endpoint before, or that a retried call makes. `over_link` is set if the response has to leave
-    the owner's host.
+    the owner's host. `limit_per_s` is the endpoint's limit as the entry knows it, for an owner that
+    has just started.
     """
 
     endpoint: str
@@ -103,6 +108,7 @@
     idempotent: bool
     route: str
     over_link: bool = False
+    limit_per_s: float | None = None
 
 
 class Refusal(enum.StrEnum):
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HeaderNames:
-    """The headers, in lower case, that callers and endpoints use; given by the adapter."""
+    """The headers, in lower case, that callers and endpoints use; given by the adapter.
+
+    An endpoint names in `limit` how many requests a second it takes.
+    """
 
     request_id: bytes
     deadline_ms: bytes
@@ -16,6 +19,7 @@
     instance_id: bytes
     not_run: bytes
     caller: bytes
+    limit: bytes
     retry_after: bytes = b"retry-after"
 
 
--- a/packages/mesh/tests/test_admission.py
+++ b/packages/mesh/tests/test_admission.py
@@ -1,5 +1,7 @@
 from heapq import heappop, heappush
 
+import pytest
+
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
 from corianderwall.mesh.uplink import BIG_RATE_FRACTION, Uplink
 
@@ -252,3 +254,22 @@
     assert small_before < 100
     assert small_after == 400
     assert big_after > 4 * big_before
+
+
+def test_calls_wait_for_the_rate_limit_of_the_endpoint_although_slots_are_free() -> None:
+    queue = AdmissionQueue(4)
+    queue.limit.set_rate(2.0, 100.0)
+    assert queue.offer(make_call(200.0), 100.0, may_wait=False) is Admission.START
+    assert queue.offer(make_call(200.0), 100.0, may_wait=False) is Admission.FULL
+    waiting = make_call(200.0)
+    assert queue.offer(waiting, 100.0, may_wait=True) is Admission.WAIT
+    assert queue.estimate_start(make_call(200.0), 100.0) == pytest.approx(1.0)
+    assert queue.dispatch(100.4) == ([], [])
+    assert queue.dispatch(100.6) == ([waiting], [])
+
+
+def test_a_call_that_the_rate_limit_would_make_late_is_refused_at_once() -> None:
+    queue = AdmissionQueue(4)
+    queue.limit.set_rate(0.5, 100.0)
+    queue.offer(make_call(200.0), 100.0, may_wait=False)
+    assert queue.offer(make_call(101.5), 100.0, may_wait=True) is Admission.LATE
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -23,6 +23,7 @@
     instance_id=b"instance-id",
     not_run=b"not-executed",
     caller=b"caller-service",
+    limit=b"server-limit",
 )
 
 
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -30,6 +30,7 @@
     instance_id=b"instance-id",
     not_run=b"not-executed",
     caller=b"caller-service",
+    limit=b"server-limit",
 )
 WAIT_S = 5.0
 """Timeout of a wait for an expected state; reached only if a test fails."""
@@ -511,6 +512,56 @@
     return run_scenario(scenario)
 
 
+# Guards against an endpoint in need that gets more requests than its limit, also from an owner that
+# has restarted and has not heard the endpoint yet.
+def test_an_endpoint_that_names_a_limit_gets_no_more_requests_from_all_nodes_together() -> (
+    Deferred[None]
+):
+    async def scenario(fleet: Fleet) -> None:
+        loop = asyncio.get_running_loop()
+        starts: list[float] = []
+
+        async def respond(request: ReceivedRequest) -> bytes:
+            if request.headers["expected-instance"] == "i-n1":
+                starts.append(loop.time())
+            await asyncio.sleep(0.01)
+            return make_response(request)
+
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=1)))
+        limited = await fleet.add("n1")
+        await fleet.add("n2")
+        await fleet.add("n3", announce=False)
+        await fleet.wait_until_synced()
+        for name in fleet.hosts:
+            for _ in range(5):
+                await fleet.send_call(name)
+        limited.upstream.limit_per_s = 5.0
+
+        async def send_calls(name: str, until: float) -> list[int]:
+            statuses = []
+            while loop.time() < until:
+                statuses.append((await fleet.send_call(name)).status)
+            return statuses
+
+        async def send_all(seconds: float) -> list[int]:
+            until = loop.time() + seconds
+            results = await asyncio.gather(*(send_calls(name, until) for name in fleet.hosts))
+            return [status for statuses in results for status in statuses]
+
+        await send_all(0.5)
+        began = loop.time()
+        assert set(await send_all(2.0)) == {200}
+        # A process that has just started knows no limit by itself.
+        limited.node.gate._has_responded = False
+        limited.node.gate.queue.limit.set_rate(None, loop.time())
+        await send_all(2.0)
+        got = sum(1 for start in starts if start >= began)
+        assert 10 <= got <= 1.5 * 5.0 * 4.0 + 5
+
+    return run_scenario(scenario)
+
+
 def test_nested_calls_add_nothing_to_the_retry_budget() -> Deferred[None]:
     """An overloaded service that rejects calls gets far more nested calls than calls of callers."""
 
--- a/packages/standins/src/corianderwall/standins/scripted.py
+++ b/packages/standins/src/corianderwall/standins/scripted.py
@@ -15,7 +15,10 @@
 
 @dataclass
 class ScriptedUpstream:
-    """Listens on loopback; `respond` returns the raw response, or None to send none."""
+    """Listens on loopback; `respond` returns the raw response, or None to send none.
+
+    While `limit_per_s` is set, each response names it as the endpoint's rate limit.
+    """
 
     respond: Callable[["ReceivedRequest"], Awaitable[bytes | None]]
     requests: list[ReceivedRequest] = field(default_factory=list)
@@ -23,6 +26,7 @@
     accepted_connections: int = 0
     port: int = 0
     max_concurrent: int = 0
+    limit_per_s: float | None = None
     _running: int = 0
 
     async def start(self) -> None:
@@ -34,6 +38,13 @@
         """Stop accepting connections."""
         self._server.close()
 
+    def _add_notices(self, raw: bytes) -> bytes:
+        status, separator, rest = raw.partition(b"\r\n")
+        notices = b""
+        if self.limit_per_s is not None:
+            notices += b"Server-Limit: %.1f\r\n" % self.limit_per_s
+        return status + separator + notices + rest
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open_connections += 1
         self.accepted_connections += 1
@@ -53,7 +64,7 @@
                 if raw is None:
                     await reader.read()
                     return
-                writer.write(raw)
+                writer.write(self._add_notices(raw))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
