Give no more calls to an endpoint that says in a response that it is leaving

Cause: nothing read Server-Leaving; only heartbeats and leave notices drain an endpoint.

Change: the owner drains the endpoint on the first such response, which is final for this start and reaches the peers like an announced drain, so it binds a restarted owner too.

--- a/packages/bench/src/corianderwall/bench/platform_path.py
+++ b/packages/bench/src/corianderwall/bench/platform_path.py
@@ -26,6 +26,7 @@
     not_run=b"not-executed",
     caller=b"caller-service",
     limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 REQUEST = b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %d\r\nDeadline-Ms: 5000\r\n\r\n"
 WARM_UP_CALLS = 100
--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -136,6 +136,12 @@
         """Record that the endpoint has responded."""
         self._last_seen_at = self._loop.time()
 
+    def mark_leaving(self) -> None:
+        """Give the endpoint no more calls, as it has said in a response that it is leaving."""
+        record = self.record
+        if record is not None and STATE_RANK[record.state] < STATE_RANK[EndpointState.DRAINING]:
+            self._set_state(EndpointState.DRAINING, "said so in a response")
+
     def mark_down(self, cause: str) -> None:
         """Mark the endpoint as down until it announces itself again."""
         self._set_state(EndpointState.DOWN, cause)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -28,6 +28,7 @@
 from corianderwall.node.logs import LogBudget, log_info, log_warning
 
 MISDIRECTED = 421
+LEAVING = b"1"
 SERVER_ERROR = 500
 EWMA_WEIGHT = 0.1
 """Weight of the newest call in the failure rate; a change shows within about ten calls."""
@@ -338,6 +339,8 @@
             return
         self._has_responded = True
         self._set_limit(parse_rate(response.find_header(self._headers.limit)), "the endpoint")
+        if response.find_header(self._headers.leaving) == LEAVING:
+            self.endpoint.mark_leaving()
 
     def _set_limit(self, limit_per_s: float | None, origin: str) -> None:
         limit = self.queue.limit
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -10,7 +10,8 @@
 class HeaderNames:
     """The headers, in lower case, that callers and endpoints use; given by the adapter.
 
-    An endpoint names in `limit` how many requests a second it takes.
+    An endpoint names in `limit` how many requests a second it takes, and in `leaving` that it is
+    about to stop.
     """
 
     request_id: bytes
@@ -20,6 +21,7 @@
     not_run: bytes
     caller: bytes
     limit: bytes
+    leaving: bytes
     retry_after: bytes = b"retry-after"
 
 
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -24,6 +24,7 @@
     not_run=b"not-executed",
     caller=b"caller-service",
     limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 
 
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -31,6 +31,7 @@
     not_run=b"not-executed",
     caller=b"caller-service",
     limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 WAIT_S = 5.0
 """Timeout of a wait for an expected state; reached only if a test fails."""
@@ -562,6 +563,35 @@
     return run_scenario(scenario)
 
 
+# Guards against calls to an endpoint that has said in a response that it is leaving, also from an
+# owner that has restarted since.
+def test_an_endpoint_that_says_in_a_response_that_it_leaves_gets_no_more_calls() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        leaving = await fleet.add("n1")
+        await fleet.add("n2")
+        await fleet.wait_until_synced()
+        leaving.upstream.leaving = True
+        before = count_seen(fleet)["n1"]
+        async with asyncio.timeout(WAIT_S):
+            while (seen := count_seen(fleet)["n1"]) == before:
+                assert (await fleet.send_call("n1")).status == 200
+        for name in ("n1", "n2") * 20:
+            assert (await fleet.send_call(name)).status == 200
+        assert count_seen(fleet)["n1"] == seen
+        leaving.node.close()
+        node = HostNode(leaving.node.settings, NAMES, fleet.source, Random(9))
+        await node.start([])
+        fleet.hosts["n1"] = restarted = Host(node, leaving.upstream)
+        restarted.announce(sequence=2)
+        await fleet.wait_for(lambda: node.gate.synced)
+        for name in ("n1", "n2") * 20:
+            assert (await fleet.send_call(name)).status == 200
+        assert count_seen(fleet)["n1"] == seen
+
+    return run_scenario(scenario)
+
+
 def test_nested_calls_add_nothing_to_the_retry_budget() -> Deferred[None]:
     """An overloaded service that rejects calls gets far more nested calls than calls of callers."""
 
--- a/packages/standins/src/corianderwall/standins/scripted.py
+++ b/packages/standins/src/corianderwall/standins/scripted.py
@@ -17,7 +17,8 @@
 class ScriptedUpstream:
     """Listens on loopback; `respond` returns the raw response, or None to send none.
 
-    While `limit_per_s` is set, each response names it as the endpoint's rate limit.
+    While `limit_per_s` is set, each response names it as the endpoint's rate limit; while `leaving`
+    is set, each one says that the endpoint is about to stop.
     """
 
     respond: Callable[["ReceivedRequest"], Awaitable[bytes | None]]
@@ -27,6 +28,7 @@
     port: int = 0
     max_concurrent: int = 0
     limit_per_s: float | None = None
+    leaving: bool = False
     _running: int = 0
 
     async def start(self) -> None:
@@ -43,6 +45,8 @@
         notices = b""
         if self.limit_per_s is not None:
             notices += b"Server-Limit: %.1f\r\n" % self.limit_per_s
+        if self.leaving:
+            notices += b"Server-Leaving: 1\r\n"
         return status + separator + notices + rest
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
