Count informational responses towards the head of the response

Cause: each informational head started the count of bytes again, so the limit of a head never applied to a series of them.

Endless headers were bounded already.

--- a/packages/httpflow/src/corianderwall/httpflow/response_parser.py
+++ b/packages/httpflow/src/corianderwall/httpflow/response_parser.py
@@ -92,11 +92,12 @@
 
     def on_headers_complete(self) -> None:
         """Report the head of a final response."""
-        self._bytes_since_event = 0
         status: int = self._codec.get_status_code()
         self._informational = 100 <= status < 200
         if self._informational:
+            # These count towards the head, as an endpoint may send them without end.
             return
+        self._bytes_since_event = 0
         if status < 100 or self._codec.get_http_version() not in ("1.1", "1.0"):
             raise InvalidResponseError("invalid status line")
         headers = self._split_headers()
@@ -117,8 +118,8 @@
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, unless it was informational."""
-        self._bytes_since_event = 0
         if not self._informational:
+            self._bytes_since_event = 0
             self._end()
 
     def _split_headers(self) -> "Headers":
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -14,7 +14,12 @@
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
-from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
+from corianderwall.standins.scripted import (
+    Endless,
+    ReceivedRequest,
+    ScriptedUpstream,
+    make_response,
+)
 
 NAMES = HeaderNames(
     request_id=b"request-id",
@@ -483,3 +488,23 @@
         assert (await setup.serve()).metadata.refusal is Refusal.LEAVING
 
     return run_scenario(respond_ok, scenario)
+
+
+# Guards against a response without end that fills the memory of a node.
+@pytest.mark.parametrize("endless", [Endless.HEADER, Endless.HEADERS, Endless.INFORMATIONAL])
+def test_a_response_without_end_is_given_up_before_the_deadline(endless: Endless) -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        setup.upstream.endless = endless
+        began = asyncio.get_running_loop().time()
+        reply = await setup.serve(left_ms=20_000.0, due_ms=20_000.0)
+        assert (reply.metadata.ran, reply.response) == (None, None)
+        assert asyncio.get_running_loop().time() - began < 10.0
+        async with asyncio.timeout(5.0):
+            while setup.upstream.open_connections:
+                await asyncio.sleep(0.01)
+        # What the sockets of both sides hold comes on top.
+        assert setup.upstream.sent_bytes < 16 * 1024 * 1024
+        setup.upstream.endless = None
+        assert (await setup.serve("q2")).metadata.ran
+
+    return run_scenario(respond_ok, scenario)
--- a/packages/standins/src/corianderwall/standins/scripted.py
+++ b/packages/standins/src/corianderwall/standins/scripted.py
@@ -1,10 +1,35 @@
 """A scripted endpoint on loopback; each test decides how it responds to a request."""
 
 import asyncio
+import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 
+class Endless(enum.Enum):
+    """The part of a response that never ends."""
+
+    HEADER = "header"
+    HEADERS = "headers"
+    INFORMATIONAL = "informational"
+    CHUNKS = "chunks"
+    UNTIL_CLOSE = "until close"
+
+
+_PIECE_BYTES = 16 * 1024
+_OK = b"HTTP/1.1 200 OK\r\n"
+_ENDLESS_PARTS = {
+    Endless.HEADER: (_OK + b"a: ", b"x" * _PIECE_BYTES),
+    Endless.HEADERS: (_OK, b"a: b\r\n" * 1000),
+    Endless.INFORMATIONAL: (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    Endless.CHUNKS: (
+        _OK + b"transfer-encoding: chunked\r\n\r\n",
+        b"%x\r\n%b\r\n" % (_PIECE_BYTES, b"x" * _PIECE_BYTES),
+    ),
+    Endless.UNTIL_CLOSE: (_OK + b"\r\n", b"x" * _PIECE_BYTES),
+}
+
+
 @dataclass
 class ReceivedRequest:
     """One request that the endpoint has received."""
@@ -18,7 +43,8 @@
     """Listens on loopback; `respond` returns the raw response, or None to send none.
 
     While `limit_per_s` is set, each response names it as the endpoint's rate limit; while `leaving`
-    is set, each one says that the endpoint is about to stop.
+    is set, each one says that the endpoint is about to stop. While `endless` is set, each one goes
+    on until the caller closes the connection; `sent_bytes` counts the bytes of these.
     """
 
     respond: Callable[["ReceivedRequest"], Awaitable[bytes | None]]
@@ -29,6 +55,8 @@
     max_concurrent: int = 0
     limit_per_s: float | None = None
     leaving: bool = False
+    endless: Endless | None = None
+    sent_bytes: int = 0
     _running: int = 0
 
     async def start(self) -> None:
@@ -40,6 +68,15 @@
         """Stop accepting connections."""
         self._server.close()
 
+    async def _send_without_end(self, writer: asyncio.StreamWriter, endless: "Endless") -> None:
+        """Send until the caller closes the connection, which raises `ConnectionError`."""
+        start, piece = _ENDLESS_PARTS[endless]
+        writer.write(start)
+        while True:
+            writer.write(piece)
+            self.sent_bytes += len(piece)
+            await writer.drain()
+
     def _add_notices(self, raw: bytes) -> bytes:
         status, separator, rest = raw.partition(b"\r\n")
         notices = b""
@@ -65,6 +102,8 @@
                 self.max_concurrent = max(self.max_concurrent, self._running)
                 raw = await self.respond(request)
                 self._running -= 1
+                if self.endless is not None:
+                    await self._send_without_end(writer, self.endless)
                 if raw is None:
                     await reader.read()
                     return
