Restore the head and tell the leases apart after the platform went back

What operators and callers would see on the product's own platform: after it comes back from an earlier copy, the next change gets a version that the nodes have activated before and ignore, a watch skips changes up to its old revision, and a new holder of a lease gets a lower fencing token than the one that lost it.

Change: a revision holds the era and the platform's counter, so that it only grows; a watch in another era reads the object; a write with a revision of an earlier era is a conflict. A watcher that finds an earlier head, or a change that starts on one, writes the newest head again first, unless the stored one is no earlier state of it.

Both stand-ins come back from a copy: test_a_head_that_the_platform_has_lost_is_written_again, test_a_change_after_the_platform_lost_versions_follows_the_newest_one, test_a_lease_that_ the_platform_has_lost_goes_to_a_holder_with_a_higher_token and two over HTTP.

Remains: a write whose counter was given out again, sent before any answer of the new era, replaces the other state and ends with an unknown outcome.

--- a/packages/node/src/corianderwall/node/platformtask.py
+++ b/packages/node/src/corianderwall/node/platformtask.py
@@ -67,7 +67,12 @@
             self.stop()
             return
         watcher = HeadWatcher(
-            self._api, self._timer, self._random, self._offer_head, self._log_platform_error
+            self._api,
+            self._timer,
+            self._random,
+            self._offer_head,
+            self._log_platform_error,
+            self._restore_head,
         )
         log_info("watching the platform")
         self._watcher = watcher
@@ -158,7 +163,13 @@
         finally:
             self._is_refreshing = False
 
+    async def _restore_head(self, found: "StoredHead") -> None:
+        log_warning("the platform has come back from an earlier copy", version=found.head.version)
+        deadline = self._timer.read_monotonic() + READ_TIMEOUT_S
+        await self._store.restore_head(found, deadline=deadline)
+
     def _offer_head(self, stored: "StoredHead") -> None:
+        self._store.remember_head(stored)
         self._offer(stored.head.snapshot, None)
 
     def _log_platform_error(self, error: CorianderwallError) -> None:
--- a/packages/standins/src/corianderwall/standins/memory.py
+++ b/packages/standins/src/corianderwall/standins/memory.py
@@ -8,7 +8,7 @@
 
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
 from corianderwall.standins.objects import ObjectTable, RevisionMismatch
-from corianderwall.store.api import StoredObject
+from corianderwall.store.api import StoredObject, combine_revision, split_revision
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
@@ -56,15 +56,18 @@
 
     async def write_if(self, key: str, value: bytes, *, expected_revision: int) -> int:
         """Write if the revision still is the expected one; return the new revision."""
-        return await self._change(
-            "write", key, lambda: self.table.write(key, value, expected_revision)
-        )
+
+        def write() -> int:
+            counter = self._find_counter(key, expected_revision)
+            return combine_revision(self.table.era, self.table.write(key, value, counter))
+
+        return await self._change("write", key, write)
 
     async def delete_if(self, key: str, *, expected_revision: int) -> None:
         """Delete if the revision still is the expected one."""
 
         def delete() -> int:
-            self.table.delete(key, expected_revision)
+            self.table.delete(key, self._find_counter(key, expected_revision))
             return 0
 
         await self._change("delete", key, delete)
@@ -73,7 +76,8 @@
         """Return the object if its revision is above `after_revision`, without waiting."""
         self.watch_revisions.append(after_revision)
         await self._admit("watch", key)
-        return self._load(key) if self.table.read_revision(key) > after_revision else None
+        stored = self._load(key)
+        return stored if stored is not None and stored.revision > after_revision else None
 
     async def list_keys(self, prefix: str) -> tuple[str, ...]:
         """Return the sorted keys that begin with `prefix`."""
@@ -93,7 +97,15 @@
         revision = self.table.read_revision(key)
         if revision == 0:
             return None
-        return StoredObject(key=key, value=self.table.read_value(key), revision=revision)
+        combined = combine_revision(self.table.era, revision)
+        return StoredObject(key=key, value=self.table.read_value(key), revision=combined)
+
+    def _find_counter(self, key: str, revision: int) -> int:
+        """Return the counter of a revision, or raise `RevisionMismatch` if its era is over."""
+        era, counter = split_revision(revision)
+        if revision and era != self.table.era:
+            raise RevisionMismatch(key)
+        return counter
 
     async def _admit(self, kind: str, key: str) -> Fault:
         self.calls.append(f"{kind} {key}")
--- a/packages/standins/src/corianderwall/standins/objects.py
+++ b/packages/standins/src/corianderwall/standins/objects.py
@@ -10,13 +10,27 @@
 
 
 class ObjectTable:
-    """Objects by key; one counter numbers all writes, so no revision is used twice."""
+    """Objects by key; one counter numbers all writes, so no revision is used twice in an era."""
 
     def __init__(self) -> None:
+        self.era = 0
         self._values: dict[str, bytes] = {}
         self._revisions: dict[str, int] = {}
         self._last_revision = 0
 
+    def take_copy(self) -> "ObjectTable":
+        """Return a copy for `restore_copy`."""
+        copy = ObjectTable()
+        copy._values, copy._revisions = dict(self._values), dict(self._revisions)
+        copy._last_revision = self._last_revision
+        return copy
+
+    def restore_copy(self, copy: "ObjectTable") -> None:
+        """Start the next era with an earlier copy; its later revisions are given out again."""
+        self.era += 1
+        self._values, self._revisions = dict(copy._values), dict(copy._revisions)
+        self._last_revision = copy._last_revision
+
     def read_revision(self, key: str) -> int:
         """Return the revision of the object, or 0 if there is none."""
         return self._revisions.get(key, 0)
@@ -98,6 +112,12 @@
             if revision > waiter.after:
                 self.release(waiter)
 
+    def release_all(self) -> None:
+        """Release all waiters."""
+        for waiters in list(self._by_key.values()):
+            for waiter in list(waiters):
+                self.release(waiter)
+
     def release(self, waiter: Waiter) -> None:
         """Fire the waiter and remove it; a second release has no effect."""
         waiters = self._by_key.get(waiter.key, [])
--- a/packages/standins/src/corianderwall/standins/platform.py
+++ b/packages/standins/src/corianderwall/standins/platform.py
@@ -75,6 +75,11 @@
             for connection in list(self._factory.protocols):
                 connection.transport.abortConnection()
 
+    def restore_copy(self, copy: ObjectTable) -> None:
+        """Come back from an earlier copy of `objects`; waiting watches end."""
+        self.objects.restore_copy(copy)
+        self._waiters.release_all()
+
     def _build_app(self) -> Any:
         app = Klein()
         app.route("/objects/<path:key>", methods=["GET"])(self._serve_read)
@@ -138,6 +143,7 @@
             timeout.cancel()
 
     def _respond_with_object(self, request: Any, key: str, after: int | None) -> bytes:
+        request.setHeader("store-era", str(self.objects.era))
         if self.switches.down:
             return self._respond_unavailable(request)
         revision = self.objects.read_revision(key)
@@ -189,6 +195,7 @@
 
     async def _admit(self, request: Any, limiter: RateLimiter, rate: float) -> bool:
         """Apply the switches and the rate limit; return False if the response is already set."""
+        request.setHeader("store-era", str(self.objects.era))
         if self.switches.silent:
             await Deferred()
         if self.switches.slow_s > 0:
--- a/packages/store/src/corianderwall/store/commit.py
+++ b/packages/store/src/corianderwall/store/commit.py
@@ -75,7 +75,7 @@
                 if error.code in RETRYABLE_CODES or error.code is ErrorCode.CONFLICT:
                     raise
         # The change may be valid on the newest head even if an older head refused it.
-        return await self._commit_on_base(await self._store.read_head(deadline=self._deadline))
+        return await self._commit_on_base(await self._store.read_base(deadline=self._deadline))
 
     async def _commit_on_base(self, base: StoredHead) -> CommitResult:
         record = await self._find_earlier_record(base)
--- a/packages/store/src/corianderwall/store/document.py
+++ b/packages/store/src/corianderwall/store/document.py
@@ -94,7 +94,9 @@
     return f"{AUDIT_PREFIX}{version:012d}"
 
 
-def encode_head(head: Head, undo: Delta, known_parts: tuple[PartReference, ...]) -> EncodedHead:
+def encode_head(
+    head: Head, undo: Delta | None, known_parts: tuple[PartReference, ...]
+) -> EncodedHead:
     """Return the encoded head; chunks equal to known parts reuse their references."""
     document = HeadDocument(
         version=head.version,
--- a/packages/store/src/corianderwall/store/head.py
+++ b/packages/store/src/corianderwall/store/head.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import DeferredLock
 
-from corianderwall.model.audit import AuditRecord
+from corianderwall.model.audit import AuditRecord, Head
 from corianderwall.model.change import Operation
 from corianderwall.model.errors import CorianderwallError, ErrorCode
 from corianderwall.model.resource import Snapshot
@@ -21,6 +21,7 @@
     PartObject,
     StoredHead,
     decode_head,
+    encode_head,
     join_head,
 )
 from corianderwall.store.operation import parse_created_unix_ms
@@ -64,6 +65,7 @@
         self._retrier = Retrier(timer, random, RETRY_BACKOFF)
         self._conflict_retrier = Retrier(timer, random, CONFLICT_BACKOFF)
         self._lock = DeferredLock()
+        self._newest: StoredHead | None = None
         self._cached_head: StoredHead | None = None
         self._cached_until = 0.0
 
@@ -76,6 +78,43 @@
 
         return await self._retrier.run(read, deadline=deadline)
 
+    async def read_base(self, *, deadline: float) -> StoredHead:
+        """Return the head on which to base a change, after restoring it if the platform lost it."""
+        found = await self.read_head(deadline=deadline)
+        newest = self._newest
+        if newest is None or found.head.version >= newest.head.version:
+            return found
+        await self.restore_head(found, deadline=deadline)
+        return await self.read_head(deadline=deadline)
+
+    def remember_head(self, stored: StoredHead) -> None:
+        """Keep the newest head that is active, in case the platform loses it."""
+        if self._newest is None or stored.head.version > self._newest.head.version:
+            self._newest = stored
+
+    async def restore_head(self, found: StoredHead, *, deadline: float) -> None:
+        """Write the newest remembered head over `found`, an earlier one in a copy of the platform.
+
+        Otherwise the next change would get a version that the nodes have already activated. Raise
+        `CONFLICT` if `found` is no earlier state of the remembered head.
+        """
+        newest = self._newest
+        if newest is None or found.head.version >= newest.head.version:
+            return
+        if not _precedes(found.head, newest.head):
+            raise CorianderwallError(
+                ErrorCode.CONFLICT,
+                f"the platform has another version {found.head.version} than the active one had",
+            )
+        encoded = encode_head(newest.head, newest.undo, found.parts)
+        await self.write_prerequisites(found, encoded.part_objects, deadline=deadline)
+        try:
+            await self.replace_head(found, encoded.value)
+        except CorianderwallError as error:
+            # Another node has restored it first, or a change was made meanwhile.
+            if error.code is not ErrorCode.CONFLICT:
+                raise
+
     async def commit(
         self, operation: Operation, *, deadline: float, repeated: bool = False
     ) -> CommitResult:
@@ -163,6 +202,7 @@
 
     def cache_head(self, stored: StoredHead) -> None:
         """Cache a head that was just written as the base of the next change through this node."""
+        self.remember_head(stored)
         self._cached_head = stored
         self._cached_until = self._timer.read_monotonic() + CACHED_HEAD_TTL_S
 
@@ -210,6 +250,12 @@
                 raise
 
 
+def _precedes(earlier: Head, later: Head) -> bool:
+    """Return whether `later` was made from `earlier`, by their records."""
+    record = next((r for r in later.recent if r.to_version == earlier.version), None)
+    return record is not None and bool(earlier.recent) and earlier.recent[-1] == record
+
+
 async def load_head(api: ObjectApi, stored: StoredObject) -> StoredHead:
     """Return the head in a stored object, after reading its parts.
 
--- a/packages/store/src/corianderwall/store/http_api.py
+++ b/packages/store/src/corianderwall/store/http_api.py
@@ -10,7 +10,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
-from corianderwall.store.api import StoredObject
+from corianderwall.store.api import StoredObject, combine_revision, split_revision
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -20,6 +20,8 @@
 CALL_TIMEOUT_S = 3.0
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 MAX_IDLE_CONNECTIONS = 4
+ERA_HEADER = "store-era"
+"""Rises by one each time the platform comes back from an earlier copy."""
 
 NOT_SENT_ERRORS = (ConnectError, ConnectingCancelledError)
 """Errors raised before a connection exists, when no data was sent."""
@@ -39,6 +41,7 @@
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         agent = cast("Any", Agent)(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
         self._client = HTTPClient(agent)
+        self._era: int | None = None
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -54,16 +57,19 @@
 
     async def write_if(self, key: str, value: bytes, *, expected_revision: int) -> int:
         """Write if the object has the expected revision and return the new revision."""
-        headers = _build_if_match_header(expected_revision)
+        headers = self._build_if_match_header(expected_revision)
         response = await self._call(
             "PUT", self._build_url(key), self._timeout_s, headers=headers, data=value
         )
         response.require_status(200)
+        if expected_revision and response.era != split_revision(expected_revision)[0]:
+            # The platform has given out this counter again; the write replaced another state.
+            raise _build_call_error("PUT", ValueError("the platform is in another era"))
         return response.read_revision()
 
     async def delete_if(self, key: str, *, expected_revision: int) -> None:
         """Delete the object if it has the expected revision."""
-        headers = _build_if_match_header(expected_revision)
+        headers = self._build_if_match_header(expected_revision)
         response = await self._call(
             "DELETE", self._build_url(key), self._timeout_s, headers=headers
         )
@@ -71,8 +77,11 @@
 
     async def watch(self, key: str, *, after_revision: int, wait_s: float) -> StoredObject | None:
         """Return the object once its revision exceeds `after_revision`, or None after `wait_s`."""
-        url = f"{self._build_url(key)}?after={after_revision}&wait_ms={int(wait_s * 1000)}"
+        era, counter = split_revision(after_revision)
+        url = f"{self._build_url(key)}?after={counter}&wait_ms={int(wait_s * 1000)}"
         response = await self._call("GET", url, wait_s + self._timeout_s)
+        if after_revision and response.era != era:
+            return await self.read(key)
         if response.status in (304, 404):
             return None
         response.require_status(200)
@@ -88,6 +97,14 @@
         except msgspec.DecodeError as error:
             raise _build_unavailable(f"the list of keys is malformed: {error}") from error
 
+    def _build_if_match_header(self, expected_revision: int) -> dict[str, str]:
+        era, counter = split_revision(expected_revision)
+        if expected_revision and self._era not in (None, era):
+            raise CorianderwallError(
+                ErrorCode.CONFLICT, "the platform has come back from an earlier copy"
+            )
+        return {"if-match": f'"{counter}"'}
+
     def _build_url(self, key: str) -> str:
         return f"{self._base_url}/objects/{quote(key)}"
 
@@ -108,12 +125,16 @@
         if len(body) > MAX_VALUE_BYTES and method == "GET" and "?prefix=" not in url:
             raise _build_unavailable("the value is larger than the platform allows")
         headers = response.headers
+        raw_era = _read_header(headers, ERA_HEADER)
+        era = int(raw_era) if raw_era.isdigit() else 0
+        self._era = max(era, self._era or 0)
         return _Response(
             method=method,
             status=response.code,
             body=body,
             tag=_read_header(headers, "etag"),
             retry_after=_read_header(headers, "retry-after"),
+            era=era,
         )
 
 
@@ -125,6 +146,7 @@
     body: bytes
     tag: str
     retry_after: str
+    era: int
 
     def require_status(self, status: int) -> None:
         """Raise the error for the response's status if it is not the expected one."""
@@ -136,7 +158,7 @@
         digits = self.tag.strip('"')
         if not digits.isdigit():
             raise _build_call_error(self.method, ValueError("the response has no revision"))
-        return int(digits)
+        return combine_revision(self.era, int(digits))
 
     def _build_status_error(self) -> CorianderwallError:
         if self.status == 412:
@@ -169,7 +191,3 @@
 def _read_header(headers: Any, name: str) -> str:
     values = headers.getRawHeaders(name)
     return str(values[0]) if values else ""
-
-
-def _build_if_match_header(expected_revision: int) -> dict[str, str]:
-    return {"if-match": f'"{expected_revision}"'}
--- a/packages/store/src/corianderwall/store/watcher.py
+++ b/packages/store/src/corianderwall/store/watcher.py
@@ -1,6 +1,6 @@
 """Watches the head with long polls that resume from the last revision."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from corianderwall.model.errors import CorianderwallError
@@ -18,7 +18,10 @@
 
 
 class HeadWatcher:
-    """Passes each newer head to `deliver`, reports errors and retries after them."""
+    """Passes each newer head to `deliver`, reports errors and retries after them.
+
+    An earlier head, from a platform that has come back from a copy, goes to `restore`.
+    """
 
     def __init__(
         self,
@@ -27,13 +30,16 @@
         random: Random,
         deliver: Callable[[StoredHead], None],
         report: Callable[[CorianderwallError], None],
+        restore: Callable[[StoredHead], Awaitable[None]],
     ) -> None:
         self._api = api
         self._timer = timer
         self._random = random
         self._deliver = deliver
         self._report = report
+        self._restore = restore
         self._newest = EMPTY_HEAD
+        self._watched_revision = 0
         self._consecutive_failures = 0
         self._stopped = False
 
@@ -55,9 +61,11 @@
         started = self._timer.read_monotonic()
         try:
             stored = await self._api.watch(
-                HEAD_KEY, after_revision=self._newest.revision, wait_s=MAX_POLL_WAIT_S
+                HEAD_KEY, after_revision=self._watched_revision, wait_s=MAX_POLL_WAIT_S
             )
             newer = None if stored is None else await load_head(self._api, stored)
+            if newer is not None and newer.head.version < self._newest.head.version:
+                await self._restore(newer)
         except CorianderwallError as error:
             if self._stopped:
                 return
@@ -69,6 +77,8 @@
         self._consecutive_failures = 0
         if self._stopped:
             return
+        if newer is not None:
+            self._watched_revision = newer.revision
         if newer is None or newer.head.version <= self._newest.head.version:
             await self._limit_poll_rate(started)
             return
--- a/packages/store/tests/test_head.py
+++ b/packages/store/tests/test_head.py
@@ -441,3 +441,30 @@
 @given(st.data())
 def test_concurrent_operators_all_get_correct_results(data: st.DataObject) -> None:
     race_operators(data)
+
+
+# Guards against a change that gets a version which the nodes have already activated.
+def test_a_change_after_the_platform_lost_versions_follows_the_newest_one() -> None:
+    harness = StoreHarness()
+    harness.commit("op-1", CREATE_SERVICE)
+    copy = harness.api.table.take_copy()
+    harness.commit("op-2", AddVersion("placements", "v2"))
+    harness.api.table.restore_copy(copy)
+    result = harness.commit("op-3", AddVersion("placements", "v3"))
+    assert result.version == 3
+    assert result.head.snapshot.services[0].versions == ("v1", "v2", "v3")
+
+
+def test_another_head_than_the_active_one_is_not_replaced() -> None:
+    harness = StoreHarness()
+    copy = harness.api.table.take_copy()
+    for number, change in enumerate((CREATE_SERVICE, AddVersion("placements", "v2"))):
+        harness.commit(f"op-{number}", change)
+    harness.api.table.restore_copy(copy)
+    other = StoreHarness(harness.api)
+    other.commit("op-9", CREATE_SERVICE)
+    with pytest.raises(CorianderwallError) as caught:
+        harness.commit("op-5", AddVersion("placements", "v3"), deadline=5.0)
+    assert caught.value.code is ErrorCode.CONFLICT
+    found = decode_head(harness.api.table.read_value(HEAD_KEY))
+    assert found.recent[-1].operation_id == "op-9"
--- a/packages/store/tests/test_http_api.py
+++ b/packages/store/tests/test_http_api.py
@@ -3,6 +3,7 @@
 import pytest
 import pytest_twisted
 from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
 
 from corianderwall.model.errors import CorianderwallError, Effect, ErrorCode
 from corianderwall.standins.platform import ALL_RESPONSES, PlatformStandin
@@ -110,3 +111,39 @@
     await expect(
         api.write_if("a", too_large, expected_revision=0), ErrorCode.TOO_LARGE, Effect.NONE
     )
+
+
+# Guards against changes that a watch skips and against writes over another state, because the
+# platform has given out a revision again.
+@pytest_twisted.ensureDeferred
+async def test_revisions_of_different_eras_are_told_apart(api, platform) -> None:
+    copy = platform.objects.take_copy()
+    first = await api.write_if("a", b"one", expected_revision=0)
+    second = await api.write_if("a", b"two", expected_revision=first)
+    watch = ensureDeferred(api.watch("a", after_revision=second, wait_s=TIMEOUT_S))
+    platform.restore_copy(copy)
+    assert await watch is None
+    platform.objects.write("a", b"three", 0)
+    found = await api.watch("a", after_revision=second, wait_s=TIMEOUT_S)
+    assert found.value == b"three"
+    assert found.revision > second
+    platform.objects.write("a", b"four", 1)
+    await expect(
+        api.write_if("a", b"five", expected_revision=second), ErrorCode.CONFLICT, Effect.NONE
+    )
+    assert (await api.read("a")).value == b"four"
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_write_over_a_revision_that_was_given_out_again_has_an_unknown_outcome(
+    api, platform
+) -> None:
+    copy = platform.objects.take_copy()
+    revision = await api.write_if("a", b"one", expected_revision=0)
+    platform.restore_copy(copy)
+    platform.objects.write("a", b"two", 0)
+    await expect(
+        api.write_if("a", b"three", expected_revision=revision),
+        ErrorCode.OUTCOME_UNKNOWN,
+        Effect.UNKNOWN,
+    )
--- a/packages/store/tests/test_lease.py
+++ b/packages/store/tests/test_lease.py
@@ -97,6 +97,24 @@
     assert contenders.keepers[0].lease.state == "lapsed"
 
 
+# Guards against two holders with tokens in the wrong order, because the platform has lost a lease
+# and gives out its revisions again.
+def test_a_lease_that_the_platform_has_lost_goes_to_a_holder_with_a_higher_token(
+    contenders: LeaseContenders,
+) -> None:
+    copy = contenders.table.take_copy()
+    for key in ("a", "b", "c"):
+        contenders.table.write(key, b"", 0)
+    assert contenders.run(contenders.keepers[0].acquire())
+    first = contenders.require_held(0)
+    contenders.table.restore_copy(copy)
+    assert contenders.run(contenders.keepers[1].acquire())
+    assert contenders.table.read_revision("leases/mover") < 4
+    assert contenders.require_held(1) > first
+    assert not contenders.run(contenders.keepers[0].renew())
+    expect_lost(contenders, 0)
+
+
 def test_a_lost_response_to_an_acquisition_is_resolved_by_reading(
     contenders: LeaseContenders,
 ) -> None:
--- a/packages/store/tests/test_watcher.py
+++ b/packages/store/tests/test_watcher.py
@@ -7,7 +7,8 @@
 from corianderwall.model.errors import CorianderwallError, ErrorCode
 from corianderwall.model.resource import Service, VersionShare
 from corianderwall.standins.memory import Fault, ManualTimer, MemoryObjectApi
-from corianderwall.store.document import HEAD_KEY, StoredHead
+from corianderwall.store.api import split_revision
+from corianderwall.store.document import HEAD_KEY, StoredHead, decode_head
 from corianderwall.store.head import HeadStore
 from corianderwall.store.http_api import CALL_TIMEOUT_S
 from corianderwall.store.watcher import MAX_POLL_WAIT_S, HeadWatcher
@@ -30,11 +31,20 @@
         self.changes = 0
         self.store = HeadStore(MemoryObjectApi(self.api.table), self.timer, Random(1))
         self.watcher = watcher = HeadWatcher(
-            self.api, self.timer, Random(2), self.delivered.append, self.errors.append
+            self.api,
+            self.timer,
+            Random(2),
+            self._deliver,
+            self.errors.append,
+            lambda found: self.store.restore_head(found, deadline=FAR_DEADLINE),
         )
         self.running = Deferred.fromCoroutine(watcher.run())
         self.running.addErrback(lambda _: None)
 
+    def _deliver(self, stored: StoredHead) -> None:
+        self.delivered.append(stored)
+        self.store.remember_head(stored)
+
     def change(self) -> None:
         self.changes += 1
         service = Service(name="placements", versions=("v1",), split=V1_SPLIT)
@@ -77,6 +87,31 @@
     assert harness.list_versions() == [2]
 
 
+# Guards against changes that the nodes ignore, because a platform that came back from an earlier
+# copy has given out their revisions and versions before.
+def test_a_head_that_the_platform_has_lost_is_written_again(harness: WatcherHarness) -> None:
+    table = harness.api.table
+    harness.change()
+    harness.change()
+    copy = table.take_copy()
+    for _ in range(3):
+        harness.change()
+    for _ in range(10):
+        harness.timer.clock.advance(1)
+    assert harness.list_versions()[-1] == 5
+    table.restore_copy(copy)
+    for _ in range(10):
+        harness.timer.clock.advance(1)
+    restored = decode_head(table.read_value(HEAD_KEY))
+    assert (restored.version, restored.digest) == (5, harness.delivered[-1].head.digest)
+    assert table.read_revision(HEAD_KEY) < split_revision(harness.delivered[-1].revision)[1]
+    harness.change()
+    for _ in range(10):
+        harness.timer.clock.advance(1)
+    assert harness.list_versions()[-1] == 6
+    assert harness.errors == []
+
+
 def test_a_watch_goes_on_from_its_revision_after_an_outage_without_reading(
     harness: WatcherHarness,
 ) -> None:
