Send the moves with the records that a starting node pulls

Cause: pulled records name the endpoints of all versions but no orders, and a node that has learned of all versions at once takes them for settled.

Evidence: test_a_starting_node_learns_the_moves_with_the_endpoints failed before with ['v1', 'v2'] == ['v1'].

--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -270,10 +270,15 @@
         """Return all records for a joining node, or None if this node lacks them itself."""
         if not self._gate.synced:
             return None
-        return msgspec.msgpack.encode(self._directory.make_tables())
+        moves = self._moves.list_views(self._loop.time())
+        tables = msgspec.structs.replace(self._directory.make_tables(), moves=moves)
+        return msgspec.msgpack.encode(tables)
 
     def _merge(self, tables: Tables) -> None:
-        self._directory.merge(tables, self._loop.time())
+        now = self._loop.time()
+        for view in tables.moves:
+            self._moves.merge_view(view, now)
+        self._directory.merge(tables, now)
         for record in tables.endpoints:
             if record.node == self._directory.own.name:
                 self._gate.endpoint.merge_record(record)
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -140,11 +140,15 @@
 
 
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The records of all nodes and endpoints that a node knows, or of those that have changed."""
+    """The records of all nodes and endpoints that a node knows, or of those that have changed.
+
+    A node that has just started also gets the `moves`, which say what calls the endpoints may get.
+    """
 
     sender: NodeRecord
     nodes: tuple[NodeRecord, ...] = ()
     endpoints: tuple[EndpointRecord, ...] = ()
+    moves: tuple["MoveView", ...] = ()
 
 
 class MoveOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -18,7 +18,15 @@
     TABLES_PULL_KIND,
     Gossip,
 )
-from corianderwall.mesh.messages import EndpointRecord, EndpointState, Heartbeat, NodeRecord, Tables
+from corianderwall.mesh.messages import (
+    EndpointRecord,
+    EndpointState,
+    Heartbeat,
+    MoveOrder,
+    MoveView,
+    NodeRecord,
+    Tables,
+)
 from corianderwall.mesh.moves import MoveTracker
 
 Reply = Callable[[str, bytes], bytes | None]
@@ -70,6 +78,7 @@
         tracker = SimpleNamespace(merge_record=self.learned.append)
         self.gate = SimpleNamespace(synced=False, endpoint=tracker)
         self.directory = Directory(make_record("own"))
+        self.moves = MoveTracker(0.1, Random(1))
         self.source = FakePlatform(records)
         self.tasks: set[asyncio.Task[None]] = set()
         self.gossip = Gossip(
@@ -79,7 +88,7 @@
             ConfigurationHolder(),
             SimpleNamespace(handle_version=lambda peer, version: None),  # type: ignore[arg-type]
             asyncio.Event(),
-            MoveTracker(0.1, Random(1)),
+            self.moves,
             self.gate,  # type: ignore[arg-type]
             self.make_heartbeat,
             self.spawn,
@@ -236,3 +245,32 @@
         syncing.cancel()
 
     return run(scenario())
+
+
+# Guards against calls of a node that has just started to a version that is bad or being tested.
+def test_a_starting_node_learns_the_moves_with_the_endpoints() -> Deferred[None]:
+    async def scenario() -> None:
+        knowing = Newcomer((), lambda kind, body: None)
+        knowing.gate.synced = True
+        order = MoveOrder(service="s", version="v2", duration_s=9.0, revision=5, created=4)
+        knowing.moves.merge_view(MoveView(order=order, age_s=0.0, cut=True), 0.0)
+        for version in ("v1", "v2"):
+            record = EndpointRecord(
+                id=version,
+                service="s",
+                version=version,
+                node="n1",
+                zone="a",
+                slots=1,
+                born_unix_ms=1,
+            )
+            knowing.directory.merge_endpoint(record, 0.0)
+        tables = knowing.gossip.handle_pull(b"")
+        newcomer = Newcomer((), lambda kind, body: tables if kind == TABLES_PULL_KIND else None)
+        newcomer.directory.merge_node(make_record("n1"), 0.0)
+        await newcomer.gossip.pull_records()
+        views = newcomer.directory.list_ready("s")
+        allowed = newcomer.moves.filter_endpoints("s", views, 0.0, try_new=False)
+        assert [view.record.version for view in allowed] == ["v1"]
+
+    return run(scenario())
