--- a/packages/mesh/tests/test_configuration.py
+++ b/packages/mesh/tests/test_configuration.py
@@ -102,6 +102,15 @@
                 await asyncio.sleep(0.01)
 
 
+async def start_watching(source: MemorySource) -> tuple[SyncNode, "asyncio.Task[None]"]:
+    """Return a node that has activated version 1 of `source`, and the task of its watch."""
+    source.put_config(make_snapshot(1))
+    node = SyncNode("n0", 0, source=source)
+    watching = node.spawn(node.sync.run())
+    await node.wait_for_version(1, 1.0)
+    return node, watching
+
+
 def run(work: Coroutine[Any, Any, None]) -> Deferred[None]:
     return Deferred.fromFuture(asyncio.ensure_future(work))
 
@@ -196,10 +205,7 @@
 ) -> Deferred[None]:
     async def scenario() -> None:
         source = MemorySource()
-        source.put_config(make_snapshot(1))
-        node = SyncNode("n0", 0, source=source)
-        watching = node.spawn(node.sync.run())
-        await node.wait_for_version(1, 1.0)
+        node, watching = await start_watching(source)
         await asyncio.sleep(configuration_module.WATCH_PAUSE_S + 0.05)
         source.start_silence()
         await asyncio.sleep(silence_s)
@@ -216,10 +222,7 @@
 def test_a_version_is_active_although_its_revision_was_given_out_before() -> Deferred[None]:
     async def scenario() -> None:
         source = MemorySource()
-        source.put_config(make_snapshot(1))
-        node = SyncNode("n0", 0, source=source)
-        watching = node.spawn(node.sync.run())
-        await node.wait_for_version(1, 1.0)
+        node, watching = await start_watching(source)
         copy = source.take_copy()
         for version in (2, 3):
             source.put_config(make_snapshot(version))
--- a/packages/mesh/tests/test_moves.py
+++ b/packages/mesh/tests/test_moves.py
@@ -64,6 +64,14 @@
     return Evidence(service="s", version=version, node=version, created=1, routes=(counts,))
 
 
+def make_tracker_with_good_calls() -> MoveTracker:
+    tracker = make_tracker()
+    tracker.store_evidence(make_evidence("v2", 400, 4))
+    tracker.store_evidence(make_evidence("v1", 6000, 60))
+    tracker.moves["s"].add_checkpoint(10.0)
+    return tracker
+
+
 def judge(*evidence: Evidence) -> str | None:
     tracker = make_tracker()
     for item in evidence:
@@ -163,11 +171,8 @@
 
 # Guards against a bad version that gets all calls for too long: many good calls must not hide it.
 def test_a_version_that_turns_bad_after_many_good_calls_is_found_by_its_recent_calls() -> None:
-    tracker = make_tracker()
+    tracker = make_tracker_with_good_calls()
     move = tracker.moves["s"]
-    tracker.store_evidence(make_evidence("v2", 400, 4))
-    tracker.store_evidence(make_evidence("v1", 6000, 60))
-    move.add_checkpoint(10.0)
     assert find_regression(move) is None
     tracker.store_evidence(make_evidence("v2", 430, 19))
     finding = find_regression(move)
@@ -176,11 +181,8 @@
 
 
 def test_failures_that_both_versions_have_recently_are_not_held_against_the_new_one() -> None:
-    tracker = make_tracker()
+    tracker = make_tracker_with_good_calls()
     move = tracker.moves["s"]
-    tracker.store_evidence(make_evidence("v2", 400, 4))
-    tracker.store_evidence(make_evidence("v1", 6000, 60))
-    move.add_checkpoint(10.0)
     tracker.store_evidence(make_evidence("v2", 430, 19))
     tracker.store_evidence(make_evidence("v1", 6300, 210))
     assert find_regression(move) is None
