--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1,6 +1,7 @@
 """Complete nodes in one process, with an in-memory platform store and scripted endpoints."""
 
 import asyncio
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -33,6 +34,10 @@
     limit=b"server-limit",
     leaving=b"server-leaving",
 )
+CONTACT_S = 3.0
+"""Time after a fault of the platform from which the operator's bounds hold again."""
+STORE_FAULT_SEEDS = int(os.environ.get("STORE_FAULT_SEEDS", "6"))
+"""Series of store faults that are played; the long run by hand sets 50 or more."""
 WAIT_S = 5.0
 """Timeout of a wait for an expected state; reached only if a test fails."""
 
@@ -808,3 +813,73 @@
                 await fleet.send_call("n3")
 
     return run_scenario(scenario)
+
+
+class StoreFaults:
+    """Writes configurations while the store goes silent or comes back old, and nodes restart.
+
+    Like the operator, it writes again what the store has lost.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.random = Random(seed)
+        self.version = 1
+        self.copies = [fleet.source.take_copy()]
+
+    def write(self) -> None:
+        self.version += 1
+        self.fleet.source.put_config(make_snapshot(self.version, make_route("r", "s")))
+
+    async def restart_node(self) -> None:
+        name = self.random.choice(list(self.fleet.hosts))
+        host = self.fleet.hosts[name]
+        host.node.close()
+        node = HostNode(host.node.settings, NAMES, self.fleet.source, Random(self.version))
+        await node.start([])
+        self.fleet.hosts[name] = Host(node, host.upstream)
+        self.fleet.hosts[name].announce(sequence=2)
+
+    def restore_copy(self) -> None:
+        self.fleet.source.restore_copy(self.random.choice(self.copies))
+        self.fleet.source.put_config(make_snapshot(self.version, make_route("r", "s")))
+
+    async def run(self, steps: int) -> None:
+        source = self.fleet.source
+        for _ in range(steps):
+            action = self.random.choice(["write", "write", "copy", "silence", "drill", "restart"])
+            if action == "write":
+                self.write()
+            elif action == "copy":
+                self.copies.append(source.take_copy())
+            elif action == "silence":
+                source.start_silence()
+                await asyncio.sleep(self.random.uniform(0.0, 1.5))
+                source.end_silence()
+            elif action == "drill":
+                self.restore_copy()
+            else:
+                await self.restart_node()
+            await asyncio.sleep(self.random.uniform(0.0, 0.4))
+
+
+# Guards against combinations of store faults after which a node keeps an older configuration.
+@pytest.mark.parametrize("seed", range(STORE_FAULT_SEEDS))
+def test_all_nodes_have_the_newest_configuration_after_a_series_of_store_faults(
+    seed: int,
+) -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        for name, zone in (("n1", "a"), ("n2", "a"), ("n3", "b")):
+            await fleet.add(name, zone=zone)
+        await fleet.wait_until_synced()
+        faults = StoreFaults(fleet, seed)
+        await faults.run(steps=8)
+        faults.write()
+        async with asyncio.timeout(CONTACT_S):
+            while any(
+                host.node.holder.snapshot.version != faults.version for host in fleet.hosts.values()
+            ):
+                await asyncio.sleep(0.01)
+
+    return run_scenario(scenario)
