--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -152,6 +152,7 @@
             except HistoryLostError:
                 log_info("the history of the configuration has expired; reading all of it")
                 position = None
+                await asyncio.sleep(RETRY_MIN_S)
             except SourceError as error:
                 log_warning(
                     "reading the configuration from the platform failed",
