Answer a restarted node with the version that the watcher holds

What callers would see on the product's own platform: after it comes back from an earlier copy, a restarted node takes its older head for the version floor and may return to it.

Cause: the watcher passed on the platform's head as it was read.

Evidence: test_a_watcher_answers_with_its_own_version_if_the_platform_has_an_older_head got HeadResponse(7, 3) before.

Remains: a watcher that restarts itself before another one has written the newest head again reads the older head and knows no better.

--- a/packages/distribution/src/corianderwall/distribution/distributor.py
+++ b/packages/distribution/src/corianderwall/distribution/distributor.py
@@ -124,7 +124,8 @@
         self._check_conflict(snapshot)
         self._floor.record_platform_head(snapshot.version)
         if asked_at is not None:
-            outgoing += self._head_requests.respond(snapshot.version, asked_at)
+            # A platform that has come back from an earlier copy has an older head than this node.
+            outgoing += self._head_requests.respond(self.held_version, asked_at)
         return outgoing + self._activate_newest(now) + self._witness_requests.request_early()
 
     def handle(self, peer: str, message: PeerMessage, now: float) -> list[OutgoingMessage]:
--- a/packages/distribution/tests/test_floor.py
+++ b/packages/distribution/tests/test_floor.py
@@ -85,3 +85,17 @@
         distributor.handle("h2", HeldVersion(1, version), 2.1)
         assert distributor.held_version == version
         assert distributor.is_ready == (version == 5)
+
+
+# Guards against a restarted node that returns to an older version, because the platform came back
+# from an earlier copy and its head is older than what the nodes have activated.
+def test_a_watcher_answers_with_its_own_version_if_the_platform_has_an_older_head(
+    members: Any,
+) -> None:
+    distributor = Distributor(members, rng=random.Random(1), now=0.0)
+    distributor.handle_head(Snapshot(version=5), 1.0)
+    distributor.handle("h1", HeadRequest(7), 2.0)
+    outgoing = distributor.handle_head(Snapshot(version=3), 3.0, asked_at=2.5)
+    responses = [each.message for each in outgoing if isinstance(each.message, HeadResponse)]
+    assert responses == [HeadResponse(7, 5)]
+    assert distributor.held_version == 5
