--- a/packages/standins/src/corianderwall/standins/scripted.py
+++ b/packages/standins/src/corianderwall/standins/scripted.py
@@ -68,7 +68,7 @@
         """Stop accepting connections."""
         self._server.close()
 
-    async def _send_without_end(self, writer: asyncio.StreamWriter, endless: "Endless") -> None:
+    async def _send_without_end(self, writer: asyncio.StreamWriter, endless: Endless) -> None:
         """Send until the caller closes the connection, which raises `ConnectionError`."""
         start, piece = _ENDLESS_PARTS[endless]
         writer.write(start)
--- a/packages/store/src/corianderwall/store/http_api.py
+++ b/packages/store/src/corianderwall/store/http_api.py
@@ -126,7 +126,7 @@
             raise _build_unavailable("the value is larger than the platform allows")
         headers = response.headers
         raw_era = _read_header(headers, ERA_HEADER)
-        era = int(raw_era) if raw_era.isdigit() else 0
+        era = int(raw_era) if raw_era.isdigit() else self._era or 0
         self._era = max(era, self._era or 0)
         return _Response(
             method=method,
