--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -223,6 +223,7 @@
     ) -> EndpointView | None:
         view = self._choose_version(state, excluded, round_)
         if view is None and state.try_new:
+            # No owner of the new version has room, so the call goes to the old one.
             state.try_new = False
             view = self._choose_version(state, excluded, round_)
         return view
