--- a/packages/mesh/src/corianderwall/mesh/ratelimit.py
+++ b/packages/mesh/src/corianderwall/mesh/ratelimit.py
@@ -6,7 +6,7 @@
 BURST_CALLS = 2.0
 """Calls that may start at once after a pause."""
 MIN_RATE_PER_S = 0.25
-"""Rate below which calls are not limited, so that the end of a limit is noticed."""
+"""Lowest rate that is applied; without any calls, the end of a limit would not be noticed."""
 
 
 @dataclass(slots=True)
