Don't reuse a connection whose request body has not been sent yet

An endpoint may respond before it has read a long body and keep the connection. The next request was then queued behind the unread rest and got no response: its caller saw a lost answer although the endpoint was free. Such a connection is now closed after its response; the rest is still written.

The new test failed before: the second call ended incomplete.

--- a/packages/httpflow/src/corianderwall/httpflow/client_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -195,7 +195,9 @@
         attempt, self.attempt = self.attempt, None
         if attempt is None:
             return
-        if self._parser.reusable and self._body_sent:
+        # The rest of a body that the upstream has not read would delay the next request.
+        all_sent = self._body_sent and not self._transport.get_write_buffer_size()
+        if self._parser.reusable and all_sent:
             if attempt.is_paused:
                 self.resume_reading()
             self.idle_since = self._loop.time()
--- a/packages/httpflow/tests/test_pool.py
+++ b/packages/httpflow/tests/test_pool.py
@@ -133,6 +133,27 @@
     assert pool_harness.upstream.connections == 2
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_response_before_the_body_is_read_leaves_no_bytes_for_the_next_request(
+    pool_harness, tools
+) -> None:
+    """Pattern: an endpoint responds early, keeps the connection and reads on later."""
+
+    async def respond_early(upstream, reader, writer) -> None:
+        await upstream.read_request(reader)
+        writer.write(OK)
+        await asyncio.sleep(20)
+
+    pool = await pool_harness.open(respond_early, tools.keep_responding(OK))
+    result, _ = await pool_harness.call(pool, b"POST", body=b"x" * 16_000_000)
+    assert result.complete
+    started = asyncio.get_event_loop().time()
+    result, receiver = await pool_harness.call(pool)
+    assert (result.complete, receiver.body) == (True, b"ok")
+    assert asyncio.get_event_loop().time() - started < 5
+    assert pool_harness.upstream.connections == 2
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_passed_deadline_sends_nothing(pool_harness, tools) -> None:
     pool = await pool_harness.open(tools.keep_responding(OK))
