Let a client hold back a request body until the upstream asks for it

With expects_continue the head goes out alone. Until the upstream asks for the body with status 100, the verdict is a true "not run", also when the connection is lost. Needed for uploads between nodes: a refused upload crosses as a head only.

--- a/packages/httpflow/src/corianderwall/httpflow/attempt.py
+++ b/packages/httpflow/src/corianderwall/httpflow/attempt.py
@@ -18,7 +18,8 @@
 
     Either `body` holds the whole body, or `streamed` is set and a body of `body_length` bytes
     (None: unknown) is passed to `Attempt.write_body`; `source` is paused while the connection
-    can't take more.
+    can't take more. With `expects_continue` the upstream must not run the request before it has
+    asked for `body`, which is sent only then.
     """
 
     method: bytes
@@ -30,6 +31,7 @@
     streamed: bool = False
     body_length: int | None = 0
     source: BodySource | None = None
+    expects_continue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,8 +99,9 @@
 class Attempt:
     """An `OutgoingCall` being sent; sink of the request's body and source of the response's body.
 
-    `send_started` is set before the first byte goes to the transport. If it is wrong, the verdict
-    is therefore "may have run" and never a false "not run".
+    `send_started` is set before the first byte goes to the transport, or before the first byte of
+    the body if the upstream has to ask for it. If it is wrong, the verdict is therefore "may have
+    run" and never a false "not run".
     """
 
     call: OutgoingCall
--- a/packages/httpflow/src/corianderwall/httpflow/client_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -7,6 +7,7 @@
 from corianderwall.httpflow.attempt import Attempt, ResponseHead
 from corianderwall.httpflow.headers import (
     CHUNKED,
+    EXPECT_CONTINUE,
     LAST_CHUNK,
     NOT_RUN_HEADER,
     encode_chunk,
@@ -121,20 +122,28 @@
         if attempt is not None and not attempt.refused:
             attempt.receiver.receive_body(data)
 
+    def receive_continue(self) -> None:
+        """Send the body that the upstream has asked for."""
+        attempt = self.attempt
+        if attempt is not None and attempt.call.expects_continue and not self._body_sent:
+            attempt.send_started = True
+            self._body_sent = True
+            self._transport.write(attempt.call.body)
+
     # Methods for attempts and the pool.
 
     def start(self, attempt: Attempt) -> None:
-        """Send the head, with the body unless it is streamed, in one write."""
+        """Send the head, with the body unless it is streamed or has to be asked for."""
         call = attempt.call
         self.attempt = attempt
         self._parser.expect(head_only=call.method == b"HEAD")
         self._chunked_request = call.streamed and call.body_length is None
-        self._body_sent = not call.streamed
+        self._body_sent = not call.streamed and not call.expects_continue
         framing = self._make_framing(attempt)
         head = encode_request_head(call.method, call.target, call.headers, framing)
-        attempt.send_started = True
+        attempt.send_started = not call.expects_continue
         attempt.started = self._loop.time()
-        self._transport.write(head + call.body)
+        self._transport.write(head if call.expects_continue else head + call.body)
         if attempt.is_paused:
             self._transport.pause_reading()
 
@@ -183,6 +192,8 @@
 
     def _make_framing(self, attempt: Attempt) -> bytes:
         call = attempt.call
+        if call.expects_continue:
+            return EXPECT_CONTINUE + b"content-length: %d\r\n" % len(call.body)
         if self._chunked_request:
             return CHUNKED
         if call.streamed:
--- a/packages/httpflow/src/corianderwall/httpflow/headers.py
+++ b/packages/httpflow/src/corianderwall/httpflow/headers.py
@@ -24,6 +24,7 @@
 
 CHUNKED = b"transfer-encoding: chunked\r\n"
 CLOSE = b"connection: close\r\n"
+EXPECT_CONTINUE = b"expect: 100-continue\r\n"
 NOT_RUN_HEADER = (b"x-not-run", b"1")
 """Together with status 503, states that the request was refused before it was run."""
 LAST_CHUNK = b"0\r\n\r\n"
--- a/packages/httpflow/src/corianderwall/httpflow/response_parser.py
+++ b/packages/httpflow/src/corianderwall/httpflow/response_parser.py
@@ -17,6 +17,10 @@
     from corianderwall.httpflow.limits import ClientLimits
 
 
+CONTINUE = 100
+"""The status with which an upstream asks for the body of a request."""
+
+
 class InvalidResponseError(Exception):
     """The response violates the protocol or exceeds a limit."""
 
@@ -24,6 +28,9 @@
 class ResponseEvents(Protocol):
     """The events that the parser reports to its connection."""
 
+    def receive_continue(self) -> None:
+        """Receive the request of the upstream for the body of the call."""
+
     def receive_head(self, head: ResponseHead) -> None:
         """Receive the head of the final response."""
 
@@ -96,6 +103,8 @@
         self._informational = 100 <= status < 200
         if self._informational:
             # These count towards the head, as an endpoint may send them without end.
+            if status == CONTINUE:
+                self._events.receive_continue()
             return
         self._bytes_since_event = 0
         if status < 100 or self._codec.get_http_version() not in ("1.1", "1.0"):
--- a/packages/httpflow/tests/test_pool.py
+++ b/packages/httpflow/tests/test_pool.py
@@ -133,6 +133,59 @@
     assert pool_harness.upstream.connections == 2
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_body_that_has_to_be_asked_for_follows_the_request_for_it(
+    pool_harness, tools
+) -> None:
+    bodies: list[bytes] = []
+
+    async def ask(upstream, reader, writer) -> None:
+        for _ in range(2):
+            await upstream.read_request(reader)
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            bodies.append(await reader.readexactly(4))
+            writer.write(OK)
+
+    pool = await pool_harness.open(ask)
+    for _ in range(2):
+        result, receiver = await pool_harness.call(
+            pool, b"POST", body=b"abcd", expects_continue=True
+        )
+        assert (result.verdict, result.complete, receiver.body) == (Verdict.RAN, True, b"ok")
+    assert bodies == [b"abcd", b"abcd"]
+    assert b"expect: 100-continue\r\ncontent-length: 4\r\n" in pool_harness.upstream.requests[0]
+    assert pool_harness.upstream.connections == 1
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_refused_body_is_never_sent_and_its_connection_is_not_used_again(
+    pool_harness, tools
+) -> None:
+    received: list[bytes] = []
+
+    async def refuse(upstream, reader, writer) -> None:
+        await upstream.read_request(reader)
+        writer.write(b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n")
+        received.append(await reader.read())
+
+    pool = await pool_harness.open(refuse, tools.keep_responding(OK))
+    result, _ = await pool_harness.call(pool, b"POST", body=b"abcd", expects_continue=True)
+    assert (result.status, result.complete) == (503, True)
+    result, receiver = await pool_harness.call(pool)
+    assert receiver.body == b"ok"
+    await tools.wait_until(lambda: received == [b""])
+    assert pool_harness.upstream.connections == 2
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_connection_lost_before_the_body_was_asked_for_means_not_run(
+    pool_harness, tools
+) -> None:
+    pool = await pool_harness.open(tools.respond_with(b""))
+    result, _ = await pool_harness.call(pool, b"POST", body=b"abcd", expects_continue=True)
+    assert (result.verdict, result.error) == (Verdict.NOT_RUN, ErrorCode.UPSTREAM_LOST)
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_response_before_the_body_is_read_leaves_no_bytes_for_the_next_request(
     pool_harness, tools
--- a/packages/httpflow/tests/test_response_parser.py
+++ b/packages/httpflow/tests/test_response_parser.py
@@ -21,6 +21,10 @@
     def __init__(self) -> None:
         self.heads: list[ResponseHead] = []
         self.body = b""
+        self.continues = 0
+
+    def receive_continue(self) -> None:
+        self.continues += 1
 
     def receive_head(self, head: ResponseHead) -> None:
         self.heads.append(head)
@@ -41,6 +45,14 @@
         assert (parser.responded, parser.reusable, events.body) == (True, True, b"hello"), cut
 
 
+def test_only_the_status_100_asks_for_the_body() -> None:
+    events = Events()
+    parser = ResponseParser(events, ClientLimits())
+    parser.expect(head_only=False)
+    parser.feed(b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
+    assert (events.continues, events.heads, parser.responded) == (1, [], False)
+
+
 PIECES = [
     *RESPONSES,
     b"HTTP/1.1 200 OK\r\n",
