Keep uploads in their zone and let them cross only once a slot is free

Callers of a customer with dear bytes between zones paid for uploads of 60 KB that crossed like small requests, also for refused ones. Only the size of responses decided whether a call stays in its zone.

- The choice counts what a call moves in both directions, more bytes weigh more, and a call that the zone would serve late leaves it.
- A body of 2 KiB or more goes to another host only when the owner has a slot and asks for it; a connection that is lost before means a true "not run".
- The entry arms the deadline and counts the call as pending before it reads the body, so a stalled sender gets 408 at the deadline or before a stop; an announced length over the limit gets 413 unread.
- Bodies of running calls share a bounded part of a host's memory; what does not fit is refused.
- An owner gives up a body that stalls and frees the slot; it checks the endpoint again before sending.
- A response between nodes must carry the id of its call.
- The metric link_bytes counts bytes between nodes by purpose and zone.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -2,20 +2,21 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred
 
 from corianderwall.httpflow.call import IncomingCall
-from corianderwall.mesh.body import BodyReader
+from corianderwall.mesh.body import BodyFailure, BodyReader
+from corianderwall.mesh.bodymemory import BodyMemory
 from corianderwall.mesh.callertimeouts import CallerTimeouts
 from corianderwall.mesh.configuration import ConfigurationHolder
 from corianderwall.mesh.directory import Directory, EndpointView
 from corianderwall.mesh.gate import RunningCall
 from corianderwall.mesh.messages import CallMetadata, Refusal, ResponseMetadata
 from corianderwall.mesh.moves import MoveTracker
-from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse
+from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse, ReceivedBody
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
 from corianderwall.mesh.retryafter import DEFAULT_RETRY_AFTER_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
@@ -41,13 +42,18 @@
 """Longest time for which an endpoint that has named a rate limit is not asked for a slot."""
 AVOID_WHEN_LATE_S = 0.15
 """How long an endpoint whose queue is too long is not asked to queue; about one queue length."""
-BIG_RESPONSE_BYTES = 16_384
-"""Mean size above which the responses of a route count as big."""
 DEPRIORITIZE_S = 0.3
 """How long an endpoint that shed or lost a call is chosen last."""
 CALL_LOG_LINES_PER_S = 300
 """Limit on log lines about calls per second; about five times the call rate of a host."""
 SERVER_ERROR = 500
+BODY_FAILURE_STATUSES = {
+    BodyFailure.TOO_LARGE: 413,
+    BodyFailure.NO_MEMORY: 503,
+    BodyFailure.LATE: 408,
+    BodyFailure.INCOMPLETE: 400,
+}
+"""The status of a call without its body; only a caller that has left never gets it."""
 
 
 @dataclass(slots=True)
@@ -75,6 +81,8 @@
     refused_wait_ms: list[float] = field(default_factory=list)
     trail: list[str] = field(default_factory=list)
     failure: OwnerResponse | None = None
+    body_received: bool = False
+    body_bytes: int = 0
     version: str = ""
     try_new: bool | None = None
 
@@ -103,6 +111,7 @@
         find_parent: Callable[[bytes], RunningCall | None],
         moves: MoveTracker,
         metrics: CallMetrics,
+        body_memory: BodyMemory,
         random: Random,
     ) -> None:
         self._settings = settings
@@ -114,6 +123,7 @@
         self._find_parent = find_parent
         self._moves = moves
         self._metrics = metrics
+        self._body_memory = body_memory
         self._random = random
         self._loop = asyncio.get_running_loop()
         self._splits = WeightedSplit(random)
@@ -144,21 +154,48 @@
     async def _handle_call(self, call: IncomingCall) -> None:
         began = self._loop.time()
         request_id = call.find_header(self._headers.request_id) or b""
+        route = self._find_route(call, request_id)
+        if route is None:
+            return
+        limit = self._configuration.snapshot.limits.max_body_bytes
+        body = BodyReader(call, limit, self._body_memory)
+        if not body.admit():
+            self._refuse_body(call, request_id, body)
+            return
+        state = self._make_state(call, request_id, route, began)
+        self._metrics.running += 1
+        pending = Deferred.fromCoroutine(self._read_and_send(state, body))
+        timer = self._loop.call_at(state.deadline, pending.cancel)
+        self._pending.add(pending)
+        try:
+            response = await pending
+        except CancelledError:
+            self._respond_cancelled(call, state)
+            return
+        finally:
+            timer.cancel()
+            self._pending.discard(pending)
+            self._metrics.running -= 1
+            body.release()
+        if state.body_received:
+            self._respond(call, state, response)
+        else:
+            self._refuse_body(call, request_id, body)
+
+    def _find_route(self, call: IncomingCall, request_id: bytes) -> Route | None:
+        """Return the route of `call`, or refuse it and return None."""
         table = self._configuration.table
         if table is None:
             self._refuse_early(call, request_id, 503, "no configuration")
-            return
-        target = call.target.decode("latin-1")
-        route = table.match(call.host.decode("latin-1"), target)
+            return None
+        route = table.match(call.host.decode("latin-1"), call.target.decode("latin-1"))
         if route is None:
             self._refuse_early(call, request_id, 404, "no route")
-            return
-        limit = self._configuration.snapshot.limits.max_body_bytes
-        body = await BodyReader(call, limit).read()
-        if body is None:
-            cause = "the body is too large" if call.is_open else "caller left"
-            self._refuse_early(call, request_id, 413, cause)
-            return
+        return route
+
+    def _make_state(
+        self, call: IncomingCall, request_id: bytes, route: Route, began: float
+    ) -> _CallState:
         timeout_s = self._read_timeout_s(call)
         deadline = min(began + min(timeout_s, route.timeout_ms / 1000), self._latest_end)
         parent = self._find_parent(request_id)
@@ -170,7 +207,7 @@
             route=route,
             service=self._splits.pick(route),
             request=ForwardedRequest(
-                request_id, call.method, call.target, self._strip_headers(call), body
+                request_id, call.method, call.target, self._strip_headers(call)
             ),
             deadline=deadline,
             caller_deadline=began + timeout_s,
@@ -184,29 +221,23 @@
             self._budget.count_request(state.service, began)
         if state.is_retry:
             self._budget.charge(state.service, began)
-        self._metrics.running += 1
-        pending = Deferred.fromCoroutine(self._find_response(state))
-        timer = self._loop.call_at(deadline, pending.cancel)
-        self._pending.add(pending)
-        try:
-            response = await pending
-        except CancelledError:
-            if call.is_open:
-                self._respond_error(call, state, 504, "deadline")
-            else:
-                self._log(state, 0, "caller left")
-            return
-        finally:
-            timer.cancel()
-            self._pending.discard(pending)
-            self._metrics.running -= 1
-        self._respond(call, state, response)
+        return state
+
+    async def _read_and_send(self, state: _CallState, body: BodyReader) -> OwnerResponse | None:
+        """Return the response of an owner, or None if there is none or no complete body."""
+        data = await body.read()
+        if data is None:
+            return None
+        state.body_received = True
+        state.body_bytes = len(data)
+        state.request = replace(state.request, body=ReceivedBody(data))
+        return await self._find_response(state)
 
     # Choosing owners and sending the call.
 
     async def _find_response(self, state: _CallState) -> OwnerResponse | None:
         """Return the response of an owner, or None if all owners refused the call."""
-        for round_ in BIG_ROUNDS if self._make_traits(state.route).big else ROUNDS:
+        for round_ in BIG_ROUNDS if self._make_traits(state).big else ROUNDS:
             excluded = set(state.unusable)
             for _ in range(round_.max_owners):
                 view = self._choose(state, excluded, round_)
@@ -236,17 +267,18 @@
         if state.try_new is None:
             state.try_new = self._moves.may_try_new_version(state.service, views)
         views = self._moves.filter_endpoints(state.service, views, now, try_new=state.try_new)
-        traits = self._make_traits(state.route)
+        traits = self._make_traits(state)
         # Nested calls ignore earlier refusals, because a running call depends on them.
         route = "" if state.nested else state.route.name
         views = list_candidates(views, traits, round_, route, now)
         return choose_endpoint(views, traits, excluded, now, self._random)
 
-    def _make_traits(self, route: Route) -> CallTraits:
+    def _make_traits(self, state: _CallState) -> CallTraits:
+        route = state.route
         return CallTraits(
             zone=self._settings.zone,
             objective_ms=route.objective_ms,
-            big=self._sizes.estimate(route.name) > BIG_RESPONSE_BYTES,
+            moved_bytes=state.body_bytes + self._sizes.estimate(route.name),
         )
 
     async def _send_to_owner(
@@ -284,7 +316,7 @@
         self._record_reply(state, view, reply.metadata)
         if reply.metadata.ran:
             ended = self._loop.time()
-            overhead = view.big_overhead if self._make_traits(route).big else view.small_overhead
+            overhead = view.big_overhead if self._make_traits(state).big else view.small_overhead
             overhead.add_sample(max(0.0, (ended - now) * 1000 - reply.metadata.took_ms), ended)
         return reply
 
@@ -358,6 +390,15 @@
             call.respond(response.status, response.headers, response.body)
             self._log(state, response.status, "answered")
 
+    def _respond_cancelled(self, call: IncomingCall, state: _CallState) -> None:
+        """Respond to a call that was given up at its deadline, if its caller is still there."""
+        if not call.is_open:
+            self._log(state, 0, "caller left")
+        elif state.body_received:
+            self._respond_error(call, state, 504, "deadline")
+        else:
+            self._respond_error(call, state, 408, BodyFailure.LATE.value)
+
     def _respond_error(
         self, call: IncomingCall, state: _CallState, status: int, cause: str, wait_s: float = 0.0
     ) -> None:
@@ -374,6 +415,11 @@
         call.respond(status, headers)
         self._log(state, status, cause)
 
+    def _refuse_body(self, call: IncomingCall, request_id: bytes, body: BodyReader) -> None:
+        """Refuse a call without its body; no owner has got it."""
+        failure = body.failure or BodyFailure.INCOMPLETE
+        self._refuse_early(call, request_id, BODY_FAILURE_STATUSES[failure], failure.value)
+
     def _refuse_early(self, call: IncomingCall, request_id: bytes, status: int, cause: str) -> None:
         headers = [(self._headers.request_id, request_id)]
         if status == 503:
--- a/packages/mesh/src/corianderwall/mesh/exchange.py
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -35,7 +35,8 @@
 class Exchange:
     """The outcome of a request; `response` is None unless the response is complete.
 
-    `send_started` is set once a byte of the request may have left this process.
+    `send_started` is set once a byte of the request may have left this process; if the receiver has
+    to ask for the body, once a byte of the body may have.
     """
 
     response: Response | None
@@ -100,7 +101,8 @@
     if collector.mismatched or not result.complete or head is None:
         send_started = attempt.send_started
         return Exchange(None, send_started, result.error or ErrorCode.UPSTREAM_LOST)
-    return Exchange(Response(head.status, head.headers, b"".join(collector.body)), True)
+    response = Response(head.status, head.headers, b"".join(collector.body))
+    return Exchange(response, attempt.send_started)
 
 
 async def await_exchange(
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -146,8 +146,14 @@
             return self._refuse(request, refusal, queued)
         exchange: Exchange | None = None
         running = self._running[request.request_id] = RunningCall(metadata.is_retry)
+        sent_at = queued.started
         try:
-            exchange = await self._send(metadata, request, deadline)
+            body = await self._receive_body(request, deadline)
+            sent_at = self._loop.time()
+            # The endpoint may have begun to leave while the body was on its way.
+            refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata.endpoint)
+            if body is not None and refusal is None:
+                exchange = await self._send(metadata, request, body, deadline)
         except CancelledError:
             self._log_cancelled(request, metadata, "running", queued.started)
             raise
@@ -156,9 +162,11 @@
             self._running.pop(request.request_id, None)
             self.queue.finish(queued, self._loop.time(), ran=ran)
             self._dispatch()
+        if exchange is None:
+            return self._refuse(request, refusal or Refusal.BODY_LOST)
         ended = self._loop.time()
         total_ms = round((ended - now) * 1000, 1)
-        took_s = ended - queued.started
+        took_s = ended - sent_at
         return self._handle_exchange(
             metadata, request, exchange, took_s, total_ms, nested_failed=running.nested_failed
         )
@@ -270,8 +278,16 @@
         if wait is not None:
             wait.callback(refusal)
 
+    async def _receive_body(self, request: ForwardedRequest, deadline: float) -> bytes | None:
+        """Return the body, or None if the entry has not sent all of it by `deadline`."""
+        timer = self._loop.call_at(deadline, request.body.expire)
+        try:
+            return await request.body.read()
+        finally:
+            timer.cancel()
+
     async def _send(
-        self, metadata: CallMetadata, request: ForwardedRequest, deadline: float
+        self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, deadline: float
     ) -> Exchange:
         names = self._headers
         left_ms = max(1, int((deadline - self._loop.time()) * 1000))
@@ -287,7 +303,7 @@
             headers=headers,
             deadline=deadline + DEADLINE_MARGIN_S,
             idempotent=metadata.idempotent,
-            body=request.body,
+            body=body,
         )
         return await run_exchange(self._pool, call, (names.request_id, request.request_id))
 
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -120,6 +120,8 @@
     UNKNOWN = "unknown"
     DOWN = "down"
     SHED = "shed"
+    BODY_LOST = "body lost"
+    NO_MEMORY = "no memory"
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -43,6 +43,9 @@
         live = sum(1 for _ in node.directory.list_live())
         metrics.hosts.set({"state": "live"}, live + 1)
         metrics.hosts.set({"state": "doubted"}, len(node.directory.peers) - live)
+        for (purpose, other_zone), size in node.link.bytes.totals.items():
+            labels = {"purpose": purpose, "zone": "other" if other_zone else "own"}
+            metrics.link_bytes.set(labels, size)
         for kind, count in self._platform_calls.items():
             metrics.platform_calls.set({"kind": kind}, count)
         suppressed = node.entry.log_budget.suppressed + node.gate.log_budget.suppressed
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -15,6 +15,7 @@
 from corianderwall.httpflow.limits import ServerLimits
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.httpflow.server import CallServer
+from corianderwall.mesh.bodymemory import BODY_MEMORY_FRACTION, BodyMemory
 from corianderwall.mesh.configuration import (
     CONFIG_PULL_KIND,
     CONFIG_PUSH_KIND,
@@ -113,8 +114,9 @@
         self.directory = Directory(own)
         self.holder = ConfigurationHolder()
         self.moves = MoveTracker(settings.bounds.canary_share, random)
-        self.link = PeerLink(self.directory)
+        self.link = PeerLink(self.directory, headers)
         uplink = Uplink(settings.link_bytes_per_s)
+        self.body_memory = BodyMemory(settings.memory_bytes * BODY_MEMORY_FRACTION)
         sender = ResponseSender(uplink)
         self.gate = EndpointGate(
             settings,
@@ -154,6 +156,7 @@
             self.gate.find_parent,
             self.moves,
             self.metrics,
+            self.body_memory,
             random,
         )
         handlers = {
@@ -164,7 +167,7 @@
             CONFIG_PUSH_KIND: self.sync.handle_push,
             MOVE_NOTICE_KIND: self.move_controller.handle_notice,
         }
-        peer_handler = PeerHandler(self.gate, headers, handlers, sender)
+        peer_handler = PeerHandler(self.gate, headers, handlers, sender, self.body_memory)
         limits = self._make_limits()
         self._outbound = CallServer(self.entry, limits)
         self._inbound = CallServer(peer_handler, limits)
--- a/packages/mesh/src/corianderwall/mesh/owner.py
+++ b/packages/mesh/src/corianderwall/mesh/owner.py
@@ -8,15 +8,42 @@
 from corianderwall.mesh.messages import CallMetadata, ResponseMetadata
 
 
+class RequestBody(Protocol):
+    """The body of a request, of which a part may still be on the way."""
+
+    async def read(self) -> bytes | None:
+        """Return the whole body, or None if the rest of it will not arrive."""
+
+    def expire(self) -> None:
+        """Give up the rest of the body, as it has not been received in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedBody:
+    """A body that has been received."""
+
+    data: bytes
+
+    async def read(self) -> bytes:
+        """Return the body."""
+        return self.data
+
+    def expire(self) -> None:
+        """Do nothing, as the body is complete."""
+
+
+EMPTY_BODY = ReceivedBody(b"")
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardedRequest:
-    """The complete request of a caller; `headers` holds no hop-by-hop headers or mesh headers."""
+    """The request of a caller; `headers` holds no hop-by-hop headers or mesh headers."""
 
     request_id: bytes
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: RequestBody = EMPTY_BODY
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -1,7 +1,6 @@
 """HTTP between nodes: calls for an owner and messages share a port and its connections."""
 
 import asyncio
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
@@ -14,15 +13,17 @@
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.body import BodyReader
+from corianderwall.mesh.bodymemory import BodyMemory
 from corianderwall.mesh.directory import Directory
 from corianderwall.mesh.exchange import Response, await_exchange, run_exchange
+from corianderwall.mesh.linkbytes import START_LINE_BYTES, LinkBytes
 from corianderwall.mesh.messages import CallMetadata, Load, NodeRecord, Refusal, ResponseMetadata
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse
 from corianderwall.mesh.sending import ResponseSender
 from corianderwall.mesh.settings import HeaderNames
 from corianderwall.mesh.tasks import run_call
 from corianderwall.model.endpoint import Address
-from corianderwall.node.logs import log_warning
+from corianderwall.node.logs import log_info, log_warning
 
 CALL_HEADER = b"cw-call"
 """Carries the `CallMetadata` to the owner."""
@@ -45,6 +46,9 @@
 """Timeout for the response to a message between nodes."""
 STALE_AFTER_S = 1.0
 """Idle time after which a connection is checked before reuse; earlier closes are rare."""
+EXPECT_BODY_BYTES = 2048
+"""Size from which a request body is sent only after the owner has a slot for the call. Below it the
+wait for the owner costs more than a body that is sent for nothing."""
 OWNER_MARGIN_S = 0.05
 """Time after the deadline for which an entry waits for the report of the owner."""
 
@@ -65,21 +69,28 @@
 
     async def serve(self, metadata: CallMetadata, request: ForwardedRequest) -> OwnerResponse:
         """Send the call to the peer and return the report of the owner."""
-        return await self.link.send_call(self.node, metadata, request)
+        body = await request.body.read()
+        return await self.link.send_call(self.node, metadata, request, body or b"")
 
 
 class PeerLink:
     """The connections from this node to its peers."""
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(self, directory: Directory, headers: HeaderNames) -> None:
         self._directory = directory
+        self._headers = headers
         self._loop = asyncio.get_running_loop()
         self._pools: dict[Address, UpstreamPool] = {}
+        self.bytes = LinkBytes(directory.own.zone)
 
     async def send_call(
-        self, node: NodeRecord, metadata: CallMetadata, request: ForwardedRequest
+        self, node: NodeRecord, metadata: CallMetadata, request: ForwardedRequest, body: bytes
     ) -> OwnerResponse:
-        """Send a call to the owner on `node`; if the response is lost, the call may have run."""
+        """Send a call to the owner on `node`; if the response is lost, the call may have run.
+
+        The owner asks for a big body once it has a slot for the call, so that a refused one never
+        crosses the link.
+        """
         headers = [*request.headers, (CALL_HEADER, _metadata_encoder.encode(metadata))]
         call = OutgoingCall(
             method=request.method,
@@ -87,10 +98,17 @@
             headers=headers,
             deadline=self._loop.time() + metadata.left_ms / 1000 + OWNER_MARGIN_S,
             idempotent=metadata.idempotent,
-            body=request.body,
+            body=body,
+            expects_continue=len(body) >= EXPECT_BODY_BYTES,
         )
-        exchange = await run_exchange(self._find_pool(node), call)
+        echo = (self._headers.request_id, request.request_id)
+        exchange = await run_exchange(self._find_pool(node), call, echo)
         response = exchange.response
+        if exchange.send_started:
+            self.bytes.count("request_bodies", node.zone, len(body))
+        if response is not None:
+            self.bytes.count_heads(node.zone, headers, response.headers)
+            self.bytes.count("response_bodies", node.zone, len(response.body))
         raw = response.find_header(RESPONSE_HEADER) if response is not None else None
         if response is None or raw is None:
             if response is None:
@@ -115,6 +133,8 @@
         )
         exchange = await await_exchange(self._find_pool(node), call)
         response = exchange.response
+        reply_size = len(response.body) if response is not None else 0
+        self.bytes.count(kind, node.zone, len(body) + reply_size + 2 * START_LINE_BYTES)
         if response is None:
             self._directory.record_failure(node.name, self._loop.time())
             return None
@@ -172,8 +192,10 @@
         headers: HeaderNames,
         handlers: Mapping[str, MessageHandler],
         sender: ResponseSender,
+        memory: BodyMemory,
     ) -> None:
         self._owner = owner
+        self._memory = memory
         self._sender = sender
         self._headers = headers
         self._handlers = handlers
@@ -198,22 +220,37 @@
             log_warning("cannot decode the call header from a peer", error=str(error))
             call.respond(400, [])
             return
-        body = await BodyReader(call, math.inf).read()
-        if body is None:
-            return
         headers = [header for header in call.headers if header[0] != CALL_HEADER]
         request_id = call.find_header(self._headers.request_id) or b""
-        request = ForwardedRequest(request_id, call.method, call.target, headers, body)
-        reply = await self._owner.serve(metadata, request)
+        body = BodyReader(call, memory=self._memory)
+        try:
+            if body.admit():
+                request = ForwardedRequest(request_id, call.method, call.target, headers, body)
+                reply = await self._owner.serve(metadata, request)
+            else:
+                reply = self._report_no_memory(metadata, request_id)
+        finally:
+            body.release()
         encoded = (RESPONSE_HEADER, _metadata_encoder.encode(reply.metadata))
         if reply.response is None:
-            call.respond(503, [encoded])
+            call.respond(503, [(self._headers.request_id, request_id), encoded])
         else:
             headers = [*reply.response.headers, encoded]
             self._sender.send(call, reply.response.status, headers, reply.response.body)
 
+    def _report_no_memory(self, metadata: CallMetadata, request_id: bytes) -> OwnerResponse:
+        log_info(
+            "no memory for the body of a call",
+            request=request_id.decode("latin-1"),
+            endpoint=metadata.endpoint,
+            held_bytes=self._memory.held,
+        )
+        return OwnerResponse(
+            ResponseMetadata(ran=False, load=Load(), refusal=Refusal.NO_MEMORY, reached=False)
+        )
+
     async def _respond_to_message(self, call: IncomingCall, kind: str) -> None:
-        body = await BodyReader(call, math.inf).read()
+        body = await BodyReader(call).read()
         handler = self._handlers.get(kind)
         if body is None or handler is None:
             call.respond(404, [])
--- a/packages/mesh/src/corianderwall/mesh/selection.py
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -15,10 +15,18 @@
 """Age at which a load report no longer counts; most of its calls have ended by then."""
 CALL_TIME_DECAY_S = 8.0
 """Age at which a reported call time no longer counts; a cold start is over by then."""
+BIG_CALL_BYTES = 16_384
+"""Size of body and response together above which a call counts as big."""
 OTHER_ZONE_PENALTY = 0.15
-"""Latency penalty for a small response from another zone, as a fraction of the objective."""
+"""Latency penalty for a call to another zone that moves no bytes, as a fraction of the objective.
+It grows with the bytes that have to cross."""
 BIG_OTHER_ZONE_PENALTY = 1.0
-"""The same for a big response, whose transfer between zones costs about what it is worth."""
+"""The same for a big call, whose transfer between zones costs about what it is worth."""
+LATE_PENALTY = 2.0
+"""Factor on the time by which a call is expected to miss its objective, as a late response is worth
+far less than a slow one."""
+LATE_MARGIN = 1.3
+"""Factor on the expected time of a call when checking whether it will meet its objective."""
 CROWDED_LINK_FRACTION = 0.5
 """Response overhead from which a link counts as crowded, as a fraction of the objective."""
 FAILURE_PENALTY = 4.0
@@ -33,11 +41,26 @@
 
 @dataclass(frozen=True, slots=True)
 class CallTraits:
-    """The properties of a call that matter for the choice of an endpoint."""
+    """The properties of a call that matter for the choice of an endpoint.
+
+    `moved_bytes` is the size of its body and of the expected response.
+    """
 
     zone: str
     objective_ms: float
-    big: bool
+    moved_bytes: float
+
+    @property
+    def big(self) -> bool:
+        """Return whether the call should not leave the zone of the entry."""
+        return self.moved_bytes > BIG_CALL_BYTES
+
+    @property
+    def other_zone_penalty_ms(self) -> float:
+        """Return the latency that it is worth to keep the call in the zone of the entry."""
+        part = min(1.0, self.moved_bytes / BIG_CALL_BYTES)
+        span = BIG_OTHER_ZONE_PENALTY - OTHER_ZONE_PENALTY
+        return self.objective_ms * (OTHER_ZONE_PENALTY + span * part)
 
 
 class Reach(enum.Enum):
@@ -69,7 +92,7 @@
 )
 """Other zones are asked only if no owner of the zone can serve the call in time.
 
-Big responses are costly to send between zones.
+Big bodies and responses are costly to send between zones.
 """
 
 
@@ -114,10 +137,9 @@
         overhead = view.big_overhead if traits.big else view.small_overhead
         expected_ms = estimate_call_ms(view, typical_ms, now) + overhead.estimate_ms(now)
         expected_ms *= 1 + JITTER * random.random()
+        expected_ms += LATE_PENALTY * max(0.0, expected_ms * LATE_MARGIN - traits.objective_ms)
         if view.record.zone != traits.zone:
-            expected_ms += traits.objective_ms * (
-                BIG_OTHER_ZONE_PENALTY if traits.big else OTHER_ZONE_PENALTY
-            )
+            expected_ms += traits.other_zone_penalty_ms
         if now < view.deprioritized_until:
             expected_ms += traits.objective_ms
         if best is None or expected_ms < best_ms:
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -52,4 +52,5 @@
     endpoint: Address
     max_descriptors: int = 1024
     link_bytes_per_s: float = math.inf
+    memory_bytes: float = math.inf
     bounds: Bounds = Bounds()
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -84,7 +84,7 @@
 
 def make_request(name: str = "q1") -> ForwardedRequest:
     headers = [(b"host", b"h"), (b"request-id", name.encode())]
-    return ForwardedRequest(name.encode(), b"GET", b"/a/b?c=d", headers, b"")
+    return ForwardedRequest(name.encode(), b"GET", b"/a/b?c=d", headers)
 
 
 def serve(gate: EndpointGate, name: str = "q1", **fields: Any) -> "asyncio.Future[OwnerResponse]":
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -4,10 +4,11 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 from msgspec import structs
 from twisted.internet.defer import Deferred
@@ -16,12 +17,19 @@
 from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.memorysource import MemorySource
-from corianderwall.mesh.messages import EndpointState
+from corianderwall.mesh.messages import CallMetadata, EndpointState
 from corianderwall.mesh.node import READINESS_DELAY_S, STOP_MARGIN_S, HostNode, plan_stop
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.source import SourceError
 from corianderwall.model.endpoint import Address
-from corianderwall.model.resource import MoveState, Route, Service, ServiceWeight, Snapshot
+from corianderwall.model.resource import (
+    CallerLimits,
+    MoveState,
+    Route,
+    Service,
+    ServiceWeight,
+    Snapshot,
+)
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
 
 NAMES = HeaderNames(
@@ -166,6 +174,29 @@
         writer.close()
         return Reply(int(raw[0].split()[1]), found, body)
 
+    async def open_upload(
+        self, name: str, length: int, target: str = "/r/x"
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send the head of an upload of `length` bytes."""
+        port = self.hosts[name].node.settings.outbound.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            f"POST {target} HTTP/1.1\r\nhost: h.example\r\nrequest-id: q1\r\n"
+            f"deadline-ms: 2000\r\ncontent-length: {length}\r\n\r\n".encode()
+        )
+        return reader, writer
+
+    async def upload(self, name: str, body: bytes) -> int:
+        """Send an upload and return the status of the response."""
+        reader, writer = await self.open_upload(name, len(body))
+        writer.write(body)
+        return await read_status(reader)
+
+    def sum_link_bytes(self, name: str, purpose: str) -> int:
+        """Return the bytes that the node has exchanged with its peers for `purpose`."""
+        totals = self.hosts[name].node.link.bytes.totals
+        return sum(size for (found, _), size in totals.items() if found == purpose)
+
     async def wait_for(self, is_due: Callable[[], bool]) -> None:
         async with asyncio.timeout(WAIT_S):
             while not is_due():
@@ -187,6 +218,10 @@
         )
 
 
+async def read_status(reader: asyncio.StreamReader) -> int:
+    return int((await reader.readuntil(b"\r\n\r\n")).split()[1])
+
+
 async def respond_ok(request: ReceivedRequest) -> bytes:
     return make_response(request, extra_headers="Response-Signature: sig\r\n")
 
@@ -311,6 +346,173 @@
     return run_scenario(scenario)
 
 
+def test_an_upload_reaches_the_endpoint_of_a_peer_whole_and_once() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        assert await fleet.upload("n2", b"x" * 60_000) == 200
+        (seen,) = fleet.hosts["n1"].upstream.requests
+        assert seen.headers["content-length"] == "60000"
+        assert "expect" not in seen.headers
+        assert fleet.sum_link_bytes("n2", "request_bodies") == 60_000
+
+    return run_scenario(scenario)
+
+
+def test_an_upload_that_is_refused_has_not_crossed_the_link() -> Deferred[None]:
+    """Pattern: uploads to a service without a free slot, from hosts in other zones."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        owner = await fleet.add("n1")
+        await fleet.add("n2", zone="b", service="other", announce=False)
+        await fleet.wait_until_synced()
+        owner.node.gate.queue.slots = 0
+        owner.node.gate.queue.route_means_s["r"] = 5.0
+        assert await fleet.upload("n2", b"x" * 60_000) == 503
+        assert fleet.sum_link_bytes("n2", "request_bodies") == 0
+        assert owner.upstream.requests == []
+
+    return run_scenario(scenario)
+
+
+def test_an_upload_that_is_too_large_is_refused_before_it_is_read() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        snapshot = make_snapshot(1, make_route("r", "s", idempotent=False))
+        fleet.source.put_config(replace(snapshot, limits=CallerLimits(max_body_bytes=1000)))
+        await fleet.add("n1")
+        await fleet.wait_until_synced()
+        reader, _ = await fleet.open_upload("n1", 1001)
+        assert await read_status(reader) == 413
+        assert await fleet.upload("n1", b"x" * 1000) == 200
+
+    return run_scenario(scenario)
+
+
+def test_a_sender_that_stalls_gets_a_true_refusal_at_the_deadline_of_its_call() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        route = make_route("r", "s", idempotent=False, timeout_ms=200)
+        fleet.source.put_config(make_snapshot(1, route))
+        await fleet.add("n1")
+        await fleet.wait_until_synced()
+        reader, writer = await fleet.open_upload("n1", 1000)
+        writer.write(b"x" * 999)
+        async with asyncio.timeout(WAIT_S):
+            assert await read_status(reader) == 408
+        assert fleet.hosts["n1"].upstream.requests == []
+
+    return run_scenario(scenario)
+
+
+def test_a_sender_that_stalls_gets_its_response_before_a_stopping_node_ends() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        route = make_route("r", "s", idempotent=False, timeout_ms=60_000)
+        fleet.source.put_config(make_snapshot(1, route))
+        await fleet.add("n1")
+        await fleet.wait_until_synced()
+        reader, writer = await fleet.open_upload("n1", 1000)
+        writer.write(b"x")
+        stopping = asyncio.ensure_future(fleet.hosts["n1"].node.stop())
+        async with asyncio.timeout(WAIT_S):
+            assert await read_status(reader) == 408
+            await stopping
+
+    return run_scenario(scenario)
+
+
+def test_a_sender_that_leaves_midway_frees_the_memory_of_its_body() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        memory = host.node.body_memory
+        _, writer = await fleet.open_upload("n1", 1000)
+        writer.write(b"x")
+        await fleet.wait_for(lambda: memory.held == 1000)
+        writer.close()
+        await fleet.wait_for(lambda: memory.held == 0)
+        assert host.upstream.requests == []
+
+    return run_scenario(scenario)
+
+
+def test_an_upload_without_memory_for_it_is_refused_as_not_run() -> Deferred[None]:
+    """Pattern: more bytes of uploads at once than a small host can hold."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        host.node.body_memory.capacity = 1500
+        _, slow = await fleet.open_upload("n1", 1000)
+        await fleet.wait_for(lambda: host.node.body_memory.held == 1000)
+        reader, _ = await fleet.open_upload("n1", 1000)
+        assert await read_status(reader) == 503
+        slow.close()
+        await fleet.wait_for(lambda: host.node.body_memory.held == 0)
+        assert await fleet.upload("n1", b"x" * 1000) == 200
+        assert host.node.body_memory.held == 0
+
+    return run_scenario(scenario)
+
+
+def test_an_entry_that_stalls_midway_frees_the_slot_of_its_upload() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        metadata = CallMetadata(
+            endpoint="i-n1",
+            left_ms=300.0,
+            due_ms=300.0,
+            priority=0,
+            caller="s",
+            nested=False,
+            is_retry=False,
+            may_wait=True,
+            idempotent=False,
+            route="r",
+        )
+        port = host.node.settings.inbound.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            b"POST /r/x HTTP/1.1\r\nhost: h\r\nrequest-id: q1\r\nexpect: 100-continue\r\n"
+            b"content-length: 9\r\ncw-call: " + msgspec.json.encode(metadata) + b"\r\n\r\n"
+        )
+        assert await read_status(reader) == 100
+        assert len(host.node.gate.queue.running) == 1
+        writer.write(b"x")
+        async with asyncio.timeout(WAIT_S):
+            assert await read_status(reader) == 503
+        assert len(host.node.gate.queue.running) == 0
+        assert host.upstream.requests == []
+
+    return run_scenario(scenario)
+
+
+def test_an_upload_waits_in_its_zone_and_not_at_a_free_endpoint_elsewhere() -> Deferred[None]:
+    """Pattern: dear bytes between zones and uploads, whose bodies are big and responses small."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond_slowly(request: ReceivedRequest) -> bytes:
+            await asyncio.sleep(0.1)
+            return make_response(request)
+
+        fleet.respond = respond_slowly
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        await fleet.add("n1", zone="a")
+        await fleet.add("n2", zone="b")
+        await fleet.add("n3", zone="a", service="other", announce=False)
+        await fleet.wait_until_synced()
+        statuses = await asyncio.gather(*(fleet.upload("n3", b"x" * 60_000) for _ in range(6)))
+        assert statuses == [200] * 6
+        assert count_seen(fleet) == {"n1": 6, "n2": 0, "n3": 0}
+
+    return run_scenario(scenario)
+
+
 def test_a_call_that_is_not_idempotent_is_not_retried_if_its_response_is_lost() -> Deferred[None]:
     async def scenario(fleet: Fleet) -> None:
         async def cut(request: ReceivedRequest) -> bytes:
--- a/packages/mesh/tests/test_selection.py
+++ b/packages/mesh/tests/test_selection.py
@@ -14,8 +14,8 @@
     prefer_zone,
 )
 
-SMALL = CallTraits(zone="a", objective_ms=600, big=False)
-BIG = CallTraits(zone="a", objective_ms=600, big=True)
+SMALL = CallTraits(zone="a", objective_ms=600, moved_bytes=0)
+BIG = CallTraits(zone="a", objective_ms=600, moved_bytes=90_000)
 
 
 def make_view(make_endpoint: Any, name: str, **fields: Any) -> EndpointView:
@@ -149,3 +149,24 @@
     # Calls on another route may be shorter, and nested calls ignore earlier refusals.
     assert list_names([full, late], wait, "other") == ["full", "late"]
     assert list_names([full, late], wait, "") == ["full", "late"]
+
+
+def test_a_call_that_the_zone_would_serve_late_leaves_it_although_it_moves_bytes(
+    make_endpoint: Any,
+) -> None:
+    """Pattern: the endpoint of a zone is slow, and bytes between zones are dear."""
+    traits = CallTraits(zone="a", objective_ms=500, moved_bytes=5000)
+    chosen = {}
+    for near_ms in (220, 400):
+        near = make_view(make_endpoint, "near", service_ms=near_ms)
+        far = make_view(make_endpoint, "far", zone="b", service_ms=215)
+        chosen[near_ms] = choose([near, far], traits)
+    assert chosen == {220: "near", 400: "far"}
+
+
+def test_the_more_bytes_a_call_moves_the_longer_it_stays_in_its_zone(make_endpoint: Any) -> None:
+    near = make_view(make_endpoint, "near", service_ms=280)
+    far = make_view(make_endpoint, "far", zone="b", service_ms=100)
+    sizes = (0, 5_000, 90_000)
+    chosen = [choose([near, far], CallTraits("a", 600, size)) for size in sizes]
+    assert chosen == ["far", "near", "near"]
