--- a/packages/mesh/src/corianderwall/mesh/retrybudget.py
+++ b/packages/mesh/src/corianderwall/mesh/retrybudget.py
@@ -22,7 +22,7 @@
     Each node counts only its own calls, so the shares of all nodes add up to the fleet's budget.
     """
 
-    def __init__(self, *, ratio: float, slack: int, window_s: float) -> None:
+    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio * RATIO_SAFETY_FACTOR
         self._slack = slack * SLACK_SAFETY_FACTOR
         self._window_s = window_s
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -32,7 +32,7 @@
     grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
-    retry_slack: int = 50
+    retry_slack: float = 50
     canary_share: float = 0.1
     heartbeat_s: float = 1.5
 
