Don't close a connection whose next request is already in the kernel

In a planned stop, or at an idle timeout, a connection was closed although a request had arrived that the event loop had not read yet. The kernel then reset the connection, and the caller could not know whether its request had run. The connection is now polled first and its request served.

Both new tests failed before: the caller got a reset.

--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import select
 from collections import deque
 from collections.abc import Iterable
 from typing import cast
@@ -183,12 +184,14 @@
             self._transport.abort()
         elif self._parser.in_message:
             self._refuse_request(408)
-        else:
+        elif not self._has_unread_input():
             self._close(linger=False)
 
     def close_if_idle(self, since: float) -> None:
-        """Close unless a request is running, or the connection was used after `since`."""
-        if self.is_idle and self.idle_since <= since and not self._discards_input:
+        """Close unless a request is running or unread, or the connection was used after `since`."""
+        if not self.is_idle or self.idle_since > since or self._discards_input:
+            return
+        if not self._has_unread_input():
             self.close()
 
     def close(self) -> None:
@@ -199,6 +202,19 @@
         """Reset the connection."""
         self._transport.abort()
 
+    def _has_unread_input(self) -> bool:
+        """Return whether the kernel holds bytes that the event loop has not read yet.
+
+        Closing the connection then would reset it, and the caller could not know whether its
+        request has run.
+        """
+        sock = self._transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        poller = select.poll()
+        poller.register(sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def _dispatch(self) -> None:
         if self._dispatching:
             return
--- a/packages/httpflow/tests/test_server.py
+++ b/packages/httpflow/tests/test_server.py
@@ -101,6 +101,48 @@
     assert all(each.recv(100).endswith(b"ok") for each in sockets)
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_arrives_in_the_instant_of_the_close_is_served_by_a_drain(
+    cleanups, tools
+) -> None:
+    """Pattern: a caller uses an idle connection again while the server stops."""
+
+    class RespondingHandler:
+        def handle(self, call) -> None:
+            call.respond(200, [], b"ok")
+
+    server, pool = await open_server(cleanups, RespondingHandler())
+    caller = socket.create_connection((pool.address.host, pool.address.port))
+    cleanups.append(caller.close)
+    await tools.wait_until(lambda: server.open_connections == 1)
+    (connection,) = server.connections
+    connection.idle_since = now() - 60
+    # The reactor does not run before the drain, so the request is still in the kernel's queue.
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    report = await server.drain(now())
+    assert (report.completed, report.aborted) == (1, 0)
+    assert caller.recv(100).endswith(b"ok")
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_arrives_in_the_instant_of_the_idle_timeout_is_served(
+    cleanups, tools
+) -> None:
+    class RespondingHandler:
+        def handle(self, call) -> None:
+            call.respond(200, [], b"ok")
+
+    server, pool = await open_server(cleanups, RespondingHandler())
+    caller = socket.create_connection((pool.address.host, pool.address.port))
+    cleanups.append(caller.close)
+    await tools.wait_until(lambda: server.open_connections == 1)
+    (connection,) = server.connections
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    connection.expire()
+    await tools.wait_until(lambda: server.ended_calls == 1)
+    assert caller.recv(100).endswith(b"ok")
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_forced_stop_reports_the_calls_that_it_aborted(cleanups, tools) -> None:
     handler = HoldingHandler()
