Write the state of a move only for the order that was evaluated

At a hand-over two leaders may decide at the same moment. The write of each was started as a task and read the order only when it ran: if the other leader's state had arrived by then, the write carried the new revision, passed the condition, and was made again. It could have replaced one final state by another. The task now gets the order as it was evaluated, so that its write fails.

--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -229,12 +229,14 @@
         service = move.order.service
         if service not in self._writing:
             self._writing.add(service)
-            self._spawn(self._write_state(move, state))
+            # The write is for the order as evaluated: until it is sent, another leader may have
+            # ended the move.
+            self._spawn(self._write_state(move.order, state))
 
-    async def _write_state(self, move: Move, state: MoveState) -> None:
-        service = move.order.service
+    async def _write_state(self, order: MoveOrder, state: MoveState) -> None:
+        service = order.service
         try:
-            written = await self._source.write_order_state(move.order, state)
+            written = await self._source.write_order_state(order, state)
         except ConflictError:
             log_info("a move order changed before its state was written", service=service)
             await self._reload_orders()
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -115,15 +115,15 @@
         self.holder = ConfigurationHolder()
         self.moves = MoveTracker(settings.bounds.canary_share, random)
         self.link = PeerLink(self.directory, headers)
-        uplink = Uplink(settings.link_bytes_per_s)
+        self.uplink = Uplink(settings.link_bytes_per_s)
         self.body_memory = BodyMemory(settings.memory_bytes * BODY_MEMORY_FRACTION)
-        sender = ResponseSender(uplink)
+        sender = ResponseSender(self.uplink)
         self.gate = EndpointGate(
             settings,
             headers,
             self._announce_endpoint,
             self._count_call,
-            uplink,
+            self.uplink,
             self._find_own_record,
         )
         joined = asyncio.Event()
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -14,13 +15,14 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.mesh import entry as entry_module
+from corianderwall.mesh import movecontroller
 from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.memorysource import MemorySource
-from corianderwall.mesh.messages import CallMetadata, EndpointState
+from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder
 from corianderwall.mesh.node import READINESS_DELAY_S, STOP_MARGIN_S, HostNode, plan_stop
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
-from corianderwall.mesh.source import SourceError
+from corianderwall.mesh.source import ConflictError, SourceError
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import (
     CallerLimits,
@@ -192,6 +194,10 @@
         writer.write(body)
         return await read_status(reader)
 
+    def now(self) -> float:
+        """Return the monotonic seconds of the event loop."""
+        return asyncio.get_running_loop().time()
+
     def sum_link_bytes(self, name: str, purpose: str) -> int:
         """Return the bytes that the node has exchanged with its peers for `purpose`."""
         totals = self.hosts[name].node.link.bytes.totals
@@ -1017,6 +1023,135 @@
     return run_scenario(scenario)
 
 
+def run_bad_move(
+    prepare: Callable[[Fleet], None], check: Callable[[Fleet, list[MoveState]], Awaitable[None]]
+) -> Deferred[None]:
+    """Run a move to a bad version at three leaders; `check` gets the states that were written."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            bad = request.headers["expected-instance"] == "i-n2"
+            return make_response(request, "500 Internal Server Error" if bad else "200 OK")
+
+        written: list[MoveState] = []
+        write = fleet.source.write_order_state
+
+        async def record_write(order: MoveOrder, state: MoveState) -> MoveOrder:
+            result = await write(order, state)
+            written.append(state)
+            return result
+
+        fleet.source.write_order_state = record_write  # type: ignore[method-assign]
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=1)))
+        await fleet.add("n1", zone="a")
+        newcomer = await fleet.add("n2", zone="b", announce=False)
+        await fleet.add("n3", zone="c", announce=False)
+        newcomer.announce(version="v2")
+        await fleet.wait_until_synced()
+        prepare(fleet)
+        fleet.source.put_order("s", "v2", 60.0)
+        async with asyncio.timeout(WAIT_S * 4):
+            while fleet.source.orders["s"].state is not MoveState.TAKEN_BACK:
+                await fleet.send_call("n3")
+        await check(fleet, written)
+
+    return run_scenario(scenario)
+
+
+def test_leaders_that_act_at_the_same_moment_write_each_state_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    """Pattern: no leader waits for the one before it, as at a hand-over."""
+    monkeypatch.setattr(movecontroller, "LEADER_DELAY_S", 0.0)
+
+    async def check(fleet: Fleet, written: list[MoveState]) -> None:
+        await asyncio.sleep(1.0)
+        assert written == [MoveState.RUNNING, MoveState.TAKEN_BACK]
+
+    return run_bad_move(lambda _: None, check)
+
+
+def test_a_leader_that_is_frozen_between_decision_and_write_changes_nothing_when_it_wakes() -> (
+    Deferred[None]
+):
+    woken = asyncio.Event()
+    outcomes: list[str] = []
+
+    def freeze_first_leader(fleet: Fleet) -> None:
+        node = fleet.hosts[list_leaders(fleet.hosts["n1"].node.directory, True)[0]].node
+        write = node.move_controller._source.write_order_state
+
+        async def write_late(order: MoveOrder, state: MoveState) -> MoveOrder:
+            await woken.wait()
+            try:
+                return await write(order, state)
+            except ConflictError:
+                outcomes.append("conflict")
+                raise
+
+        node.move_controller._source = SimpleNamespace(  # type: ignore[assignment]
+            read_orders=fleet.source.read_orders,
+            watch_orders=fleet.source.watch_orders,
+            write_order_state=write_late,
+        )
+
+    async def check(fleet: Fleet, written: list[MoveState]) -> None:
+        woken.set()
+        await fleet.wait_for(lambda: bool(outcomes))
+        assert outcomes[0] == "conflict"
+        assert written.count(MoveState.TAKEN_BACK) == 1
+        assert fleet.source.orders["s"].state is MoveState.TAKEN_BACK
+
+    return run_bad_move(freeze_first_leader, check)
+
+
+def test_a_call_whose_owner_is_killed_is_neither_run_again_nor_reported_as_not_run() -> (
+    Deferred[None]
+):
+    async def scenario(fleet: Fleet) -> None:
+        async def respond_slowly(request: ReceivedRequest) -> bytes:
+            await asyncio.sleep(0.5)
+            return make_response(request)
+
+        fleet.respond = respond_slowly
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        owner = await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        sending = asyncio.ensure_future(fleet.upload("n2", b"x" * 60_000))
+        await fleet.wait_for(lambda: bool(owner.upstream.requests))
+        spare = await fleet.add("n3")
+        owner.node.close()
+        assert await sending == 502
+        assert len(owner.upstream.requests) == 1
+        assert spare.upstream.requests == []
+
+    return run_scenario(scenario)
+
+
+def test_a_response_that_breaks_off_between_nodes_never_looks_complete() -> Deferred[None]:
+    """Pattern: the owner is killed while it sends a big response over a thin link."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond_big(request: ReceivedRequest) -> bytes:
+            return make_response(request, body=b"x" * 200_000)
+
+        fleet.respond = respond_big
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        owner = await fleet.add("n1")
+        owner.node.uplink.bytes_per_s = 200_000.0
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        sending = asyncio.ensure_future(fleet.upload("n2", b""))
+        await fleet.wait_for(lambda: owner.node.uplink.estimate_wait(fleet.now()) > 0.1)
+        await asyncio.sleep(0.1)
+        owner.node.close()
+        assert await sending == 502
+
+    return run_scenario(scenario)
+
+
 class StoreFaults:
     """Writes configurations while the store goes silent or comes back old, and nodes restart.
 
