--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -32,6 +31,7 @@
     ServiceWeight,
     Snapshot,
 )
+from corianderwall.standins.node_file import find_free_addresses
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
 
 NAMES = HeaderNames(
@@ -52,12 +52,6 @@
 """Timeout of a wait for an expected state; reached only if a test fails."""
 
 
-def find_port() -> Address:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address(host="127.0.0.1", port=probe.getsockname()[1])
-
-
 def make_route(name: str, service: str, *, idempotent: bool = True, **fields: object) -> Route:
     return Route(
         name=name,
@@ -140,16 +134,17 @@
     ) -> Host:
         upstream = ScriptedUpstream(self.respond or respond_ok)
         await upstream.start()
+        outbound, inbound, readiness, announcements, metrics = find_free_addresses(5)
         node = HostNode(
             HostSettings(
                 name=name,
                 zone=zone,
                 service=service,
-                outbound=find_port(),
-                inbound=find_port(),
-                readiness=find_port(),
-                announcements=find_port(),
-                metrics=find_port(),
+                outbound=outbound,
+                inbound=inbound,
+                readiness=readiness,
+                announcements=announcements,
+                metrics=metrics,
                 endpoint=Address(host="127.0.0.1", port=upstream.port),
                 bounds=self.bounds,
             ),
--- a/packages/standins/src/corianderwall/standins/node_file.py
+++ b/packages/standins/src/corianderwall/standins/node_file.py
@@ -81,31 +81,32 @@
 
 
 def find_free_addresses(count: int) -> list[Address]:
-    """Return loopback addresses whose ports were free when checked.
+    """Return loopback addresses for listeners of this process or its children.
 
-    The ports lie below the ephemeral range, so that no outgoing connection takes one of them before
-    its listener is started.
+    No other call returns the same ports while this process runs, in any process. They lie below the
+    ephemeral range, so that no outgoing connection takes one before its listener is started.
     """
-    reserved_ports: dict[int, socket.socket] = {}
-    try:
-        while len(reserved_ports) < count:
-            port = _random.randrange(*LISTENER_PORT_RANGE)
-            if port not in reserved_ports:
-                _reserve_port(port, reserved_ports)
-    finally:
-        for reserved in reserved_ports.values():
-            reserved.close()
-    return [Address(host=LOOPBACK, port=port) for port in reserved_ports]
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _random.randrange(*LISTENER_PORT_RANGE)
+        if _claim_port(port):
+            ports.append(port)
+    return [Address(host=LOOPBACK, port=port) for port in ports]
 
 
-def _reserve_port(port: int, reserved_ports: dict[int, socket.socket]) -> None:
-    reserved = socket.socket()
-    try:
-        reserved.bind((LOOPBACK, port))
-    except OSError:
-        reserved.close()
-        return
-    reserved_ports[port] = reserved
+def _claim_port(port: int) -> bool:
+    """Claim a TCP port that is free by binding the UDP port of the same number, which is unused."""
+    claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    with socket.socket() as listener:
+        try:
+            claim.bind((LOOPBACK, port))
+            listener.bind((LOOPBACK, port))
+        except OSError:
+            claim.close()
+            return False
+    _claims.append(claim)
+    return True
 
 
 _random = SystemRandom()
+_claims: list[socket.socket] = []
