Send uploads one after another at the rate of the host's link

On thin links an upload left the entry's host all at once. Uploads now take turns with the big responses of the host, below the rate of the link; small ones pass at once.

--- a/packages/httpflow/src/corianderwall/httpflow/attempt.py
+++ b/packages/httpflow/src/corianderwall/httpflow/attempt.py
@@ -9,6 +9,8 @@
 from corianderwall.model.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from corianderwall.httpflow.client_connection import ClientConnection
 
 
@@ -19,7 +21,7 @@
     Either `body` holds the whole body, or `streamed` is set and a body of `body_length` bytes
     (None: unknown) is passed to `Attempt.write_body`; `source` is paused while the connection
     can't take more. With `expects_continue` the upstream must not run the request before it has
-    asked for `body`, which is sent only then.
+    asked for `body`. It is sent only then, by `send_body` if that is set.
     """
 
     method: bytes
@@ -32,6 +34,7 @@
     body_length: int | None = 0
     source: BodySource | None = None
     expects_continue: bool = False
+    send_body: "Callable[[Attempt], None] | None" = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +165,11 @@
         if self.connection is not None and not self.finished:
             self.connection.resume_reading()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the upstream may still need the rest of the request's body."""
+        return not self.finished
+
     @property
     def is_paused(self) -> bool:
         """Return whether the receiver has paused reading of the response."""
--- a/packages/httpflow/src/corianderwall/httpflow/client_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -125,10 +125,15 @@
     def receive_continue(self) -> None:
         """Send the body that the upstream has asked for."""
         attempt = self.attempt
-        if attempt is not None and attempt.call.expects_continue and not self._body_sent:
-            attempt.send_started = True
-            self._body_sent = True
-            self._transport.write(attempt.call.body)
+        if attempt is None or attempt.send_started:
+            return
+        attempt.send_started = True
+        call = attempt.call
+        if call.send_body is not None:
+            call.send_body(attempt)
+        else:
+            attempt.write_body(call.body)
+            attempt.end_body()
 
     # Methods for attempts and the pool.
 
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -37,7 +37,7 @@
 from corianderwall.mesh.movecontroller import MOVE_NOTICE_KIND, MoveController
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerHandler, PeerLink
-from corianderwall.mesh.sending import ResponseSender
+from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
 from corianderwall.mesh.uplink import Uplink
@@ -114,10 +114,10 @@
         self.directory = Directory(own)
         self.holder = ConfigurationHolder()
         self.moves = MoveTracker(settings.bounds.canary_share, random)
-        self.link = PeerLink(self.directory, headers)
         self.uplink = Uplink(settings.link_bytes_per_s)
         self.body_memory = BodyMemory(settings.memory_bytes * BODY_MEMORY_FRACTION)
-        sender = ResponseSender(self.uplink)
+        sender = LinkSender(self.uplink)
+        self.link = PeerLink(self.directory, headers, sender)
         self.gate = EndpointGate(
             settings,
             headers,
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -19,7 +19,7 @@
 from corianderwall.mesh.linkbytes import START_LINE_BYTES, LinkBytes
 from corianderwall.mesh.messages import CallMetadata, Load, NodeRecord, Refusal, ResponseMetadata
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse
-from corianderwall.mesh.sending import ResponseSender
+from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames
 from corianderwall.mesh.tasks import run_call
 from corianderwall.model.endpoint import Address
@@ -76,9 +76,10 @@
 class PeerLink:
     """The connections from this node to its peers."""
 
-    def __init__(self, directory: Directory, headers: HeaderNames) -> None:
+    def __init__(self, directory: Directory, headers: HeaderNames, sender: LinkSender) -> None:
         self._directory = directory
         self._headers = headers
+        self._sender = sender
         self._loop = asyncio.get_running_loop()
         self._pools: dict[Address, UpstreamPool] = {}
         self.bytes = LinkBytes(directory.own.zone)
@@ -100,6 +101,7 @@
             idempotent=metadata.idempotent,
             body=body,
             expects_continue=len(body) >= EXPECT_BODY_BYTES,
+            send_body=self._sender.send_request_body,
         )
         echo = (self._headers.request_id, request.request_id)
         exchange = await run_exchange(self._find_pool(node), call, echo)
@@ -191,7 +193,7 @@
         owner: Owner,
         headers: HeaderNames,
         handlers: Mapping[str, MessageHandler],
-        sender: ResponseSender,
+        sender: LinkSender,
         memory: BodyMemory,
     ) -> None:
         self._owner = owner
@@ -236,7 +238,7 @@
             call.respond(503, [(self._headers.request_id, request_id), encoded])
         else:
             headers = [*reply.response.headers, encoded]
-            self._sender.send(call, reply.response.status, headers, reply.response.body)
+            self._sender.respond(call, reply.response.status, headers, reply.response.body)
 
     def _report_no_memory(self, metadata: CallMetadata, request_id: bytes) -> OwnerResponse:
         log_info(
--- a/packages/mesh/src/corianderwall/mesh/sending.py
+++ b/packages/mesh/src/corianderwall/mesh/sending.py
@@ -1,22 +1,55 @@
-"""Sends responses to entries on other nodes, big ones one after another at the link's rate."""
+"""Sends big bodies to other nodes one after another at the link's rate."""
 
 import asyncio
 from collections import deque
 from dataclasses import dataclass
+from typing import Protocol
 
+from corianderwall.httpflow.attempt import Attempt
 from corianderwall.httpflow.call import IncomingCall
 from corianderwall.httpflow.flow import Headers
 from corianderwall.mesh.uplink import Uplink
 
 CHUNK_BYTES = 8192
-"""Bytes of a big response written at once; 12 ms on the slowest link that the users run."""
+"""Bytes of a big body written at once; 12 ms on the slowest link that the users run."""
+
+
+class _Destination(Protocol):
+    """The receiver of a body."""
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the body is still wanted."""
+
+    def write_body(self, data: bytes) -> None:
+        """Write the next bytes."""
+
+    def end_body(self) -> None:
+        """End the body, which is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class _ResponseDestination:
+    """The caller that gets a response."""
+
+    call: IncomingCall
+
+    @property
+    def is_open(self) -> bool:
+        return self.call.is_open
+
+    def write_body(self, data: bytes) -> None:
+        self.call.write_body(data)
+
+    def end_body(self) -> None:
+        self.call.end_response()
 
 
 @dataclass(slots=True)
 class _Transfer:
-    """A big response that is being sent; `sent` bytes of `body` have been written."""
+    """A big body that is being sent; `sent` bytes of `body` have been written."""
 
-    call: IncomingCall
+    destination: _Destination
     body: bytes
     sent: int = 0
     paused: bool = False
@@ -30,10 +63,10 @@
         self.paused = False
 
 
-class ResponseSender:
-    """Queues the big responses of this host and sends them at the rate of the link.
+class LinkSender:
+    """Queues the big bodies that leave this host and sends them at the rate of the link.
 
-    A response with a slow receiver goes to the end of the queue, so it does not block others.
+    A body with a slow receiver goes to the end of the queue, so it does not block others.
     """
 
     def __init__(self, uplink: Uplink) -> None:
@@ -43,14 +76,28 @@
         self._next_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def send(self, call: IncomingCall, status: int, headers: Headers, body: bytes) -> None:
+    def respond(self, call: IncomingCall, status: int, headers: Headers, body: bytes) -> None:
         """Respond to `call`, at once if the response is small."""
         if self._uplink.is_small(len(body)) or call.method == b"HEAD":
             call.respond(status, headers, body)
             return
-        transfer = _Transfer(call, body)
+        transfer = _Transfer(_ResponseDestination(call), body)
         call.start_response(status, headers, len(body), transfer)
-        self._uplink.reserve(len(body), self._loop.time())
+        self._enqueue(transfer)
+
+    def send_request_body(self, attempt: Attempt) -> None:
+        """Send the body of an attempt that has been asked for, at once if it is small."""
+        body = attempt.call.body
+        if self._uplink.is_small(len(body)):
+            attempt.write_body(body)
+            attempt.end_body()
+            return
+        transfer = _Transfer(attempt, body)
+        attempt.call.source = transfer
+        self._enqueue(transfer)
+
+    def _enqueue(self, transfer: _Transfer) -> None:
+        self._uplink.reserve(len(transfer.body), self._loop.time())
         self._queue.append(transfer)
         if self._timer is None:
             self._send_chunk()
@@ -65,9 +112,9 @@
         chunk = transfer.body[transfer.sent : transfer.sent + CHUNK_BYTES]
         if not transfer.paused:
             transfer.sent += len(chunk)
-            transfer.call.write_body(chunk)
+            transfer.destination.write_body(chunk)
         if transfer.sent == len(transfer.body):
-            transfer.call.end_response()
+            transfer.destination.end_body()
         elif transfer.paused:
             self._queue.append(transfer)
         else:
@@ -80,7 +127,7 @@
     def _take_next(self) -> _Transfer | None:
         while self._queue:
             transfer = self._queue.popleft()
-            if transfer.call.is_open:
+            if transfer.destination.is_open:
                 return transfer
             self._uplink.release(len(transfer.body) - transfer.sent)
         return None
--- a/packages/mesh/tests/test_peerlink.py
+++ b/packages/mesh/tests/test_peerlink.py
@@ -9,7 +9,9 @@
 from corianderwall.mesh.messages import CallMetadata, Load, ResponseMetadata
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.peerlink import EXPECT_BODY_BYTES, PeerLink
+from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames
+from corianderwall.mesh.uplink import Uplink
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
 
 NAMES = HeaderNames(
@@ -47,7 +49,7 @@
     async def run() -> None:
         peer = ScriptedUpstream(respond)
         await peer.start()
-        link = PeerLink(Directory(make_node("own")), NAMES)
+        link = PeerLink(Directory(make_node("own")), NAMES, LinkSender(Uplink()))
         node = msgspec.structs.replace(make_node("peer"), port=peer.port)
 
         async def send(name: str, body: bytes = b"") -> OwnerResponse:
