--- a/packages/mesh/src/corianderwall/mesh/exchange.py
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -44,7 +44,7 @@
     error: ErrorCode | None = None
 
 
-class _Collector:
+class ResponseCollector:
     """Collects a response; a response that carries the id of another request counts as lost."""
 
     def __init__(self, echo: tuple[bytes, bytes] | None) -> None:
@@ -56,6 +56,7 @@
         self._echo = echo
 
     def receive_head(self, head: ResponseHead) -> None:
+        """Give up a response to another request, or one that is too long."""
         if (head.length or 0) > MAX_BODY_BYTES:
             self._give_up()
         if self._echo is None:
@@ -67,6 +68,7 @@
             self._give_up()
 
     def receive_body(self, data: bytes) -> None:
+        """Store the next bytes of the body."""
         self.size += len(data)
         if self.size > MAX_BODY_BYTES:
             self._give_up()
@@ -78,6 +80,7 @@
             self.attempt.fail(ErrorCode.UPSTREAM_LOST)
 
     def finish(self, result: AttemptResult) -> None:
+        """Pass on the result."""
         if not self.done.called:
             self.done.callback(result)
 
@@ -89,7 +92,7 @@
 
     `echo` is a header whose value must be the same in the response, if the response has it.
     """
-    collector = _Collector(echo)
+    collector = ResponseCollector(echo)
     attempt = pool.send(call, collector)
     collector.attempt = attempt
     try:
