Give late calls only free slots while timely ones are refused

Refused callers come back when their call can no longer meet the objective. Their calls waited whenever no timely one happened to wait at that endpoint, and then held slots in which other calls could have been timely; those were refused and came back late. While a timely call was refused within the last second, a late one now gets a slot only if it is free.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -1,6 +1,7 @@
 """Admission control for the local endpoint: decides which calls run, wait or are refused."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 from corianderwall.mesh.ratelimit import RateLimit
@@ -14,6 +15,8 @@
 """Factor on the expected time of a call when checking whether it will meet its objective."""
 MIN_REMAINING_FRACTION = 0.3
 """Smallest remaining time assumed for a running call, as a fraction of its mean time."""
+OVERLOAD_MEMORY_S = 1.0
+"""Time for which the queue counts as overloaded after a timely call found no place in it."""
 LINK_SLACK_S = 0.05
 """Time by which a response may be ready before the link is free, so that the link is not idle."""
 
@@ -51,6 +54,9 @@
     A call with a big response starts only when `uplink` will be free to send the response, which
     would otherwise wait there. Meanwhile calls with small responses may overtake it. No call starts
     beyond the rate `limit` that the endpoint has named.
+
+    In an overload late calls get only free slots. Callers that were refused come back late, and if
+    their calls waited, they would take the slots in which others could still be timely.
     """
 
     slots: int
@@ -60,13 +66,15 @@
     waiting: list[QueuedCall] = field(default_factory=list)
     route_means_s: dict[str, float] = field(default_factory=dict)
     mean_s: float = 0.0
+    _overloaded_until: float = -math.inf
     _last_sequence: int = 0
 
     def offer(self, call: QueuedCall, now: float, *, may_wait: bool) -> Admission:
         """Start, queue or refuse a call.
 
         A call may wait while it is expected to meet its objective. A call that will miss it waits
-        only if no timely call is waiting: otherwise late calls would make all calls late.
+        only if no timely call is waiting, and none has been refused recently: otherwise late calls
+        would make all calls late.
         """
         if self._estimate_end(call, now) > call.deadline:
             return Admission.LATE
@@ -75,12 +83,10 @@
             return Admission.START
         if not may_wait:
             return Admission.FULL
-        start = now + self.estimate_start(call, now)
-        if not self._is_timely(call, start):
-            if any(self._is_timely(waiting, now) for waiting in self.waiting):
-                return Admission.LATE
-            if self._estimate_end(call, start) > call.deadline:
-                return Admission.LATE
+        if not self._may_wait(call, now):
+            if call.rank > 0 and self._is_timely(call, now):
+                self._overloaded_until = now + OVERLOAD_MEMORY_S
+            return Admission.LATE
         self._last_sequence += 1
         call.sequence = self._last_sequence
         self.waiting.append(call)
@@ -164,6 +170,16 @@
             call.sending_s or self._is_link_free(waiting, now) for waiting in self.waiting
         )
 
+    def _may_wait(self, call: QueuedCall, now: float) -> bool:
+        if call.rank > 0 and now < self._overloaded_until and not self._is_timely(call, now):
+            return False
+        start = now + self.estimate_start(call, now)
+        if self._is_timely(call, start):
+            return True
+        if any(self._is_timely(waiting, now) for waiting in self.waiting):
+            return False
+        return self._estimate_end(call, start) <= call.deadline
+
     def _is_link_free(self, call: QueuedCall, now: float) -> bool:
         if not call.sending_s:
             return True
