--- a/packages/httpflow/tests/test_server.py
+++ b/packages/httpflow/tests/test_server.py
@@ -101,24 +101,31 @@
     assert all(each.recv(100).endswith(b"ok") for each in sockets)
 
 
-@pytest_twisted.ensureDeferred
-async def test_a_request_that_arrives_in_the_instant_of_the_close_is_served_by_a_drain(
-    cleanups, tools
-) -> None:
-    """Pattern: a caller uses an idle connection again while the server stops."""
+class RespondingHandler:
+    """A handler that responds to each call at once."""
+
+    def handle(self, call) -> None:
+        call.respond(200, [], b"ok")
 
-    class RespondingHandler:
-        def handle(self, call) -> None:
-            call.respond(200, [], b"ok")
 
+async def open_unread_request(cleanups, tools):
+    """Return a server, its connection and a caller whose request the event loop has not read."""
     server, pool = await open_server(cleanups, RespondingHandler())
     caller = socket.create_connection((pool.address.host, pool.address.port))
     cleanups.append(caller.close)
     await tools.wait_until(lambda: server.open_connections == 1)
     (connection,) = server.connections
-    connection.idle_since = now() - 60
-    # The reactor does not run before the drain, so the request is still in the kernel's queue.
     caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    return server, connection, caller
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_arrives_in_the_instant_of_the_close_is_served_by_a_drain(
+    cleanups, tools
+) -> None:
+    """Pattern: a caller uses an idle connection again while the server stops."""
+    server, connection, caller = await open_unread_request(cleanups, tools)
+    connection.idle_since = now() - 60
     report = await server.drain(now())
     assert (report.completed, report.aborted) == (1, 0)
     assert caller.recv(100).endswith(b"ok")
@@ -128,16 +135,7 @@
 async def test_a_request_that_arrives_in_the_instant_of_the_idle_timeout_is_served(
     cleanups, tools
 ) -> None:
-    class RespondingHandler:
-        def handle(self, call) -> None:
-            call.respond(200, [], b"ok")
-
-    server, pool = await open_server(cleanups, RespondingHandler())
-    caller = socket.create_connection((pool.address.host, pool.address.port))
-    cleanups.append(caller.close)
-    await tools.wait_until(lambda: server.open_connections == 1)
-    (connection,) = server.connections
-    caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    server, connection, caller = await open_unread_request(cleanups, tools)
     connection.expire()
     await tools.wait_until(lambda: server.ended_calls == 1)
     assert caller.recv(100).endswith(b"ok")
--- a/packages/mesh/tests/conftest.py
+++ b/packages/mesh/tests/conftest.py
@@ -4,6 +4,7 @@
 
 from corianderwall.mesh.directory import Directory
 from corianderwall.mesh.messages import EndpointRecord, EndpointState, NodeRecord
+from corianderwall.mesh.settings import HeaderNames
 
 MakeNode = Callable[..., NodeRecord]
 MakeEndpoint = Callable[..., EndpointRecord]
@@ -48,6 +49,20 @@
     return build_endpoint
 
 
+@pytest.fixture
+def header_names() -> HeaderNames:
+    return HeaderNames(
+        request_id=b"request-id",
+        deadline_ms=b"deadline-ms",
+        expected_instance=b"expected-instance",
+        instance_id=b"instance-id",
+        not_run=b"not-executed",
+        caller=b"caller-service",
+        limit=b"server-limit",
+        leaving=b"server-leaving",
+    )
+
+
 @pytest.fixture
 def directory() -> Directory:
     return Directory(build_node())
--- a/packages/mesh/tests/test_overload.py
+++ b/packages/mesh/tests/test_overload.py
@@ -96,7 +96,8 @@
     assert current.in_time + current.late > 0.97 * (former.in_time + former.late)
 
 
-def test_late_calls_are_served_again_soon_after_an_overload() -> None:
+def make_overloaded_queue() -> AdmissionQueue:
+    """Return a queue whose calls take 1 s and that has refused a timely call at 1.0."""
     queue = AdmissionQueue(1)
     running = QueuedCall("r", 1, 50.0, 50.0)
     assert queue.offer(running, 0.0, may_wait=True) is Admission.START
@@ -105,6 +106,11 @@
     assert queue.offer(QueuedCall("r", 1, 50.0, 50.0), 1.0, may_wait=True) is Admission.WAIT
     assert queue.offer(QueuedCall("r", 1, 2.5, 50.0), 1.0, may_wait=True) is Admission.LATE
     queue.clear_waiting()
+    return queue
+
+
+def test_late_calls_are_served_again_soon_after_an_overload() -> None:
+    queue = make_overloaded_queue()
     late = QueuedCall("r", 1, 0.5, 50.0)
     assert queue.offer(late, 1.5, may_wait=True) is Admission.LATE
     after = 1.0 + admission.OVERLOAD_MEMORY_S
@@ -112,12 +118,5 @@
 
 
 def test_a_nested_call_waits_in_an_overload() -> None:
-    queue = AdmissionQueue(1)
-    running = QueuedCall("r", 1, 50.0, 50.0)
-    assert queue.offer(running, 0.0, may_wait=True) is Admission.START
-    queue.finish(running, 1.0, ran=True)
-    assert queue.offer(QueuedCall("r", 1, 50.0, 50.0), 1.0, may_wait=True) is Admission.START
-    assert queue.offer(QueuedCall("r", 1, 50.0, 50.0), 1.0, may_wait=True) is Admission.WAIT
-    assert queue.offer(QueuedCall("r", 1, 2.5, 50.0), 1.0, may_wait=True) is Admission.LATE
-    queue.clear_waiting()
+    queue = make_overloaded_queue()
     assert queue.offer(QueuedCall("r", 0, 2.0, 4.0), 1.5, may_wait=True) is Admission.WAIT
--- a/packages/mesh/tests/test_peerlink.py
+++ b/packages/mesh/tests/test_peerlink.py
@@ -14,16 +14,6 @@
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
 
-NAMES = HeaderNames(
-    request_id=b"request-id",
-    deadline_ms=b"deadline-ms",
-    expected_instance=b"expected-instance",
-    instance_id=b"instance-id",
-    not_run=b"not-executed",
-    caller=b"caller-service",
-    limit=b"server-limit",
-    leaving=b"server-leaving",
-)
 METADATA = CallMetadata(
     endpoint="i-1",
     left_ms=500.0,
@@ -43,13 +33,14 @@
     respond: Callable[[ReceivedRequest], Awaitable[bytes | None]],
     scenario: Callable[[Callable[..., Awaitable[OwnerResponse]]], Awaitable[None]],
     make_node: Any,
+    header_names: HeaderNames,
 ) -> Deferred[None]:
     """Run `scenario` with a function that sends a call to a peer that responds as scripted."""
 
     async def run() -> None:
         peer = ScriptedUpstream(respond)
         await peer.start()
-        link = PeerLink(Directory(make_node("own")), NAMES, LinkSender(Uplink()))
+        link = PeerLink(Directory(make_node("own")), header_names, LinkSender(Uplink()))
         node = msgspec.structs.replace(make_node("peer"), port=peer.port)
 
         async def send(name: str, body: bytes = b"") -> OwnerResponse:
@@ -64,7 +55,9 @@
     return Deferred.fromFuture(asyncio.ensure_future(run()))
 
 
-def test_a_response_of_a_peer_to_another_call_is_never_passed_on(make_node: Any) -> Deferred[None]:
+def test_a_response_of_a_peer_to_another_call_is_never_passed_on(
+    make_node: Any, header_names: HeaderNames
+) -> Deferred[None]:
     """Pattern: the copy of an earlier response comes late on a connection that is in use again."""
 
     async def respond_with_a_copy(request: ReceivedRequest) -> bytes:
@@ -76,11 +69,11 @@
         assert first.response is not None
         assert (second.response, second.metadata.ran) == (None, None)
 
-    return run_scenario(respond_with_a_copy, scenario, make_node)
+    return run_scenario(respond_with_a_copy, scenario, make_node, header_names)
 
 
 def test_a_peer_lost_before_it_asked_for_the_body_has_not_run_the_call(
-    make_node: Any,
+    make_node: Any, header_names: HeaderNames
 ) -> Deferred[None]:
     async def reset(request: ReceivedRequest) -> bytes:
         raise ConnectionError
@@ -89,4 +82,4 @@
         assert (await send("q1", b"x" * EXPECT_BODY_BYTES)).metadata.ran is False
         assert (await send("q2", b"x" * (EXPECT_BODY_BYTES - 1))).metadata.ran is None
 
-    return run_scenario(reset, scenario, make_node)
+    return run_scenario(reset, scenario, make_node, header_names)
