Log which request was lost and whether its endpoint ended

Cause: a line about a lost call had neither the request's content nor its caller, so attempts of one caller at several endpoints could not be told from calls that were only beside them, and a lost connection could not be told from the end of the endpoint.

Change: the line has a fingerprint of caller, method, host, target and body. After a loss the owner checks whether the endpoint still listens, and logs which calls it ran when it ended, or that it is still there. The check opens one connection and never exceeds the endpoint's limit.

--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -11,8 +11,10 @@
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
+from corianderwall.mesh.crashes import CrashDetector, LostCall
 from corianderwall.mesh.endpoint import EndpointTracker
 from corianderwall.mesh.exchange import Exchange, Response, run_exchange
+from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.messages import (
     CallMetadata,
     EndpointRecord,
@@ -25,6 +27,7 @@
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
+from corianderwall.model.errors import ErrorCode
 from corianderwall.node.logs import LogBudget, log_info, log_warning
 
 MISDIRECTED = 421
@@ -91,6 +94,7 @@
         self._uplink = uplink
         self._loop = asyncio.get_running_loop()
         self._pool = self._make_pool()
+        self._crashes = CrashDetector(settings.endpoint, self._may_connect, self._handle_crash)
         self._running: dict[bytes, RunningCall] = {}
         self._waiting_timer: asyncio.TimerHandle | None = None
         self._waits: dict[QueuedCall, Deferred[Refusal | None]] = {}
@@ -145,6 +149,7 @@
         if refusal is not None:
             return self._refuse(request, refusal, queued)
         exchange: Exchange | None = None
+        body: bytes | None = None
         running = self._running[request.request_id] = RunningCall(metadata.is_retry)
         sent_at = queued.started
         try:
@@ -164,11 +169,13 @@
             self._dispatch()
         if exchange is None:
             return self._refuse(request, refusal or Refusal.BODY_LOST)
+        if exchange.response is None:
+            return self._handle_failure(metadata, request, body or b"", exchange)
         ended = self._loop.time()
         total_ms = round((ended - now) * 1000, 1)
         took_s = ended - sent_at
-        return self._handle_exchange(
-            metadata, request, exchange, took_s, total_ms, nested_failed=running.nested_failed
+        return self._handle_response(
+            metadata, request, exchange.response, took_s, total_ms, running.nested_failed
         )
 
     def find_parent(self, request_id: bytes) -> RunningCall | None:
@@ -182,6 +189,7 @@
     def close(self) -> None:
         """Refuse waiting and new calls; running calls continue."""
         self.closing = True
+        self._crashes.close()
         self._refuse_waiting(Refusal.LEAVING)
 
     # Internals.
@@ -307,19 +315,15 @@
         )
         return await run_exchange(self._pool, call, (names.request_id, request.request_id))
 
-    def _handle_exchange(
+    def _handle_response(
         self,
         metadata: CallMetadata,
         request: ForwardedRequest,
-        exchange: Exchange,
+        response: Response,
         took_s: float,
         total_ms: float,
-        *,
         nested_failed: bool,
     ) -> OwnerResponse:
-        response = exchange.response
-        if response is None:
-            return self._handle_failure(metadata, request, exchange)
         self.endpoint.record_response()
         self._read_notices(metadata, response)
         if response.status == MISDIRECTED:
@@ -372,24 +376,49 @@
             )
 
     def _handle_failure(
-        self, metadata: CallMetadata, request: ForwardedRequest, exchange: Exchange
+        self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, exchange: Exchange
     ) -> OwnerResponse:
         error = exchange.error.value if exchange.error is not None else ""
+        fingerprint = compute_fingerprint(request, metadata.caller, body)
         self._log(
             "no complete response from the endpoint",
             request=request.request_id.decode(),
             endpoint=metadata.endpoint,
             handed_over=exchange.send_started,
             error=error,
+            fingerprint=fingerprint,
+            caller=metadata.caller,
+            route=metadata.route,
         )
+        record = self.record
         if not exchange.send_started:
-            record = self.record
             if record is not None and record.id == metadata.endpoint:
                 self.endpoint.mark_down("no connection")
             return self._refuse(request, Refusal.DOWN)
+        if (
+            record is not None
+            and record.id == metadata.endpoint
+            and record.state in (EndpointState.READY, EndpointState.DOWN)
+            and exchange.error is ErrorCode.UPSTREAM_LOST
+        ):
+            lost = LostCall(request.request_id.decode(), fingerprint)
+            self._crashes.record_loss(record, lost)
         self._count_result(metadata, failed=True, took_s=0.0, ran=False)
         return OwnerResponse(ResponseMetadata(ran=None, load=self.read_load(), error=error))
 
+    def _may_connect(self) -> bool:
+        return self._pool.open_connections < self._pool.max_connections
+
+    def _handle_crash(self, record: EndpointRecord, calls: tuple[LostCall, ...]) -> None:
+        """Handle the end of the endpoint of `record` while it ran `calls`."""
+        log_warning(
+            "the endpoint ended while it ran calls",
+            endpoint=record.id,
+            service=record.service,
+            upstream_version=record.version,
+            calls=[f"{call.request} {call.fingerprint}" for call in calls],
+        )
+
     def _log(self, message: str, **fields: object) -> None:
         if self.log_budget.take(self._loop.time()):
             log_info(message, **fields)
--- a/packages/standins/src/corianderwall/standins/scripted.py
+++ b/packages/standins/src/corianderwall/standins/scripted.py
@@ -58,6 +58,7 @@
     endless: Endless | None = None
     sent_bytes: int = 0
     _running: int = 0
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
         """Listen on `port`, or on a free port if it is 0."""
@@ -68,6 +69,12 @@
         """Stop accepting connections."""
         self._server.close()
 
+    def crash(self) -> None:
+        """End as a crashed process does: all connections break and nothing listens."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _send_without_end(self, writer: asyncio.StreamWriter, endless: Endless) -> None:
         """Send until the caller closes the connection, which raises `ConnectionError`."""
         start, piece = _ENDLESS_PARTS[endless]
@@ -89,6 +96,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open_connections += 1
         self.accepted_connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -102,6 +110,8 @@
                 self.max_concurrent = max(self.max_concurrent, self._running)
                 raw = await self.respond(request)
                 self._running -= 1
+                if writer.transport.is_closing():
+                    return
                 if self.endless is not None:
                     await self._send_without_end(writer, self.endless)
                 if raw is None:
@@ -113,6 +123,7 @@
             pass
         finally:
             self.open_connections -= 1
+            self._writers.discard(writer)
             writer.close()
 
 
