--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,7 @@
 	@$(RUN) -m corianderwall.app.main demo
 
 test: setup
-	@$(MAKE) -s units
-	@$(MAKE) -s scenarios
+	@status=0; $(MAKE) -s units || status=1; $(MAKE) -s scenarios || status=1; exit $$status
 
 units: setup
 	@$(RUN) -m pytest
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -74,7 +74,9 @@
     node: HostNode
     upstream: ScriptedUpstream
 
-    def announce(self, *, draining: bool = False, sequence: int = 1, version: str = "v1") -> None:
+    def announce(
+        self, *, draining: bool = False, sequence: int = 1, version: str = "v1", born: int = 1
+    ) -> None:
         self.node.gate.endpoint.handle_announcement(
             Announcement(
                 id=f"i-{self.node.settings.name}",
@@ -85,7 +87,7 @@
                 slots=2,
                 draining=draining,
                 warm_after_s=0.0,
-                born_unix_ms=1,
+                born_unix_ms=born,
                 sequence=sequence,
             )
         )
@@ -1215,3 +1217,76 @@
                 await asyncio.sleep(0.01)
 
     return run_scenario(scenario)
+
+
+ENDING_CRASHES = 3
+"""Endpoints that a request may end before it counts as known, by the platform's rule."""
+MAX_LATER_RETRIES = 3
+"""Times that such a request may still reach endpoints, by the platform's rule."""
+
+
+class CrashingEndpoints:
+    """Lets each endpoint end that gets the target `/r/crash`, and start again a moment later."""
+
+    RESTART_S = 0.1
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.crashed_at: list[float] = []
+        self._fleet = fleet
+        self._restarts: set[asyncio.Task[None]] = set()
+        fleet.respond = self.respond
+
+    async def respond(self, request: ReceivedRequest) -> bytes | None:
+        if request.target != "/r/crash":
+            return make_response(request)
+        host = self._fleet.hosts[request.headers["expected-instance"].removeprefix("i-")]
+        host.upstream.crash()
+        self.crashed_at.append(self._fleet.now())
+        born = 1 + len(self.crashed_at)
+        self._restarts.add(asyncio.ensure_future(self._restart(host, born)))
+        return b""
+
+    async def _restart(self, host: Host, born: int) -> None:
+        await asyncio.sleep(self.RESTART_S)
+        await host.upstream.start()
+        host.announce(born=born)
+
+    async def settle(self) -> None:
+        """Wait until all endpoints are back and all nodes know it."""
+        await asyncio.gather(*self._restarts)
+        await asyncio.sleep(3 * self.RESTART_S)
+
+
+async def add_hosts(fleet: Fleet, count: int) -> list[str]:
+    fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+    names = [f"n{number}" for number in range(1, count + 1)]
+    for name in names:
+        await fleet.add(name)
+    await fleet.wait_until_synced()
+    return names
+
+
+# Guards against a request that ends one endpoint after the other, as nothing remembers it.
+def test_a_request_that_has_ended_three_endpoints_reaches_no_more_than_three_later() -> (
+    Deferred[None]
+):
+    async def scenario(fleet: Fleet) -> None:
+        endpoints = CrashingEndpoints(fleet)
+        names = await add_hosts(fleet, 6)
+        number = 0
+        while len(endpoints.crashed_at) < ENDING_CRASHES:
+            number += 1
+            await fleet.send_call(names[number % 6], "/r/crash", request_id=f"q{number}")
+        await endpoints.settle()
+        known = len(endpoints.crashed_at)
+        for number in range(12):
+            reply = await fleet.send_call(
+                names[number % 6], "/r/crash", request_id=f"later{number}"
+            )
+            assert reply.status >= 500
+            await asyncio.sleep(0.05)
+        assert len(endpoints.crashed_at) - known <= MAX_LATER_RETRIES
+        await endpoints.settle()
+        assert (await fleet.send_call("n1")).status == 200
+
+    return run_scenario(scenario)
