Keep requests that crash endpoints from the endpoints

What callers saw: one request ended each endpoint that ran it, 20 of them in 60 s, and every call beside it was lost with them.

Cause: a lost call was held against its endpoint only. No node remembered the request, and each attempt of its caller, at another node with another id, was a new call for the next endpoint.

Change: an owner that loses a call checks whether the endpoint has ended and tells all nodes which requests ran there. The records reach nodes that restart or missed a message.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -13,6 +13,7 @@
 from corianderwall.mesh.callertimeouts import CallerTimeouts
 from corianderwall.mesh.configuration import ConfigurationHolder
 from corianderwall.mesh.directory import Directory, EndpointView
+from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.gate import RunningCall
 from corianderwall.mesh.messages import CallMetadata, Refusal, ResponseMetadata
 from corianderwall.mesh.moves import MoveTracker
@@ -31,6 +32,7 @@
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.sizes import ResponseSizes
 from corianderwall.mesh.splits import WeightedSplit
+from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.tasks import run_call
 from corianderwall.model.resource import Route
 from corianderwall.node.logs import LogBudget, log_info
@@ -82,8 +84,10 @@
     trail: list[str] = field(default_factory=list)
     failure: OwnerResponse | None = None
     body_received: bool = False
-    body_bytes: int = 0
+    body: bytes = b""
     version: str = ""
+    fingerprint: str = ""
+    quarantined: bool = False
     try_new: bool | None = None
 
     @property
@@ -110,6 +114,7 @@
         local_owner: Owner,
         find_parent: Callable[[bytes], RunningCall | None],
         moves: MoveTracker,
+        suspects: Suspects,
         metrics: CallMetrics,
         body_memory: BodyMemory,
         random: Random,
@@ -122,6 +127,7 @@
         self._local_owner = local_owner
         self._find_parent = find_parent
         self._moves = moves
+        self._suspects = suspects
         self._metrics = metrics
         self._body_memory = body_memory
         self._random = random
@@ -229,7 +235,7 @@
         if data is None:
             return None
         state.body_received = True
-        state.body_bytes = len(data)
+        state.body = data
         state.request = replace(state.request, body=ReceivedBody(data))
         return await self._find_response(state)
 
@@ -240,15 +246,33 @@
         for round_ in BIG_ROUNDS if self._make_traits(state).big else ROUNDS:
             excluded = set(state.unusable)
             for _ in range(round_.max_owners):
+                if self._find_release(state) is not None:
+                    state.quarantined = True
+                    return state.failure
                 view = self._choose(state, excluded, round_)
                 if view is None:
                     break
                 excluded.add(view.record.id)
                 reply = await self._send_to_owner(state, view, may_wait=round_.may_wait)
+                if reply.metadata.refusal is Refusal.QUARANTINED:
+                    state.quarantined = True
+                    return state.failure
                 if self._is_final(state, reply):
                     return reply
         return state.failure
 
+    def _find_release(self, state: _CallState) -> float | None:
+        """Return when the quarantine of the request ends, None if it is in none."""
+        if self._suspects.is_empty:
+            return None
+        return self._suspects.find_release(self._find_fingerprint(state), self._loop.time())
+
+    def _find_fingerprint(self, state: _CallState) -> str:
+        if not state.fingerprint:
+            caller = self._settings.service
+            state.fingerprint = compute_fingerprint(state.request, caller, state.body)
+        return state.fingerprint
+
     def _choose(
         self, state: _CallState, excluded: set[str], round_: SelectionRound
     ) -> EndpointView | None:
@@ -278,7 +302,7 @@
         return CallTraits(
             zone=self._settings.zone,
             objective_ms=route.objective_ms,
-            moved_bytes=state.body_bytes + self._sizes.estimate(route.name),
+            moved_bytes=len(state.body) + self._sizes.estimate(route.name),
         )
 
     async def _send_to_owner(
@@ -370,13 +394,20 @@
     def _may_retry(self, state: _CallState) -> bool:
         if state.attempts >= state.route.max_attempts:
             return False
+        if not self._suspects.is_empty and self._suspects.needs_trial(
+            self._find_fingerprint(state)
+        ):
+            # One endpoint is enough for a trial.
+            return False
         nodes = self._directory.count_nodes()
         return self._budget.take(state.service, self._loop.time(), nodes)
 
     # Responding to the caller.
 
     def _respond(self, call: IncomingCall, state: _CallState, reply: OwnerResponse | None) -> None:
-        if reply is None or reply.metadata.ran is False:
+        if reply is None and state.quarantined:
+            self._respond_quarantined(call, state)
+        elif reply is None or reply.metadata.ran is False:
             waits = state.refused_wait_ms
             self._respond_error(
                 call, state, 503, "refused", min(waits) / 1000 if waits else DEFAULT_RETRY_AFTER_S
@@ -390,6 +421,17 @@
             call.respond(response.status, response.headers, response.body)
             self._log(state, response.status, "answered")
 
+    def _respond_quarantined(self, call: IncomingCall, state: _CallState) -> None:
+        """Refuse a request that ends the endpoints that run it, until its next trial."""
+        release = self._find_release(state)
+        left_s = DEFAULT_RETRY_AFTER_S if release is None else release - self._loop.time()
+        headers = [
+            (self._headers.request_id, state.request.request_id),
+            (self._headers.retry_after, encode_seconds(left_s)),
+        ]
+        call.respond(503, headers)
+        self._log(state, 503, "quarantined")
+
     def _respond_cancelled(self, call: IncomingCall, state: _CallState) -> None:
         """Respond to a call that was given up at its deadline, if its caller is still there."""
         if not call.is_open:
@@ -459,6 +501,8 @@
             upstream_version=state.version,
             nested=state.nested,
             trail=state.trail,
+            fingerprint=state.fingerprint,
+            crashes=self._suspects.count_crashes(state.fingerprint),
             took_ms=round(took_s * 1000, 1),
             left_ms=round((state.deadline - now) * 1000, 1),
             config_version=self._configuration.snapshot.version,
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -22,10 +22,12 @@
     Load,
     Refusal,
     ResponseMetadata,
+    SuspectRecord,
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
+from corianderwall.mesh.suspects import Suspects, name_start
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.errors import ErrorCode
 from corianderwall.node.logs import LogBudget, log_info, log_warning
@@ -68,7 +70,8 @@
 class EndpointGate:
     """Owns the admission queue and the connections of one endpoint address.
 
-    `on_change` is called with each new record of the endpoint, so that it can be sent to peers.
+    `on_change` is called with each new record of the endpoint and `on_suspects` with new records of
+    requests that ran when it crashed, so that they can be sent to peers.
     """
 
     def __init__(
@@ -78,6 +81,8 @@
         on_change: Callable[[EndpointRecord], None],
         on_result: Callable[[str, str, bool, float], None],
         uplink: Uplink,
+        suspects: Suspects,
+        on_suspects: Callable[[tuple[SuspectRecord, ...]], None],
         find_record: Callable[[str], EndpointRecord | None] = lambda _: None,
     ) -> None:
         self.endpoint = EndpointTracker(
@@ -86,12 +91,15 @@
         self.queue = AdmissionQueue(0, uplink)
         self.closing = False
         self.synced = False
+        self.crash_count = 0
         self.log_budget = LogBudget(CALL_LOG_LINES_PER_S)
         self._settings = settings
         self._headers = headers
         self._on_change = on_change
         self._on_result = on_result
         self._uplink = uplink
+        self._suspects = suspects
+        self._on_suspects = on_suspects
         self._loop = asyncio.get_running_loop()
         self._pool = self._make_pool()
         self._crashes = CrashDetector(settings.endpoint, self._may_connect, self._handle_crash)
@@ -157,6 +165,8 @@
             sent_at = self._loop.time()
             # The endpoint may have begun to leave while the body was on its way.
             refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata.endpoint)
+            if body is not None and refusal is None:
+                refusal = self._check_suspect(metadata, request, body)
             if body is not None and refusal is None:
                 exchange = await self._send(metadata, request, body, deadline)
         except CancelledError:
@@ -171,6 +181,7 @@
             return self._refuse(request, refusal or Refusal.BODY_LOST)
         if exchange.response is None:
             return self._handle_failure(metadata, request, body or b"", exchange)
+        self._clear_suspect(metadata, request, body or b"", exchange.response)
         ended = self._loop.time()
         total_ms = round((ended - now) * 1000, 1)
         took_s = ended - sent_at
@@ -294,6 +305,45 @@
         finally:
             timer.cancel()
 
+    def _check_suspect(
+        self, metadata: CallMetadata, request: ForwardedRequest, body: bytes
+    ) -> Refusal | None:
+        """Return the refusal of a request in quarantine, or None and begin the trial of one."""
+        if self._suspects.is_empty:
+            return None
+        now = self._loop.time()
+        fingerprint = compute_fingerprint(request, metadata.caller, body)
+        if self._suspects.find_release(fingerprint, now) is not None:
+            return Refusal.QUARANTINED
+        if self._suspects.needs_trial(fingerprint):
+            self._on_suspects(self._suspects.start_trial(fingerprint, now))
+            log_info(
+                "a request is tried again after its quarantine",
+                request=request.request_id.decode(),
+                endpoint=metadata.endpoint,
+                fingerprint=fingerprint,
+                crashes=self._suspects.count_crashes(fingerprint),
+            )
+        return None
+
+    def _clear_suspect(
+        self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, response: Response
+    ) -> None:
+        """Record that the endpoint has run a request and goes on running."""
+        not_run = response.find_header(self._headers.not_run) is not None
+        if self._suspects.is_empty or not_run or response.status == MISDIRECTED:
+            return
+        fingerprint = compute_fingerprint(request, metadata.caller, body)
+        changed = self._suspects.record_response(fingerprint, self._loop.time())
+        if changed:
+            self._on_suspects(changed)
+            log_info(
+                "a request that ran when endpoints crashed was not the cause",
+                request=request.request_id.decode(),
+                fingerprint=fingerprint,
+                crashes=len(changed[0].refuted),
+            )
+
     async def _send(
         self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, deadline: float
     ) -> Exchange:
@@ -410,13 +460,20 @@
         return self._pool.open_connections < self._pool.max_connections
 
     def _handle_crash(self, record: EndpointRecord, calls: tuple[LostCall, ...]) -> None:
-        """Handle the end of the endpoint of `record` while it ran `calls`."""
+        """Remember the calls with which the endpoint of `record` crashed."""
+        self.crash_count += 1
+        if self.record is not None and name_start(self.record) == name_start(record):
+            self.endpoint.mark_down("no connection")
+        fingerprints = [call.fingerprint for call in calls]
+        changed = self._suspects.record_crash(record, fingerprints, self._loop.time())
+        self._on_suspects(changed)
         log_warning(
             "the endpoint ended while it ran calls",
             endpoint=record.id,
             service=record.service,
             upstream_version=record.version,
             calls=[f"{call.request} {call.fingerprint}" for call in calls],
+            suspects=[f"{each.fingerprint} {len(each.crashes)}" for each in changed],
         )
 
     def _log(self, message: str, **fields: object) -> None:
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -9,10 +9,17 @@
 from corianderwall.mesh.configuration import ConfigurationHolder, ConfigurationSync
 from corianderwall.mesh.directory import Directory, Peer
 from corianderwall.mesh.gate import EndpointGate
-from corianderwall.mesh.messages import EndpointRecord, Heartbeat, NodeRecord, Tables
+from corianderwall.mesh.messages import (
+    EndpointRecord,
+    Heartbeat,
+    NodeRecord,
+    SuspectRecord,
+    Tables,
+)
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
+from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.node.logs import log_info, log_warning
 
@@ -76,6 +83,7 @@
         joined: asyncio.Event,
         moves: MoveTracker,
         gate: EndpointGate,
+        suspects: Suspects,
         make_heartbeat: Callable[[], Heartbeat],
         spawn: Spawn,
         random: Random,
@@ -88,6 +96,7 @@
         self._joined = joined
         self._moves = moves
         self._gate = gate
+        self._suspects = suspects
         self._make_heartbeat = make_heartbeat
         self._spawn = spawn
         self._random = random
@@ -179,6 +188,7 @@
                 continue
             next_heartbeat = now + HEARTBEAT_INTERVAL_S * (0.9 + 0.2 * self._random.random())
             self._directory.remove_expired(now)
+            self._suspects.remove_expired(now)
             self._link.close_unused()
             partner = self._choose_peer()
             if partner is not None:
@@ -198,6 +208,10 @@
         self._confirmation_count = 0
         self.broadcast_tables(Tables(sender=self._directory.own, endpoints=(record,)))
 
+    def share_suspects(self, records: tuple[SuspectRecord, ...]) -> None:
+        """Send changed records of suspects to all peers."""
+        self.broadcast_tables(Tables(sender=self._directory.own, suspects=records))
+
     async def confirm_leave(self) -> None:
         """Wait until peers have the last change, so that it outlives this process.
 
@@ -270,8 +284,12 @@
         """Return all records for a joining node, or None if this node lacks them itself."""
         if not self._gate.synced:
             return None
-        moves = self._moves.list_views(self._loop.time())
-        tables = msgspec.structs.replace(self._directory.make_tables(), moves=moves)
+        now = self._loop.time()
+        tables = msgspec.structs.replace(
+            self._directory.make_tables(),
+            moves=self._moves.list_views(now),
+            suspects=self._suspects.list_records(now),
+        )
         return msgspec.msgpack.encode(tables)
 
     def _merge(self, tables: Tables) -> None:
@@ -279,6 +297,7 @@
         for view in tables.moves:
             self._moves.merge_view(view, now)
         self._directory.merge(tables, now)
+        self._suspects.merge(tables.suspects, now)
         for record in tables.endpoints:
             if record.node == self._directory.own.name:
                 self._gate.endpoint.merge_record(record)
@@ -317,19 +336,40 @@
             self._sync.handle_version(peer, heartbeat.config_version)
 
     def _send_differences(self, heartbeat: Heartbeat) -> None:
-        """Send records to a peer with another digest; the peer does the same in return.
+        """Send records to a peer with another digest; the peer does the same in return."""
+        peer = self._directory.peers.get(heartbeat.node.name)
+        if peer is None:
+            return
+        endpoints_differ = heartbeat.digest != self._directory.compute_digest()
+        suspects_differ = heartbeat.suspects_digest != self._suspects.compute_digest()
+        now = self._loop.time()
+        is_due = now - self._compared_at.get(heartbeat.node.name, 0.0) > HEARTBEAT_INTERVAL_S / 2
+        if not is_due or not (endpoints_differ or suspects_differ):
+            return
+        self._compared_at[heartbeat.node.name] = now
+        self._difference_count += 1
+        tables = Tables(sender=self._directory.own)
+        if endpoints_differ:
+            tables = self._make_differences(now)
+        if suspects_differ:
+            tables = msgspec.structs.replace(tables, suspects=self._list_suspects(now))
+        self._spawn(self._send_tables(peer.record, msgspec.msgpack.encode(tables)))
+
+    def _make_differences(self, now: float) -> Tables:
+        """Return the records of endpoints for a peer that has other ones.
 
         Usually only changes that are still in transit differ, so recent records are sent: all
         records together are many kilobytes.
         """
-        peer = self._directory.peers.get(heartbeat.node.name)
-        if peer is None or heartbeat.digest == self._directory.compute_digest():
-            return
-        now = self._loop.time()
-        if now - self._compared_at.get(heartbeat.node.name, 0.0) > HEARTBEAT_INTERVAL_S / 2:
-            self._compared_at[heartbeat.node.name] = now
-            self._difference_count += 1
-            tables = self._directory.make_recent_tables(now - RECENT_CHANGE_AGE_S)
-            if not tables.endpoints or self._difference_count % FULL_TABLES_EVERY == 0:
-                tables = self._directory.make_tables()
-            self._spawn(self._send_tables(peer.record, msgspec.msgpack.encode(tables)))
+        tables = self._directory.make_recent_tables(now - RECENT_CHANGE_AGE_S)
+        if not tables.endpoints or self._is_full_due():
+            tables = self._directory.make_tables()
+        return tables
+
+    def _list_suspects(self, now: float) -> tuple[SuspectRecord, ...]:
+        """Return the records of suspects for a peer that has other ones, usually recent ones."""
+        recent = self._suspects.list_records(now, since=now - RECENT_CHANGE_AGE_S)
+        return self._suspects.list_records(now) if self._is_full_due() or not recent else recent
+
+    def _is_full_due(self) -> bool:
+        return self._difference_count % FULL_TABLES_EVERY == 0
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -122,6 +122,7 @@
     SHED = "shed"
     BODY_LOST = "body lost"
     NO_MEMORY = "no memory"
+    QUARANTINED = "quarantined"
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -141,6 +142,21 @@
     took_ms: float = 0.0
 
 
+class SuspectRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A request that ran at endpoints when they crashed, by its fingerprint.
+
+    `crashes` and `refuted` are starts of endpoints; a complete response since has refuted the
+    latter. `trials` counts the times that it was sent after a quarantine, `age_s` is the time since
+    the last crash or trial.
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+    refuted: tuple[str, ...]
+    trials: int
+    age_s: float
+
+
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The records of all nodes and endpoints that a node knows, or of those that have changed.
 
@@ -151,6 +167,7 @@
     nodes: tuple[NodeRecord, ...] = ()
     endpoints: tuple[EndpointRecord, ...] = ()
     moves: tuple["MoveView", ...] = ()
+    suspects: tuple[SuspectRecord, ...] = ()
 
 
 class MoveOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -205,7 +222,9 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The periodic message of a node to a peer; `digest` covers all endpoint records.
+    """The periodic message of a node to a peer.
+
+    `digest` covers all endpoint records, `suspects_digest` all records of suspects.
 
     `moves` holds all orders that the sender knows, so that a restarted node gets them from its
     peers. `synced` is false while a node that has just started lacks the records of its peers.
@@ -219,6 +238,7 @@
     endpoint: str = ""
     moves: tuple[MoveView, ...] = ()
     synced: bool = True
+    suspects_digest: str = ""
 
 
 class MoveNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -48,6 +48,8 @@
             metrics.link_bytes.set(labels, size)
         for kind, count in self._platform_calls.items():
             metrics.platform_calls.set({"kind": kind}, count)
+        metrics.crashes.set({}, node.gate.crash_count)
+        metrics.quarantined_requests.set({}, node.suspects.count_quarantined())
         suppressed = node.entry.log_budget.suppressed + node.gate.log_budget.suppressed
         metrics.log_lines_dropped.set({"cause": "reader"}, self._output.dropped)
         metrics.log_lines_dropped.set({"cause": "volume"}, suppressed)
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -32,6 +32,7 @@
     EndpointState,
     Heartbeat,
     NodeRecord,
+    SuspectRecord,
     Tables,
 )
 from corianderwall.mesh.movecontroller import MOVE_NOTICE_KIND, MoveController
@@ -40,6 +41,7 @@
 from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
+from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import Snapshot
@@ -115,6 +117,7 @@
         self.holder = ConfigurationHolder()
         self.moves = MoveTracker(settings.bounds.canary_share, random)
         self.uplink = Uplink(settings.link_bytes_per_s)
+        self.suspects = Suspects()
         self.body_memory = BodyMemory(settings.memory_bytes * BODY_MEMORY_FRACTION)
         sender = LinkSender(self.uplink)
         self.link = PeerLink(self.directory, headers, sender)
@@ -124,6 +127,8 @@
             self._announce_endpoint,
             self._count_call,
             self.uplink,
+            self.suspects,
+            self._share_suspects,
             self._find_own_record,
         )
         joined = asyncio.Event()
@@ -139,6 +144,7 @@
             joined,
             self.moves,
             self.gate,
+            self.suspects,
             self.make_heartbeat,
             self.spawn,
             random,
@@ -155,6 +161,7 @@
             self.gate,
             self.gate.find_parent,
             self.moves,
+            self.suspects,
             self.metrics,
             self.body_memory,
             random,
@@ -254,6 +261,7 @@
             endpoint=record.id if record is not None else "",
             moves=self.moves.list_views(self._loop.time()),
             synced=self.gate.synced,
+            suspects_digest=self.suspects.compute_digest(),
         )
 
     def _make_limits(self) -> ServerLimits:
@@ -270,6 +278,9 @@
     def _announce_endpoint(self, record: EndpointRecord) -> None:
         self.gossip.announce_endpoint(record)
 
+    def _share_suspects(self, records: tuple[SuspectRecord, ...]) -> None:
+        self.gossip.share_suspects(records)
+
     def _find_own_record(self, endpoint: str) -> EndpointRecord | None:
         view = self.directory.endpoints.get(endpoint)
         return view.record if view is not None and view.record.node == self.settings.name else None
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -7,12 +7,21 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.mesh import gate as gate_module
+from corianderwall.mesh import suspects as suspects_module
 from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.exchange import MAX_BODY_BYTES
+from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.gate import EndpointGate, RunningCall
-from corianderwall.mesh.messages import CallMetadata, EndpointRecord, EndpointState, Refusal
+from corianderwall.mesh.messages import (
+    CallMetadata,
+    EndpointRecord,
+    EndpointState,
+    Refusal,
+    SuspectRecord,
+)
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
+from corianderwall.mesh.suspects import QUARANTINE_CRASHES, Suspects
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
 from corianderwall.standins.scripted import (
@@ -99,12 +108,20 @@
     def __init__(self, respond: Callable[[ReceivedRequest], Awaitable[bytes | None]]) -> None:
         self.upstream = ScriptedUpstream(respond)
         self.records: list[EndpointRecord] = []
+        self.suspects = Suspects()
+        self.shared: list[tuple[SuspectRecord, ...]] = []
 
     async def start(self, **fields: Any) -> None:
         await self.upstream.start()
         self.address = Address(host="127.0.0.1", port=self.upstream.port)
         self.gate = EndpointGate(
-            make_settings(self.address), NAMES, self.records.append, lambda *_: None, Uplink()
+            make_settings(self.address),
+            NAMES,
+            self.records.append,
+            lambda *_: None,
+            Uplink(),
+            self.suspects,
+            self.shared.append,
         )
         self.gate.synced = True
         assert self.gate.endpoint.handle_announcement(make_announcement(self.address, **fields))
@@ -362,9 +379,8 @@
 def test_a_record_of_an_earlier_process_is_taken_over_with_a_newer_revision() -> Deferred[None]:
     async def scenario(setup: Setup) -> None:
         known = setup.records[-1]
-        gate = EndpointGate(
-            make_settings(setup.address), NAMES, setup.records.append, lambda *_: None, Uplink()
-        )
+        gate = make_fresh_gate(setup)
+        gate.synced = False
         refused = await serve(gate)
         assert refused.metadata.refusal is Refusal.UNKNOWN
         gate.synced = True
@@ -384,6 +400,8 @@
         setup.records.append,
         lambda *_: None,
         Uplink(),
+        Suspects(),
+        setup.shared.append,
         find_record=lambda name: known if known is not None and known.id == name else None,
     )
     gate.synced = True
@@ -509,3 +527,79 @@
         assert (await setup.serve("q2")).metadata.ran
 
     return run_scenario(respond_ok, scenario)
+
+
+def quarantine(suspects: Suspects, caller: str) -> None:
+    """Let `suspects` know the requests of this module as ones that have ended three endpoints."""
+    fingerprint = compute_fingerprint(make_request(), caller, b"")
+    crashes = tuple(f"i-{number}@1" for number in range(QUARANTINE_CRASHES))
+    record = SuspectRecord(
+        fingerprint=fingerprint, crashes=crashes, refuted=(), trials=0, age_s=0.0
+    )
+    suspects.merge((record,), asyncio.get_running_loop().time())
+
+
+# Guards against one caller whose requests keep those of another from the endpoints.
+def test_the_quarantine_of_a_request_holds_for_its_caller_only() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        quarantine(setup.suspects, "s")
+        refused = await setup.serve("q1", caller="s")
+        assert (refused.metadata.ran, refused.metadata.refusal) == (False, Refusal.QUARANTINED)
+        assert setup.upstream.requests == []
+        assert (await setup.serve("q2", caller="t")).metadata.ran is True
+
+    return run_scenario(respond_ok, scenario)
+
+
+def test_a_trial_that_is_answered_ends_the_quarantine_everywhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr(suspects_module, "QUARANTINES_S", (0.1, 60.0))
+
+    async def scenario(setup: Setup) -> None:
+        quarantine(setup.suspects, "s")
+        assert (await setup.serve("q1")).metadata.ran is False
+        await asyncio.sleep(0.15)
+        assert (await setup.serve("q2")).metadata.ran is True
+        assert (await setup.serve("q3")).metadata.ran is True
+        (trial,), (response,) = setup.shared
+        assert (trial.trials, response.crashes) == (1, ())
+
+    return run_scenario(respond_ok, scenario)
+
+
+def test_an_endpoint_that_crashes_is_down_at_once_and_its_call_a_suspect() -> Deferred[None]:
+    async def crash(request: ReceivedRequest) -> bytes | None:
+        upstreams[0].crash()
+        return b""
+
+    upstreams: list[ScriptedUpstream] = []
+
+    async def scenario(setup: Setup) -> None:
+        upstreams.append(setup.upstream)
+        assert (await setup.serve()).metadata.ran is None
+        await asyncio.sleep(0.1)
+        assert setup.records[-1].state is EndpointState.DOWN
+        ((record,),) = setup.shared
+        assert (record.fingerprint, record.crashes) == (
+            compute_fingerprint(make_request(), "s", b""),
+            ("i-1@100",),
+        )
+
+    return run_scenario(crash, scenario)
+
+
+def test_a_connection_that_breaks_without_its_endpoint_makes_no_suspect() -> Deferred[None]:
+    async def break_off(request: ReceivedRequest) -> bytes | None:
+        return b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nbro"
+
+    async def scenario(setup: Setup) -> None:
+        serving = asyncio.ensure_future(setup.serve())
+        await asyncio.sleep(0.05)
+        setup.upstream.break_connections()
+        assert (await serving).metadata.ran is None
+        await asyncio.sleep(0.1)
+        assert setup.records[-1].state is EndpointState.READY
+        assert setup.shared == []
+
+    return run_scenario(break_off, scenario)
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -28,6 +28,7 @@
     Tables,
 )
 from corianderwall.mesh.moves import MoveTracker
+from corianderwall.mesh.suspects import Suspects
 
 Reply = Callable[[str, bytes], bytes | None]
 
@@ -79,6 +80,7 @@
         self.gate = SimpleNamespace(synced=False, endpoint=tracker)
         self.directory = Directory(make_record("own"))
         self.moves = MoveTracker(0.1, Random(1))
+        self.suspects = Suspects()
         self.source = FakePlatform(records)
         self.tasks: set[asyncio.Task[None]] = set()
         self.gossip = Gossip(
@@ -90,6 +92,7 @@
             asyncio.Event(),
             self.moves,
             self.gate,  # type: ignore[arg-type]
+            self.suspects,
             self.make_heartbeat,
             self.spawn,
             Random(1),
@@ -97,7 +100,13 @@
 
     def make_heartbeat(self) -> Heartbeat:
         digest = self.directory.compute_digest()
-        return Heartbeat(node=self.directory.own, config_version=0, digest=digest, source_ok=True)
+        return Heartbeat(
+            node=self.directory.own,
+            config_version=0,
+            digest=digest,
+            source_ok=True,
+            suspects_digest=self.suspects.compute_digest(),
+        )
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -16,10 +16,12 @@
 from corianderwall.mesh import entry as entry_module
 from corianderwall.mesh import movecontroller
 from corianderwall.mesh.endpoint import Announcement
+from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.memorysource import MemorySource
-from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder
+from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder, SuspectRecord
 from corianderwall.mesh.node import READINESS_DELAY_S, STOP_MARGIN_S, HostNode, plan_stop
+from corianderwall.mesh.owner import ForwardedRequest
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.source import ConflictError, SourceError
 from corianderwall.model.endpoint import Address
@@ -1290,3 +1292,69 @@
         assert (await fleet.send_call("n1")).status == 200
 
     return run_scenario(scenario)
+
+
+# Guards against a restart of one of our processes after which such a request gets through again.
+def test_a_restarted_node_refuses_what_has_ended_three_endpoints() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        endpoints = CrashingEndpoints(fleet)
+        names = await add_hosts(fleet, 4)
+        for number in range(ENDING_CRASHES):
+            await fleet.send_call(names[number], "/r/crash", request_id=f"q{number}")
+            await endpoints.settle()
+        known = len(endpoints.crashed_at)
+        assert known >= ENDING_CRASHES
+        host = fleet.hosts["n1"]
+        host.node.close()
+        node = HostNode(host.node.settings, NAMES, fleet.source, Random(5))
+        await node.start([])
+        fleet.hosts["n1"] = Host(node, host.upstream)
+        fleet.hosts["n1"].announce(born=10)
+        await fleet.wait_for(lambda: node.gate.synced and node.holder.table is not None)
+        reply = await fleet.send_call("n1", "/r/crash", request_id="late")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > CONTACT_S
+        assert len(endpoints.crashed_at) == known
+
+    return run_scenario(scenario)
+
+
+# Guards against a node that missed the messages about the crashes and never gets to know of them.
+def test_a_node_that_missed_the_crashes_learns_of_them_from_a_heartbeat() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        names = await add_hosts(fleet, 3)
+        first = fleet.hosts[names[0]].node
+        record = SuspectRecord(
+            fingerprint="f", crashes=("i@1", "i@2", "i@3"), refuted=(), trials=0, age_s=0.0
+        )
+        first.suspects.merge((record,), fleet.now())
+        await fleet.wait_for(
+            lambda: all(host.node.suspects.needs_trial("f") for host in fleet.hosts.values())
+        )
+
+    return run_scenario(scenario)
+
+
+# Guards against "not run" for a call that has ended an endpoint before the quarantine was known.
+def test_a_call_that_may_have_run_is_not_reported_as_refused_by_the_quarantine() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        endpoints = CrashingEndpoints(fleet)
+        names = await add_hosts(fleet, 2)
+        entry = (await fleet.add("n3", service="other", announce=False)).node
+        await fleet.wait_until_synced()
+        request = ForwardedRequest(b"q1", b"GET", b"/r/crash", [(b"host", b"h.example")])
+        record = SuspectRecord(
+            fingerprint=compute_fingerprint(request, "other", b""),
+            crashes=("i@1", "i@2", "i@3"),
+            refuted=(),
+            trials=0,
+            age_s=0.0,
+        )
+        fleet.hosts[names[1]].node.suspects.merge((record,), fleet.now())
+        entry.directory.endpoints[f"i-{names[1]}"].deprioritized_until = fleet.now() + 5.0
+        reply = await fleet.send_call("n3", "/r/crash")
+        assert len(endpoints.crashed_at) == 1
+        assert reply.status == 502
+        await endpoints.settle()
+
+    return run_scenario(scenario)
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -56,6 +56,13 @@
             "moves_ended", "Moves seen to end, by service and outcome."
         )
 
+        self.crashes = self._add_counter(
+            "endpoint_crashes", "Crashes of the endpoint beside this node while it ran calls."
+        )
+        self.quarantined_requests = self._add_gauge(
+            "quarantined_requests", "Requests known to crash endpoints, which get to none."
+        )
+
     def _add_counter(self, name: str, text: str) -> Counter:
         return Counter(f"corianderwall_{name}_total", text, registry=self.registry)
 
--- a/packages/standins/src/corianderwall/standins/scripted.py
+++ b/packages/standins/src/corianderwall/standins/scripted.py
@@ -72,6 +72,10 @@
     def crash(self) -> None:
         """End as a crashed process does: all connections break and nothing listens."""
         self._server.close()
+        self.break_connections()
+
+    def break_connections(self) -> None:
+        """Reset all connections, and go on listening."""
         for writer in self._writers:
             writer.transport.abort()
 
