Keep quarantines at the platform for a loss of all hosts

Cause: no host has a disk. After a loss of power everywhere nobody knew which requests crash endpoints, and each of them could end three and more again.

Change: one node writes a request to the platform when its quarantine begins and at each trial, and deletes it when it was answered or is forgotten. Nodes that start together read what is there. After a store that came back from an earlier copy the writer writes again.

--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -19,6 +19,7 @@
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
+from corianderwall.mesh.suspectarchive import SuspectArchive
 from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.node.logs import log_info, log_warning
@@ -84,6 +85,7 @@
         moves: MoveTracker,
         gate: EndpointGate,
         suspects: Suspects,
+        archive: SuspectArchive,
         make_heartbeat: Callable[[], Heartbeat],
         spawn: Spawn,
         random: Random,
@@ -97,6 +99,7 @@
         self._moves = moves
         self._gate = gate
         self._suspects = suspects
+        self._archive = archive
         self._make_heartbeat = make_heartbeat
         self._spawn = spawn
         self._random = random
@@ -245,6 +248,9 @@
                     answered=len(self._synced_peers),
                 )
                 self._gate.synced = True
+                # Of nodes that have started together, the first by name deletes what has expired.
+                is_first = all(name > self._directory.own.name for name in self._directory.peers)
+                self._spawn(self._archive.load(deletes_expired=is_first))
 
     def _list_pull_candidates(self) -> list[Peer]:
         """Return the peers that report that they have records, or all peers if none does."""
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from corianderwall.mesh.messages import MoveOrder, NodeRecord
+from corianderwall.mesh.messages import MoveOrder, NodeRecord, SuspectRecord
 from corianderwall.mesh.source import (
     CALL_TIMEOUT_S,
     WATCH_TIMEOUT_MARGIN_S,
@@ -33,6 +33,7 @@
     snapshot: Snapshot | None = None
     orders: dict[str, MoveOrder] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    suspects: dict[str, SuspectRecord] = field(default_factory=dict)
     config_revision: int = 0
     era: int = 1
     silent: bool = False
@@ -67,13 +68,19 @@
 
     def take_copy(self) -> "MemorySource":
         """Return a copy of the stored objects, for `restore_copy`."""
-        return replace(self, orders=dict(self.orders), nodes=dict(self.nodes))
+        return replace(
+            self,
+            orders=dict(self.orders),
+            nodes=dict(self.nodes),
+            suspects=dict(self.suspects),
+        )
 
     def restore_copy(self, copy: "MemorySource") -> None:
         """Come back from an earlier copy: later changes are gone, their revisions are reused."""
         self.era += 1
         self.revision, self.config_revision = copy.revision, copy.config_revision
         self.snapshot, self.orders, self.nodes = copy.snapshot, copy.orders, copy.nodes
+        self.suspects = copy.suspects
         self._notify()
 
     @property
@@ -129,6 +136,23 @@
         await self._admit()
         return tuple(self.nodes.values())
 
+    async def list_suspects(self) -> tuple[SuspectRecord, ...]:
+        """Return the quarantined requests, with the ages that they had when they were written."""
+        await self._admit()
+        return tuple(self.suspects.values())
+
+    async def write_suspect(self, record: SuspectRecord) -> None:
+        """Write the record of a quarantined request."""
+        await self._admit()
+        self.suspects[record.fingerprint] = record
+        self._advance()
+
+    async def delete_suspect(self, fingerprint: str) -> None:
+        """Delete the record of a request."""
+        await self._admit()
+        if self.suspects.pop(fingerprint, None) is not None:
+            self._advance()
+
     def _advance(self) -> int:
         self.revision += 1
         self._notify()
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -41,6 +41,7 @@
 from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
+from corianderwall.mesh.suspectarchive import SuspectArchive
 from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
@@ -118,6 +119,7 @@
         self.moves = MoveTracker(settings.bounds.canary_share, random)
         self.uplink = Uplink(settings.link_bytes_per_s)
         self.suspects = Suspects()
+        self._archive = SuspectArchive(self.suspects, source)
         self.body_memory = BodyMemory(settings.memory_bytes * BODY_MEMORY_FRACTION)
         sender = LinkSender(self.uplink)
         self.link = PeerLink(self.directory, headers, sender)
@@ -145,6 +147,7 @@
             self.moves,
             self.gate,
             self.suspects,
+            self._archive,
             self.make_heartbeat,
             self.spawn,
             random,
@@ -207,6 +210,7 @@
         self.spawn(self.gossip.join())
         self.spawn(self.gossip.run())
         self.spawn(self.gossip.pull_records())
+        self.spawn(self._archive.run())
         self.spawn(self.move_controller.watch_orders())
         self.spawn(self.move_controller.run())
         self.spawn(self._watch_endpoint())
@@ -273,6 +277,7 @@
         await opening.asFuture(self._loop)
 
     def _restore_records(self) -> None:
+        self.suspects.restore_saved()
         self.spawn(self.gossip.restore_records())
 
     def _announce_endpoint(self, record: EndpointRecord) -> None:
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
-from corianderwall.mesh.messages import MoveOrder, NodeRecord
+from corianderwall.mesh.messages import MoveOrder, NodeRecord, SuspectRecord
 from corianderwall.model.resource import MoveState, Snapshot
 
 CALL_TIMEOUT_S = 1.5
@@ -86,3 +86,12 @@
 
     async def list_nodes(self, *, stale: bool) -> tuple[NodeRecord, ...]:
         """Return the records of all nodes; a `stale` list costs a tenth and may be seconds old."""
+
+    async def list_suspects(self) -> tuple[SuspectRecord, ...]:
+        """Return the requests that a fleet has written as quarantined; maybe seconds old."""
+
+    async def write_suspect(self, record: SuspectRecord) -> None:
+        """Write the record of a quarantined request, in place of an earlier one."""
+
+    async def delete_suspect(self, fingerprint: str) -> None:
+        """Delete the record of a request, if there is one."""
--- a/packages/mesh/src/corianderwall/mesh/suspects.py
+++ b/packages/mesh/src/corianderwall/mesh/suspects.py
@@ -17,6 +17,8 @@
 """Time after its last crash for which a request that is not in quarantine is remembered."""
 MAX_SUSPECTS = 1024
 """Requests that are remembered; an endpoint that crashes adds as many as it has slots."""
+MAX_OWN_STARTS = 64
+"""Starts of the endpoint beside this node whose crashes this node remembers as its own."""
 MAX_CRASHES = 8
 """Crashes that are remembered of each request; more than it takes for its quarantine."""
 
@@ -44,6 +46,11 @@
         """Return the number of crashes for which the request may be the cause."""
         return list(self.crashes.values()).count(False)
 
+    @property
+    def first_crash(self) -> str:
+        """Return the first start by name that crashed, the same at all nodes."""
+        return min(start for start, refuted in self.crashes.items() if not refuted)
+
     @property
     def needs_trial(self) -> bool:
         """Return whether the request has crashed too many endpoints to be sent as any other."""
@@ -67,10 +74,14 @@
     complete response shows that a request is not. After its quarantine a request is tried again, so
     that one that was only beside the cause three times is served again.
 
-    Records merge in any order, so that lost, repeated or late messages do no harm.
+    Records merge in any order, so that lost, repeated or late messages do no harm. `unsaved` are
+    the requests whose quarantine this node has to write to the platform or to delete there.
     """
 
     def __init__(self) -> None:
+        self.unsaved: set[str] = set()
+        self._saved: set[str] = set()
+        self._own_starts: dict[str, None] = {}
         self._suspects: dict[str, _Suspect] = {}
         self._digest = ""
 
@@ -83,6 +94,10 @@
         """Return the number of requests that are in quarantine or wait for a trial."""
         return sum(suspect.needs_trial for suspect in self._suspects.values())
 
+    def knows(self, fingerprint: str) -> bool:
+        """Return whether anything is remembered of the request."""
+        return fingerprint in self._suspects
+
     def count_crashes(self, fingerprint: str) -> int:
         """Return the number of endpoints that crashed while they ran the request."""
         suspect = self._suspects.get(fingerprint)
@@ -110,12 +125,17 @@
         running = set(fingerprints)
         known = {each for each in running if self.needs_trial(each)}
         start = name_start(record)
+        self._own_starts[start] = None
+        if len(self._own_starts) > MAX_OWN_STARTS:
+            del self._own_starts[next(iter(self._own_starts))]
         changed = []
         for fingerprint in sorted(known or running):
             suspect = self._suspects.get(fingerprint)
             if suspect is None:
                 suspect = self._suspects[fingerprint] = _Suspect(now, now)
             suspect.crashes.setdefault(start, False)
+            if suspect.count == QUARANTINE_CRASHES:
+                self.unsaved.add(fingerprint)
             suspect.changed_at = suspect.learned_at = now
             _limit_crashes(suspect)
             changed.append(_make_record(fingerprint, suspect, now))
@@ -126,6 +146,7 @@
         """Begin the next quarantine with a trial, so that no other node tries the request."""
         suspect = self._suspects[fingerprint]
         suspect.trials += 1
+        self.unsaved.add(fingerprint)
         suspect.changed_at = suspect.learned_at = now
         self._apply_change()
         return (_make_record(fingerprint, suspect, now),)
@@ -135,6 +156,8 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.count:
             return ()
+        if suspect.needs_trial:
+            self.unsaved.add(fingerprint)
         suspect.crashes = dict.fromkeys(suspect.crashes, True)
         suspect.changed_at = suspect.learned_at = now
         self._apply_change()
@@ -169,6 +192,21 @@
             if now >= suspect.expires_at:
                 del self._suspects[name]
                 self._digest = ""
+                if name in self._saved:
+                    self.unsaved.add(name)
+
+    def take_unsaved(self, now: float) -> tuple[str, SuspectRecord | None]:
+        """Return a request of `unsaved`, with its record if it is to be written, not deleted."""
+        fingerprint = self.unsaved.pop()
+        if not self.needs_trial(fingerprint):
+            self._saved.discard(fingerprint)
+            return fingerprint, None
+        self._saved.add(fingerprint)
+        return fingerprint, _make_record(fingerprint, self._suspects[fingerprint], now)
+
+    def restore_saved(self) -> None:
+        """Have all quarantines written again that this node has written."""
+        self.unsaved |= self._saved
 
     def _merge_record(self, record: SuspectRecord, now: float) -> None:
         merged = _Suspect(
@@ -193,8 +231,12 @@
         # An age grows by the time of its message, so it counts only with something new.
         own.changed_at = max(own.changed_at, merged.changed_at)
         own.learned_at = now
+        needed_trial = own.needs_trial
         own.crashes, own.trials = crashes, trials
         _limit_crashes(own)
+        # Of the owners that learn of the third crash by a message, just one writes it.
+        if own.needs_trial and not needed_trial and own.first_crash in self._own_starts:
+            self.unsaved.add(record.fingerprint)
         self._apply_change()
 
     def _apply_change(self) -> None:
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -25,9 +25,11 @@
     MoveOrder,
     MoveView,
     NodeRecord,
+    SuspectRecord,
     Tables,
 )
 from corianderwall.mesh.moves import MoveTracker
+from corianderwall.mesh.suspectarchive import SuspectArchive
 from corianderwall.mesh.suspects import Suspects
 
 Reply = Callable[[str, bytes], bytes | None]
@@ -69,6 +71,10 @@
         """Return the given nodes."""
         return self._records
 
+    async def list_suspects(self) -> tuple[SuspectRecord, ...]:
+        """Return nothing, as no request is in quarantine."""
+        return ()
+
 
 class Newcomer:
     """The gossip of one node, with scripted responses of its peers."""
@@ -93,6 +99,7 @@
             self.moves,
             self.gate,  # type: ignore[arg-type]
             self.suspects,
+            SuspectArchive(self.suspects, self.source),  # type: ignore[arg-type]
             self.make_heartbeat,
             self.spawn,
             Random(1),
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1358,3 +1358,33 @@
         await endpoints.settle()
 
     return run_scenario(scenario)
+
+
+# Guards against a loss of power everywhere, after which such a request gets through again.
+def test_a_fleet_that_restarts_as_a_whole_refuses_what_has_ended_three_endpoints() -> (
+    Deferred[None]
+):
+    async def scenario(fleet: Fleet) -> None:
+        endpoints = CrashingEndpoints(fleet)
+        names = await add_hosts(fleet, 4)
+        for number in range(ENDING_CRASHES):
+            await fleet.send_call(names[number], "/r/crash", request_id=f"q{number}")
+            await endpoints.settle()
+        await fleet.wait_for(lambda: bool(fleet.source.suspects))
+        known = len(endpoints.crashed_at)
+        for host in fleet.hosts.values():
+            host.node.close()
+        for number, (name, host) in enumerate(list(fleet.hosts.items())):
+            node = HostNode(host.node.settings, NAMES, fleet.source, Random(number))
+            await node.start([])
+            fleet.hosts[name] = Host(node, host.upstream)
+            fleet.hosts[name].announce(born=100)
+        await fleet.wait_for(
+            lambda: all(not host.node.suspects.is_empty for host in fleet.hosts.values())
+        )
+        for name in names:
+            reply = await fleet.send_call(name, "/r/crash", request_id=f"late-{name}")
+            assert reply.status == 503
+        assert len(endpoints.crashed_at) == known
+
+    return run_scenario(scenario)
--- a/packages/mesh/tests/test_suspects.py
+++ b/packages/mesh/tests/test_suspects.py
@@ -139,3 +139,24 @@
         for message in messages:
             node.merge(message, 30.0)
     assert len({node.compute_digest() for node in nodes}) == 1
+
+
+def test_one_owner_writes_a_quarantine_that_three_crashes_at_once_begin() -> None:
+    owners = [Suspects() for _ in range(QUARANTINE_CRASHES)]
+    messages = [
+        owner.record_crash(make_start(number), ["f"], 0.0) for number, owner in enumerate(owners)
+    ]
+    for owner in owners:
+        for message in messages:
+            owner.merge(message, 0.0)
+    assert [owner.unsaved for owner in owners].count({"f"}) == 1
+
+
+def test_only_the_node_that_wrote_a_quarantine_deletes_it_when_it_expires() -> None:
+    first, second = make_quarantined("f"), Suspects()
+    second.merge(first.list_records(0.0), 0.0)
+    assert first.take_unsaved(0.0)[1] is not None
+    for node in (first, second):
+        node.remove_expired(QUARANTINES_S[-1])
+    assert (first.unsaved, second.unsaved) == ({"f"}, set())
+    assert first.take_unsaved(0.0) == ("f", None)
