Move what does not depend on the mesh below it

The memory of requests that crash endpoints goes to traffic and the check for a crash to node, so that the product's own call path can use them. No change of behaviour.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -13,7 +13,6 @@
 from corianderwall.mesh.callertimeouts import CallerTimeouts
 from corianderwall.mesh.configuration import ConfigurationHolder
 from corianderwall.mesh.directory import Directory, EndpointView
-from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.gate import RunningCall
 from corianderwall.mesh.messages import CallMetadata, Refusal, ResponseMetadata
 from corianderwall.mesh.moves import MoveTracker
@@ -32,11 +31,11 @@
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.sizes import ResponseSizes
 from corianderwall.mesh.splits import WeightedSplit
-from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.tasks import run_call
 from corianderwall.model.resource import Route
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
+from corianderwall.traffic.suspects import Suspects
 
 AVOID_WHEN_FULL_S = 0.05
 """How long an endpoint without a free slot is not asked for one; shorter than a typical call."""
@@ -270,7 +269,7 @@
     def _find_fingerprint(self, state: _CallState) -> str:
         if not state.fingerprint:
             caller = self._settings.service
-            state.fingerprint = compute_fingerprint(state.request, caller, state.body)
+            state.fingerprint = state.request.compute_fingerprint(caller, state.body)
         return state.fingerprint
 
     def _choose(
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -11,10 +11,8 @@
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
-from corianderwall.mesh.crashes import CrashDetector, LostCall
 from corianderwall.mesh.endpoint import EndpointTracker
 from corianderwall.mesh.exchange import Exchange, Response, run_exchange
-from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.messages import (
     CallMetadata,
     EndpointRecord,
@@ -22,15 +20,15 @@
     Load,
     Refusal,
     ResponseMetadata,
-    SuspectRecord,
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
-from corianderwall.mesh.suspects import Suspects, name_start
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.errors import ErrorCode
+from corianderwall.node.crashes import CrashDetector, LostCall
 from corianderwall.node.logs import LogBudget, log_info, log_warning
+from corianderwall.traffic.suspects import SuspectRecord, Suspects
 
 MISDIRECTED = 421
 LEAVING = b"1"
@@ -312,7 +310,7 @@
         if self._suspects.is_empty:
             return None
         now = self._loop.time()
-        fingerprint = compute_fingerprint(request, metadata.caller, body)
+        fingerprint = request.compute_fingerprint(metadata.caller, body)
         if self._suspects.find_release(fingerprint, now) is not None:
             return Refusal.QUARANTINED
         if self._suspects.needs_trial(fingerprint):
@@ -333,7 +331,7 @@
         not_run = response.find_header(self._headers.not_run) is not None
         if self._suspects.is_empty or not_run or response.status == MISDIRECTED:
             return
-        fingerprint = compute_fingerprint(request, metadata.caller, body)
+        fingerprint = request.compute_fingerprint(metadata.caller, body)
         changed = self._suspects.record_response(fingerprint, self._loop.time())
         if changed:
             self._on_suspects(changed)
@@ -429,7 +427,7 @@
         self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, exchange: Exchange
     ) -> OwnerResponse:
         error = exchange.error.value if exchange.error is not None else ""
-        fingerprint = compute_fingerprint(request, metadata.caller, body)
+        fingerprint = request.compute_fingerprint(metadata.caller, body)
         self._log(
             "no complete response from the endpoint",
             request=request.request_id.decode(),
@@ -452,26 +450,24 @@
             and exchange.error is ErrorCode.UPSTREAM_LOST
         ):
             lost = LostCall(request.request_id.decode(), fingerprint)
-            self._crashes.record_loss(record, lost)
+            self._crashes.record_loss(record.start, lost)
         self._count_result(metadata, failed=True, took_s=0.0, ran=False)
         return OwnerResponse(ResponseMetadata(ran=None, load=self.read_load(), error=error))
 
     def _may_connect(self) -> bool:
         return self._pool.open_connections < self._pool.max_connections
 
-    def _handle_crash(self, record: EndpointRecord, calls: tuple[LostCall, ...]) -> None:
-        """Remember the calls with which the endpoint of `record` crashed."""
+    def _handle_crash(self, start: str, calls: tuple[LostCall, ...]) -> None:
+        """Remember the calls that the endpoint ran when this start of it crashed."""
         self.crash_count += 1
-        if self.record is not None and name_start(self.record) == name_start(record):
+        if self.record is not None and self.record.start == start:
             self.endpoint.mark_down("no connection")
         fingerprints = [call.fingerprint for call in calls]
-        changed = self._suspects.record_crash(record, fingerprints, self._loop.time())
+        changed = self._suspects.record_crash(start, fingerprints, self._loop.time())
         self._on_suspects(changed)
         log_warning(
             "the endpoint ended while it ran calls",
-            endpoint=record.id,
-            service=record.service,
-            upstream_version=record.version,
+            start=start,
             calls=[f"{call.request} {call.fingerprint}" for call in calls],
             suspects=[f"{each.fingerprint} {len(each.crashes)}" for each in changed],
         )
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -13,16 +13,15 @@
     EndpointRecord,
     Heartbeat,
     NodeRecord,
-    SuspectRecord,
     Tables,
 )
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
 from corianderwall.mesh.suspectarchive import SuspectArchive
-from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.node.logs import log_info, log_warning
+from corianderwall.traffic.suspects import SuspectRecord, Suspects
 
 HEARTBEAT_INTERVAL_S = 1.0
 """Interval of heartbeats; half of the shortest time within which a change must be known."""
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from corianderwall.mesh.messages import MoveOrder, NodeRecord, SuspectRecord
+from corianderwall.mesh.messages import MoveOrder, NodeRecord
 from corianderwall.mesh.source import (
     CALL_TIMEOUT_S,
     WATCH_TIMEOUT_MARGIN_S,
@@ -18,6 +18,7 @@
     SourceError,
 )
 from corianderwall.model.resource import MoveState, Snapshot
+from corianderwall.traffic.suspects import SuspectRecord
 
 Condition = Callable[[], bool]
 
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from corianderwall.model.resource import MoveState
+from corianderwall.traffic.suspects import SuspectRecord
 
 
 class EndpointState(enum.StrEnum):
@@ -43,6 +44,11 @@
     warm_unix_ms: int = 0
     revision: int = 0
 
+    @property
+    def start(self) -> str:
+        """Return the name of this start, which can crash only once."""
+        return f"{self.id}@{self.born_unix_ms}"
+
     def supersedes(self, other: "EndpointRecord") -> bool:
         """Return whether this record is newer than `other` of the same id."""
         if self.born_unix_ms != other.born_unix_ms:
@@ -142,21 +148,6 @@
     took_ms: float = 0.0
 
 
-class SuspectRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A request that ran at endpoints when they crashed, by its fingerprint.
-
-    `crashes` and `refuted` are starts of endpoints; a complete response since has refuted the
-    latter. `trials` counts the times that it was sent after a quarantine, `age_s` is the time since
-    the last crash or trial.
-    """
-
-    fingerprint: str
-    crashes: tuple[str, ...]
-    refuted: tuple[str, ...]
-    trials: int
-    age_s: float
-
-
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The records of all nodes and endpoints that a node knows, or of those that have changed.
 
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -32,7 +32,6 @@
     EndpointState,
     Heartbeat,
     NodeRecord,
-    SuspectRecord,
     Tables,
 )
 from corianderwall.mesh.movecontroller import MOVE_NOTICE_KIND, MoveController
@@ -42,12 +41,12 @@
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
 from corianderwall.mesh.suspectarchive import SuspectArchive
-from corianderwall.mesh.suspects import Suspects
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import Snapshot
 from corianderwall.node.logs import log_error, log_info
 from corianderwall.node.metrics import CallMetrics
+from corianderwall.traffic.suspects import SuspectRecord, Suspects
 
 READINESS_DELAY_S = 2.6
 """Time after SIGTERM for which new calls may still come in; two failed readiness probes."""
--- a/packages/mesh/src/corianderwall/mesh/owner.py
+++ b/packages/mesh/src/corianderwall/mesh/owner.py
@@ -6,6 +6,7 @@
 from corianderwall.httpflow.flow import Headers
 from corianderwall.mesh.exchange import Response
 from corianderwall.mesh.messages import CallMetadata, ResponseMetadata
+from corianderwall.traffic.fingerprint import compute_fingerprint
 
 
 class RequestBody(Protocol):
@@ -45,6 +46,13 @@
     headers: Headers
     body: RequestBody = EMPTY_BODY
 
+    def compute_fingerprint(self, caller: str, body: bytes) -> str:
+        """Return what tells whether this is another attempt of a request, given its `body`."""
+        host = next((value for name, value in self.headers if name == b"host"), b"")
+        return compute_fingerprint(
+            caller=caller, method=self.method, host=host, target=self.target, body=body
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class OwnerResponse:
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
-from corianderwall.mesh.messages import MoveOrder, NodeRecord, SuspectRecord
+from corianderwall.mesh.messages import MoveOrder, NodeRecord
 from corianderwall.model.resource import MoveState, Snapshot
+from corianderwall.traffic.suspects import SuspectRecord
 
 CALL_TIMEOUT_S = 1.5
 """Time after which a request that is not a watch has failed; hundreds of usual response times."""
--- a/packages/mesh/src/corianderwall/mesh/suspectarchive.py
+++ b/packages/mesh/src/corianderwall/mesh/suspectarchive.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from corianderwall.mesh.source import Source, SourceError
-from corianderwall.mesh.suspects import Suspects
 from corianderwall.node.logs import log_info, log_warning
+from corianderwall.traffic.suspects import Suspects
 
 SAVE_INTERVAL_S = 0.25
 """Interval at which a change is written; also the shortest time between two writes."""
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -7,21 +7,17 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.mesh import gate as gate_module
-from corianderwall.mesh import suspects as suspects_module
 from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.exchange import MAX_BODY_BYTES
-from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.gate import EndpointGate, RunningCall
 from corianderwall.mesh.messages import (
     CallMetadata,
     EndpointRecord,
     EndpointState,
     Refusal,
-    SuspectRecord,
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
-from corianderwall.mesh.suspects import QUARANTINE_CRASHES, Suspects
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
 from corianderwall.standins.scripted import (
@@ -30,6 +26,8 @@
     ScriptedUpstream,
     make_response,
 )
+from corianderwall.traffic import suspects as suspects_module
+from corianderwall.traffic.suspects import QUARANTINE_CRASHES, SuspectRecord, Suspects
 
 NAMES = HeaderNames(
     request_id=b"request-id",
@@ -531,7 +529,7 @@
 
 def quarantine(suspects: Suspects, caller: str) -> None:
     """Let `suspects` know the requests of this module as ones that have ended three endpoints."""
-    fingerprint = compute_fingerprint(make_request(), caller, b"")
+    fingerprint = make_request().compute_fingerprint(caller, b"")
     crashes = tuple(f"i-{number}@1" for number in range(QUARANTINE_CRASHES))
     record = SuspectRecord(
         fingerprint=fingerprint, crashes=crashes, refuted=(), trials=0, age_s=0.0
@@ -582,7 +580,7 @@
         assert setup.records[-1].state is EndpointState.DOWN
         ((record,),) = setup.shared
         assert (record.fingerprint, record.crashes) == (
-            compute_fingerprint(make_request(), "s", b""),
+            make_request().compute_fingerprint("s", b""),
             ("i-1@100",),
         )
 
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -25,12 +25,11 @@
     MoveOrder,
     MoveView,
     NodeRecord,
-    SuspectRecord,
     Tables,
 )
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.suspectarchive import SuspectArchive
-from corianderwall.mesh.suspects import Suspects
+from corianderwall.traffic.suspects import SuspectRecord, Suspects
 
 Reply = Callable[[str, bytes], bytes | None]
 
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -16,10 +16,9 @@
 from corianderwall.mesh import entry as entry_module
 from corianderwall.mesh import movecontroller
 from corianderwall.mesh.endpoint import Announcement
-from corianderwall.mesh.fingerprint import compute_fingerprint
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.memorysource import MemorySource
-from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder, SuspectRecord
+from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder
 from corianderwall.mesh.node import READINESS_DELAY_S, STOP_MARGIN_S, HostNode, plan_stop
 from corianderwall.mesh.owner import ForwardedRequest
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
@@ -35,6 +34,7 @@
 )
 from corianderwall.standins.node_file import find_free_addresses
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
+from corianderwall.traffic.suspects import SuspectRecord
 
 NAMES = HeaderNames(
     request_id=b"request-id",
@@ -1344,7 +1344,7 @@
         await fleet.wait_until_synced()
         request = ForwardedRequest(b"q1", b"GET", b"/r/crash", [(b"host", b"h.example")])
         record = SuspectRecord(
-            fingerprint=compute_fingerprint(request, "other", b""),
+            fingerprint=request.compute_fingerprint("other", b""),
             crashes=("i@1", "i@2", "i@3"),
             refuted=(),
             trials=0,
--- a/packages/mesh/tests/test_suspectarchive.py
+++ b/packages/mesh/tests/test_suspectarchive.py
@@ -6,9 +6,13 @@
 
 from corianderwall.mesh import suspectarchive
 from corianderwall.mesh.memorysource import MemorySource
-from corianderwall.mesh.messages import EndpointRecord, SuspectRecord
 from corianderwall.mesh.suspectarchive import SuspectArchive
-from corianderwall.mesh.suspects import QUARANTINE_CRASHES, QUARANTINES_S, Suspects
+from corianderwall.traffic.suspects import (
+    QUARANTINE_CRASHES,
+    QUARANTINES_S,
+    SuspectRecord,
+    Suspects,
+)
 
 
 class Setup:
@@ -22,16 +26,7 @@
     def crash(self, count: int = QUARANTINE_CRASHES) -> None:
         now = asyncio.get_running_loop().time()
         for number in range(count):
-            record = EndpointRecord(
-                id=f"i-{number}",
-                service="s",
-                version="v1",
-                node="n1",
-                zone="a",
-                slots=2,
-                born_unix_ms=1,
-            )
-            self.suspects.record_crash(record, ["f"], now)
+            self.suspects.record_crash(f"i-{number}@1", ["f"], now)
 
     async def wait_until_saved(self) -> None:
         async with asyncio.timeout(5.0):
--- a/packages/mesh/tests/test_crashes.py
+++ b/packages/node/tests/test_crashes.py
@@ -2,17 +2,14 @@
 
 from twisted.internet.defer import Deferred
 
-from corianderwall.mesh.crashes import CHECK_DELAY_S, CrashDetector, LostCall
-from corianderwall.mesh.messages import EndpointRecord
 from corianderwall.model.endpoint import Address
+from corianderwall.node.crashes import CHECK_DELAY_S, CrashDetector, LostCall
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
 
-RECORD = EndpointRecord(
-    id="i-1", service="s", version="v1", node="n1", zone="a", slots=2, born_unix_ms=1
-)
+START = "i-1@1"
 CALLS = (LostCall("q1", "f1"), LostCall("q2", "f2"))
 
-Crash = tuple[EndpointRecord, tuple[LostCall, ...]]
+Crash = tuple[str, tuple[LostCall, ...]]
 
 
 async def respond_ok(request: ReceivedRequest) -> bytes:
@@ -31,12 +28,12 @@
         detector = CrashDetector(
             Address(host="127.0.0.1", port=upstream.port),
             lambda: may_connect,
-            lambda record, calls: found.append((record, calls)),
+            lambda start, calls: found.append((start, calls)),
         )
         if is_ended:
             upstream.crash()
         for call in CALLS:
-            detector.record_loss(RECORD, call)
+            detector.record_loss(START, call)
         await asyncio.sleep(CHECK_DELAY_S * 5)
         upstream.stop()
         assert found == expected
@@ -45,7 +42,7 @@
 
 
 def test_calls_lost_with_their_endpoint_are_reported_together() -> Deferred[None]:
-    return check_crashes([(RECORD, CALLS)], is_ended=True)
+    return check_crashes([(START, CALLS)], is_ended=True)
 
 
 def test_calls_lost_by_an_endpoint_that_still_listens_are_no_crash() -> Deferred[None]:
--- a/packages/mesh/src/corianderwall/mesh/fingerprint.py
+++ b/packages/traffic/src/corianderwall/traffic/fingerprint.py
@@ -2,19 +2,18 @@
 
 from hashlib import blake2b
 
-from corianderwall.mesh.owner import ForwardedRequest
-
 DIGEST_BYTES = 16
 """Size of a digest; a caller cannot find a request with the digest of another caller's one."""
 LENGTH_BYTES = 8
 """Size of the length before each part, so that different parts never make up the same bytes."""
 
 
-def compute_fingerprint(request: ForwardedRequest, caller: str, body: bytes) -> str:
-    """Return a digest of what an endpoint runs: caller, method, host, target and `body`, in hex."""
-    host = next((value for name, value in request.headers if name == b"host"), b"")
+def compute_fingerprint(
+    *, caller: str, method: bytes, host: bytes, target: bytes, body: bytes
+) -> str:
+    """Return a digest of what an endpoint runs, in hex."""
     digest = blake2b(digest_size=DIGEST_BYTES)
-    for part in (caller.encode(), request.method, host.lower(), request.target, body):
+    for part in (caller.encode(), method, host.lower(), target, body):
         digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
         digest.update(part)
     return digest.hexdigest()
--- a/packages/mesh/src/corianderwall/mesh/suspects.py
+++ b/packages/traffic/src/corianderwall/traffic/suspects.py
@@ -4,10 +4,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
 import xxhash
 
-from corianderwall.mesh.messages import EndpointRecord, SuspectRecord
-
 QUARANTINE_CRASHES = 3
 """Crashes, with no complete response since, after which a request gets to no endpoint."""
 QUARANTINES_S = (30.0, 600.0, 86_400.0)
@@ -23,9 +22,19 @@
 """Crashes that are remembered of each request; more than it takes for its quarantine."""
 
 
-def name_start(record: EndpointRecord) -> str:
-    """Return the name of one start of an endpoint, which can crash only once."""
-    return f"{record.id}@{record.born_unix_ms}"
+class SuspectRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A request that ran at endpoints when they crashed, by its fingerprint.
+
+    `crashes` and `refuted` are starts of endpoints; a complete response since has refuted the
+    latter. `trials` counts the times that it was sent after a quarantine, `age_s` is the time since
+    the last crash or trial.
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+    refuted: tuple[str, ...]
+    trials: int
+    age_s: float
 
 
 @dataclass(slots=True)
@@ -116,15 +125,14 @@
         return suspect.released_at
 
     def record_crash(
-        self, record: EndpointRecord, fingerprints: Iterable[str], now: float
+        self, start: str, fingerprints: Iterable[str], now: float
     ) -> tuple[SuspectRecord, ...]:
-        """Record the crash of an endpoint that ran these requests; return what has changed.
+        """Record the crash of a start of an endpoint that ran these; return what has changed.
 
         If some of them are known for their crashes, the others were only beside them.
         """
         running = set(fingerprints)
         known = {each for each in running if self.needs_trial(each)}
-        start = name_start(record)
         self._own_starts[start] = None
         if len(self._own_starts) > MAX_OWN_STARTS:
             del self._own_starts[next(iter(self._own_starts))]
--- a/packages/mesh/tests/test_fingerprint.py
+++ b/packages/traffic/tests/test_fingerprint.py
@@ -2,22 +2,21 @@
 
 import pytest
 
-from corianderwall.mesh.fingerprint import compute_fingerprint
-from corianderwall.mesh.owner import ForwardedRequest
+from corianderwall.traffic.fingerprint import compute_fingerprint
 
 
-def make_fingerprint(
-    *, caller: str = "s", body: bytes = b"", request_id: bytes = b"q1", **fields: Any
-) -> str:
-    values: dict[str, Any] = {"method": b"GET", "target": b"/a", "host": b"h.example"} | fields
-    headers = [(b"host", values.pop("host")), (b"request-id", request_id)]
-    return compute_fingerprint(
-        ForwardedRequest(request_id, headers=headers, **values), caller, body
-    )
+def make_fingerprint(**fields: Any) -> str:
+    values: dict[str, Any] = {
+        "caller": "s",
+        "method": b"GET",
+        "host": b"h.example",
+        "target": b"/a",
+        "body": b"",
+    }
+    return compute_fingerprint(**(values | fields))
 
 
-def test_another_attempt_of_a_caller_has_the_same_fingerprint() -> None:
-    assert make_fingerprint(request_id=b"q1") == make_fingerprint(request_id=b"q2")
+def test_the_case_of_the_host_does_not_matter() -> None:
     assert make_fingerprint(host=b"H.example") == make_fingerprint()
 
 
--- a/packages/mesh/tests/test_suspects.py
+++ b/packages/traffic/tests/test_suspects.py
@@ -3,13 +3,13 @@
 
 import pytest
 
-from corianderwall.mesh.messages import EndpointRecord, SuspectRecord
-from corianderwall.mesh.suspects import (
+from corianderwall.traffic.suspects import (
     MAX_CRASHES,
     MAX_SUSPECTS,
     QUARANTINE_CRASHES,
     QUARANTINES_S,
     RETENTION_S,
+    SuspectRecord,
     Suspects,
 )
 
@@ -17,10 +17,8 @@
 """Random histories that are merged; the long run by hand sets a hundred times as many."""
 
 
-def make_start(number: int) -> EndpointRecord:
-    return EndpointRecord(
-        id=f"i-{number}", service="s", version="v1", node="n1", zone="a", slots=2, born_unix_ms=1
-    )
+def make_start(number: int) -> str:
+    return f"i-{number}@1"
 
 
 def make_quarantined(*fingerprints: str, now: float = 0.0) -> Suspects:
