Keep requests that crash endpoints from them on the product's own call path

Change: entries report lost calls to the endpoint's owner, which checks whether the endpoint has ended and tells all nodes.

Measured: the three tests of the call path and those of the exchange pass. Without the check at the entry the first one fails: the request is sent again.

--- a/packages/mesh/src/corianderwall/mesh/owner.py
+++ b/packages/mesh/src/corianderwall/mesh/owner.py
@@ -50,7 +50,11 @@
         """Return what tells whether this is another attempt of a request, given its `body`."""
         host = next((value for name, value in self.headers if name == b"host"), b"")
         return compute_fingerprint(
-            caller=caller, method=self.method, host=host, target=self.target, body=body
+            caller=caller,
+            method=self.method,
+            destination=host.lower(),
+            target=self.target,
+            body=body,
         )
 
 
--- a/packages/node/src/corianderwall/node/admission.py
+++ b/packages/node/src/corianderwall/node/admission.py
@@ -218,6 +218,13 @@
             self._send(notice)
         self._start_admitted(self._admission.admit(now))
 
+    def has_spare_connection(self) -> bool:
+        """Return whether the owner may open one more connection to the endpoint."""
+        if self._endpoint is None:
+            return False
+        pool = self._find_pool(self._endpoint, self._clock.read_monotonic())
+        return pool.open_connections < pool.max_connections
+
     def count_charge(self) -> int:
         """Return the maximum number of direct calls that lease holders may still run."""
         if self._endpoint is None:
--- a/packages/node/src/corianderwall/node/callcontext.py
+++ b/packages/node/src/corianderwall/node/callcontext.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from corianderwall.model.clock import Clock
-from corianderwall.model.endpoint import Address
+from corianderwall.model.endpoint import Address, Endpoint
 from corianderwall.model.outcome import AttemptOutcome
 from corianderwall.node.admission import AdmissionController
 from corianderwall.node.logs import LogBudget
@@ -15,6 +15,7 @@
 from corianderwall.traffic.balancer import Balancer
 from corianderwall.traffic.lease_holder import LeaseHolder
 from corianderwall.traffic.retries import RetryPolicy
+from corianderwall.traffic.suspects import Suspects
 
 MAX_LOGGED_FAILURES_PER_S = 10
 """Limit on log lines about failed calls per second."""
@@ -33,6 +34,19 @@
         """Return the endpoints of a service that a running move has ejected."""
 
 
+class CrashReports(Protocol):
+    """The interface of the crash monitor to the call path."""
+
+    def report_loss(self, endpoint: Endpoint, call_id: str, fingerprint: str) -> None:
+        """Report a call that `endpoint` has lost."""
+
+    def start_trial(self, fingerprint: str) -> None:
+        """Tell all nodes that a request is tried again after its quarantine."""
+
+    def record_response(self, fingerprint: str) -> None:
+        """Tell all nodes that an endpoint has answered a request, if it is a suspect."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallContext:
     """The objects that calls use; `find_call_address` resolves the name of a node."""
@@ -47,6 +61,8 @@
     moves: MoveView
     metrics: CallMetrics
     retries: RetryPolicy
+    suspects: Suspects
+    crashes: CrashReports
     call_later: Callable[[float, Callable[[], None]], object]
     find_call_address: Callable[[str], Address | None]
     wake_share_timer: Callable[[], None]
--- a/packages/node/src/corianderwall/node/control.py
+++ b/packages/node/src/corianderwall/node/control.py
@@ -29,9 +29,13 @@
 from corianderwall.moves.agent import Members
 from corianderwall.moves.evaluation import WINDOW_S
 from corianderwall.moves.messages import MESSAGES as MOVE_MESSAGES
+from corianderwall.node.crashmonitor import MESSAGES as CRASH_MESSAGES
+from corianderwall.node.crashmonitor import LossReport
 from corianderwall.node.logs import log_info, log_warning
 from corianderwall.node.serviceload import MESSAGES as LOAD_MESSAGES
 from corianderwall.node.serviceload import LoadQuery, LoadResponse
+from corianderwall.node.suspectexchange import MESSAGES as SUSPECT_MESSAGES
+from corianderwall.node.suspectexchange import SuspectNotice, SuspectQuery
 from corianderwall.traffic.messages import MESSAGES as TRAFFIC_MESSAGES
 from corianderwall.traffic.messages import LeaseGrant, LeaseNotice, LeaseRequest
 from corianderwall.traffic.shares import SubscriberShares
@@ -48,10 +52,12 @@
     from corianderwall.model.resource import Snapshot
     from corianderwall.moves.agent import MoveAgent
     from corianderwall.node.admission import AdmissionController
+    from corianderwall.node.crashmonitor import CrashMonitor
     from corianderwall.node.dispatcher import Dispatcher
     from corianderwall.node.moveview import RunningMoves
     from corianderwall.node.pools import UpstreamPools
     from corianderwall.node.serviceload import LoadSurvey
+    from corianderwall.node.suspectexchange import SuspectExchange
     from corianderwall.traffic.balancer import Balancer
     from corianderwall.traffic.lease_holder import LeaseHolder
     from corianderwall.traffic.lease_issuer import LeaseIssuer
@@ -64,12 +70,15 @@
     *TRAFFIC_MESSAGES,
     *MOVE_MESSAGES,
     *LOAD_MESSAGES,
+    *SUSPECT_MESSAGES,
+    *CRASH_MESSAGES,
 )
 """All types of messages that nodes send to each other."""
 
 _MEMBERSHIP_TYPES = frozenset(MEMBERSHIP_MESSAGES)
 _DISTRIBUTION_TYPES = frozenset(DISTRIBUTION_MESSAGES)
 _MOVE_TYPES = frozenset(MOVE_MESSAGES)
+_SUSPECT_TYPES = frozenset((*SUSPECT_MESSAGES, *CRASH_MESSAGES))
 
 
 class ControlLoop:
@@ -91,6 +100,8 @@
         moves: "RunningMoves",
         dispatcher: "Dispatcher",
         survey: "LoadSurvey",
+        suspect_exchange: "SuspectExchange",
+        crashes: "CrashMonitor",
         request_head: "Callable[[], None]",
         on_active_version: "Callable[[Snapshot], None]",
     ) -> None:
@@ -107,6 +118,8 @@
         self._moves = moves
         self._dispatcher = dispatcher
         self._survey = survey
+        self._suspect_exchange = suspect_exchange
+        self._crashes = crashes
         self._request_head = request_head
         self._on_active_version = on_active_version
         self._endpoints: dict[str, Endpoint] = {}
@@ -134,6 +147,7 @@
         self._membership.set_advert(self._distributor.make_advert())
         self.send(self._membership.tick(now))
         self.send(self._distributor.tick(now))
+        self.send(self._suspect_exchange.tick(now))
         self.send(self._holder.collect_requests(now))
         self._admission.tick()
         self._apply_events(now)
@@ -170,8 +184,22 @@
             return self._distributor.handle(peer, message, now)
         if kind in _MOVE_TYPES:
             return self._agent.handle_message(message)
+        if kind in _SUSPECT_TYPES:
+            return self._handle_suspects(peer, message, now)
         return self._handle_traffic(peer, message, now)
 
+    def _handle_suspects(
+        self, peer: str, message: "PeerMessage", now: float
+    ) -> "list[OutgoingMessage]":
+        match message:
+            case LossReport():
+                self._crashes.receive_report(message)
+            case SuspectNotice():
+                self._suspect_exchange.receive_notice(message, now)
+            case SuspectQuery():
+                return self._suspect_exchange.answer_query(peer, message, now)
+        return []
+
     def _handle_traffic(
         self, peer: str, message: "PeerMessage", now: float
     ) -> "list[OutgoingMessage]":
--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -22,6 +22,7 @@
 from corianderwall.node.logs import log_warning
 from corianderwall.node.responseflow import ResponseFlow
 from corianderwall.node.responses import CallError, is_final, read_error_code, respond_error
+from corianderwall.traffic.fingerprint import compute_fingerprint
 from corianderwall.traffic.retries import FailedAttempt
 
 if TYPE_CHECKING:
@@ -59,6 +60,7 @@
         "_done",
         "_ejected",
         "_endpoint",
+        "_fingerprint",
         "_flow",
         "_head",
         "_hop",
@@ -99,6 +101,7 @@
         self._outstanding = 0
         self._attempt_count = 0
         self._verdict = Verdict.NOT_RUN
+        self._fingerprint = ""
         self._done = False
 
     def start(self) -> None:
@@ -136,6 +139,8 @@
         if self._done:
             return
         now = self._context.clock.read_monotonic()
+        if self._is_quarantined(now):
+            return
         endpoint = self._choose(now)
         if endpoint is None:
             self._respond(
@@ -154,6 +159,34 @@
         if self._body is None:
             self._call.read_body(attempt)
 
+    def _is_quarantined(self, now: float) -> bool:
+        """Return whether the request was refused for its crashes; begin its trial if it is due."""
+        suspects = self._context.suspects
+        fingerprint = "" if suspects.is_empty else self._find_fingerprint()
+        if not fingerprint:
+            return False
+        release = suspects.find_release(fingerprint, now)
+        if release is not None:
+            sentence = "the request has crashed the endpoints that ran it"
+            self._respond(ErrorCode.QUARANTINED, sentence, release - now, now)
+            return True
+        if suspects.needs_trial(fingerprint):
+            self._context.crashes.start_trial(fingerprint)
+        return False
+
+    def _find_fingerprint(self) -> str:
+        """Return what tells whether this is another attempt, empty if the body isn't kept."""
+        if not self._fingerprint and self._body is not None:
+            self._fingerprint = compute_fingerprint(
+                caller=self._head.subscriber,
+                method=self._call.method,
+                # A caller may use the address of a node as the host, so it differs between nodes.
+                destination=self._choice.service.encode(),
+                target=self._call.target,
+                body=self._body,
+            )
+        return self._fingerprint
+
     def _choose(self, now: float) -> "Endpoint | None":
         """Return an endpoint, preferably one that this call has not tried yet."""
         choose = self._context.balancer.choose
@@ -223,6 +256,7 @@
         if hop is not None:
             self._context.leases.release(hop, now)
         self._read_load(endpoint, result.head, now)
+        self._report_suspect(endpoint, result)
         outcome = AttemptOutcome(
             service=self._choice.service,
             version=self._version,
@@ -249,6 +283,18 @@
             self._context.moves.record(outcome)
         self._context.metrics.count_attempt(outcome, _name_way(hop))
 
+    def _report_suspect(self, endpoint: "Endpoint", result: AttemptResult) -> None:
+        """Report a call without a complete response, or that the endpoint has answered it."""
+        is_lost = result.error is ErrorCode.UPSTREAM_LOST and result.verdict is not Verdict.NOT_RUN
+        is_answered = result.complete and not result.refused and result.verdict is Verdict.RAN
+        if not is_lost and (self._context.suspects.is_empty or not is_answered):
+            return
+        fingerprint = self._find_fingerprint()
+        if fingerprint and is_lost:
+            self._context.crashes.report_loss(endpoint, self._head.call_id, fingerprint)
+        elif fingerprint:
+            self._context.crashes.record_response(fingerprint)
+
     def _read_load(self, endpoint: "Endpoint", head: "ResponseHead | None", now: float) -> None:
         value = head.find_header(LOAD_HEADER) if head is not None else None
         running = parse_load(value) if value is not None else None
@@ -258,6 +304,9 @@
     def _retry(self, result: AttemptResult, now: float) -> bool:
         if self._body is None or self._attempt_count >= self._context.max_attempts:
             return False
+        if self._fingerprint and self._context.suspects.needs_trial(self._fingerprint):
+            # One endpoint is enough for a trial.
+            return False
         # The retry-after of one endpoint does not apply to another one.
         has_reused_endpoint = len(self._tried_endpoints) < self._attempt_count
         failed = FailedAttempt(
--- a/packages/node/src/corianderwall/node/parts.py
+++ b/packages/node/src/corianderwall/node/parts.py
@@ -16,6 +16,7 @@
 from corianderwall.node.backend import NodeBackend
 from corianderwall.node.callcontext import CallContext
 from corianderwall.node.control import MESSAGES, ControlLoop
+from corianderwall.node.crashmonitor import CrashMonitor
 from corianderwall.node.dispatcher import Dispatcher
 from corianderwall.node.logs import log_warning
 from corianderwall.node.metrics import CallMetrics, Metrics
@@ -27,6 +28,7 @@
 from corianderwall.node.seedregistry import SeedRegistry
 from corianderwall.node.serviceload import LoadSurvey
 from corianderwall.node.sharetimer import ShareTimer
+from corianderwall.node.suspectexchange import SuspectExchange
 from corianderwall.store.budget import PlatformRates
 from corianderwall.store.guard import GuardedObjectApi
 from corianderwall.store.head import HeadStore
@@ -37,6 +39,7 @@
 from corianderwall.traffic.lease_issuer import LeaseIssuer
 from corianderwall.traffic.retries import RetryPolicy
 from corianderwall.traffic.shares import SubscriberShares
+from corianderwall.traffic.suspects import Suspects
 
 if TYPE_CHECKING:
     from corianderwall.model.endpoint import Address
@@ -87,6 +90,10 @@
         host = self.membership.find_host(name)
         return None if host is None else host.call_address
 
+    def _list_peers(self) -> list[str]:
+        own = self.host.name
+        return [host.name for host in self.membership.list_live_hosts() if host.name != own]
+
     def _build_decision_logic(self, now: float) -> None:
         host, session, zone = self.host, self.host.incarnation, self.host.locality.zone
         self.membership = Membership(host, rng=self.random, now=now)
@@ -125,6 +132,16 @@
             shares=SubscriberShares(EMPTY_SNAPSHOT),
             send=lambda outgoing: self.control.send([outgoing]),
         )
+        self.suspects = Suspects()
+        self.suspect_exchange = SuspectExchange(self.suspects, self._list_peers, self.random)
+        self.crashes = CrashMonitor(
+            node=self.host.name,
+            clock=self.timer,
+            suspects=self.suspects,
+            exchange=self.suspect_exchange,
+            admission=self.admission,
+            send=lambda messages: self.control.send(messages),
+        )
         self.context = CallContext(
             node=self.host.name,
             clock=self.timer,
@@ -136,6 +153,8 @@
             moves=self.moves,
             metrics=self.call_metrics,
             retries=RetryPolicy(self.random),
+            suspects=self.suspects,
+            crashes=self.crashes,
             call_later=self.loop.call_later,
             find_call_address=self.find_call_address,
             wake_share_timer=lambda: self.share_timer.wake(),
@@ -186,6 +205,8 @@
             moves=self.moves,
             dispatcher=self.dispatcher,
             survey=self.survey,
+            suspect_exchange=self.suspect_exchange,
+            crashes=self.crashes,
             request_head=self.platform.start_head_read,
             on_active_version=self.report.record_version,
         )
--- a/packages/node/src/corianderwall/node/responses.py
+++ b/packages/node/src/corianderwall/node/responses.py
@@ -27,6 +27,7 @@
     ErrorCode.OVERLOADED: 503,
     ErrorCode.NOT_READY: 503,
     ErrorCode.UPSTREAM_REFUSED: 503,
+    ErrorCode.QUARANTINED: 503,
     ErrorCode.UPSTREAM_LOST: 502,
     ErrorCode.DEADLINE_EXCEEDED: 504,
 }
--- a/packages/node/src/corianderwall/node/upstreamtask.py
+++ b/packages/node/src/corianderwall/node/upstreamtask.py
@@ -23,6 +23,7 @@
     def announce_upstream(self, announcement: "Announcement") -> None:
         """Process an announcement of the upstream, which may be ready or draining."""
         timer = self._parts.timer
+        self._parts.crashes.confirm_endpoint()
         endpoint = self._upstream.announce(
             announcement, now=timer.read_monotonic(), unix_ms=int(timer.read_unix() * 1000)
         )
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -18,9 +18,12 @@
 from corianderwall.model.resource import EMPTY_SNAPSHOT, Route, Service, Snapshot, VersionShare
 from corianderwall.node.admission import AdmissionController
 from corianderwall.node.callcontext import CallContext
+from corianderwall.node.crashes import CHECK_DELAY_S
+from corianderwall.node.crashmonitor import CrashMonitor, LossReport
 from corianderwall.node.dispatcher import Dispatcher
 from corianderwall.node.metrics import CallMetrics, Metrics
 from corianderwall.node.pools import UpstreamPools
+from corianderwall.node.suspectexchange import SuspectExchange, SuspectNotice
 from corianderwall.standins.upstream import UpstreamStandin
 from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
 from corianderwall.traffic.balancer import Balancer
@@ -28,6 +31,7 @@
 from corianderwall.traffic.lease_issuer import LeaseIssuer
 from corianderwall.traffic.retries import RetryPolicy
 from corianderwall.traffic.shares import SubscriberShares
+from corianderwall.traffic.suspects import QUARANTINE_CRASHES, Suspects
 
 HERE = Locality(region="midlands", zone="midlands-a")
 MAX_RUNNING_CALLS = 50
@@ -79,6 +83,17 @@
             shares=SubscriberShares(EMPTY_SNAPSHOT),
             send=lambda outgoing: None,
         )
+        self.suspects = Suspects()
+        self.hosts: dict[str, Host] = {name: self}
+        self.exchange = SuspectExchange(self.suspects, self.list_peers, random)
+        self.crashes = CrashMonitor(
+            node=name,
+            clock=clock,
+            suspects=self.suspects,
+            exchange=self.exchange,
+            admission=self.admission,
+            send=self.deliver,
+        )
         context = CallContext(
             node=name,
             clock=clock,
@@ -90,6 +105,8 @@
             moves=self.moves,
             metrics=self.metrics,
             retries=RetryPolicy(random),
+            suspects=self.suspects,
+            crashes=self.crashes,
             call_later=asyncio.get_event_loop().call_later,
             find_call_address=self.addresses.get,
             wake_share_timer=lambda: None,
@@ -120,8 +137,32 @@
 
     def learn(self, other: "Host") -> None:
         self.addresses[other.name] = other.address
+        self.hosts[other.name] = other
+        other.hosts[self.name] = self
         self.balancer.upsert(other.endpoint, time.monotonic(), 10**9)
 
+    def list_peers(self) -> list[str]:
+        return [name for name in self.hosts if name != self.name]
+
+    def deliver(self, messages) -> None:
+        """Pass messages about crashes to the other hosts at once."""
+        for outgoing in messages:
+            peer = self.hosts[outgoing.peer]
+            match outgoing.message:
+                case LossReport():
+                    peer.crashes.receive_report(outgoing.message)
+                case SuspectNotice():
+                    peer.exchange.receive_notice(outgoing.message, time.monotonic())
+
+    async def crash_upstream(self) -> None:
+        """Let the upstream end while it runs calls, and start again at the same address."""
+        self.upstream.stop()
+        await deferLater(reactor, 5 * CHECK_DELAY_S)
+        address = self.upstream.address
+        self.upstream = UpstreamStandin(UpstreamSettings(slots=2, queue=2, port=address.port))
+        await self.upstream.start()
+        self.crashes.confirm_endpoint()
+
     def stop(self) -> None:
         self.server.stop_now()
         self.upstream.stop()
@@ -342,6 +383,52 @@
     assert owner.upstream.counts.executions == 0
 
 
+async def crash_under(entry, owner, headers) -> None:
+    """Let the owner's upstream crash while it runs a call."""
+    owner.upstream.set_switches(Switches(work_ms=10_000))
+    call = start(entry.call("POST", headers=headers, data=b"x"))
+    while owner.upstream.queue.running == 0:
+        await deferLater(reactor, 0.01)
+    await owner.crash_upstream()
+    await expect_error(await call, 502, ErrorCode.UPSTREAM_LOST, "unknown")
+
+
+# Guards against a request that ends one endpoint after the other, as nothing remembers it.
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_has_crashed_three_endpoints_is_refused_at_every_node(entry, owner):
+    for number in range(QUARANTINE_CRASHES):
+        await crash_under(entry, owner, {"x-call-id": f"crash{number}"})
+    owner.dispatcher.install(SNAPSHOT)
+    for node in (entry, owner):
+        response = await node.call("POST", headers={"x-call-id": "again"}, data=b"x")
+        await expect_error(response, 503, ErrorCode.QUARANTINED, "none")
+        assert response.headers.getRawHeaders("x-not-run") == ["1"]
+        assert int(response.headers.getRawHeaders("retry-after")[0]) >= 1
+    assert owner.upstream.counts.executions == 0
+    headers = {"x-subscriber": "other"}
+    assert (await entry.call("POST", headers=headers, data=b"x")).code == 200
+    assert (await entry.call("POST", data=b"y")).code == 200
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_call_lost_by_an_endpoint_that_goes_on_makes_no_suspect(entry, owner):
+    headers = {"x-call-id": "lost", "x-fault": "close-run"}
+    await entry.call("POST", headers=headers, data=b"x")
+    await deferLater(reactor, 5 * CHECK_DELAY_S)
+    assert entry.suspects.is_empty
+    assert owner.suspects.is_empty
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_complete_response_clears_a_suspect_at_every_node(entry, owner):
+    await crash_under(entry, owner, {"x-call-id": "crash"})
+    fingerprint = entry.suspects.list_records(0.0)[0].fingerprint
+    assert owner.suspects.count_crashes(fingerprint) == 1
+    assert (await entry.call("POST", headers={"x-call-id": "again"}, data=b"x")).code == 200
+    assert entry.suspects.count_crashes(fingerprint) == 0
+    assert owner.suspects.count_crashes(fingerprint) == 0
+
+
 def as_deferred(coroutine):
     return pytest_twisted.defer.Deferred.fromFuture(asyncio.ensure_future(coroutine))
 
--- a/packages/traffic/src/corianderwall/traffic/fingerprint.py
+++ b/packages/traffic/src/corianderwall/traffic/fingerprint.py
@@ -9,11 +9,14 @@
 
 
 def compute_fingerprint(
-    *, caller: str, method: bytes, host: bytes, target: bytes, body: bytes
+    *, caller: str, method: bytes, destination: bytes, target: bytes, body: bytes
 ) -> str:
-    """Return a digest of what an endpoint runs, in hex."""
+    """Return a digest of what an endpoint runs, in hex.
+
+    `destination` distinguishes equal targets of different services and is the same at all nodes.
+    """
     digest = blake2b(digest_size=DIGEST_BYTES)
-    for part in (caller.encode(), method, host.lower(), target, body):
+    for part in (caller.encode(), method, destination, target, body):
         digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
         digest.update(part)
     return digest.hexdigest()
--- a/packages/traffic/tests/test_fingerprint.py
+++ b/packages/traffic/tests/test_fingerprint.py
@@ -9,17 +9,13 @@
     values: dict[str, Any] = {
         "caller": "s",
         "method": b"GET",
-        "host": b"h.example",
+        "destination": b"h.example",
         "target": b"/a",
         "body": b"",
     }
     return compute_fingerprint(**(values | fields))
 
 
-def test_the_case_of_the_host_does_not_matter() -> None:
-    assert make_fingerprint(host=b"H.example") == make_fingerprint()
-
-
 @pytest.mark.parametrize(
     "fields",
     [
@@ -27,7 +23,7 @@
         {"body": b"x"},
         {"method": b"PUT"},
         {"target": b"/a?b"},
-        {"host": b"i.example"},
+        {"destination": b"i.example"},
         {"target": b"/ab", "body": b""},
     ],
 )
