Test the entry's own refusal and what a joining node gets

Two changes of the code were not seen by any test: an entry that asks owners for what it knows to be in quarantine, and a pull without the suspects. Both tests fail with them.

--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -289,3 +289,17 @@
         assert [view.record.version for view in allowed] == ["v1"]
 
     return run(scenario())
+
+
+# Guards against a node that gets calls after its start without the requests that crash endpoints.
+def test_a_joining_node_gets_the_suspects_with_all_records() -> Deferred[None]:
+    async def scenario() -> None:
+        first, second = (Newcomer((), lambda kind, body: None) for _ in range(2))
+        first.gate.synced = True
+        first.suspects.record_crash("i@1", ["f"], asyncio.get_running_loop().time())
+        body = first.gossip.handle_pull(b"")
+        assert body is not None
+        second.gossip.handle_tables(body)
+        assert second.suspects.count_crashes("f") == 1
+
+    return Deferred.fromFuture(asyncio.ensure_future(scenario()))
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1268,6 +1268,13 @@
     return names
 
 
+def quarantine(fingerprint: str) -> tuple[SuspectRecord, ...]:
+    crashes = tuple(f"i@{number}" for number in range(ENDING_CRASHES))
+    return (
+        SuspectRecord(fingerprint=fingerprint, crashes=crashes, refuted=(), trials=0, age_s=0.0),
+    )
+
+
 # Guards against a request that ends one endpoint after the other, as nothing remembers it.
 def test_a_request_that_has_ended_three_endpoints_reaches_no_more_than_three_later() -> (
     Deferred[None]
@@ -1324,10 +1331,7 @@
     async def scenario(fleet: Fleet) -> None:
         names = await add_hosts(fleet, 3)
         first = fleet.hosts[names[0]].node
-        record = SuspectRecord(
-            fingerprint="f", crashes=("i@1", "i@2", "i@3"), refuted=(), trials=0, age_s=0.0
-        )
-        first.suspects.merge((record,), fleet.now())
+        first.suspects.merge(quarantine("f"), fleet.now())
         await fleet.wait_for(
             lambda: all(host.node.suspects.needs_trial("f") for host in fleet.hosts.values())
         )
@@ -1335,6 +1339,22 @@
     return run_scenario(scenario)
 
 
+# Guards against an owner that is asked for what the entry already knows to be in quarantine.
+def test_an_entry_refuses_a_quarantined_request_without_an_owner() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        await add_hosts(fleet, 2)
+        entry = fleet.hosts["n1"].node
+        request = ForwardedRequest(b"q1", b"GET", b"/r/x", [(b"host", b"h.example")])
+        entry.suspects.merge(quarantine(request.compute_fingerprint("s", b"")), fleet.now())
+        reply = await fleet.send_call("n1")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > CONTACT_S
+        assert sum(count_seen(fleet).values()) == 0
+        assert (await fleet.send_call("n1", "/r/y")).status == 200
+
+    return run_scenario(scenario)
+
+
 # Guards against "not run" for a call that has ended an endpoint before the quarantine was known.
 def test_a_call_that_may_have_run_is_not_reported_as_refused_by_the_quarantine() -> Deferred[None]:
     async def scenario(fleet: Fleet) -> None:
@@ -1343,14 +1363,8 @@
         entry = (await fleet.add("n3", service="other", announce=False)).node
         await fleet.wait_until_synced()
         request = ForwardedRequest(b"q1", b"GET", b"/r/crash", [(b"host", b"h.example")])
-        record = SuspectRecord(
-            fingerprint=request.compute_fingerprint("other", b""),
-            crashes=("i@1", "i@2", "i@3"),
-            refuted=(),
-            trials=0,
-            age_s=0.0,
-        )
-        fleet.hosts[names[1]].node.suspects.merge((record,), fleet.now())
+        records = quarantine(request.compute_fingerprint("other", b""))
+        fleet.hosts[names[1]].node.suspects.merge(records, fleet.now())
         entry.directory.endpoints[f"i-{names[1]}"].deprioritized_until = fleet.now() + 5.0
         reply = await fleet.send_call("n3", "/r/crash")
         assert len(endpoints.crashed_at) == 1
