Show the crashes under other attempts of a request with its own lines

Cause: a request refused by its quarantine has no line but its own; the crashes that explain it are logged by other nodes, earlier, under other ids.

Change: explain-request also selects the crashes that list the request or its fingerprint.

Measured: the tests of ctl pass; the new one fails without the change.

--- a/packages/ctl/src/corianderwall/ctl/request_log.py
+++ b/packages/ctl/src/corianderwall/ctl/request_log.py
@@ -8,6 +8,9 @@
 import click
 
 REQUEST_FIELD = "request"
+FINGERPRINT_FIELD = "fingerprint"
+CALLS_FIELD = "calls"
+"""Calls that ran when an endpoint crashed, each by its id and its fingerprint."""
 CONTEXT_S = 5.0
 """Lines without a request are shown from this long before the request's first line."""
 HIDDEN_FIELDS = frozenset({"time", "level", "node", "zone", "message", REQUEST_FIELD})
@@ -46,21 +49,31 @@
 
 
 def select_request_lines(lines: Iterable[LogLine], request: str) -> list[LogLine]:
-    """Return the lines of `request` and the state changes of its nodes from shortly before on."""
+    """Return the lines of `request`, the state changes of its nodes from shortly before on, and the
+    crashes of endpoints that ran it or another attempt of it.
+    """
     ordered = sorted(lines, key=lambda line: line.time)
     request_lines = [line for line in ordered if line.request == request]
     if not request_lines:
         return []
     nodes = {line.node for line in request_lines}
+    names = {request, *(str(line.fields.get(FINGERPRINT_FIELD, "")) for line in request_lines)}
     first_time, last_time = request_lines[0].time - CONTEXT_S, request_lines[-1].time
     return [
         line
         for line in ordered
         if line.request == request
+        or _lists_call(line, names)
         or (not line.request and line.node in nodes and first_time <= line.time <= last_time)
     ]
 
 
+def _lists_call(line: LogLine, names: set[str]) -> bool:
+    """Return whether the line lists a call with this id or fingerprint."""
+    calls = line.fields.get(CALLS_FIELD, [])
+    return any(name in names for call in calls for name in str(call).split())
+
+
 @click.command("explain-request")
 @click.argument("request")
 @click.argument("logs", nargs=-1, type=click.File("r"), required=True)
--- a/packages/ctl/tests/test_request_log.py
+++ b/packages/ctl/tests/test_request_log.py
@@ -31,6 +31,19 @@
     ]
 
 
+def test_the_crashes_under_other_attempts_of_a_request_are_selected() -> None:
+    lines = [
+        make_line(1.0, "n8", "the endpoint ended while it ran calls", calls=["q4 f1", "q5 f2"]),
+        make_line(2.0, "n8", "the endpoint ended while it ran calls", calls=["q6 f2"]),
+        make_line(9.0, "n1", "call ended", request="q7", cause="quarantined", fingerprint="f1"),
+        make_line(9.1, "n1", "call ended", request="q8", cause="answered", fingerprint=""),
+    ]
+    selected = select_request_lines(read_lines(lines), "q7")
+    assert [line.time for line in selected] == [1.0, 9.0]
+    assert [line.time for line in select_request_lines(read_lines(lines), "q5")] == []
+    assert [line.time for line in select_request_lines(read_lines(lines), "q8")] == [9.1]
+
+
 def test_text_other_than_log_lines_is_ignored() -> None:
     texts = ["plain text", "{broken", "[1]", '{"a": 1}', "  12.5 node-1 " + LINES[3]]
     assert [line.request for line in read_lines(texts)] == ["q1"]
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1253,6 +1253,12 @@
         await host.upstream.start()
         host.announce(born=born)
 
+    async def crash_until_known(self, names: list[str]) -> None:
+        """Send the request to one node after the other until it has ended enough endpoints."""
+        for number in range(ENDING_CRASHES):
+            await self._fleet.send_call(names[number], "/r/crash", request_id=f"q{number}")
+            await self.settle()
+
     async def settle(self) -> None:
         """Wait until all endpoints are back and all nodes know it."""
         await asyncio.gather(*self._restarts)
@@ -1306,9 +1312,7 @@
     async def scenario(fleet: Fleet) -> None:
         endpoints = CrashingEndpoints(fleet)
         names = await add_hosts(fleet, 4)
-        for number in range(ENDING_CRASHES):
-            await fleet.send_call(names[number], "/r/crash", request_id=f"q{number}")
-            await endpoints.settle()
+        await endpoints.crash_until_known(names)
         known = len(endpoints.crashed_at)
         assert known >= ENDING_CRASHES
         host = fleet.hosts["n1"]
@@ -1381,9 +1385,7 @@
     async def scenario(fleet: Fleet) -> None:
         endpoints = CrashingEndpoints(fleet)
         names = await add_hosts(fleet, 4)
-        for number in range(ENDING_CRASHES):
-            await fleet.send_call(names[number], "/r/crash", request_id=f"q{number}")
-            await endpoints.settle()
+        await endpoints.crash_until_known(names)
         await fleet.wait_for(lambda: bool(fleet.source.suspects))
         known = len(endpoints.crashed_at)
         for host in fleet.hosts.values():
