Send the trial of a request to one endpoint only

Change: all entries choose the same endpoint for a trial, by its name and the fingerprint, and its owner admits one.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -35,7 +35,7 @@
 from corianderwall.model.resource import Route
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
-from corianderwall.traffic.suspects import Suspects
+from corianderwall.traffic.suspects import Suspects, choose_for_trial
 
 AVOID_WHEN_FULL_S = 0.05
 """How long an endpoint without a free slot is not asked for one; shorter than a typical call."""
@@ -286,7 +286,7 @@
         self, state: _CallState, excluded: set[str], round_: SelectionRound
     ) -> EndpointView | None:
         now = self._loop.time()
-        views = self._directory.list_ready(state.service)
+        views = self._list_ready(state)
         if state.try_new is None:
             state.try_new = self._moves.may_try_new_version(state.service, views)
         views = self._moves.filter_endpoints(state.service, views, now, try_new=state.try_new)
@@ -296,6 +296,19 @@
         views = list_candidates(views, traits, round_, route, now)
         return choose_endpoint(views, traits, excluded, now, self._random)
 
+    def _list_ready(self, state: _CallState) -> list[EndpointView]:
+        """Return the endpoints that may get the call, just one for the trial of a request."""
+        views = self._directory.list_ready(state.service)
+        if not views or not self._needs_trial(state):
+            return views
+        chosen = choose_for_trial(state.fingerprint, (view.record.id for view in views))
+        return [view for view in views if view.record.id == chosen]
+
+    def _needs_trial(self, state: _CallState) -> bool:
+        if self._suspects.is_empty:
+            return False
+        return self._suspects.needs_trial(self._find_fingerprint(state))
+
     def _make_traits(self, state: _CallState) -> CallTraits:
         route = state.route
         return CallTraits(
@@ -393,9 +406,7 @@
     def _may_retry(self, state: _CallState) -> bool:
         if state.attempts >= state.route.max_attempts:
             return False
-        if not self._suspects.is_empty and self._suspects.needs_trial(
-            self._find_fingerprint(state)
-        ):
+        if self._needs_trial(state):
             # One endpoint is enough for a trial.
             return False
         nodes = self._directory.count_nodes()
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -16,6 +16,7 @@
 from corianderwall.mesh import entry as entry_module
 from corianderwall.mesh import movecontroller
 from corianderwall.mesh.endpoint import Announcement
+from corianderwall.mesh.gossip import RETRY_CHECK_INTERVAL_S
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder
@@ -34,6 +35,7 @@
 )
 from corianderwall.standins.node_file import find_free_addresses
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
+from corianderwall.traffic import suspects as suspects_module
 from corianderwall.traffic.suspects import SuspectRecord
 
 NAMES = HeaderNames(
@@ -1359,6 +1361,48 @@
     return run_scenario(scenario)
 
 
+# Guards against trials of one request at several endpoints, each of which it may end.
+def test_entries_that_try_a_request_after_its_quarantine_send_it_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr(suspects_module, "QUARANTINES_S", (0.1, 60.0))
+
+    async def scenario(fleet: Fleet) -> None:
+        endpoints = CrashingEndpoints(fleet)
+        names = await add_hosts(fleet, 4)
+        request = ForwardedRequest(b"q1", b"GET", b"/r/crash", [(b"host", b"h.example")])
+        records = quarantine(request.compute_fingerprint("s", b""))
+        for host in fleet.hosts.values():
+            host.node.suspects.merge(records, fleet.now())
+        await asyncio.sleep(0.15)
+        await asyncio.gather(*(fleet.send_call(name, "/r/crash") for name in names))
+        assert len(endpoints.crashed_at) == 1
+        await endpoints.settle()
+
+    return run_scenario(scenario)
+
+
+def test_a_request_that_is_answered_by_its_trial_is_served_by_all(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr(suspects_module, "QUARANTINES_S", (0.1, 60.0))
+
+    async def scenario(fleet: Fleet) -> None:
+        names = await add_hosts(fleet, 3)
+        request = ForwardedRequest(b"q1", b"GET", b"/r/x", [(b"host", b"h.example")])
+        records = quarantine(request.compute_fingerprint("s", b""))
+        for host in fleet.hosts.values():
+            host.node.suspects.merge(records, fleet.now())
+        assert (await fleet.send_call("n1")).status == 503
+        await asyncio.sleep(0.15)
+        assert (await fleet.send_call("n1")).status == 200
+        await asyncio.sleep(2 * RETRY_CHECK_INTERVAL_S)
+        for name in names:
+            assert (await fleet.send_call(name)).status == 200
+
+    return run_scenario(scenario)
+
+
 # Guards against "not run" for a call that has ended an endpoint before the quarantine was known.
 def test_a_call_that_may_have_run_is_not_reported_as_refused_by_the_quarantine() -> Deferred[None]:
     async def scenario(fleet: Fleet) -> None:
--- a/packages/traffic/src/corianderwall/traffic/suspects.py
+++ b/packages/traffic/src/corianderwall/traffic/suspects.py
@@ -37,6 +37,14 @@
     age_s: float
 
 
+def choose_for_trial(fingerprint: str, endpoints: Iterable[str]) -> str:
+    """Return the one of `endpoints` that gets the trial of a request, the same at all nodes.
+
+    Its owner admits one trial at a time, so entries that try the request together send it once.
+    """
+    return min(endpoints, key=lambda name: xxhash.xxh3_64_intdigest((fingerprint + name).encode()))
+
+
 @dataclass(slots=True)
 class _Suspect:
     """The crashes of a request by start, with whether a complete response has refuted each.
--- a/packages/traffic/tests/test_suspects.py
+++ b/packages/traffic/tests/test_suspects.py
@@ -11,6 +11,7 @@
     RETENTION_S,
     SuspectRecord,
     Suspects,
+    choose_for_trial,
 )
 
 MERGE_SEEDS = int(os.environ.get("MERGE_SEEDS", "50"))
@@ -159,3 +160,10 @@
         node.remove_expired(QUARANTINES_S[-1])
     assert (first.unsaved, second.unsaved) == ({"f"}, set())
     assert first.take_unsaved(0.0) == ("f", None)
+
+
+def test_all_nodes_choose_the_same_endpoint_for_a_trial_and_one_for_each_request() -> None:
+    names = [f"i-{number}" for number in range(8)]
+    chosen = [choose_for_trial(f"f{number}", names) for number in range(50)]
+    assert chosen == [choose_for_trial(f"f{number}", reversed(names)) for number in range(50)]
+    assert len(set(chosen)) > 1
