Play a request that ends each upstream that runs it on real processes

The stand-in upstream ends its process at a call with the fault crash. Nodes, upstreams and callers are processes; the upstreams start again after each end.

--- a/features/faults.feature
+++ b/features/faults.feature
@@ -40,3 +40,12 @@
     And calls reach the upstream beside node b again
     And every response states correctly whether the call ran
     And nothing ran twice
+
+  Scenario: A request ends each upstream that runs it
+    Given an upstream of version v1 beside each
+    And the service and its route are active
+    When callers call nodes a and b continuously
+    And a request that ends its upstream is sent to nodes a and b 10 times
+    Then at most 6 upstreams have ended
+    And the request is refused as not run at nodes a, b, c and d
+    And calls get status 200 again
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -4,6 +4,7 @@
 from call_steps import CALLING_TIME_S
 from fleet import fetch, split_names
 
+CRASHING_CALL = {"path": "/placements/crash", "headers": {"x-fault": "crash"}}
 INTERRUPTING_FAULTS = ("hang", "hang-run", "close-run")
 
 
@@ -48,3 +49,36 @@
 def wait_for_status(context, status):
     responses = context.callers.responses
     context.fleet.wait(lambda: any(response.status == status for response in responses), status)
+
+
+@when("a request that ends its upstream is sent to nodes {names} {times:d} times")
+def send_crashing_calls(context, names, times):
+    context.ended_upstreams = 0
+    entries = split_names(names)
+    for number in range(times):
+        response = context.fleet.call(entries[number % len(entries)], **CRASHING_CALL)
+        assert response.status in (502, 503), response
+        context.ended_upstreams += restart_ended_upstreams(context.fleet)
+
+
+def restart_ended_upstreams(fleet):
+    """Start the upstreams that have ended again, and return how many they were."""
+    ended = [name for name, host in fleet.hosts.items() if host.upstream.has_ended]
+    for name in ended:
+        host = fleet.hosts[name]
+        host.upstream.kill()
+        fleet.start_upstream(name, host.version, "--port", str(host.upstream_address.port))
+    return len(ended)
+
+
+@then("at most {count:d} upstreams have ended")
+def check_ended_upstreams(context, count):
+    assert 3 <= context.ended_upstreams <= count, context.ended_upstreams
+
+
+@then("the request is refused as not run at nodes {names}")
+def check_quarantine(context, names):
+    for name in split_names(names):
+        response = context.fleet.call(name, **CRASHING_CALL)
+        assert response.json["code"] == "CW409", response
+        assert response.headers.get("x-not-run") == "1", response
--- a/packages/bench/src/corianderwall/bench/processes.py
+++ b/packages/bench/src/corianderwall/bench/processes.py
@@ -70,6 +70,11 @@
         """Send a signal to the process."""
         self._process.send_signal(number)
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self._process.poll() is not None
+
     def wait(self) -> int:
         """Wait for the end of the process and return its exit status."""
         return self._process.wait(STOP_TIMEOUT_S)
--- a/packages/standins/src/corianderwall/standins/upstream_job.py
+++ b/packages/standins/src/corianderwall/standins/upstream_job.py
@@ -1,5 +1,6 @@
 """One call at an upstream stand-in, from reading its body to sending its response."""
 
+import os
 import time
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
     from corianderwall.standins.upstream import UpstreamStandin
 
 DEFAULT_RESPONSE_BYTES = 256
+CRASH_EXIT_STATUS = 70
 NOT_RUN_HEADERS = [(b"x-not-run", b"1"), (b"retry-after", b"1")]
 NO_DEADLINE = float("inf")
 
@@ -90,6 +92,8 @@
             upstream.loop.call_soon(self._expire)
             return
         upstream.count_execution(self._call_id)
+        if self._plan.fault is Fault.CRASH:
+            os._exit(CRASH_EXIT_STATUS)
         work_s = self._plan.work_s
         if self._plan.fault is Fault.LATE:
             work_s += upstream.behaviour.switches.late_ms / 1000
--- a/packages/standins/src/corianderwall/standins/upstream_settings.py
+++ b/packages/standins/src/corianderwall/standins/upstream_settings.py
@@ -51,6 +51,8 @@
     """Run the call and delay the response by `late_ms`."""
     REFUSE = "refuse"
     """Refuse the call without running it."""
+    CRASH = "crash"
+    """Run the call and end the process."""
     DOUBLE = "double"
     """Send the response and then a second one."""
 
