Name the module of the crash detector after it

No change of behaviour.

Measured: the tests of the detector, of the call path and of the gate pass.

--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -26,7 +26,7 @@
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.errors import ErrorCode
-from corianderwall.node.crashes import CrashDetector, LostCall
+from corianderwall.node.crashdetector import CrashDetector, LostCall
 from corianderwall.node.logs import LogBudget, log_info, log_warning
 from corianderwall.traffic.suspects import SuspectRecord, Suspects
 
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -9,12 +9,7 @@
 from corianderwall.mesh.configuration import ConfigurationHolder, ConfigurationSync
 from corianderwall.mesh.directory import Directory, Peer
 from corianderwall.mesh.gate import EndpointGate
-from corianderwall.mesh.messages import (
-    EndpointRecord,
-    Heartbeat,
-    NodeRecord,
-    Tables,
-)
+from corianderwall.mesh.messages import EndpointRecord, Heartbeat, NodeRecord, Tables
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
--- a/packages/node/src/corianderwall/node/crashmonitor.py
+++ b/packages/node/src/corianderwall/node/crashmonitor.py
@@ -4,7 +4,7 @@
 
 from corianderwall.model.endpoint import EndpointState
 from corianderwall.model.message import OutgoingMessage, PeerMessage
-from corianderwall.node.crashes import CrashDetector, LostCall
+from corianderwall.node.crashdetector import CrashDetector, LostCall
 from corianderwall.node.logs import log_warning
 
 if TYPE_CHECKING:
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -19,7 +19,7 @@
 from corianderwall.model.resource import EMPTY_SNAPSHOT, Route, Service, Snapshot, VersionShare
 from corianderwall.node.admission import AdmissionController
 from corianderwall.node.callcontext import CallContext
-from corianderwall.node.crashes import CHECK_DELAY_S
+from corianderwall.node.crashdetector import CHECK_DELAY_S
 from corianderwall.node.crashmonitor import CrashMonitor, LossReport
 from corianderwall.node.dispatcher import Dispatcher
 from corianderwall.node.metrics import CallMetrics, Metrics
--- a/packages/node/tests/test_crashes.py
+++ b/packages/node/tests/test_crashdetector.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.model.endpoint import Address
-from corianderwall.node.crashes import CHECK_DELAY_S, CrashDetector, LostCall
+from corianderwall.node.crashdetector import CHECK_DELAY_S, CrashDetector, LostCall
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
 
 START = "i-1@1"
