--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -81,7 +81,9 @@
 
     `service_ms` is the mean time of a call, `failures` the share of calls that failed.
     `limit_per_s` is how many calls a second the endpoint takes, None if it has named no limit;
-    this is not known before it `has_responded` to the owner's process.
+    this is not known before it `has_responded` to the owner's process. `cold_per_s` is the rate of
+    its pace while it warms up, None if it has none. `slowdown` is how many times longer than usual
+    work takes on its machine at this moment.
     """
 
     running: int = 0
@@ -91,6 +93,8 @@
     failures: float = 0.0
     limit_per_s: float | None = None
     has_responded: bool = False
+    cold_per_s: float | None = None
+    slowdown: float = 1.0
 
 
 class CallMetadata(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -100,7 +104,8 @@
     `nested` marks a call that a running call makes. `is_retry` marks a call that has reached an
     endpoint before, or that a retried call makes. `over_link` is set if the response has to leave
     the owner's host. `limit_per_s` is the endpoint's limit as the entry knows it, for an owner that
-    has just started.
+    has just started. `team` is the team whose key the caller has sent, empty without one, and
+    `team_priority` its priority.
     """
 
     endpoint: str
@@ -115,6 +120,8 @@
     route: str
     over_link: bool = False
     limit_per_s: float | None = None
+    team: str = ""
+    team_priority: int = 0
 
 
 class Refusal(enum.StrEnum):
--- a/packages/model/src/corianderwall/model/delta.py
+++ b/packages/model/src/corianderwall/model/delta.py
@@ -5,9 +5,9 @@
 
 from corianderwall.model.codec import compute_digest
 from corianderwall.model.errors import CorianderwallError, ErrorCode
-from corianderwall.model.resource import Move, Route, Service, Snapshot, Subscriber
+from corianderwall.model.resource import Move, Route, Service, Snapshot, Subscriber, Team
 
-Item = TypeVar("Item", Service, Route, Subscriber, Move)
+Item = TypeVar("Item", Service, Route, Subscriber, Move, Team)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -18,6 +18,7 @@
     routes: tuple[str, ...] = ()
     subscribers: tuple[str, ...] = ()
     moves: tuple[str, ...] = ()
+    teams: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,12 +48,14 @@
             subscribers=_find_changed(base.subscribers, result.subscribers),
             moves=_find_changed(base.moves, result.moves),
             limits=result.limits,
+            teams=_find_changed(base.teams, result.teams),
         ),
         removed=Removal(
             services=_find_removed(base.services, result.services),
             routes=_find_removed(base.routes, result.routes),
             subscribers=_find_removed(base.subscribers, result.subscribers),
             moves=_find_removed(base.moves, result.moves),
+            teams=_find_removed(base.teams, result.teams),
         ),
     )
 
@@ -72,6 +75,7 @@
         subscribers=_merge(base.subscribers, changed.subscribers, removed.subscribers),
         moves=_merge(base.moves, changed.moves, removed.moves),
         limits=changed.limits,
+        teams=_merge(base.teams, changed.teams, removed.teams),
     )
     if compute_digest(result) != delta.result_digest:
         raise CorianderwallError(
@@ -80,7 +84,7 @@
     return result
 
 
-def _get_key(item: Service | Route | Subscriber | Move) -> str:
+def _get_key(item: Service | Route | Subscriber | Move | Team) -> str:
     return item.id if isinstance(item, Move) else item.name
 
 
--- a/packages/model/src/corianderwall/model/resource.py
+++ b/packages/model/src/corianderwall/model/resource.py
@@ -20,6 +20,8 @@
     """A named set of upstreams in one or more versions; the split sums to `PERMILLE`.
 
     If `max_connections` is 0, connections to an upstream are not limited by the configuration.
+    An upstream is slow for `warmup_s` after its start and then takes at most `warmup_per_s` calls a
+    second; 0 means that the configuration states none.
     """
 
     name: str
@@ -27,6 +29,8 @@
     split: tuple[VersionShare, ...] = ()
     health_path: str = "/health"
     max_connections: int = 0
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,7 +57,8 @@
     one version and overrides the split. If `idempotent` is None, the method decides. Calls with
     the same value of the header `sticky_header` go to the same version. If `backends` is not
     empty, it replaces `service`. A call is sent to at most `max_attempts` endpoints.
-    `objective_ms` is the latency objective. `priority` 0 is the most urgent.
+    `objective_ms` is the latency objective. `priority` 0 is the most urgent. Callers of a `public`
+    route need no key.
     """
 
     name: str
@@ -70,6 +75,7 @@
     max_attempts: int = 3
     objective_ms: int = 1_000
     priority: int = 0
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,6 +86,22 @@
     share: int = 1
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Team:
+    """A team whose callers authenticate with keys and share a quota over all nodes.
+
+    `key_digests` holds the SHA-256 digests of the keys in hexadecimal, so that no key is kept in
+    the clear. `priority` 0 is the most urgent and ranks before that of a route. The quota is
+    `rate_per_s` calls a second and a burst of `burst` calls; a rate of 0 means no quota.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLimits:
     """Size and time limits for one connection of a caller."""
@@ -149,6 +171,7 @@
     subscribers: tuple[Subscriber, ...] = ()
     moves: tuple[Move, ...] = ()
     limits: CallerLimits = CallerLimits()
+    teams: tuple[Team, ...] = ()
 
 
 EMPTY_SNAPSHOT = Snapshot()
--- a/packages/model/tests/test_delta.py
+++ b/packages/model/tests/test_delta.py
@@ -7,7 +7,7 @@
 from corianderwall.model.codec import compute_digest, decode_snapshot, encode_snapshot
 from corianderwall.model.delta import apply_delta, compute_delta
 from corianderwall.model.errors import CorianderwallError, ErrorCode
-from corianderwall.model.resource import Snapshot, Subscriber
+from corianderwall.model.resource import Snapshot, Subscriber, Team
 
 names = st.sampled_from("abcdefgh")
 
@@ -16,7 +16,9 @@
 def snapshots(draw: st.DrawFn) -> Snapshot:
     shares = draw(st.dictionaries(names, st.integers(1, 9)))
     subscribers = tuple(Subscriber(name=name, share=shares[name]) for name in sorted(shares))
-    return Snapshot(version=draw(st.integers(0, 99)), subscribers=subscribers)
+    priorities = draw(st.dictionaries(names, st.integers(0, 3)))
+    teams = tuple(Team(name=name, priority=priorities[name]) for name in sorted(priorities))
+    return Snapshot(version=draw(st.integers(0, 99)), subscribers=subscribers, teams=teams)
 
 
 @settings(derandomize=True)
