Record an order as running as soon as a leader reads it

Callers and operators saw a move end as taken back without ever being recorded as running. A leader that read the order itself evaluated it only at its next interval, up to 1 s later, and the owner of the new version's endpoint could find it bad before. The new test fails without the change.

--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -73,7 +73,7 @@
         self._spawn = spawn
         self._loop = asyncio.get_running_loop()
         self._writing: set[str] = set()
-        # Set when a move changes, so that a shift is evaluated at its interval from the start.
+        # Set when a move changes, so that it is evaluated at once.
         self._changed = asyncio.Event()
 
     async def watch_orders(self) -> None:
@@ -106,20 +106,9 @@
     async def run(self) -> None:
         """Send evidence to the leaders, and evaluate moves while this node is one of them."""
         while True:
-            running = [
-                move
-                for move in self._tracker.moves.values()
-                if move.is_running or move.is_state_lost
-            ]
-            if not running:
-                await asyncio.sleep(IDLE_INTERVAL_S)
+            await self._wait_for_change(self._choose_interval_s())
+            if not self._list_unfinished():
                 continue
-            shifting = any(move.shifting and not move.cut for move in running)
-            interval_s = SHIFT_EVALUATION_INTERVAL_S if shifting else EVALUATION_INTERVAL_S
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(interval_s):
-                    await self._changed.wait()
-            self._changed.clear()
             evidence = self._collect_evidence()
             leaders = list_leaders(self._directory, self._sync.source_ok)
             own = self._directory.own.name
@@ -156,8 +145,29 @@
                 self._log_view(view, "platform")
                 changed = True
         if changed:
+            # The order is recorded as running before calls can show that its version is bad.
+            self._changed.set()
             self._broadcast_views()
 
+    def _list_unfinished(self) -> list[Move]:
+        moves = self._tracker.moves.values()
+        return [move for move in moves if move.is_running or move.is_state_lost]
+
+    def _choose_interval_s(self) -> float:
+        """Return the time until the next evaluation, if no move changes before."""
+        unfinished = self._list_unfinished()
+        if not unfinished:
+            return IDLE_INTERVAL_S
+        shifting = any(move.shifting and not move.cut for move in unfinished)
+        return SHIFT_EVALUATION_INTERVAL_S if shifting else EVALUATION_INTERVAL_S
+
+    async def _wait_for_change(self, interval_s: float) -> None:
+        """Wait until a move changes, at most `interval_s`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval_s):
+                await self._changed.wait()
+        self._changed.clear()
+
     def _collect_evidence(self) -> Evidence | None:
         record = self._gate.record
         if record is None:
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.mesh import entry as entry_module
-from corianderwall.mesh import movecontroller
+from corianderwall.mesh import movecontroller, moves
 from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.gossip import RETRY_CHECK_INTERVAL_S
 from corianderwall.mesh.leaders import list_leaders
@@ -1063,8 +1063,14 @@
 def test_leaders_that_act_at_the_same_moment_write_each_state_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
-    """Pattern: no leader waits for the one before it, as at a hand-over."""
+    """Pattern: no leader waits for the one before it, as at a hand-over.
+
+    Calls reach the new version from the first moment, as after a slow start of the fleet. The order
+    has to be recorded as running before they show that the version is bad.
+    """
     monkeypatch.setattr(movecontroller, "LEADER_DELAY_S", 0.0)
+    monkeypatch.setattr(moves, "UNORDERED_HOLD_S", 0.0)
+    monkeypatch.setattr(movecontroller, "IDLE_INTERVAL_S", 3.0)
 
     async def check(fleet: Fleet, written: list[MoveState]) -> None:
         await asyncio.sleep(1.0)
@@ -1073,6 +1079,23 @@
     return run_bad_move(lambda _: None, check)
 
 
+def test_an_order_is_recorded_as_running_as_soon_as_a_leader_reads_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    """Guards against a version that is found bad before its order was recorded as running."""
+    monkeypatch.setattr(movecontroller, "IDLE_INTERVAL_S", 60.0)
+    monkeypatch.setattr(movecontroller, "EVALUATION_INTERVAL_S", 60.0)
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        await fleet.add("n1")
+        await fleet.wait_until_synced()
+        fleet.source.put_order("s", "v2", 60.0)
+        await fleet.wait_for(lambda: fleet.source.orders["s"].state is MoveState.RUNNING)
+
+    return run_scenario(scenario)
+
+
 def test_a_leader_that_is_frozen_between_decision_and_write_changes_nothing_when_it_wakes() -> (
     Deferred[None]
 ):
