--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -18,6 +18,7 @@
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse, ReceivedBody
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
+from corianderwall.mesh.probing import ProbePolicy
 from corianderwall.mesh.retryafter import DEFAULT_RETRY_AFTER_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
 from corianderwall.mesh.selection import (
@@ -139,6 +140,7 @@
         self._caller_timeouts = CallerTimeouts()
         self.log_budget = LogBudget(CALL_LOG_LINES_PER_S)
         self._sizes = ResponseSizes()
+        self._probes = ProbePolicy()
         self._latest_end = float("inf")
         self._pending: set[Deferred[OwnerResponse | None]] = set()
 
@@ -244,7 +246,9 @@
         """Return the response of an owner, or None if all owners refused the call."""
         for round_ in BIG_ROUNDS if self._make_traits(state).big else ROUNDS:
             excluded = set(state.unusable)
-            for _ in range(round_.max_owners):
+            for number in range(round_.max_owners):
+                if not round_.may_wait and number >= self._limit_probes(state):
+                    break
                 if self._find_release(state) is not None:
                     state.quarantined = True
                     return state.failure
@@ -253,6 +257,9 @@
                     break
                 excluded.add(view.record.id)
                 reply = await self._send_to_owner(state, view, may_wait=round_.may_wait)
+                if not round_.may_wait:
+                    full = reply.metadata.refusal is Refusal.FULL
+                    self._probes.record(state.service, self._loop.time(), refused=full)
                 if reply.metadata.refusal is Refusal.QUARANTINED:
                     state.quarantined = True
                     return state.failure
@@ -260,6 +267,9 @@
                     return reply
         return state.failure
 
+    def _limit_probes(self, state: _CallState) -> int:
+        return self._probes.limit_probes(state.service, self._loop.time())
+
     def _find_release(self, state: _CallState) -> float | None:
         """Return when the quarantine of the request ends, None if it is in none."""
         if self._suspects.is_empty:
