Send nothing to the endpoints of evacuated zones

Cause: operators can order the evacuation of a zone in the store, and no node read that order. Change: a register of evacuated zones that all nodes merge alike, one watching node with standbys, notices and heartbeats that spread changes, a filter at the entry and a refusal at the owner.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -13,6 +13,7 @@
 from corianderwall.mesh.callertimeouts import CallerTimeouts
 from corianderwall.mesh.configuration import ConfigurationHolder
 from corianderwall.mesh.directory import Directory, EndpointView
+from corianderwall.mesh.evacuationsync import EvacuationSync
 from corianderwall.mesh.gate import RunningCall
 from corianderwall.mesh.messages import CallMetadata, Refusal, ResponseMetadata
 from corianderwall.mesh.moves import MoveTracker
@@ -117,8 +118,10 @@
         metrics: CallMetrics,
         body_memory: BodyMemory,
         random: Random,
+        evacuations: EvacuationSync,
     ) -> None:
         self._settings = settings
+        self._evacuations = evacuations
         self._headers = headers
         self._directory = directory
         self._configuration = configuration
@@ -298,7 +301,7 @@
 
     def _list_ready(self, state: _CallState) -> list[EndpointView]:
         """Return the endpoints that may get the call, just one for the trial of a request."""
-        views = self._directory.list_ready(state.service)
+        views = self._evacuations.filter_endpoints(self._directory.list_ready(state.service))
         if not views or not self._needs_trial(state):
             return views
         chosen = choose_for_trial(state.fingerprint, (view.record.id for view in views))
@@ -360,6 +363,7 @@
         self, state: _CallState, view: EndpointView, metadata: ResponseMetadata
     ) -> None:
         now = self._loop.time()
+        self._evacuations.merge(metadata.evacuations, view.record.node)
         if metadata.load.slots:
             self._directory.update_load(view.record.id, metadata.load, now)
         outcome = (
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -12,6 +12,7 @@
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
 from corianderwall.mesh.endpoint import EndpointTracker
+from corianderwall.mesh.evacuations import OpenZone, ZoneGuard
 from corianderwall.mesh.exchange import Exchange, Response, run_exchange
 from corianderwall.mesh.messages import (
     CallMetadata,
@@ -107,6 +108,7 @@
         self._failure_rate = 0.0
         # Set once the endpoint has responded to this process, whose knowledge then decides.
         self._has_responded = False
+        self.zone_guard: ZoneGuard = OpenZone()
 
     @property
     def record(self) -> EndpointRecord | None:
@@ -195,6 +197,16 @@
         parent = request_id.rpartition(b".")[0]
         return self._running.get(parent) if parent else None
 
+    def handle_evacuation(self, evacuated: bool) -> None:
+        """Handle the begin or the end of an evacuation of this zone; running calls continue."""
+        if evacuated:
+            self._refuse_waiting(Refusal.EVACUATED)
+        else:
+            self.expect_cold()
+
+    def expect_cold(self) -> None:
+        """Count the endpoint as cold until its next announcement."""
+
     def close(self) -> None:
         """Refuse waiting and new calls; running calls continue."""
         self.closing = True
@@ -244,7 +256,7 @@
             return Refusal.DOWN
         if record.state is not EndpointState.READY:
             return Refusal.LEAVING
-        return None
+        return self.zone_guard.find_refusal()
 
     async def _admit(self, queued: QueuedCall, metadata: CallMetadata) -> Refusal | None:
         queue = self.queue
@@ -515,7 +527,13 @@
             slots=load.slots,
             wait_ms=round(wait_ms, 1),
         )
+        evacuated = refusal is Refusal.EVACUATED
         metadata = ResponseMetadata(
-            ran=False, load=load, refusal=refusal, wait_ms=round(wait_ms, 1), reached=reached
+            ran=False,
+            load=load,
+            refusal=refusal,
+            wait_ms=round(wait_ms, 1),
+            reached=reached,
+            evacuations=self.zone_guard.report_refusal() if evacuated else None,
         )
         return OwnerResponse(metadata)
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -8,6 +8,7 @@
 
 from corianderwall.mesh.configuration import ConfigurationHolder, ConfigurationSync
 from corianderwall.mesh.directory import Directory, Peer
+from corianderwall.mesh.evacuationsync import EvacuationSync
 from corianderwall.mesh.gate import EndpointGate
 from corianderwall.mesh.messages import EndpointRecord, Heartbeat, NodeRecord, Tables
 from corianderwall.mesh.moves import MoveTracker
@@ -83,7 +84,9 @@
         make_heartbeat: Callable[[], Heartbeat],
         spawn: Spawn,
         random: Random,
+        evacuations: EvacuationSync,
     ) -> None:
+        self._evacuations = evacuations
         self._directory = directory
         self._link = link
         self._source = source
@@ -302,11 +305,13 @@
             self._directory.make_tables(),
             moves=self._moves.list_views(now),
             suspects=self._suspects.list_records(now),
+            evacuations=self._evacuations.make_state(),
         )
         return msgspec.msgpack.encode(tables)
 
     def _merge(self, tables: Tables) -> None:
         now = self._loop.time()
+        self._evacuations.merge(tables.evacuations, tables.sender.name)
         for view in tables.moves:
             self._moves.merge_view(view, now)
         self._directory.merge(tables, now)
@@ -340,6 +345,7 @@
     def _process_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self._loop.time()
         self._directory.apply_heartbeat(heartbeat, now)
+        self._evacuations.merge(heartbeat.evacuations, heartbeat.node.name)
         if not self._pulled and heartbeat.node.name in self._directory.peers:
             self._synced_peers[heartbeat.node.name] = heartbeat.synced
         for view in heartbeat.moves:
--- a/packages/mesh/src/corianderwall/mesh/leaders.py
+++ b/packages/mesh/src/corianderwall/mesh/leaders.py
@@ -31,5 +31,17 @@
     )
 
 
+def list_standbys(directory: Directory, source_ok: bool, count: int) -> list[str]:
+    """Return the leaders of all zones in their order, and further nodes if these are too few."""
+    leaders = list_leaders(directory, source_ok)
+    if len(leaders) >= count:
+        return leaders
+    others = [_make_sort_key(p.record.name, p.source_ok) for p in directory.list_live()]
+    if not directory.own.leaving:
+        others.append(_make_sort_key(directory.own.name, source_ok))
+    names = [key[2] for key in sorted(others) if key[2] not in leaders]
+    return leaders + names[: count - len(leaders)]
+
+
 def _make_sort_key(name: str, source_ok: bool) -> tuple[bool, int, str]:
     return (not source_ok, xxhash.xxh32_intdigest(name.encode()), name)
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -12,6 +12,7 @@
     CALL_TIMEOUT_S,
     WATCH_TIMEOUT_MARGIN_S,
     ConflictError,
+    EvacuationChange,
     HistoryLostError,
     Position,
     Reading,
@@ -35,6 +36,8 @@
     orders: dict[str, MoveOrder] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     suspects: dict[str, SuspectRecord] = field(default_factory=dict)
+    evacuations: frozenset[str] = frozenset()
+    evacuation_changes: tuple[tuple[int, EvacuationChange], ...] = ()
     config_revision: int = 0
     era: int = 1
     silent: bool = False
@@ -58,6 +61,20 @@
             era=self.era,
         )
 
+    def put_evacuation(self, zone: str) -> None:
+        """Order the evacuation of a zone as an operator does."""
+        self.evacuations |= {zone}
+        self._add_evacuation_change(EvacuationChange(zone))
+
+    def delete_evacuation(self, zone: str) -> None:
+        """End the evacuation of a zone as an operator does."""
+        self.evacuations -= {zone}
+        self._add_evacuation_change(EvacuationChange(zone, ended=True))
+
+    def _add_evacuation_change(self, change: EvacuationChange) -> None:
+        self.evacuation_changes += ((self.revision + 1, change),)
+        self._advance()
+
     def start_silence(self) -> None:
         """Lose the responses to all requests in progress and to new ones until `end_silence`."""
         self.silent = True
@@ -82,6 +99,7 @@
         self.revision, self.config_revision = copy.revision, copy.config_revision
         self.snapshot, self.orders, self.nodes = copy.snapshot, copy.orders, copy.nodes
         self.suspects = copy.suspects
+        self.evacuations, self.evacuation_changes = copy.evacuations, copy.evacuation_changes
         self._notify()
 
     @property
@@ -126,6 +144,21 @@
         self.orders[order.service] = written
         return written
 
+    async def read_evacuations(self) -> Reading[str]:
+        """Return the zones that are evacuated."""
+        await self._admit()
+        return Reading(tuple(self.evacuations), self._position)
+
+    async def watch_evacuations(self, after: Position, wait_s: float) -> Reading[EvacuationChange]:
+        """Return the changes after `after`, waiting for one."""
+
+        def list_newer() -> tuple[EvacuationChange, ...]:
+            changes = self.evacuation_changes
+            return tuple(each for revision, each in changes if revision > after.revision)
+
+        await self._wait(lambda: bool(list_newer()), after, wait_s)
+        return Reading(list_newer(), self._position)
+
     async def announce_node(self, record: NodeRecord) -> None:
         """Write the record of a node."""
         await self._admit()
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -124,6 +124,20 @@
     team_priority: int = 0
 
 
+class EvacuationState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The evacuated `zones`, sorted, as the store had them at a position; see `Position`.
+
+    `held` are zones that were evacuated before the store came back from an earlier copy, and that
+    stay so for `held_left_s`.
+    """
+
+    era: int
+    revision: int
+    zones: tuple[str, ...] = ()
+    held: tuple[str, ...] = ()
+    held_left_s: float = 0.0
+
+
 class Refusal(enum.StrEnum):
     """The reason why an owner or its endpoint has not run a call."""
 
@@ -136,6 +150,7 @@
     BODY_LOST = "body lost"
     NO_MEMORY = "no memory"
     QUARANTINED = "quarantined"
+    EVACUATED = "evacuated"
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -143,7 +158,7 @@
 
     `ran` is None if the owner doesn't know whether the endpoint ran the call; `refusal` is set if
     it did not run. `wait_ms` is the expected time until a slot is free, `took_ms` the total time
-    at the owner.
+    at the owner. `evacuations` is what the owner knows if it has refused the call for that reason.
     """
 
     ran: bool | None
@@ -153,12 +168,14 @@
     wait_ms: float = 0.0
     reached: bool = True
     took_ms: float = 0.0
+    evacuations: EvacuationState | None = None
 
 
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The records of all nodes and endpoints that a node knows, or of those that have changed.
 
-    A node that has just started also gets the `moves`, which say what calls the endpoints may get.
+    A node that has just started also gets the `moves` and the `evacuations`, which say what calls
+    the endpoints may get.
     """
 
     sender: NodeRecord
@@ -166,6 +183,7 @@
     endpoints: tuple[EndpointRecord, ...] = ()
     moves: tuple["MoveView", ...] = ()
     suspects: tuple[SuspectRecord, ...] = ()
+    evacuations: EvacuationState | None = None
 
 
 class MoveOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -226,6 +244,7 @@
 
     `moves` holds all orders that the sender knows, so that a restarted node gets them from its
     peers. `synced` is false while a node that has just started lacks the records of its peers.
+    `evacuations` is None if the sender doesn't know their state or doesn't need it.
     """
 
     node: NodeRecord
@@ -237,6 +256,15 @@
     moves: tuple[MoveView, ...] = ()
     synced: bool = True
     suspects_digest: str = ""
+    evacuations: EvacuationState | None = None
+
+
+class EvacuationNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A state of the evacuations; `confirmed` if the store has just told it to the sender."""
+
+    sender: NodeRecord
+    state: EvacuationState | None
+    confirmed: bool = False
 
 
 class MoveNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -50,6 +50,8 @@
             metrics.platform_calls.set({"kind": kind}, count)
         metrics.crashes.set({}, node.gate.crash_count)
         metrics.quarantined_requests.set({}, node.suspects.count_quarantined())
+        metrics.evacuated_zones.set({}, len(node.evacuations.list_closed()))
+        metrics.evacuation_refusals.set({}, node.evacuations.refused_calls)
         suppressed = node.entry.log_budget.suppressed + node.gate.log_budget.suppressed
         metrics.log_lines_dropped.set({"cause": "reader"}, self._output.dropped)
         metrics.log_lines_dropped.set({"cause": "volume"}, suppressed)
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -24,6 +24,7 @@
 )
 from corianderwall.mesh.directory import Directory, list_node_endpoints
 from corianderwall.mesh.entry import Entry
+from corianderwall.mesh.evacuationsync import EVACUATION_NOTICE_KIND, EvacuationSync
 from corianderwall.mesh.exchange import await_exchange
 from corianderwall.mesh.gate import EndpointGate
 from corianderwall.mesh.gossip import HEARTBEAT_KIND, TABLES_KIND, TABLES_PULL_KIND, Gossip
@@ -136,6 +137,17 @@
         self.sync = ConfigurationSync(
             self.holder, source, self.directory, self.link, joined, self.spawn
         )
+        self.evacuations = EvacuationSync(
+            settings,
+            source,
+            self.directory,
+            self.link,
+            self.sync,
+            joined,
+            self.spawn,
+            self.gate.handle_evacuation,
+        )
+        self.gate.zone_guard = self.evacuations
         self.gossip = Gossip(
             self.directory,
             self.link,
@@ -150,6 +162,7 @@
             self.make_heartbeat,
             self.spawn,
             random,
+            self.evacuations,
         )
         self.move_controller = MoveController(
             self.moves, source, self.directory, self.link, self.sync, self.gate, self.spawn
@@ -167,6 +180,7 @@
             self.metrics,
             self.body_memory,
             random,
+            self.evacuations,
         )
         handlers = {
             HEARTBEAT_KIND: self.gossip.handle_heartbeat,
@@ -175,6 +189,7 @@
             CONFIG_PULL_KIND: self.sync.handle_pull,
             CONFIG_PUSH_KIND: self.sync.handle_push,
             MOVE_NOTICE_KIND: self.move_controller.handle_notice,
+            EVACUATION_NOTICE_KIND: self.evacuations.handle_notice,
         }
         peer_handler = PeerHandler(self.gate, headers, handlers, sender, self.body_memory)
         limits = self._make_limits()
@@ -210,6 +225,7 @@
         self.spawn(self.gossip.run())
         self.spawn(self.gossip.pull_records())
         self.spawn(self._archive.run())
+        self.spawn(self.evacuations.run())
         self.spawn(self.move_controller.watch_orders())
         self.spawn(self.move_controller.run())
         self.spawn(self._watch_endpoint())
@@ -265,6 +281,7 @@
             moves=self.moves.list_views(self._loop.time()),
             synced=self.gate.synced,
             suspects_digest=self.suspects.compute_digest(),
+            evacuations=self.evacuations.make_state(),
         )
 
     def _make_limits(self) -> ServerLimits:
@@ -312,6 +329,8 @@
             await asyncio.sleep(FIND_INTERVAL_S)
             if self.gate.record is not None:
                 return
+            if self.evacuations.find_refusal() is not None:
+                continue
             records = [view.record for view in self.directory.endpoints.values()]
             known = list_node_endpoints(records, self.settings.name)
             if known and known[0].state in (EndpointState.READY, EndpointState.DOWN):
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -51,6 +51,14 @@
     position: Position
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationChange:
+    """An order to evacuate a zone, or the end of one."""
+
+    zone: str
+    ended: bool = False
+
+
 class Source(Protocol):
     """The platform's store; each method makes one request, or a few for a long list.
 
@@ -82,6 +90,15 @@
         Raise `ConflictError` if it has changed, or if the store is in another era.
         """
 
+    async def read_evacuations(self) -> Reading[str]:
+        """Return the zones that are evacuated."""
+
+    async def watch_evacuations(self, after: Position, wait_s: float) -> Reading[EvacuationChange]:
+        """Return the changes after `after` in their order, waiting until there is one.
+
+        Raise `HistoryLostError` if the store no longer has that position.
+        """
+
     async def announce_node(self, record: NodeRecord) -> None:
         """Write the record of this node."""
 
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -109,6 +109,9 @@
             self.make_heartbeat,
             self.spawn,
             Random(1),
+            SimpleNamespace(  # type: ignore[arg-type]
+                merge=lambda state, origin: False, make_state=lambda: None
+            ),
         )
 
     def make_heartbeat(self) -> Heartbeat:
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -62,6 +62,12 @@
         self.quarantined_requests = self._add_gauge(
             "quarantined_requests", "Requests known to crash endpoints, which get to none."
         )
+        self.evacuated_zones = self._add_gauge(
+            "evacuated_zones", "Zones whose endpoints get no calls, as this node knows."
+        )
+        self.evacuation_refusals = self._add_counter(
+            "evacuation_refusals", "Calls for the endpoint beside this node in an evacuated zone."
+        )
 
     def _add_counter(self, name: str, text: str) -> Counter:
         return Counter(f"corianderwall_{name}_total", text, registry=self.registry)
