--- a/packages/mesh/src/corianderwall/mesh/evacuationsync.py
+++ b/packages/mesh/src/corianderwall/mesh/evacuationsync.py
@@ -135,10 +135,12 @@
             return False
         now = self._loop.time()
         former = self._register.state
-        if not self._register.merge(state, now):
-            return False
+        changed = self._register.merge(state, now)
         newest = self._register.state
-        if newest is not None:
+        if newest is not former:
+            # The state may also hold zones that this node has not known.
+            self._apply()
+        if changed and newest is not None:
             log_info(
                 "the evacuated zones changed",
                 zones=list(newest.zones),
@@ -148,8 +150,7 @@
                 revision=newest.revision,
                 origin=origin,
             )
-        self._apply()
-        return True
+        return changed
 
     def handle_notice(self, body: bytes) -> bytes | None:
         """Merge a peer's notice and return the state of this node."""
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -134,6 +134,7 @@
     bounds: Bounds = field(
         default_factory=lambda: Bounds(heartbeat_s=60.0, grace_s=1.0, canary_share=0.1)
     )
+    sections: frozenset[str] = frozenset()
 
     async def add(
         self, name: str, *, zone: str = "a", service: str = "s", announce: bool = True
@@ -153,6 +154,7 @@
                 metrics=metrics,
                 endpoint=Address(host="127.0.0.1", port=upstream.port),
                 bounds=self.bounds,
+                sections=self.sections,
             ),
             NAMES,
             DisconnectableSource(self.source),  # type: ignore[arg-type]
@@ -1448,3 +1450,126 @@
         assert len(endpoints.crashed_at) == known
 
     return run_scenario(scenario)
+
+
+PLACES = frozenset({"places"})
+"""The section of the operator's terms under which zones are evacuated."""
+
+
+async def add_zones(fleet: Fleet, *zones: str) -> None:
+    """Add one host in each of `zones`, n1 in the first one."""
+    fleet.sections = PLACES
+    fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=3)))
+    for number, zone in enumerate(zones, 1):
+        await fleet.add(f"n{number}", zone=zone)
+    await fleet.wait_until_synced()
+    await fleet.wait_for(lambda: all_closed(fleet, set()))
+
+
+def all_closed(fleet: Fleet, zones: set[str]) -> bool:
+    nodes = [host.node for host in fleet.hosts.values()]
+    return all(n.evacuations.make_state() and n.evacuations.list_closed() == zones for n in nodes)
+
+
+# Guards against a request that reaches the zone after all: as a first try, from the queue, as a call
+# that a running call there makes, or because its entry has missed the news.
+def test_an_evacuated_zone_gets_no_calls_and_those_that_wait_there_go_elsewhere() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        release = asyncio.Event()
+
+        async def respond(request: ReceivedRequest) -> bytes:
+            if request.headers["expected-instance"] == "i-n1":
+                await release.wait()
+                nested = f"{request.headers['request-id']}.x"
+                assert (await fleet.send_call("n1", request_id=nested)).status == 200
+            return make_response(request)
+
+        fleet.respond = respond
+        await add_zones(fleet, "a", "b")
+        first = fleet.hosts["n1"].node
+        other = fleet.hosts["n2"].node.directory
+        # The other zone is out of sight until calls run and wait in the first one.
+        other_view = first.directory.endpoints.pop("i-n2")
+        first.directory._reindex()
+        calls = [
+            asyncio.ensure_future(fleet.send_call("n1", request_id=f"q{number}"))
+            for number in range(5)
+        ]
+        await fleet.wait_for(lambda: len(first.gate.queue.waiting) == 3)
+        first.directory.endpoints["i-n2"] = other_view
+        first.directory._reindex()
+        fleet.source.put_evacuation("a")
+        await fleet.wait_for(lambda: count_seen(fleet)["n2"] == 3)
+        assert not first.gate.queue.waiting
+        release.set()
+        assert [reply.status for reply in await asyncio.gather(*calls)] == [200] * 5
+        await fleet.wait_for(lambda: all_closed(fleet, {"a"}))
+        # An entry that has missed the news is told it by the owner.
+        stale = fleet.hosts["n2"].node.evacuations
+        stale._register = type(stale._register)()
+        other.endpoints["i-n2"].deprioritized_until = fleet.now() + 60
+        other.endpoints["i-n2"].full_until = fleet.now() + 60
+        assert (await fleet.send_call("n2")).status == 200
+        assert stale.list_closed() == {"a"}
+        assert first.evacuations.refused_calls >= 1
+        for name in ("n1", "n2") * 10:
+            assert (await fleet.send_call(name)).status == 200
+        assert count_seen(fleet)["n1"] == 2
+
+    return run_scenario(scenario)
+
+
+def test_a_service_whose_zones_are_all_evacuated_is_refused_until_one_opens() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        await add_zones(fleet, "a", "b")
+        cold: list[str] = []
+        fleet.hosts["n1"].node.gate.expect_cold = (  # type: ignore[method-assign]
+            lambda: cold.append("n1")
+        )
+        fleet.source.put_evacuation("a")
+        fleet.source.put_evacuation("b")
+        await fleet.wait_for(lambda: all_closed(fleet, {"a", "b"}))
+        reply = await fleet.send_call("n1")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert cold == []
+        fleet.source.delete_evacuation("a")
+        await fleet.wait_for(lambda: all_closed(fleet, {"b"}))
+        assert cold == ["n1"]
+        assert (await fleet.send_call("n2")).status == 200
+        assert count_seen(fleet) == {"n1": 1, "n2": 0}
+
+    return run_scenario(scenario)
+
+
+# Guards against a process that starts in an evacuated zone and knows of no evacuation, whether it
+# has peers that know or all processes have started together.
+@pytest.mark.parametrize("has_peers", [True, False])
+def test_a_node_that_starts_in_an_evacuated_zone_sends_nothing_to_its_endpoint(
+    has_peers: bool,
+) -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        await add_zones(fleet, "a", "b")
+        fleet.source.put_evacuation("a")
+        await fleet.wait_for(lambda: all_closed(fleet, {"a"}))
+        if has_peers:
+            fleet.source.failing = "down"
+        else:
+            fleet.hosts["n2"].node.close()
+            del fleet.hosts["n2"]
+        host = fleet.hosts["n1"]
+        host.node.close()
+        node = HostNode(host.node.settings, NAMES, fleet.source, Random(5))
+        await node.start([])
+        fleet.hosts["n1"] = Host(node, host.upstream)
+        fleet.hosts["n1"].announce(sequence=2)
+        statuses = set()
+        until = fleet.now() + 2.0
+        while fleet.now() < until:
+            statuses.add((await fleet.send_call("n1")).status)
+            await asyncio.sleep(0.01)
+        assert count_seen(fleet)["n1"] == 0
+        assert node.gate.synced and node.evacuations.list_closed() == {"a"}
+        assert (200 in statuses) is has_peers
+
+    return run_scenario(scenario)
