--- a/packages/mesh/tests/test_probing.py
+++ b/packages/mesh/tests/test_probing.py
@@ -65,7 +65,7 @@
                 return
         # The answers of the owners that were asked have told how long their queues are.
         asked.sort(key=lambda owner: owner.estimate_wait(now, 1))
-        for owner in (asked + [self._choose(asked)])[:MAX_QUEUE_TRIES]:
+        for owner in [*asked, self._choose(asked)][:MAX_QUEUE_TRIES]:
             self.questions += 1
             decision = owner.offer(call, now, may_wait=True)
             if decision is Admission.START:
