Pace the calls to an endpoint that is cold

A cold endpoint that gets more calls than its stated rate crashes and starts cold again; after a power loss whole services did so in a circle. The owner now paces calls by the stated rate or, without one, by a limit on running calls, and the entries choose paced endpoints in proportion to their pace. Active only for services with warmup_s or warmup_per_s.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -4,6 +4,8 @@
 import math
 from dataclasses import dataclass, field
 
+from corianderwall.mesh.nestedlimit import NestedLimits
+from corianderwall.mesh.pace import Pace
 from corianderwall.mesh.ratelimit import RateLimit
 from corianderwall.mesh.uplink import Uplink
 
@@ -53,7 +55,8 @@
 
     A call with a big response starts only when `uplink` will be free to send the response, which
     would otherwise wait there. Meanwhile calls with small responses may overtake it. No call starts
-    beyond the rate `limit` that the endpoint has named.
+    beyond the rate `limit` that the endpoint has named, beyond its `pace` while it may be cold, or
+    while `nested_limits` expect its nested calls to be refused.
 
     In an overload late calls get only free slots. Callers that were refused come back late, and if
     their calls waited, they would take the slots in which others could still be timely.
@@ -62,6 +65,8 @@
     slots: int
     uplink: Uplink = field(default_factory=Uplink)
     limit: RateLimit = field(default_factory=RateLimit)
+    pace: Pace = field(default_factory=Pace)
+    nested_limits: NestedLimits = field(default_factory=NestedLimits)
     running: set[QueuedCall] = field(default_factory=set)
     waiting: list[QueuedCall] = field(default_factory=list)
     route_means_s: dict[str, float] = field(default_factory=dict)
@@ -97,7 +102,7 @@
         self.running.discard(call)
         if not ran:
             return
-        took_s = now - call.started
+        took_s = (now - call.started) / self.pace.estimate_time_factor(now)
         previous = self.route_means_s.get(call.route)
         self.route_means_s[call.route] = (
             took_s if previous is None else _update_mean(previous, took_s)
@@ -118,8 +123,8 @@
         late = [t for t in self.waiting if self._estimate_end(t, now) > t.deadline]
         for call in late:
             self.waiting.remove(call)
-        while len(self.running) < self.slots and self.limit.permits(now):
-            ready = [t for t in self.waiting if self._is_link_free(t, now)]
+        while self._has_capacity(now):
+            ready = [t for t in self.waiting if self._is_ready(t, now)]
             if not ready:
                 break
             call = min(ready, key=lambda waiting: self._make_sort_key(waiting, now))
@@ -134,25 +139,32 @@
         return waiting
 
     def estimate_call(self, route: str) -> float:
-        """Return the expected time of a call on `route` at the endpoint, in seconds."""
+        """Return the usual time of a call on `route` at the endpoint, in seconds."""
         return self.route_means_s.get(route) or self.mean_s or DEFAULT_CALL_S
 
     def estimate_wait(self, now: float, rank: int) -> float:
         """Return the seconds until a new call of `rank` would get a slot."""
-        if len(self.running) < self.slots and not self.waiting:
+        slots = self.pace.limit_slots(self.slots, now)
+        if len(self.running) < slots and not self.waiting:
             return 0.0
-        queued_s = sum(self.estimate_call(t.route) for t in self.waiting if t.rank <= rank)
+        queued = (t for t in self.waiting if t.rank <= rank)
+        queued_s = sum(self._estimate_call(t.route, now) for t in queued)
         remaining_s = sum(self._estimate_remaining(call, now) for call in self.running)
-        return (queued_s + remaining_s) / max(1, self.slots)
+        return (queued_s + remaining_s) / max(1, slots)
 
     def estimate_start(self, call: QueuedCall, now: float) -> float:
         """Return the seconds until a new call could start, given the slots and the link."""
         ahead = sum(1 for waiting in self.waiting if waiting.rank <= call.rank)
-        wait_s = max(self.estimate_wait(now, call.rank), self.limit.estimate_wait(now, ahead))
+        wait_s = max(
+            self.estimate_wait(now, call.rank),
+            self.limit.estimate_wait(now, ahead),
+            self.pace.estimate_wait(now, ahead),
+            self.nested_limits.estimate_wait(call.route, now),
+        )
         if not call.sending_s:
             return wait_s
         ahead_s = sum(t.sending_s for t in self.waiting if t.rank <= call.rank)
-        link_s = self.estimate_link_wait(now) + ahead_s - self.estimate_call(call.route)
+        link_s = self.estimate_link_wait(now) + ahead_s - self._estimate_call(call.route, now)
         return max(wait_s, link_s)
 
     def estimate_link_wait(self, now: float) -> float:
@@ -162,13 +174,17 @@
 
     def _has_room(self, call: QueuedCall, now: float) -> bool:
         """Return whether a new call may start now; small ones pass calls waiting for the link."""
-        if len(self.running) >= self.slots or not self._is_link_free(call, now):
+        if not self._has_capacity(now) or not self._is_ready(call, now):
             return False
-        if not self.limit.permits(now):
+        return not any(call.sending_s or self._is_ready(waiting, now) for waiting in self.waiting)
+
+    def _has_capacity(self, now: float) -> bool:
+        if len(self.running) >= self.pace.limit_slots(self.slots, now):
             return False
-        return not any(
-            call.sending_s or self._is_link_free(waiting, now) for waiting in self.waiting
-        )
+        return self.limit.permits(now) and self.pace.permits(now)
+
+    def _is_ready(self, call: QueuedCall, now: float) -> bool:
+        return self._is_link_free(call, now) and self.nested_limits.permits(call.route, now)
 
     def _may_wait(self, call: QueuedCall, now: float) -> bool:
         if call.rank > 0 and now < self._overloaded_until and not self._is_timely(call, now):
@@ -183,18 +199,21 @@
     def _is_link_free(self, call: QueuedCall, now: float) -> bool:
         if not call.sending_s:
             return True
-        ready_s = self.estimate_call(call.route) + LINK_SLACK_S
+        ready_s = self._estimate_call(call.route, now) + LINK_SLACK_S
         return self.estimate_link_wait(now) <= ready_s
 
     def _estimate_end(self, call: QueuedCall, start: float) -> float:
-        return start + self.estimate_call(call.route) + call.sending_s
+        return start + self._estimate_call(call.route, start) + call.sending_s
+
+    def _estimate_call(self, route: str, start: float) -> float:
+        return self.estimate_call(route) * self.pace.estimate_time_factor(start)
 
     def _estimate_remaining(self, call: QueuedCall, now: float) -> float:
-        mean_s = self.estimate_call(call.route)
+        mean_s = self._estimate_call(call.route, now)
         return max(mean_s - (now - call.started), mean_s * MIN_REMAINING_FRACTION)
 
     def _is_timely(self, call: QueuedCall, start: float) -> bool:
-        expected_s = self.estimate_call(call.route) + call.sending_s
+        expected_s = self._estimate_call(call.route, start) + call.sending_s
         return start + TIMELY_MARGIN * expected_s <= call.due
 
     def _make_sort_key(self, call: QueuedCall, now: float) -> tuple[bool, int, float, int]:
@@ -205,6 +224,8 @@
         call.started = now
         self.limit.take(now)
         self.running.add(call)
+        self.pace.take(now, len(self.running))
+        self.nested_limits.take(call.route, now)
 
 
 def _update_mean(previous: float, newest: float) -> float:
--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -42,6 +42,8 @@
 
     `on_start` is called with the record of each new start and `on_change` with each new record.
     `find_record` returns the record of an endpoint that peers have from an earlier process here.
+    `on_warmup` is called with the seconds of warm-up left of each announcement, and with None for a
+    record of an earlier process, which does not tell whether the endpoint is cold now.
     """
 
     def __init__(
@@ -50,12 +52,14 @@
         on_start: Callable[[EndpointRecord], None],
         on_change: Callable[[EndpointRecord], None],
         find_record: Callable[[str], EndpointRecord | None],
+        on_warmup: Callable[[float | None], None] = lambda _: None,
     ) -> None:
         self.record: EndpointRecord | None = None
         self._settings = settings
         self._on_start = on_start
         self._on_change = on_change
         self._find_record = find_record
+        self._on_warmup = on_warmup
         # By endpoint id: starts up to this time, in Unix milliseconds, have left.
         self._left_until: dict[str, int] = {}
         self._loop = asyncio.get_running_loop()
@@ -79,6 +83,7 @@
         if announcement.sequence <= self._sequence:
             return True
         self._sequence = announcement.sequence
+        self._on_warmup(announcement.warm_after_s)
         if announcement.draining:
             self._set_state(EndpointState.DRAINING, "announced")
         elif record.state is EndpointState.DOWN:
@@ -150,6 +155,7 @@
         self.record = record
         self._sequence = record.revision // REVISIONS_PER_SEQUENCE
         self._last_seen_at = self._loop.time()
+        self._on_warmup(None)
 
     def _apply_kept_leave(self) -> None:
         record = self.record
@@ -180,6 +186,7 @@
             revision=announcement.sequence * REVISIONS_PER_SEQUENCE,
         )
         self._on_start(self.record)
+        self._on_warmup(announcement.warm_after_s)
         log_info(
             "endpoint started",
             endpoint=announcement.id,
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -18,6 +18,7 @@
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse, ReceivedBody
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
+from corianderwall.mesh.pacedchoice import estimate_paced_wait, record_paced_refusal
 from corianderwall.mesh.retryafter import DEFAULT_RETRY_AFTER_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
 from corianderwall.mesh.selection import (
@@ -94,10 +95,15 @@
         """Return whether a running call made this one."""
         return self.parent is not None
 
-    def report_end(self, status: int) -> None:
-        """Mark the parent call if this nested call has failed."""
-        if self.parent is not None and not 200 <= status < 300:
+    def report_end(self, status: int, *, refused_cold: bool) -> None:
+        """Tell the parent call how this nested call has ended."""
+        if self.parent is None:
+            return
+        if 200 <= status < 300:
+            self.parent.nested_served = True
+        else:
             self.parent.nested_failed = True
+            self.parent.nested_refused |= refused_cold
 
 
 class Entry:
@@ -337,6 +343,7 @@
             route=route.name,
             over_link=record.node != self._settings.name,
             limit_per_s=view.limit_per_s,
+            cold_per_s=view.load.cold_per_s,
         )
         owner: Owner = self._local_owner
         if metadata.over_link:
@@ -377,9 +384,11 @@
             if metadata.load.limit_per_s is not None:
                 avoid_s = max(avoid_s, min(metadata.wait_ms / 1000, AVOID_WHEN_LIMITED_S))
             view.full_until = now + avoid_s
+            record_paced_refusal(view, metadata, route="", now=now)
         elif metadata.refusal is Refusal.LATE:
             state.refused_wait_ms.append(metadata.wait_ms)
             view.late_until[state.route.name] = now + AVOID_WHEN_LATE_S
+            record_paced_refusal(view, metadata, route=state.route.name, now=now)
         else:
             state.unusable.add(view.record.id)
             state.attempts += metadata.reached
@@ -419,9 +428,8 @@
             self._respond_quarantined(call, state)
         elif reply is None or reply.metadata.ran is False:
             waits = state.refused_wait_ms
-            self._respond_error(
-                call, state, 503, "refused", min(waits) / 1000 if waits else DEFAULT_RETRY_AFTER_S
-            )
+            wait_s = min(waits) / 1000 if waits else self._estimate_unasked_wait(state)
+            self._respond_error(call, state, 503, "refused", wait_s)
         elif reply.response is None:
             late = self._loop.time() >= state.deadline
             self._respond_error(call, state, 504 if late else 502, "answer lost")
@@ -431,6 +439,12 @@
             call.respond(response.status, response.headers, response.body)
             self._log(state, response.status, "answered")
 
+    def _estimate_unasked_wait(self, state: _CallState) -> float:
+        """Return the wait of a call that no owner was asked to queue."""
+        views = self._directory.list_ready(state.service)
+        wait_s = estimate_paced_wait(views, self._loop.time())
+        return DEFAULT_RETRY_AFTER_S if wait_s is None else wait_s
+
     def _respond_quarantined(self, call: IncomingCall, state: _CallState) -> None:
         """Refuse a request that ends the endpoints that run it, until its next trial."""
         release = self._find_release(state)
@@ -495,7 +509,7 @@
         )
 
     def _log(self, state: _CallState, status: int, cause: str) -> None:
-        state.report_end(status)
+        state.report_end(status, refused_cold=status == 503 and self._is_cold(state.service))
         now = self._loop.time()
         took_s = now - state.began
         self._metrics.count_call(state.service, state.version, status, took_s)
@@ -518,6 +532,10 @@
             config_version=self._configuration.snapshot.version,
         )
 
+    def _is_cold(self, service: str) -> bool:
+        views = self._directory.list_ready(service)
+        return any(view.load.cold_per_s is not None for view in views)
+
     def _read_timeout_s(self, call: IncomingCall) -> float:
         raw = call.find_header(self._headers.deadline_ms)
         try:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -25,7 +25,9 @@
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
+from corianderwall.mesh.warmup import WarmupMonitor
 from corianderwall.model.errors import ErrorCode
+from corianderwall.model.resource import Service
 from corianderwall.node.crashdetector import CrashDetector, LostCall
 from corianderwall.node.logs import LogBudget, log_info, log_warning
 from corianderwall.traffic.suspects import SuspectRecord, Suspects
@@ -41,6 +43,9 @@
 """Interval of checks on waiting calls; short enough for a refused caller to retry in time."""
 DEADLINE_MARGIN_S = 0.1
 """Time after the deadline at which the owner cancels a call, if the entry has not done so."""
+MAX_TURN_S = 0.05
+"""Time from the start of a call to its sending at a cold endpoint; the reserve below the operator's
+bound covers the calls that start in this time."""
 DEFAULT_RANK = 1
 """Rank used to estimate the wait of a call that is refused before its rank is computed."""
 DEFAULT_CONNECTIONS = 64
@@ -58,11 +63,14 @@
     """A call that runs at the endpoint; `is_retry` is set if it counts as a retry.
 
     `nested_failed` is set once a nested call of it has failed: its own failure then says nothing
-    about the endpoint or its version.
+    about the endpoint or its version. `nested_refused` is set if a service that warms up has refused
+    one, and `nested_served` if one was served.
     """
 
     is_retry: bool
     nested_failed: bool = False
+    nested_refused: bool = False
+    nested_served: bool = False
 
 
 class EndpointGate:
@@ -83,10 +91,17 @@
         on_suspects: Callable[[tuple[SuspectRecord, ...]], None],
         find_record: Callable[[str], EndpointRecord | None] = lambda _: None,
     ) -> None:
+        self.warmup = WarmupMonitor(
+            settings.bounds, headers, lambda: self._pool, lambda: self.record, self._dispatch
+        )
         self.endpoint = EndpointTracker(
-            settings, self._handle_start, self._handle_change, find_record
+            settings,
+            self._handle_start,
+            self._handle_change,
+            find_record,
+            self.warmup.handle_statement,
         )
-        self.queue = AdmissionQueue(0, uplink)
+        self.queue = AdmissionQueue(0, uplink, pace=self.warmup.pace)
         self.closing = False
         self.synced = False
         self.crash_count = 0
@@ -119,6 +134,15 @@
         """Set the maximum number of connections to the endpoint, 0 for the default."""
         self._pool.max_connections = limit or DEFAULT_CONNECTIONS
 
+    def configure_service(self, service: Service) -> None:
+        """Apply what the configuration says of the service of the endpoint."""
+        self.limit_connections(service.max_connections)
+        self.warmup.configure(service)
+
+    def expect_cold(self) -> None:
+        """Count the endpoint as cold until it says what it is, as after an evacuation."""
+        self.warmup.expect_cold("expected")
+
     # Requests of entries.
 
     def read_load(self) -> Load:
@@ -132,6 +156,7 @@
             failures=round(self._failure_rate, 3),
             limit_per_s=queue.limit.rate_per_s,
             has_responded=self._has_responded,
+            cold_per_s=queue.pace.estimate_rate(self._loop.time(), queue.slots, queue.mean_s),
         )
 
     async def serve(self, metadata: CallMetadata, request: ForwardedRequest) -> OwnerResponse:
@@ -143,11 +168,20 @@
             return self._refuse(request, refusal)
         if not self._has_responded and metadata.limit_per_s is not None:
             self._set_limit(metadata.limit_per_s, "an entry")
+        if metadata.cold_per_s is not None:
+            self.warmup.pace.assume_rate(metadata.cold_per_s, now)
+        self.warmup.check_if_needed()
         rank = 0 if metadata.nested else 1 + metadata.priority
         sending_s = self._uplink.estimate_sending_s(metadata.route) if metadata.over_link else 0.0
         due = now + metadata.due_ms / 1000
         queued = QueuedCall(metadata.route, rank, due, deadline, sending_s)
+        body: bytes | None = None
         try:
+            if self.warmup.pace.is_paced(now):
+                # Calls that wait for their bodies after their start could arrive all at once.
+                body = await self._receive_body(request, deadline)
+                if body is None:
+                    return self._refuse(request, Refusal.BODY_LOST, queued)
             refusal = await self._admit(queued, metadata)
         except CancelledError:
             self._log_cancelled(request, metadata, "waiting", now)
@@ -155,14 +189,17 @@
         if refusal is not None:
             return self._refuse(request, refusal, queued)
         exchange: Exchange | None = None
-        body: bytes | None = None
+        was_paced = body is not None
         running = self._running[request.request_id] = RunningCall(metadata.is_retry)
         sent_at = queued.started
         try:
-            body = await self._receive_body(request, deadline)
+            if not was_paced:
+                body = await self._receive_body(request, deadline)
             sent_at = self._loop.time()
             # The endpoint may have begun to leave while the body was on its way.
             refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata.endpoint)
+            if refusal is None and self._is_overdue(queued, sent_at):
+                refusal = Refusal.FULL
             if body is not None and refusal is None:
                 refusal = self._check_suspect(metadata, request, body)
             if body is not None and refusal is None:
@@ -183,6 +220,7 @@
         ended = self._loop.time()
         total_ms = round((ended - now) * 1000, 1)
         took_s = ended - sent_at
+        self._count_nested(metadata.route, running, failed=exchange.response.status >= SERVER_ERROR)
         return self._handle_response(
             metadata, request, exchange.response, took_s, total_ms, running.nested_failed
         )
@@ -199,6 +237,7 @@
         """Refuse waiting and new calls; running calls continue."""
         self.closing = True
         self._crashes.close()
+        self.warmup.close()
         self._refuse_waiting(Refusal.LEAVING)
 
     # Internals.
@@ -220,7 +259,8 @@
         self._pool = self._make_pool()
         self._failure_rate = 0.0
         self._has_responded = False
-        self.queue = AdmissionQueue(record.slots, self._uplink)
+        self.warmup.handle_start()
+        self.queue = AdmissionQueue(record.slots, self._uplink, pace=self.warmup.pace)
 
     def _handle_change(self, record: EndpointRecord) -> None:
         """Refuse waiting calls if the endpoint can no longer be used, and report the change."""
@@ -279,7 +319,9 @@
     def _schedule_check(self) -> None:
         """Schedule a check while calls wait: a call can become late without a slot being freed."""
         if self._waiting_timer is None and self._waits:
-            self._waiting_timer = self._loop.call_later(WAITING_CHECK_S, self._check_waiting)
+            wait_s = self.queue.pace.estimate_wait(self._loop.time(), 0)
+            delay_s = min(WAITING_CHECK_S, wait_s) if wait_s > 0.0 else WAITING_CHECK_S
+            self._waiting_timer = self._loop.call_later(delay_s, self._check_waiting)
 
     def _check_waiting(self) -> None:
         self._waiting_timer = None
@@ -295,6 +337,10 @@
         if wait is not None:
             wait.callback(refusal)
 
+    def _is_overdue(self, queued: QueuedCall, now: float) -> bool:
+        """Return whether a call has used its turn at a cold endpoint by waiting for its body."""
+        return now - queued.started > MAX_TURN_S and self.warmup.pace.is_cold(now)
+
     async def _receive_body(self, request: ForwardedRequest, deadline: float) -> bytes | None:
         """Return the body, or None if the entry has not sent all of it by `deadline`."""
         timer = self._loop.call_at(deadline, request.body.expire)
@@ -381,11 +427,13 @@
             self.endpoint.mark_down("misdirected")
             return self._refuse(request, Refusal.UNKNOWN, reached=True)
         if response.find_header(self._headers.not_run) is not None:
+            self.warmup.pace.record_refusal(metadata.route, self._loop.time())
             self._count_result(metadata, failed=True, took_s=took_s, ran=False)
             return self._refuse(request, Refusal.SHED, reached=True)
         failed = response.status >= SERVER_ERROR
         if not failed:
             self._uplink.sizes.record(metadata.route, len(response.body))
+            self.warmup.pace.record_response(metadata.route, took_s, self._loop.time())
         if not (failed and nested_failed):
             self._count_result(metadata, failed=failed, took_s=took_s, ran=True)
         self._log(
@@ -407,6 +455,7 @@
             return
         self._has_responded = True
         self._set_limit(parse_rate(response.find_header(self._headers.limit)), "the endpoint")
+        self.warmup.read_response(response)
         if response.find_header(self._headers.leaving) == LEAVING:
             self.endpoint.mark_leaving()
 
@@ -451,6 +500,7 @@
         ):
             lost = LostCall(request.request_id.decode(), fingerprint)
             self._crashes.record_loss(record.start, lost)
+        self.warmup.pace.record_refusal(metadata.route, self._loop.time())
         self._count_result(metadata, failed=True, took_s=0.0, ran=False)
         return OwnerResponse(ResponseMetadata(ran=None, load=self.read_load(), error=error))
 
@@ -461,6 +511,7 @@
         """Remember the calls that the endpoint ran when this start of it crashed."""
         self.crash_count += 1
         if self.record is not None and self.record.start == start:
+            self.warmup.handle_crash()
             self.endpoint.mark_down("no connection")
         fingerprints = [call.fingerprint for call in calls]
         changed = self._suspects.record_crash(start, fingerprints, self._loop.time())
@@ -494,6 +545,17 @@
         self._failure_rate += EWMA_WEIGHT * (float(failed) - self._failure_rate)
         self._on_result(metadata.route, metadata.endpoint, failed, took_s if ran else 0.0)
 
+    def _count_nested(self, route: str, running: RunningCall, *, failed: bool) -> None:
+        """Count a call that made nested calls; it was wasted if it failed for a refused one."""
+        now = self._loop.time()
+        if running.nested_refused or running.nested_served:
+            self.queue.nested_limits.record_end(
+                route,
+                now,
+                wasted=failed and running.nested_refused,
+                rate_per_s=self.queue.pace.count_recent(now),
+            )
+
     def _refuse(
         self,
         request: ForwardedRequest,
@@ -506,6 +568,8 @@
         queued = queued or QueuedCall("", DEFAULT_RANK, now, now)
         wait_ms = self.queue.estimate_start(queued, now) * 1000
         load = self.read_load()
+        if refusal in (Refusal.FULL, Refusal.LATE) and self.warmup.pace.is_paced(now):
+            self.warmup.refusals += 1
         self._log(
             "refused by the owner",
             request=request.request_id.decode(),
@@ -514,6 +578,7 @@
             waiting=load.waiting,
             slots=load.slots,
             wait_ms=round(wait_ms, 1),
+            cold_per_s=load.cold_per_s,
         )
         metadata = ResponseMetadata(
             ran=False, load=load, refusal=refusal, wait_ms=round(wait_ms, 1), reached=reached
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -24,7 +24,7 @@
 )
 from corianderwall.mesh.directory import Directory, list_node_endpoints
 from corianderwall.mesh.entry import Entry
-from corianderwall.mesh.exchange import await_exchange
+from corianderwall.mesh.exchange import Response, await_exchange
 from corianderwall.mesh.gate import EndpointGate
 from corianderwall.mesh.gossip import HEARTBEAT_KIND, TABLES_KIND, TABLES_PULL_KIND, Gossip
 from corianderwall.mesh.messages import (
@@ -299,7 +299,7 @@
     def _apply_configuration(self, snapshot: Snapshot) -> None:
         for service in snapshot.services:
             if service.name == self.settings.service:
-                self.gate.limit_connections(service.max_connections)
+                self.gate.configure_service(service)
 
     async def _watch_endpoint(self) -> None:
         while True:
@@ -315,15 +315,18 @@
             records = [view.record for view in self.directory.endpoints.values()]
             known = list_node_endpoints(records, self.settings.name)
             if known and known[0].state in (EndpointState.READY, EndpointState.DOWN):
-                instance = await self._probe_endpoint()
-                if instance == known[0].id and self.gate.record is None:
+                response = await self._probe_endpoint()
+                instance = response and response.find_header(self._headers.instance_id)
+                if instance == known[0].id.encode() and self.gate.record is None:
                     self.gate.endpoint.adopt(known[0])
+                    self.gate.warmup.read_health(response)
 
-    async def _probe_endpoint(self) -> str:
+    async def _probe_endpoint(self) -> Response | None:
         path = "/health"
         for service in self.holder.snapshot.services:
             if service.name == self.settings.service:
                 path = service.health_path
+        self.gate.warmup.pace.take(self._loop.time(), 1)
         pool = UpstreamPool(self.settings.endpoint, 1)
         call = OutgoingCall(
             method=b"GET",
@@ -337,8 +340,8 @@
         response = exchange.response
         if response is None or response.status != 200:
             log_info("the health check of the endpoint failed")
-            return ""
-        return (response.find_header(self._headers.instance_id) or b"").decode("latin-1")
+            return None
+        return response
 
     def _finish_task(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
--- a/packages/mesh/src/corianderwall/mesh/selection.py
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from corianderwall.mesh.directory import EndpointView
+from corianderwall.mesh.pacedchoice import choose_paced
 
 MAX_PROBES = 3
 """Owners that are asked for a free slot before the call is queued at one of them."""
@@ -131,6 +132,10 @@
     if not traits.big and random.random() < EXPLORATION_FRACTION:
         return random.choice(candidates)
     typical_ms = _compute_typical_ms(candidates, now)
+    paced = choose_paced(candidates, typical_ms, random)
+    if paced is not None:
+        return paced
+    candidates = [view for view in candidates if view.load.cold_per_s is None]
     best: EndpointView | None = None
     best_ms = 0.0
     for view in candidates:
