Receive the body of a call to a cold endpoint before the call starts

Calls that start one after another and wait for their bodies could arrive at a cold endpoint together.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -17,8 +17,8 @@
 from corianderwall.mesh.messages import CallMetadata, Refusal, ResponseMetadata
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse, ReceivedBody
-from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
 from corianderwall.mesh.pacedchoice import estimate_paced_wait, record_paced_refusal
+from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
 from corianderwall.mesh.retryafter import DEFAULT_RETRY_AFTER_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
 from corianderwall.mesh.selection import (
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -21,7 +21,7 @@
     Refusal,
     ResponseMetadata,
 )
-from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
+from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse, ReceivedBody
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
@@ -63,8 +63,8 @@
     """A call that runs at the endpoint; `is_retry` is set if it counts as a retry.
 
     `nested_failed` is set once a nested call of it has failed: its own failure then says nothing
-    about the endpoint or its version. `nested_refused` is set if a service that warms up has refused
-    one, and `nested_served` if one was served.
+    about the endpoint or its version. `nested_refused` is set if a cold service has refused one,
+    and `nested_served` if one was served.
     """
 
     is_retry: bool
@@ -168,20 +168,13 @@
             return self._refuse(request, refusal)
         if not self._has_responded and metadata.limit_per_s is not None:
             self._set_limit(metadata.limit_per_s, "an entry")
-        if metadata.cold_per_s is not None:
-            self.warmup.pace.assume_rate(metadata.cold_per_s, now)
-        self.warmup.check_if_needed()
+        self.warmup.prepare(metadata.cold_per_s)
         rank = 0 if metadata.nested else 1 + metadata.priority
         sending_s = self._uplink.estimate_sending_s(metadata.route) if metadata.over_link else 0.0
         due = now + metadata.due_ms / 1000
         queued = QueuedCall(metadata.route, rank, due, deadline, sending_s)
-        body: bytes | None = None
         try:
-            if self.warmup.pace.is_paced(now):
-                # Calls that wait for their bodies after their start could arrive all at once.
-                body = await self._receive_body(request, deadline)
-                if body is None:
-                    return self._refuse(request, Refusal.BODY_LOST, queued)
+            request = await self._receive_first(request, deadline)
             refusal = await self._admit(queued, metadata)
         except CancelledError:
             self._log_cancelled(request, metadata, "waiting", now)
@@ -189,17 +182,15 @@
         if refusal is not None:
             return self._refuse(request, refusal, queued)
         exchange: Exchange | None = None
-        was_paced = body is not None
+        body: bytes | None = None
         running = self._running[request.request_id] = RunningCall(metadata.is_retry)
         sent_at = queued.started
         try:
-            if not was_paced:
-                body = await self._receive_body(request, deadline)
+            body = await self._receive_body(request, deadline)
             sent_at = self._loop.time()
             # The endpoint may have begun to leave while the body was on its way.
             refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata.endpoint)
-            if refusal is None and self._is_overdue(queued, sent_at):
-                refusal = Refusal.FULL
+            refusal = refusal or self._check_turn(queued, sent_at)
             if body is not None and refusal is None:
                 refusal = self._check_suspect(metadata, request, body)
             if body is not None and refusal is None:
@@ -337,9 +328,20 @@
         if wait is not None:
             wait.callback(refusal)
 
-    def _is_overdue(self, queued: QueuedCall, now: float) -> bool:
-        """Return whether a call has used its turn at a cold endpoint by waiting for its body."""
-        return now - queued.started > MAX_TURN_S and self.warmup.pace.is_cold(now)
+    async def _receive_first(self, request: ForwardedRequest, deadline: float) -> ForwardedRequest:
+        """Receive the body before the call starts, if the endpoint is paced.
+
+        Calls that wait for their bodies after their start could arrive at the endpoint all at once.
+        """
+        if not self.warmup.pace.is_paced(self._loop.time()):
+            return request
+        body = await self._receive_body(request, deadline)
+        return request if body is None else replace(request, body=ReceivedBody(body))
+
+    def _check_turn(self, queued: QueuedCall, now: float) -> Refusal | None:
+        """Return the refusal of a call that has lost its turn by waiting for its body."""
+        is_overdue = now - queued.started > MAX_TURN_S and self.warmup.pace.is_cold(now)
+        return Refusal.FULL if is_overdue else None
 
     async def _receive_body(self, request: ForwardedRequest, deadline: float) -> bytes | None:
         """Return the body, or None if the entry has not sent all of it by `deadline`."""
--- a/packages/mesh/src/corianderwall/mesh/pace.py
+++ b/packages/mesh/src/corianderwall/mesh/pace.py
@@ -159,7 +159,7 @@
         self._answers_checks = True
 
     def is_paced(self, now: float) -> bool:
-        """Return whether the endpoint counts as cold or has not said for too long that it is warm."""
+        """Return whether the endpoint counts as cold or is not confirmed to be warm."""
         return self.is_cold(now) or self._is_rated(now)
 
     def is_cold(self, now: float) -> bool:
--- a/packages/mesh/src/corianderwall/mesh/warmup.py
+++ b/packages/mesh/src/corianderwall/mesh/warmup.py
@@ -96,8 +96,13 @@
             self.pace.record_statement(left_s, self._loop.time())
             self._note_change("named in a response")
 
-    def check_if_needed(self) -> None:
-        """Ask the endpoint for its warm-up if calls would have to be held back otherwise."""
+    def prepare(self, assumed_per_s: float | None) -> None:
+        """Ask the endpoint for its warm-up if a new call would have to be held back otherwise.
+
+        `assumed_per_s` is the pace as an entry knows it, None if it knows of none.
+        """
+        if assumed_per_s is not None:
+            self.pace.assume_rate(assumed_per_s, self._loop.time())
         record = self._get_record()
         if self._check is not None or record is None or record.state is not EndpointState.READY:
             return
