--- a/packages/bench/src/corianderwall/bench/runner.py
+++ b/packages/bench/src/corianderwall/bench/runner.py
@@ -13,6 +13,7 @@
         "added-latency",
         "at-most-once",
         "capacity",
+        "cold-start",
         "control-cost",
         "convergence",
         "drain",
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -48,6 +48,11 @@
             metrics.link_bytes.set(labels, size)
         for kind, count in self._platform_calls.items():
             metrics.platform_calls.set({"kind": kind}, count)
+        warmup = node.gate.warmup
+        metrics.endpoint_pace.set({}, load.cold_per_s or 0.0)
+        metrics.cold_periods.set({}, warmup.cold_periods)
+        metrics.paced_refusals.set({}, warmup.refusals)
+        metrics.warmup_checks.set({}, warmup.checks)
         metrics.crashes.set({}, node.gate.crash_count)
         metrics.quarantined_requests.set({}, node.suspects.count_quarantined())
         suppressed = node.entry.log_budget.suppressed + node.gate.log_budget.suppressed
--- a/packages/mesh/src/corianderwall/mesh/nestedlimit.py
+++ b/packages/mesh/src/corianderwall/mesh/nestedlimit.py
@@ -12,14 +12,15 @@
 
 WINDOW_S = 1.0
 """Time over which the starts of a route are counted to find its rate."""
-SHRINK_FACTOR = 0.7
+SHRINK_FACTOR = 0.5
 """Factor on the rate of a route after a call of it was wasted."""
-SHRINK_INTERVAL_S = 0.3
+SHRINK_INTERVAL_S = 0.2
 """Shortest time between two reductions; the calls that run meanwhile started at the former rate."""
-GROWTH_PER_S = 0.5
+GROWTH_PER_S = 1.0
 """Increase of the rate with each call whose nested calls were served."""
-END_AFTER_S = 2.0
-"""Time without a wasted call after which the limit of a route ends; most of a warm-up."""
+END_AFTER_S = 1.0
+"""Time without a wasted call after which the limit of a route ends. With 2 s, calls of services
+that were warm already were held back in the model."""
 
 
 @dataclass(slots=True)
--- a/packages/mesh/src/corianderwall/mesh/pace.py
+++ b/packages/mesh/src/corianderwall/mesh/pace.py
@@ -34,8 +34,9 @@
 """Factor on the concurrency after a fast round; five rounds reach the slots of any endpoint."""
 SHRINK_FACTOR = 0.5
 """Factor on the concurrency after a slow round or a shed call."""
-MIN_ROUND_CALLS = 3
-"""Calls in a round at least; the time of a single call varies by a third."""
+MIN_ROUND_CALLS = 6
+"""Calls in a round at least; with 3, the scatter of call times let some cold rounds count as fast
+in the model, and endpoints crashed."""
 USUAL_WEIGHT = 0.15
 """Weight of the newest call in the usual time of a route, as in the queue's own means."""
 
@@ -68,8 +69,8 @@
         self._peak = 0
         if mean > SLOW_RATIO:
             self.shrink(now, 0.0)
-        elif used:
-            self.limit = self.limit * FAST_GROWTH if mean <= FAST_RATIO else self.limit + 1.0
+        elif used and mean <= FAST_RATIO:
+            self.limit *= FAST_GROWTH
 
     def shrink(self, now: float, usual_s: float) -> None:
         """Lower the limit, but only once for the calls that run at the same time."""
@@ -266,8 +267,8 @@
             self._usual_s[route] = previous + USUAL_WEIGHT * (took_s - previous)
             return
         if usual_s is None:
-            # No warm call is known, so the first cold one is the measure.
-            usual_s = self._usual_s[route] = took_s / COLD_TIME_FACTOR
+            # Without a warm call to compare with, the limit stays where it is.
+            return
         self.ramp.record_response(took_s / max(usual_s, 0.001), now)
 
     def record_refusal(self, route: str, now: float) -> None:
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -1,6 +1,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -20,6 +21,7 @@
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
+from corianderwall.model.resource import Service
 from corianderwall.standins.scripted import (
     Endless,
     ReceivedRequest,
@@ -601,3 +603,111 @@
         assert setup.shared == []
 
     return run_scenario(break_off, scenario)
+
+
+COLD_SERVICE = Service(name="s", health_path="/ready", warmup_s=3.0, warmup_per_s=5.0)
+
+
+def name_warmup(request: ReceivedRequest, left_ms: int | None) -> bytes:
+    # Health checks have no id.
+    request.headers.setdefault("request-id", "")
+    headers = f"Warmup-Left: {left_ms}\r\n" if left_ms is not None else ""
+    return make_response(request, extra_headers=headers)
+
+
+async def serve_many(setup: Setup, calls: int, **fields: Any) -> list[OwnerResponse]:
+    return await asyncio.gather(*(setup.serve(f"q{n}", **fields) for n in range(calls)))
+
+
+# Guards against an owner that sends a cold endpoint more than it tolerates, which ends it.
+def test_a_cold_endpoint_gets_calls_at_its_pace_until_it_is_warm() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        setup.gate.configure_service(COLD_SERVICE)
+        refused = await serve_many(setup, 20, may_wait=False)
+        assert {reply.metadata.refusal for reply in refused} == {Refusal.FULL}
+        assert refused[0].metadata.load.cold_per_s == 5.0
+        assert 0.0 < refused[0].metadata.wait_ms <= 200.0
+        assert (await setup.serve()).metadata.ran is True
+        assert setup.gate.warmup.refusals == 20
+        setup.gate.endpoint.handle_announcement(make_announcement(setup.address, sequence=2))
+        assert all(reply.metadata.ran for reply in await serve_many(setup, 8))
+        assert setup.gate.read_load().cold_per_s is None
+
+    return run_scenario(respond_ok, scenario, slots=20, warm_after_s=2.0)
+
+
+# Guards against calls that start at the pace and whose bodies then arrive at once.
+def test_a_call_to_a_cold_endpoint_starts_when_its_body_is_there() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        setup.gate.configure_service(COLD_SERVICE)
+        body: Deferred[bytes | None] = Deferred()
+
+        class SlowBody:
+            async def read(self) -> bytes | None:
+                return await body
+
+            def expire(self) -> None:
+                body.callback(None)
+
+        request = replace(make_request(), body=SlowBody())
+        serving = Deferred.fromCoroutine(setup.gate.serve(make_metadata(), request))
+        await asyncio.sleep(0.3)
+        assert not setup.gate.queue.running
+        body.callback(b"body")
+        reply = await serving.asFuture(asyncio.get_running_loop())
+        assert reply.metadata.ran is True
+
+    return run_scenario(respond_ok, scenario, warm_after_s=2.0)
+
+
+# Guards against a warm-up that is noticed only with the next announcement, which is too late.
+def test_an_endpoint_that_becomes_cold_again_is_asked_and_paced() -> Deferred[None]:
+    async def respond(request: ReceivedRequest) -> bytes:
+        left_ms = 2000 if request.target == "/ready" else None
+        return name_warmup(request, left_ms)
+
+    async def scenario(setup: Setup) -> None:
+        setup.gate.configure_service(COLD_SERVICE)
+        for number in range(20):
+            await setup.serve(f"q{number}", may_wait=False)
+        assert [each.target for each in setup.upstream.requests].count("/ready") == 1
+        assert len(setup.upstream.requests) < COLD_SERVICE.warmup_per_s * 1.5 + 8.0
+        assert setup.gate.read_load().cold_per_s == 5.0
+        assert setup.gate.warmup.cold_periods == 1
+
+    return run_scenario(respond, scenario, slots=20)
+
+
+@pytest.mark.parametrize("left_ms", [0, 2000])
+def test_an_endpoint_found_after_a_restart_is_cold_until_it_says_otherwise(
+    left_ms: int,
+) -> Deferred[None]:
+    async def respond(request: ReceivedRequest) -> bytes:
+        return name_warmup(request, left_ms)
+
+    async def scenario(setup: Setup) -> None:
+        gate = make_fresh_gate(setup)
+        gate.configure_service(COLD_SERVICE)
+        gate.endpoint.adopt(setup.records[-1])
+        assert gate.read_load().cold_per_s == 5.0
+        assert (await serve(gate, may_wait=False)).metadata.refusal is Refusal.FULL
+        await asyncio.sleep(0.3)
+        # The first credit goes to a health check.
+        await serve(gate, "q2", may_wait=False)
+        await asyncio.sleep(0.05)
+        assert setup.upstream.requests[-1].target == "/ready"
+        assert gate.read_load().cold_per_s == (5.0 if left_ms else None)
+
+    return run_scenario(respond, scenario)
+
+
+def test_an_expected_warm_up_ends_with_the_next_announcement() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        setup.gate.configure_service(COLD_SERVICE)
+        assert setup.gate.read_load().cold_per_s is None
+        setup.gate.expect_cold()
+        assert setup.gate.read_load().cold_per_s == 5.0
+        setup.gate.endpoint.handle_announcement(make_announcement(setup.address, sequence=2))
+        assert setup.gate.read_load().cold_per_s is None
+
+    return run_scenario(respond_ok, scenario)
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -59,6 +59,18 @@
         self.crashes = self._add_counter(
             "endpoint_crashes", "Crashes of the endpoint beside this node while it ran calls."
         )
+        self.endpoint_pace = self._add_gauge(
+            "endpoint_pace_per_s", "Calls that may start a second at the cold endpoint, 0 if warm."
+        )
+        self.cold_periods = self._add_counter(
+            "endpoint_cold_periods", "Times that the endpoint beside this node became cold."
+        )
+        self.paced_refusals = self._add_counter(
+            "paced_refusals", "Calls refused by this owner while its endpoint was paced."
+        )
+        self.warmup_checks = self._add_counter(
+            "endpoint_warmup_checks", "Health checks that ask the endpoint whether it is warm."
+        )
         self.quarantined_requests = self._add_gauge(
             "quarantined_requests", "Requests known to crash endpoints, which get to none."
         )
