Derive the Retry-After of calls that no paced owner was asked from the mean wait

The earliest turn of all endpoints brought all callers back for it. A call that a paced owner would refuse no longer moves its body.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -97,6 +97,12 @@
         self.waiting.append(call)
         return Admission.WAIT
 
+    def would_accept(self, call: QueuedCall, now: float, *, may_wait: bool) -> bool:
+        """Return whether `offer` would start or queue a call now."""
+        if self._estimate_end(call, now) > call.deadline:
+            return False
+        return self._has_room(call, now) or (may_wait and self._may_wait(call, now))
+
     def finish(self, call: QueuedCall, now: float, *, ran: bool) -> None:
         """Free the slot of a started call; update the mean call times only if the call ran."""
         self.running.discard(call)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -174,7 +174,7 @@
         due = now + metadata.due_ms / 1000
         queued = QueuedCall(metadata.route, rank, due, deadline, sending_s)
         try:
-            request = await self._receive_first(request, deadline)
+            request = await self._receive_first(request, queued, metadata)
             refusal = await self._admit(queued, metadata)
         except CancelledError:
             self._log_cancelled(request, metadata, "waiting", now)
@@ -328,14 +328,20 @@
         if wait is not None:
             wait.callback(refusal)
 
-    async def _receive_first(self, request: ForwardedRequest, deadline: float) -> ForwardedRequest:
+    async def _receive_first(
+        self, request: ForwardedRequest, queued: QueuedCall, metadata: CallMetadata
+    ) -> ForwardedRequest:
         """Receive the body before the call starts, if the endpoint is paced.
 
         Calls that wait for their bodies after their start could arrive at the endpoint all at once.
+        A call that would be refused does not move its body to this host.
         """
-        if not self.warmup.pace.is_paced(self._loop.time()):
+        now = self._loop.time()
+        if not self.warmup.pace.is_paced(now):
+            return request
+        if not self.queue.would_accept(queued, now, may_wait=metadata.may_wait):
             return request
-        body = await self._receive_body(request, deadline)
+        body = await self._receive_body(request, queued.deadline)
         return request if body is None else replace(request, body=ReceivedBody(body))
 
     def _check_turn(self, queued: QueuedCall, now: float) -> Refusal | None:
--- a/packages/mesh/src/corianderwall/mesh/pacedchoice.py
+++ b/packages/mesh/src/corianderwall/mesh/pacedchoice.py
@@ -61,6 +61,10 @@
 
 
 def estimate_paced_wait(views: Sequence[EndpointView], now: float) -> float | None:
-    """Return the seconds until the first paced endpoint may have a free turn, None without one."""
-    waits = [view.full_until - now for view in views if view.load.cold_per_s is not None]
-    return max(0.0, min(waits)) if waits else None
+    """Return the mean wait for the next turns of the paced endpoints, None without one.
+
+    The first turn of all would bring all callers back for it: in the model of 40 cold endpoints it
+    gave half as many refusals again as the mean, and fewer served calls.
+    """
+    waits = [max(0.0, view.full_until - now) for view in views if view.load.cold_per_s is not None]
+    return sum(waits) / len(waits) if waits else None
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -650,6 +650,10 @@
                 body.callback(None)
 
         request = replace(make_request(), body=SlowBody())
+        # A call that is refused anyway moves no body.
+        hurried = setup.gate.serve(make_metadata(may_wait=False), request)
+        refused = await Deferred.fromCoroutine(hurried).asFuture(asyncio.get_running_loop())
+        assert refused.metadata.refusal is Refusal.FULL
         serving = Deferred.fromCoroutine(setup.gate.serve(make_metadata(), request))
         await asyncio.sleep(0.3)
         assert not setup.gate.queue.running
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -862,6 +862,60 @@
     return run_scenario(scenario)
 
 
+def make_cold_snapshot(*routes: Route) -> Snapshot:
+    service = Service(name="s", warmup_s=3.0, warmup_per_s=2.0)
+    return replace(make_snapshot(1, *routes), services=(service,))
+
+
+# Guards against entries that crowd a cold endpoint, and against callers that return too early.
+def test_calls_beyond_the_pace_of_a_cold_endpoint_are_refused_at_once() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_cold_snapshot(make_route("r", "s", timeout_ms=1000)))
+        owner = await fleet.add("n1")
+        entry = await fleet.add("n2", announce=False)
+        await fleet.wait_until_synced()
+        owner.node.gate.expect_cold()
+        replies = await asyncio.gather(
+            *(fleet.send_call("n2", request_id=f"q{number}") for number in range(12))
+        )
+        refused = [reply for reply in replies if reply.status == 503]
+        assert len(refused) >= 9 and len(owner.upstream.requests) <= 4
+        assert all(float(reply.headers["retry-after"]) >= 0.05 for reply in refused)
+        assert entry.node.directory.endpoints["i-n1"].load.cold_per_s == 2.0
+        owner.announce(sequence=2)
+        await asyncio.sleep(1.0)
+        statuses = [(await fleet.send_call("n2")).status for _ in range(8)]
+        assert statuses == [200] * 8
+
+    return run_scenario(scenario)
+
+
+def test_a_call_wasted_by_a_cold_service_holds_back_its_route() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            if request.headers.get("request-id") != "q0":
+                return make_response(request)
+            nested = await fleet.send_call("n1", "/t/x", request_id="q0.x", deadline_ms="50")
+            assert nested.status == 503
+            return make_response(request, "500 Internal Server Error")
+
+        fleet.respond = respond
+        routes = (make_route("r", "s", max_attempts=1), make_route("t", "s"))
+        fleet.source.put_config(make_cold_snapshot(*routes))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        host.node.gate.expect_cold()
+        # Its health check would end the warm-up that is only assumed here.
+        host.node.gate.warmup.pace.record_statement(3.0, fleet.now())
+        await asyncio.sleep(0.6)
+        assert (await fleet.send_call("n1", request_id="q0")).status == 500
+        limits = host.node.gate.queue.nested_limits
+        assert limits.estimate_wait("r", fleet.now(), ahead=1) > 0.0
+        assert limits.estimate_wait("t", fleet.now(), ahead=1) == 0.0
+
+    return run_scenario(scenario)
+
+
 def test_a_call_is_not_sent_to_an_owner_that_has_just_refused_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
