--- a/packages/mesh/src/corianderwall/mesh/evacuationsync.py
+++ b/packages/mesh/src/corianderwall/mesh/evacuationsync.py
@@ -17,13 +17,11 @@
 from corianderwall.mesh.leaders import list_standbys
 from corianderwall.mesh.messages import EvacuationNotice, EvacuationState, Refusal
 from corianderwall.mesh.peerlink import PeerLink
-from corianderwall.mesh.settings import HostSettings
+from corianderwall.mesh.settings import PLACES_SECTION, HostSettings
 from corianderwall.mesh.source import HistoryLostError, Position, Source, SourceError
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.node.logs import log_info, log_warning
 
-SECTION = "places"
-"""The section of the operator's terms under which zones are evacuated."""
 WATCH_TIMEOUT_S = 2.0
 """Timeout of one watch. A lost answer is noticed half a second later, which leaves half of the 5 s
 within which an evacuation has to be in force."""
@@ -81,7 +79,7 @@
         on_own_change: Callable[[bool], None],
     ) -> None:
         self.refused_calls = 0
-        self._active = SECTION in settings.sections
+        self._active = PLACES_SECTION in settings.sections
         self._zone = settings.zone
         self._source = source
         self._directory = directory
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -5,6 +5,10 @@
 
 from corianderwall.model.endpoint import Address
 
+PLACES_SECTION = "places"
+"""The section of the operator's terms under which zones are evacuated and cold endpoints are bound
+to a rate."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HeaderNames:
