Resolve the team of a call at the entry by its key

Cause: teams were in the configuration, but no call had one. Authorization and the team's header are stripped from what callers send once there are teams.

--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -8,12 +8,14 @@
 import msgspec
 
 from corianderwall.mesh.directory import Directory, Peer
+from corianderwall.mesh.freshness import DEFAULT_BOUND_S, ConfigurationFreshness
 from corianderwall.mesh.leaders import find_zone_leaders
 from corianderwall.mesh.messages import NodeRecord
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.routes import RouteTable
 from corianderwall.mesh.source import HistoryLostError, Position, Source, SourceError
 from corianderwall.mesh.tasks import Spawn
+from corianderwall.mesh.teams import NO_TEAMS, TeamTable
 from corianderwall.model.delta import Delta, apply_delta, compute_delta
 from corianderwall.model.errors import CorianderwallError
 from corianderwall.model.resource import EMPTY_SNAPSHOT, Snapshot
@@ -65,9 +67,11 @@
 class ConfigurationHolder:
     """Holds the active snapshot, which is replaced as a whole and only by a newer one."""
 
-    def __init__(self) -> None:
+    def __init__(self, apply_s: float = DEFAULT_BOUND_S) -> None:
         self.snapshot: Snapshot = EMPTY_SNAPSHOT
+        self.freshness = ConfigurationFreshness(apply_s)
         self.table: RouteTable | None = None
+        self.teams: TeamTable = NO_TEAMS
         self.former_snapshots: dict[int, Snapshot] = {}
         self.listeners: list[Callable[[Snapshot], None]] = []
 
@@ -82,6 +86,7 @@
             while len(self.former_snapshots) > MAX_FORMER_SNAPSHOTS:
                 del self.former_snapshots[min(self.former_snapshots)]
         self.snapshot, self.table = snapshot, table
+        self.teams = TeamTable.compile(snapshot, self.teams)
         log_info(
             "configuration activated",
             version_former=former.version,
@@ -248,10 +253,19 @@
         self._set_source_ok(True, "")
 
     async def _read_changes(self, position: Position | None) -> Position:
+        loop = asyncio.get_running_loop()
+        freshness = self._holder.freshness
+        # The store has responded at this instant or later.
+        confirmed_at = loop.time()
         if position is None:
             reading = await self._source.read_config()
         else:
-            reading = await self._source.watch_config(position, WATCH_TIMEOUT_S)
+            wait_s = WATCH_TIMEOUT_S
+            if self._holder.teams.is_active:
+                wait_s = freshness.limit_watch(wait_s, confirmed_at)
+            reading = await self._source.watch_config(position, wait_s)
+            if not reading.items and loop.time() - confirmed_at >= wait_s:
+                confirmed_at += wait_s
         for snapshot in reading.items:
             if self._holder.apply(snapshot, "platform"):
                 self._forward(None)
@@ -263,9 +277,11 @@
                     era=reading.position.era,
                 )
         if self._era is not None and reading.position.era > self._era:
+            freshness.distrust_store(loop.time())
             for listener in self.era_listeners:
                 listener()
         self._era = reading.position.era
+        freshness.confirm(confirmed_at, loop.time())
         return reading.position
 
     def _forward(self, from_zone: str | None) -> None:
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -8,6 +8,13 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from corianderwall.httpflow.call import IncomingCall
+from corianderwall.mesh.authentication import (
+    ANONYMOUS,
+    DENIAL_STATUSES,
+    Authenticator,
+    Denial,
+    Identity,
+)
 from corianderwall.mesh.body import BodyFailure, BodyReader
 from corianderwall.mesh.bodymemory import BodyMemory
 from corianderwall.mesh.callertimeouts import CallerTimeouts
@@ -32,7 +39,8 @@
 from corianderwall.mesh.sizes import ResponseSizes
 from corianderwall.mesh.splits import WeightedSplit
 from corianderwall.mesh.tasks import run_call
-from corianderwall.model.resource import Route
+from corianderwall.mesh.teams import identify_caller
+from corianderwall.model.resource import Route, Team
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
 from corianderwall.traffic.suspects import Suspects, choose_for_trial
@@ -64,6 +72,8 @@
     `version` is the version of the endpoint whose owner was asked last, empty before that.
     `try_new` allows the new version of a running move; it is None until it is decided.
 
+    `identity` holds the team whose key the caller has sent; a nested call has none of its own.
+
     A nested call has no latency objective before its deadline: refusing it would fail the running
     call that made it.
     """
@@ -88,6 +98,20 @@
     fingerprint: str = ""
     quarantined: bool = False
     try_new: bool | None = None
+    identity: Identity = ANONYMOUS
+    key_withdrawn: bool = False
+
+    @property
+    def team(self) -> Team | None:
+        """Return the team whose key the caller has sent, None without one."""
+        return self.identity.team
+
+    @property
+    def team_name(self) -> str:
+        """Return the team for which the call is made, also through its parent; may be empty."""
+        if self.parent is not None:
+            return self.parent.team
+        return self.team.name if self.team is not None else ""
 
     @property
     def nested(self) -> bool:
@@ -132,6 +156,11 @@
         self._random = random
         self._loop = asyncio.get_running_loop()
         self._splits = WeightedSplit(random)
+        self.authenticator = Authenticator(
+            headers,
+            lambda: configuration.teams,
+            lambda: configuration.freshness.is_fresh(self._loop.time()),
+        )
         bounds = settings.bounds
         self._budget = RetryBudget(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
@@ -162,12 +191,16 @@
         route = self._find_route(call, request_id)
         if route is None:
             return
+        identity = self._authenticate(call, request_id, route)
+        if identity is None:
+            return
         limit = self._configuration.snapshot.limits.max_body_bytes
         body = BodyReader(call, limit, self._body_memory)
         if not body.admit():
             self._refuse_body(call, request_id, body)
             return
         state = self._make_state(call, request_id, route, began)
+        state.identity = identity
         self._metrics.running += 1
         pending = Deferred.fromCoroutine(self._read_and_send(state, body))
         timer = self._loop.call_at(state.deadline, pending.cancel)
@@ -198,6 +231,18 @@
             self._refuse_early(call, request_id, 404, "no route")
         return route
 
+    def _authenticate(self, call: IncomingCall, request_id: bytes, route: Route) -> Identity | None:
+        """Return who makes `call`, or refuse it and return None."""
+        if not self.authenticator.is_active:
+            return ANONYMOUS
+        nested = self._find_parent(request_id) is not None
+        result = self.authenticator.check(call.headers, public=route.public, nested=nested)
+        self.authenticator.count(result)
+        if isinstance(result, Denial):
+            self._refuse_early(call, request_id, DENIAL_STATUSES[result], result.value)
+            return None
+        return result
+
     def _make_state(
         self, call: IncomingCall, request_id: bytes, route: Route, began: float
     ) -> _CallState:
@@ -248,6 +293,9 @@
                 if self._find_release(state) is not None:
                     state.quarantined = True
                     return state.failure
+                if self.authenticator.is_withdrawn(state.identity.key_id):
+                    state.key_withdrawn = True
+                    return state.failure
                 view = self._choose(state, excluded, round_)
                 if view is None:
                     break
@@ -256,6 +304,9 @@
                 if reply.metadata.refusal is Refusal.QUARANTINED:
                     state.quarantined = True
                     return state.failure
+                if reply.metadata.refusal is Refusal.KEY_WITHDRAWN:
+                    state.key_withdrawn = True
+                    return state.failure
                 if self._is_final(state, reply):
                     return reply
         return state.failure
@@ -268,7 +319,7 @@
 
     def _find_fingerprint(self, state: _CallState) -> str:
         if not state.fingerprint:
-            caller = self._settings.service
+            caller = identify_caller(self._settings.service, state.team_name)
             state.fingerprint = state.request.compute_fingerprint(caller, state.body)
         return state.fingerprint
 
@@ -337,6 +388,8 @@
             route=route.name,
             over_link=record.node != self._settings.name,
             limit_per_s=view.limit_per_s,
+            team=state.team_name,
+            key_id=state.identity.key_id,
         )
         owner: Owner = self._local_owner
         if metadata.over_link:
@@ -417,6 +470,8 @@
     def _respond(self, call: IncomingCall, state: _CallState, reply: OwnerResponse | None) -> None:
         if reply is None and state.quarantined:
             self._respond_quarantined(call, state)
+        elif reply is None and state.key_withdrawn:
+            self._respond_error(call, state, 401, Denial.WITHDRAWN_KEY.value)
         elif reply is None or reply.metadata.ran is False:
             waits = state.refused_wait_ms
             self._respond_error(
@@ -528,4 +583,5 @@
     def _strip_headers(self, call: IncomingCall) -> list[tuple[bytes, bytes]]:
         names = self._headers
         own = {names.deadline_ms, names.expected_instance, names.caller}
-        return [header for header in strip_own_headers(call.headers) if header[0] not in own]
+        headers = [header for header in strip_own_headers(call.headers) if header[0] not in own]
+        return self.authenticator.strip(headers)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -58,11 +58,15 @@
     """A call that runs at the endpoint; `is_retry` is set if it counts as a retry.
 
     `nested_failed` is set once a nested call of it has failed: its own failure then says nothing
-    about the endpoint or its version.
+    about the endpoint or its version. Nested calls of a call with a team take over the team, its
+    priority and the `priority` of the route; without one these are empty.
     """
 
     is_retry: bool
     nested_failed: bool = False
+    team: str = ""
+    team_priority: int = 0
+    priority: int = 0
 
 
 class EndpointGate:
@@ -156,7 +160,12 @@
             return self._refuse(request, refusal, queued)
         exchange: Exchange | None = None
         body: bytes | None = None
-        running = self._running[request.request_id] = RunningCall(metadata.is_retry)
+        running = self._running[request.request_id] = RunningCall(
+            metadata.is_retry,
+            team=metadata.team,
+            team_priority=metadata.team_priority,
+            priority=metadata.priority if metadata.team else 0,
+        )
         sent_at = queued.started
         try:
             body = await self._receive_body(request, deadline)
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -105,7 +105,8 @@
     endpoint before, or that a retried call makes. `over_link` is set if the response has to leave
     the owner's host. `limit_per_s` is the endpoint's limit as the entry knows it, for an owner that
     has just started. `team` is the team whose key the caller has sent, empty without one, and
-    `team_priority` its priority.
+    `team_priority` its priority; a nested call has those of its parent. `key_id` is the beginning
+    of the digest of that key, empty for a nested call.
     """
 
     endpoint: str
@@ -122,6 +123,7 @@
     limit_per_s: float | None = None
     team: str = ""
     team_priority: int = 0
+    key_id: str = ""
 
 
 class Refusal(enum.StrEnum):
@@ -136,6 +138,7 @@
     BODY_LOST = "body lost"
     NO_MEMORY = "no memory"
     QUARANTINED = "quarantined"
+    KEY_WITHDRAWN = "key withdrawn"
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -114,7 +114,7 @@
         )
         self.metrics = CallMetrics()
         self.directory = Directory(own)
-        self.holder = ConfigurationHolder()
+        self.holder = ConfigurationHolder(settings.bounds.config_apply_s)
         self.moves = MoveTracker(settings.bounds.canary_share, random)
         self.uplink = Uplink(settings.link_bytes_per_s)
         self.suspects = Suspects()
