Check keys by the newest configuration, and rank calls by their team

Cause: a host behind would have denied new keys, withdrawn keys worked on for calls that waited, and the owner knew nothing of teams. Change: confirmations of the version are counted (mesh/freshness.py), carried in heartbeats, and asked of the leaders when a denial depends on it (mesh/confirmation.py). Owners set the team's header, refuse waiting calls whose key was withdrawn, rank by the team's priority before the route's, and count the team as the caller in fingerprints.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -36,15 +36,23 @@
 
     A response after `due` misses the latency objective, and one after `deadline` is useless.
     `sending_s` is how long a big response will occupy the host's link, 0 for a small response.
+    `team` is empty for a call without one.
     """
 
     route: str
-    rank: int
+    rank: float
     due: float
     deadline: float
     sending_s: float = 0.0
     sequence: int = 0
     started: float = 0.0
+    team: str = ""
+    nested: bool = False
+
+    @property
+    def is_new(self) -> bool:
+        """Return whether no running call depends on this one; rank 0 is for nested calls only."""
+        return self.rank > 0 and not self.nested
 
 
 @dataclass(slots=True)
@@ -84,7 +92,7 @@
         if not may_wait:
             return Admission.FULL
         if not self._may_wait(call, now):
-            if call.rank > 0 and self._is_timely(call, now):
+            if call.is_new and self._is_timely(call, now):
                 self._overloaded_until = now + OVERLOAD_MEMORY_S
             return Admission.LATE
         self._last_sequence += 1
@@ -137,7 +145,7 @@
         """Return the expected time of a call on `route` at the endpoint, in seconds."""
         return self.route_means_s.get(route) or self.mean_s or DEFAULT_CALL_S
 
-    def estimate_wait(self, now: float, rank: int) -> float:
+    def estimate_wait(self, now: float, rank: float) -> float:
         """Return the seconds until a new call of `rank` would get a slot."""
         if len(self.running) < self.slots and not self.waiting:
             return 0.0
@@ -171,7 +179,7 @@
         )
 
     def _may_wait(self, call: QueuedCall, now: float) -> bool:
-        if call.rank > 0 and now < self._overloaded_until and not self._is_timely(call, now):
+        if call.is_new and now < self._overloaded_until and not self._is_timely(call, now):
             return False
         start = now + self.estimate_start(call, now)
         if self._is_timely(call, start):
@@ -197,8 +205,8 @@
         expected_s = self.estimate_call(call.route) + call.sending_s
         return start + TIMELY_MARGIN * expected_s <= call.due
 
-    def _make_sort_key(self, call: QueuedCall, now: float) -> tuple[bool, int, float, int]:
-        late = call.rank > 0 and not self._is_timely(call, now)
+    def _make_sort_key(self, call: QueuedCall, now: float) -> tuple[bool, float, float, int]:
+        late = call.is_new and not self._is_timely(call, now)
         return late, call.rank, call.due, call.sequence
 
     def _start(self, call: QueuedCall, now: float) -> None:
--- a/packages/mesh/src/corianderwall/mesh/authentication.py
+++ b/packages/mesh/src/corianderwall/mesh/authentication.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from twisted.internet.defer import Deferred, succeed
+
 from corianderwall.httpflow.flow import Headers
 from corianderwall.mesh.settings import HeaderNames
 from corianderwall.mesh.teams import TeamTable, make_key_id
@@ -53,6 +55,7 @@
         self._headers = headers
         self._read_teams = read_teams
         self._is_fresh = is_fresh
+        self.request_confirmation: Callable[[], Deferred[None]] = lambda: succeed(None)
         self.counts: dict[str, int] = {}
 
     @property
@@ -60,6 +63,17 @@
         """Return whether callers need keys."""
         return self._read_teams().is_active
 
+    async def authenticate(
+        self, headers: Headers, *, public: bool, nested: bool
+    ) -> Identity | Denial:
+        """Check a call, and ask leaders first if its denial depends on the newest version."""
+        result = self.check(headers, public=public, nested=nested)
+        if result is Denial.MAYBE_BEHIND:
+            await self.request_confirmation()
+            result = self.check(headers, public=public, nested=nested)
+        self._count(result)
+        return result
+
     def check(self, headers: Headers, *, public: bool, nested: bool) -> Identity | Denial:
         """Return who makes a call, or why it is not admitted.
 
@@ -76,8 +90,7 @@
                 return Denial.MAYBE_BEHIND
         return result
 
-    def count(self, result: Identity | Denial) -> None:
-        """Count the final result of a check for the metrics."""
+    def _count(self, result: Identity | Denial) -> None:
         name = "admitted"
         if isinstance(result, Denial):
             name = result.value
@@ -91,7 +104,7 @@
 
     def strip(self, headers: Headers) -> Headers:
         """Return the headers of a caller without its key and without a forged team."""
-        return strip_credentials(headers, self._headers) if self.is_active else headers
+        return replace_credentials(headers, self._headers) if self.is_active else headers
 
     def _resolve(self, headers: Headers) -> Identity | Denial:
         digest = _find_digest(headers, self._headers.authorization)
@@ -106,10 +119,11 @@
         return Denial.UNKNOWN_KEY
 
 
-def strip_credentials(headers: Headers, names: HeaderNames) -> Headers:
-    """Return `headers` without the key and the team."""
+def replace_credentials(headers: Headers, names: HeaderNames, team: str = "") -> Headers:
+    """Return `headers` without a key, and with `team` in place of any other team."""
     own = (names.authorization, names.team)
-    return [header for header in headers if header[0] not in own]
+    kept = [header for header in headers if header[0] not in own]
+    return [*kept, (names.team, team.encode())] if team else kept
 
 
 def _find_digest(headers: Headers, name: bytes) -> str | None:
--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -23,6 +23,9 @@
 """Weight of the newest response in the mean; a congested link shows after a few responses."""
 OVERHEAD_EXPIRY_S = 8.0
 """Age at which a measured overhead no longer counts, so that the link is tried again."""
+MAX_LATE_CLASSES = 64
+"""Classes of calls above which those that are no longer late are removed from an endpoint's view;
+there is one for each route and team."""
 GONE_RETENTION_S = 60.0
 """Time for which the record of a gone endpoint is kept; longer than any message is delayed."""
 
@@ -65,7 +68,7 @@
     `limit_per_s` is the rate that it last named, also if its owner has restarted since.
 
     Its owner has recently refused calls: until `full_until` it is assumed to have no free slot,
-    and until the time in `late_until` to be too slow for the deadlines of that route's calls.
+    and until the time in `late_until` to be too slow for the deadlines of that class of calls.
     """
 
     record: EndpointRecord
@@ -81,6 +84,12 @@
     small_overhead: NetworkOverhead = field(default_factory=NetworkOverhead)
     big_overhead: NetworkOverhead = field(default_factory=NetworkOverhead)
 
+    def mark_late(self, wait_class: str, until: float, now: float) -> None:
+        """Record that the owner is too slow for a class of calls, and remove old entries."""
+        if len(self.late_until) >= MAX_LATE_CLASSES:
+            self.late_until = {key: at for key, at in self.late_until.items() if at > now}
+        self.late_until[wait_class] = until
+
 
 class Directory:
     """Merges records by their own order, so that lost, repeated or late messages do no harm."""
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -25,6 +25,7 @@
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse, ReceivedBody
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
+from corianderwall.mesh.ranks import Standing
 from corianderwall.mesh.retryafter import DEFAULT_RETRY_AFTER_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
 from corianderwall.mesh.selection import (
@@ -39,7 +40,7 @@
 from corianderwall.mesh.sizes import ResponseSizes
 from corianderwall.mesh.splits import WeightedSplit
 from corianderwall.mesh.tasks import run_call
-from corianderwall.mesh.teams import identify_caller
+from corianderwall.mesh.teams import identify_caller, make_wait_class
 from corianderwall.model.resource import Route, Team
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
@@ -107,11 +108,13 @@
         return self.identity.team
 
     @property
-    def team_name(self) -> str:
-        """Return the team for which the call is made, also through its parent; may be empty."""
-        if self.parent is not None:
-            return self.parent.team
-        return self.team.name if self.team is not None else ""
+    def standing(self) -> Standing:
+        """Return for whom the call is made, which is its parent's team for a nested one."""
+        if self.parent is not None and self.parent.standing is not None:
+            return self.parent.standing
+        if self.team is None:
+            return Standing(priority=self.route.priority)
+        return Standing(self.team.name, self.team.priority, self.route.priority)
 
     @property
     def nested(self) -> bool:
@@ -191,7 +194,7 @@
         route = self._find_route(call, request_id)
         if route is None:
             return
-        identity = self._authenticate(call, request_id, route)
+        identity = await self._authenticate(call, request_id, route)
         if identity is None:
             return
         limit = self._configuration.snapshot.limits.max_body_bytes
@@ -231,13 +234,16 @@
             self._refuse_early(call, request_id, 404, "no route")
         return route
 
-    def _authenticate(self, call: IncomingCall, request_id: bytes, route: Route) -> Identity | None:
+    async def _authenticate(
+        self, call: IncomingCall, request_id: bytes, route: Route
+    ) -> Identity | None:
         """Return who makes `call`, or refuse it and return None."""
         if not self.authenticator.is_active:
             return ANONYMOUS
         nested = self._find_parent(request_id) is not None
-        result = self.authenticator.check(call.headers, public=route.public, nested=nested)
-        self.authenticator.count(result)
+        result = await self.authenticator.authenticate(
+            call.headers, public=route.public, nested=nested
+        )
         if isinstance(result, Denial):
             self._refuse_early(call, request_id, DENIAL_STATUSES[result], result.value)
             return None
@@ -319,7 +325,7 @@
 
     def _find_fingerprint(self, state: _CallState) -> str:
         if not state.fingerprint:
-            caller = identify_caller(self._settings.service, state.team_name)
+            caller = identify_caller(self._settings.service, state.standing.team)
             state.fingerprint = state.request.compute_fingerprint(caller, state.body)
         return state.fingerprint
 
@@ -343,7 +349,7 @@
         views = self._moves.filter_endpoints(state.service, views, now, try_new=state.try_new)
         traits = self._make_traits(state)
         # Nested calls ignore earlier refusals, because a running call depends on them.
-        route = "" if state.nested else state.route.name
+        route = "" if state.nested else make_wait_class(state.route.name, state.standing.team)
         views = list_candidates(views, traits, round_, route, now)
         return choose_endpoint(views, traits, excluded, now, self._random)
 
@@ -374,12 +380,13 @@
         record = view.record
         state.version = record.version
         route = state.route
+        standing = state.standing
         now = self._loop.time()
         metadata = CallMetadata(
             endpoint=record.id,
             left_ms=round((state.deadline - now) * 1000, 1),
             due_ms=round((state.due - now) * 1000, 1),
-            priority=route.priority,
+            priority=standing.priority,
             caller=self._settings.service,
             nested=state.nested,
             is_retry=state.is_retry or state.attempts > 0,
@@ -388,7 +395,8 @@
             route=route.name,
             over_link=record.node != self._settings.name,
             limit_per_s=view.limit_per_s,
-            team=state.team_name,
+            team=standing.team,
+            team_priority=standing.team_priority,
             key_id=state.identity.key_id,
         )
         owner: Owner = self._local_owner
@@ -432,7 +440,8 @@
             view.full_until = now + avoid_s
         elif metadata.refusal is Refusal.LATE:
             state.refused_wait_ms.append(metadata.wait_ms)
-            view.late_until[state.route.name] = now + AVOID_WHEN_LATE_S
+            wait_class = make_wait_class(state.route.name, state.standing.team)
+            view.mark_late(wait_class, now + AVOID_WHEN_LATE_S, now)
         else:
             state.unusable.add(view.record.id)
             state.attempts += metadata.reached
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -11,6 +11,7 @@
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
+from corianderwall.mesh.authentication import replace_credentials
 from corianderwall.mesh.endpoint import EndpointTracker
 from corianderwall.mesh.exchange import Exchange, Response, run_exchange
 from corianderwall.mesh.messages import (
@@ -22,8 +23,10 @@
     ResponseMetadata,
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
+from corianderwall.mesh.ranks import Standing, compute_rank
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
+from corianderwall.mesh.teams import NO_TEAMS, TeamTable, identify_caller
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.errors import ErrorCode
 from corianderwall.node.crashdetector import CrashDetector, LostCall
@@ -58,15 +61,13 @@
     """A call that runs at the endpoint; `is_retry` is set if it counts as a retry.
 
     `nested_failed` is set once a nested call of it has failed: its own failure then says nothing
-    about the endpoint or its version. Nested calls of a call with a team take over the team, its
-    priority and the `priority` of the route; without one these are empty.
+    about the endpoint or its version. Nested calls take over its `standing`, which is set if it
+    has a team.
     """
 
     is_retry: bool
     nested_failed: bool = False
-    team: str = ""
-    team_priority: int = 0
-    priority: int = 0
+    standing: Standing | None = None
 
 
 class EndpointGate:
@@ -86,6 +87,7 @@
         suspects: Suspects,
         on_suspects: Callable[[tuple[SuspectRecord, ...]], None],
         find_record: Callable[[str], EndpointRecord | None] = lambda _: None,
+        read_teams: Callable[[], TeamTable] = lambda: NO_TEAMS,
     ) -> None:
         self.endpoint = EndpointTracker(
             settings, self._handle_start, self._handle_change, find_record
@@ -102,6 +104,7 @@
         self._uplink = uplink
         self._suspects = suspects
         self._on_suspects = on_suspects
+        self._read_teams = read_teams
         self._loop = asyncio.get_running_loop()
         self._pool = self._make_pool()
         self._crashes = CrashDetector(settings.endpoint, self._may_connect, self._handle_crash)
@@ -142,15 +145,23 @@
         """Run a call at the endpoint or refuse it."""
         now = self._loop.time()
         deadline = now + metadata.left_ms / 1000
-        refusal = self._find_refusal(metadata.endpoint)
+        refusal = self._find_refusal(metadata)
         if refusal is not None:
             return self._refuse(request, refusal)
         if not self._has_responded and metadata.limit_per_s is not None:
             self._set_limit(metadata.limit_per_s, "an entry")
-        rank = 0 if metadata.nested else 1 + metadata.priority
+        rank = compute_rank(metadata)
         sending_s = self._uplink.estimate_sending_s(metadata.route) if metadata.over_link else 0.0
         due = now + metadata.due_ms / 1000
-        queued = QueuedCall(metadata.route, rank, due, deadline, sending_s)
+        queued = QueuedCall(
+            metadata.route,
+            rank,
+            due,
+            deadline,
+            sending_s,
+            team=metadata.team,
+            nested=metadata.nested,
+        )
         try:
             refusal = await self._admit(queued, metadata)
         except CancelledError:
@@ -161,17 +172,15 @@
         exchange: Exchange | None = None
         body: bytes | None = None
         running = self._running[request.request_id] = RunningCall(
-            metadata.is_retry,
-            team=metadata.team,
-            team_priority=metadata.team_priority,
-            priority=metadata.priority if metadata.team else 0,
+            metadata.is_retry, standing=_find_standing(metadata)
         )
         sent_at = queued.started
         try:
             body = await self._receive_body(request, deadline)
             sent_at = self._loop.time()
-            # The endpoint may have begun to leave while the body was on its way.
-            refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata.endpoint)
+            # The endpoint may have begun to leave, or the key may have been withdrawn, while the
+            # call waited or its body was on its way.
+            refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata)
             if body is not None and refusal is None:
                 refusal = self._check_suspect(metadata, request, body)
             if body is not None and refusal is None:
@@ -240,15 +249,17 @@
             self._refuse_waiting(Refusal.DOWN)
         self._on_change(record)
 
-    def _find_refusal(self, endpoint: str) -> Refusal | None:
+    def _find_refusal(self, metadata: CallMetadata) -> Refusal | None:
         record = self.record
         if self.closing:
             return Refusal.LEAVING
         if not self.synced:
             # An earlier process of this node may have acknowledged that the endpoint is leaving.
             return Refusal.UNKNOWN
-        if record is None or record.id != endpoint:
+        if record is None or record.id != metadata.endpoint:
             return Refusal.UNKNOWN
+        if self._read_teams().is_withdrawn(metadata.key_id):
+            return Refusal.KEY_WITHDRAWN
         if record.state is EndpointState.DOWN:
             return Refusal.DOWN
         if record.state is not EndpointState.READY:
@@ -319,7 +330,7 @@
         if self._suspects.is_empty:
             return None
         now = self._loop.time()
-        fingerprint = request.compute_fingerprint(metadata.caller, body)
+        fingerprint = _compute_fingerprint(metadata, request, body)
         if self._suspects.find_release(fingerprint, now) is not None:
             return Refusal.QUARANTINED
         if self._suspects.needs_trial(fingerprint):
@@ -340,7 +351,7 @@
         not_run = response.find_header(self._headers.not_run) is not None
         if self._suspects.is_empty or not_run or response.status == MISDIRECTED:
             return
-        fingerprint = request.compute_fingerprint(metadata.caller, body)
+        fingerprint = _compute_fingerprint(metadata, request, body)
         changed = self._suspects.record_response(fingerprint, self._loop.time())
         if changed:
             self._on_suspects(changed)
@@ -355,9 +366,14 @@
         self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, deadline: float
     ) -> Exchange:
         names = self._headers
+        received = request.headers
+        if metadata.team or self._read_teams().is_active:
+            # An entry that is behind the configuration passes on what its caller has sent.
+            team = "" if metadata.nested else metadata.team
+            received = replace_credentials(received, names, team)
         left_ms = max(1, int((deadline - self._loop.time()) * 1000))
         headers = [
-            *request.headers,
+            *received,
             (names.deadline_ms, b"%d" % left_ms),
             (names.expected_instance, metadata.endpoint.encode()),
             (names.caller, metadata.caller.encode()),
@@ -436,7 +452,7 @@
         self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, exchange: Exchange
     ) -> OwnerResponse:
         error = exchange.error.value if exchange.error is not None else ""
-        fingerprint = request.compute_fingerprint(metadata.caller, body)
+        fingerprint = _compute_fingerprint(metadata, request, body)
         self._log(
             "no complete response from the endpoint",
             request=request.request_id.decode(),
@@ -528,3 +544,13 @@
             ran=False, load=load, refusal=refusal, wait_ms=round(wait_ms, 1), reached=reached
         )
         return OwnerResponse(metadata)
+
+
+def _find_standing(metadata: CallMetadata) -> Standing | None:
+    if not metadata.team:
+        return None
+    return Standing(metadata.team, metadata.team_priority, metadata.priority)
+
+
+def _compute_fingerprint(metadata: CallMetadata, request: ForwardedRequest, body: bytes) -> str:
+    return request.compute_fingerprint(identify_caller(metadata.caller, metadata.team), body)
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -169,7 +169,7 @@
         # All peers must get this node's record, but a few of them are enough to get theirs.
         peers = list(self._directory.peers.values())
         for peer in self._random.sample(peers, min(JOIN_HEARTBEATS, len(peers))):
-            self._spawn(self._send_heartbeat(peer))
+            self._spawn(self.send_heartbeat(peer))
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -182,7 +182,7 @@
             for peer in self._directory.list_due_retries(now):
                 # Don't send a second heartbeat to this peer before the first one has a result.
                 peer.retry_at = now + HEARTBEAT_INTERVAL_S
-                self._spawn(self._send_heartbeat(peer))
+                self._spawn(self.send_heartbeat(peer))
             if now < next_heartbeat:
                 continue
             next_heartbeat = now + HEARTBEAT_INTERVAL_S * (0.9 + 0.2 * self._random.random())
@@ -191,7 +191,7 @@
             self._link.close_unused()
             partner = self._choose_peer()
             if partner is not None:
-                self._spawn(self._send_heartbeat(partner))
+                self._spawn(self.send_heartbeat(partner))
 
     def _choose_peer(self) -> Peer | None:
         zone = self._directory.own.zone
@@ -279,7 +279,7 @@
     def broadcast_heartbeat(self) -> None:
         """Send a heartbeat to all live peers, since its content decides which nodes are leaders."""
         for peer in list(self._directory.list_live()):
-            self._spawn(self._send_heartbeat(peer))
+            self._spawn(self.send_heartbeat(peer))
 
     def handle_heartbeat(self, body: bytes) -> bytes | None:
         """Handle a peer's heartbeat and return one of this node."""
@@ -323,20 +323,31 @@
             self._gate.synced = True
 
     async def _send_tables(self, node: NodeRecord, body: bytes) -> None:
+        asked_at = self._loop.time()
         reply = await self._link.post(node, TABLES_KIND, body)
         if reply:
             self._confirmation_count += 1
-            self._process_heartbeat(_heartbeat_decoder.decode(reply))
+            heartbeat = _heartbeat_decoder.decode(reply)
+            self._merge_confirmation(heartbeat, asked_at)
+            self._process_heartbeat(heartbeat)
 
-    async def _send_heartbeat(self, peer: Peer) -> None:
+    async def send_heartbeat(self, peer: Peer) -> None:
+        """Exchange heartbeats with `peer`."""
+        asked_at = self._loop.time()
         reply = await self._link.post(
             peer.record, HEARTBEAT_KIND, msgspec.msgpack.encode(self._make_heartbeat())
         )
         if reply:
             heartbeat = _heartbeat_decoder.decode(reply)
+            self._merge_confirmation(heartbeat, asked_at)
             self._process_heartbeat(heartbeat)
             self._send_differences(heartbeat)
 
+    def _merge_confirmation(self, heartbeat: Heartbeat, asked_at: float) -> None:
+        """Take over a confirmation in a reply; other heartbeats may have been read late."""
+        if heartbeat.config_version <= self._holder.snapshot.version:
+            self._holder.freshness.merge(heartbeat.confirmed_age_ms, asked_at)
+
     def _process_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self._loop.time()
         self._directory.apply_heartbeat(heartbeat, now)
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -229,6 +229,8 @@
 
     `moves` holds all orders that the sender knows, so that a restarted node gets them from its
     peers. `synced` is false while a node that has just started lacks the records of its peers.
+    `confirmed_age_ms` is how long ago the sender's version was certainly the newest, None if it
+    does not know or if there are no teams.
     """
 
     node: NodeRecord
@@ -240,6 +242,7 @@
     moves: tuple[MoveView, ...] = ()
     synced: bool = True
     suspects_digest: str = ""
+    confirmed_age_ms: float | None = None
 
 
 class MoveNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -22,6 +22,7 @@
     ConfigurationHolder,
     ConfigurationSync,
 )
+from corianderwall.mesh.confirmation import ConfigurationConfirmation
 from corianderwall.mesh.directory import Directory, list_node_endpoints
 from corianderwall.mesh.entry import Entry
 from corianderwall.mesh.exchange import await_exchange
@@ -131,6 +132,7 @@
             self.suspects,
             self._share_suspects,
             self._find_own_record,
+            lambda: self.holder.teams,
         )
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
@@ -168,6 +170,15 @@
             self.body_memory,
             random,
         )
+        confirmation = ConfigurationConfirmation(
+            self.holder,
+            self.directory,
+            lambda: self.sync.source_ok,
+            self.gossip.send_heartbeat,
+            self.spawn,
+            random,
+        )
+        self.entry.authenticator.request_confirmation = confirmation.request
         handlers = {
             HEARTBEAT_KIND: self.gossip.handle_heartbeat,
             TABLES_KIND: self.gossip.handle_tables,
@@ -265,6 +276,11 @@
             moves=self.moves.list_views(self._loop.time()),
             synced=self.gate.synced,
             suspects_digest=self.suspects.compute_digest(),
+            confirmed_age_ms=(
+                self.holder.freshness.compute_age_ms(self._loop.time())
+                if self.holder.teams.is_active
+                else None
+            ),
         )
 
     def _make_limits(self) -> ServerLimits:
--- a/packages/mesh/src/corianderwall/mesh/teams.py
+++ b/packages/mesh/src/corianderwall/mesh/teams.py
@@ -62,3 +62,11 @@
 def identify_caller(service: str, team: str) -> str:
     """Return the caller that fingerprints count: the team, or the service of a call without one."""
     return TEAM_CALLER_PREFIX + team if team else service
+
+
+def make_wait_class(route: str, team: str) -> str:
+    """Return which calls share the experience that an owner is too slow for them.
+
+    Owners refuse calls of a team that uses much, while calls of other teams still get their turn.
+    """
+    return f"{route}\n{team}" if team else route
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -4,6 +4,7 @@
 import os
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
+from hashlib import sha256
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -15,6 +16,7 @@
 
 from corianderwall.mesh import entry as entry_module
 from corianderwall.mesh import movecontroller
+from corianderwall.mesh.admission import QueuedCall
 from corianderwall.mesh.endpoint import Announcement
 from corianderwall.mesh.gossip import RETRY_CHECK_INTERVAL_S
 from corianderwall.mesh.leaders import list_leaders
@@ -32,6 +34,7 @@
     Service,
     ServiceWeight,
     Snapshot,
+    Team,
 )
 from corianderwall.standins.node_file import find_free_addresses
 from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream, make_response
@@ -288,6 +291,213 @@
     return run_scenario(scenario)
 
 
+def make_team_snapshot(version: int, *keys: str, **fields: object) -> Snapshot:
+    digests = tuple(sha256(key.encode()).hexdigest() for key in keys)
+    routes = (make_route("r", "s", **fields), make_route("p", "s", public=True))
+    return replace(make_snapshot(version, *routes), teams=(Team(name="t", key_digests=digests),))
+
+
+def test_endpoints_get_the_team_of_a_key_and_neither_the_key_nor_a_forged_team() -> Deferred[None]:
+    """Guards against a key that reaches an endpoint or a peer, and a caller that names its team."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_team_snapshot(1, "k1"))
+        await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        forged = {"team": "forged"}
+        assert (await fleet.send_call("n2", authorization="Bearer k1", **forged)).status == 200
+        assert (await fleet.send_call("n2", "/p/x", **forged)).status == 200
+        assert (await fleet.send_call("n2", "/p/x", authorization="Bearer k9")).status == 200
+        denied = [await fleet.send_call("n2", authorization="Bearer k9")]
+        denied.append(await fleet.send_call("n2", **forged))
+        assert [reply.status for reply in denied] == [401, 401]
+        seen = [request.headers for request in fleet.hosts["n1"].upstream.requests]
+        assert [headers.get("team") for headers in seen] == ["t", None, None]
+        assert not any("authorization" in headers for headers in seen)
+
+    return run_scenario(scenario)
+
+
+def test_credentials_reach_the_endpoint_unchanged_without_teams() -> Deferred[None]:
+    """Guards against an earlier deployment whose endpoints check credentials themselves."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        await fleet.add("n1")
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n1", authorization="Basic x", team="mine")).status == 200
+        (seen,) = fleet.hosts["n1"].upstream.requests
+        assert (seen.headers["authorization"], seen.headers["team"]) == ("Basic x", "mine")
+
+    return run_scenario(scenario)
+
+
+def test_a_nested_call_needs_no_key_and_has_the_rank_of_its_parent() -> Deferred[None]:
+    """Guards against endpoints whose own calls are denied, or named after their caller's team."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            if request.headers["request-id"] == "q1":
+                nested = await fleet.send_call("n1", request_id="q1.a", team="forged")
+                assert nested.status == 200
+            else:
+                running.extend(fleet.hosts["n1"].node.gate.queue.running)
+            return make_response(request)
+
+        running: list[QueuedCall] = []
+        fleet.respond = respond
+        snapshot = make_team_snapshot(1, "k1")
+        team = replace(snapshot.teams[0], priority=2)
+        fleet.source.put_config(replace(snapshot, teams=(team,)))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n1", authorization="Bearer k1")).status == 200
+        assert (await fleet.send_call("n1", request_id="q0.a")).status == 401
+        assert [request.headers.get("team") for request in host.upstream.requests] == ["t", None]
+        nested, parent = sorted(running, key=lambda call: call.rank)
+        assert 2 < nested.rank < parent.rank == 3
+        assert [nested.team, parent.team] == ["t", "t"]
+
+    return run_scenario(scenario)
+
+
+def test_a_withdrawn_key_ends_on_open_connections_and_in_queues() -> Deferred[None]:
+    """Guards against calls that arrive with a withdrawn key because they were admitted before."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            await may_respond.wait()
+            return make_response(request)
+
+        may_respond = asyncio.Event()
+        fleet.respond = respond
+        fleet.source.put_config(make_team_snapshot(1, "k1", "k2"))
+        owner = await fleet.add("n1")
+        entry = await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        queue = owner.node.gate.queue
+        calls = [
+            asyncio.ensure_future(
+                fleet.send_call("n2", request_id=f"q{number}", authorization=f"Bearer {key}")
+            )
+            for number, key in enumerate(("k1", "k2", "k1", "k2"))
+        ]
+        await fleet.wait_for(lambda: len(queue.running) + len(queue.waiting) == 4)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", entry.node.settings.outbound.port
+        )
+        head = b"GET /r/x HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\n\r\n"
+        writer.write(head.replace(b"/r/", b"/nowhere/"))
+        assert await read_status(reader) == 404
+        fleet.source.put_config(make_team_snapshot(2, "k2"))
+        await fleet.wait_until_synced()
+        writer.write(head)
+        assert await read_status(reader) == 401
+        may_respond.set()
+        # Calls that run when their key is withdrawn end normally.
+        running = {request.headers["request-id"] for request in owner.upstream.requests}
+        statuses = [reply.status for reply in await asyncio.gather(*calls)]
+        allowed = [number % 2 == 1 or f"q{number}" in running for number in range(4)]
+        assert statuses == [200 if each else 401 for each in allowed]
+        assert statuses.count(401) == 1
+        assert len(owner.upstream.requests) == 3
+
+    return run_scenario(scenario)
+
+
+def test_a_host_behind_denies_nothing_that_a_newer_configuration_may_allow() -> Deferred[None]:
+    """Guards against a host out of touch that answers 401 to a new key, and a restart that does."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.bounds = replace(fleet.bounds, config_apply_s=1.0)
+        fleet.source.put_config(make_team_snapshot(1, "k1", "k2"))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        fleet.source.put_config(make_team_snapshot(2, "k2"))
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n1", authorization="Bearer k3")).status == 401
+        fleet.source.failing = "down"
+        fleet.source.snapshot = make_team_snapshot(3, "k2", "k3")
+        freshness = host.node.holder.freshness
+        await fleet.wait_for(lambda: not freshness.is_fresh(fleet.now()))
+        behind = await fleet.send_call("n1", authorization="Bearer k3")
+        assert behind.status == 503
+        assert float(behind.headers["retry-after"]) > 0
+        assert (await fleet.send_call("n1", authorization="Bearer k1")).status == 401
+        assert (await fleet.send_call("n1", authorization="Bearer k2")).status == 200
+
+    return run_scenario(scenario)
+
+
+def test_a_node_that_restarts_while_the_store_is_down_admits_keys_but_denies_none() -> (
+    Deferred[None]
+):
+    """Guards against a process without any state that takes a new key for an unknown one."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.bounds = replace(fleet.bounds, config_apply_s=1.0)
+        fleet.source.put_config(make_team_snapshot(1, "k1"))
+        await fleet.add("n1")
+        host = await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        fleet.source.failing = "down"
+        for each in fleet.hosts.values():
+            freshness = each.node.holder.freshness
+            await fleet.wait_for(lambda known=freshness: not known.is_fresh(fleet.now()))
+        host.node.close()
+        host.node = HostNode(host.node.settings, NAMES, fleet.source, Random(9))
+        await host.node.start([])
+        assert (await fleet.send_call("n2", authorization="Bearer k2")).status == 503
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n2", authorization="Bearer k2")).status == 503
+        assert (await fleet.send_call("n2", authorization="Bearer k1")).status == 200
+
+    return run_scenario(scenario)
+
+
+def test_a_store_from_an_earlier_copy_brings_no_withdrawn_key_back() -> Deferred[None]:
+    """Guards against keys that work again after the store has lost their withdrawal."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.bounds = replace(fleet.bounds, config_apply_s=1.0)
+        fleet.source.put_config(make_team_snapshot(1, "k1", "k2"))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        copy = fleet.source.take_copy()
+        fleet.source.put_config(make_team_snapshot(2, "k2"))
+        await fleet.wait_until_synced()
+        fleet.source.restore_copy(copy)
+        freshness = host.node.holder.freshness
+        await fleet.wait_for(lambda: not freshness.is_fresh(fleet.now()))
+        assert (await fleet.send_call("n1", authorization="Bearer k1")).status == 401
+        assert (await fleet.send_call("n1", authorization="Bearer k9")).status == 503
+        await fleet.wait_for(lambda: freshness.is_fresh(fleet.now()))
+        assert (await fleet.send_call("n1", authorization="Bearer k1")).status == 401
+        assert (await fleet.send_call("n1", authorization="Bearer k9")).status == 401
+
+    return run_scenario(scenario)
+
+
+def test_a_node_that_does_not_watch_the_store_denies_unknown_keys_at_once() -> Deferred[None]:
+    """Guards against 503 to unknown keys in a fleet so large that heartbeats are seconds old."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_team_snapshot(1, "k1"))
+        for name, zone in (("n1", "a"), ("n2", "a"), ("n3", "b")):
+            await fleet.add(name, zone=zone, announce=name == "n1")
+        await fleet.wait_until_synced()
+        leaders = list_leaders(fleet.hosts["n1"].node.directory, True)
+        (other,) = fleet.hosts.keys() - set(leaders)
+        freshness = fleet.hosts[other].node.holder.freshness
+        # No heartbeat of any node has come through since the last confirmation expired.
+        freshness._confirmed_at = fleet.now() - 100.0
+        assert (await fleet.send_call(other, authorization="Bearer k9")).status == 401
+        assert freshness.is_fresh(fleet.now())
+
+    return run_scenario(scenario)
+
+
 def test_a_service_without_endpoints_is_refused_at_once() -> Deferred[None]:
     async def scenario(fleet: Fleet) -> None:
         fleet.source.put_config(make_snapshot(1, make_route("r", "nobody")))
