--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from corianderwall.mesh.ratelimit import RateLimit
+from corianderwall.mesh.teamshares import ShareView, TeamShares
 from corianderwall.mesh.uplink import Uplink
 
 EWMA_WEIGHT = 0.15
@@ -59,6 +60,9 @@
 class AdmissionQueue:
     """A queue in front of `slots` slots: timely calls first, then by rank and due time.
 
+    Calls of teams are ordered by rank, then by the slot time that their team has used, and only
+    then by whether they are timely.
+
     A call with a big response starts only when `uplink` will be free to send the response, which
     would otherwise wait there. Meanwhile calls with small responses may overtake it. No call starts
     beyond the rate `limit` that the endpoint has named.
@@ -70,11 +74,12 @@
     slots: int
     uplink: Uplink = field(default_factory=Uplink)
     limit: RateLimit = field(default_factory=RateLimit)
+    shares: TeamShares = field(default_factory=TeamShares)
     running: set[QueuedCall] = field(default_factory=set)
     waiting: list[QueuedCall] = field(default_factory=list)
     route_means_s: dict[str, float] = field(default_factory=dict)
     mean_s: float = 0.0
-    _overloaded_until: float = -math.inf
+    _overloaded_until: dict[str, float] = field(default_factory=dict)
     _last_sequence: int = 0
 
     def offer(self, call: QueuedCall, now: float, *, may_wait: bool) -> Admission:
@@ -82,8 +87,14 @@
 
         A call may wait while it is expected to meet its objective. A call that will miss it waits
         only if no timely call is waiting, and none has been refused recently: otherwise late calls
-        would make all calls late.
+        would make all calls late. This holds within each team.
         """
+        admission = self._decide(call, now, may_wait=may_wait)
+        if call.team and admission is not Admission.FULL:
+            self.shares.record_offer(call.team, now)
+        return admission
+
+    def _decide(self, call: QueuedCall, now: float, *, may_wait: bool) -> Admission:
         if self._estimate_end(call, now) > call.deadline:
             return Admission.LATE
         if self._has_room(call, now):
@@ -93,7 +104,7 @@
             return Admission.FULL
         if not self._may_wait(call, now):
             if call.is_new and self._is_timely(call, now):
-                self._overloaded_until = now + OVERLOAD_MEMORY_S
+                self._overloaded_until[call.team] = now + OVERLOAD_MEMORY_S
             return Admission.LATE
         self._last_sequence += 1
         call.sequence = self._last_sequence
@@ -103,6 +114,7 @@
     def finish(self, call: QueuedCall, now: float, *, ran: bool) -> None:
         """Free the slot of a started call; update the mean call times only if the call ran."""
         self.running.discard(call)
+        self.shares.record_end(call.team, now - call.started, now)
         if not ran:
             return
         took_s = now - call.started
@@ -126,11 +138,12 @@
         late = [t for t in self.waiting if self._estimate_end(t, now) > t.deadline]
         for call in late:
             self.waiting.remove(call)
+        late += self._displace(now)
         while len(self.running) < self.slots and self.limit.permits(now):
             ready = [t for t in self.waiting if self._is_link_free(t, now)]
             if not ready:
                 break
-            call = min(ready, key=lambda waiting: self._make_sort_key(waiting, now))
+            call = self._choose_next(ready, now)
             self.waiting.remove(call)
             self._start(call, now)
             started.append(call)
@@ -147,19 +160,22 @@
 
     def estimate_wait(self, now: float, rank: float) -> float:
         """Return the seconds until a new call of `rank` would get a slot."""
+        return self._estimate_wait([t for t in self.waiting if t.rank <= rank], now)
+
+    def _estimate_wait(self, queued: list[QueuedCall], now: float) -> float:
         if len(self.running) < self.slots and not self.waiting:
             return 0.0
-        queued_s = sum(self.estimate_call(t.route) for t in self.waiting if t.rank <= rank)
+        queued_s = sum(self.estimate_call(t.route) for t in queued)
         remaining_s = sum(self._estimate_remaining(call, now) for call in self.running)
         return (queued_s + remaining_s) / max(1, self.slots)
 
     def estimate_start(self, call: QueuedCall, now: float) -> float:
         """Return the seconds until a new call could start, given the slots and the link."""
-        ahead = sum(1 for waiting in self.waiting if waiting.rank <= call.rank)
-        wait_s = max(self.estimate_wait(now, call.rank), self.limit.estimate_wait(now, ahead))
+        ahead = self._list_ahead(call, now)
+        wait_s = max(self._estimate_wait(ahead, now), self.limit.estimate_wait(now, len(ahead)))
         if not call.sending_s:
             return wait_s
-        ahead_s = sum(t.sending_s for t in self.waiting if t.rank <= call.rank)
+        ahead_s = sum(t.sending_s for t in ahead)
         link_s = self.estimate_link_wait(now) + ahead_s - self.estimate_call(call.route)
         return max(wait_s, link_s)
 
@@ -179,12 +195,13 @@
         )
 
     def _may_wait(self, call: QueuedCall, now: float) -> bool:
-        if call.is_new and now < self._overloaded_until and not self._is_timely(call, now):
+        overloaded_until = self._overloaded_until.get(call.team, -math.inf)
+        if call.is_new and now < overloaded_until and not self._is_timely(call, now):
             return False
         start = now + self.estimate_start(call, now)
         if self._is_timely(call, start):
             return True
-        if any(self._is_timely(waiting, now) for waiting in self.waiting):
+        if any(self._is_timely(t, now) for t in self.waiting if t.team == call.team):
             return False
         return self._estimate_end(call, start) <= call.deadline
 
@@ -209,6 +226,71 @@
         late = call.is_new and not self._is_timely(call, now)
         return late, call.rank, call.due, call.sequence
 
+    # Calls of teams.
+
+    def _choose_next(self, ready: list[QueuedCall], now: float) -> QueuedCall:
+        """Return the call that starts next; calls without a team keep their order."""
+        plain = [call for call in ready if not call.team]
+        first = min(plain, key=lambda call: self._make_sort_key(call, now)) if plain else None
+        if len(plain) == len(ready):
+            return first or ready[0]
+        view = self._measure_shares(now)
+        shared = (call for call in ready if call.team)
+        candidate = min(shared, key=lambda call: self._make_team_key(call, view, now))
+        if first is None or view.make_sort_key(candidate) < view.make_sort_key(first):
+            return candidate
+        return first
+
+    def _displace(self, now: float) -> list[QueuedCall]:
+        """Remove and return the last calls of teams, as far as they can't end in time any more.
+
+        Calls that came later may have been put before them, for teams that have used less.
+        """
+        displaced: list[QueuedCall] = []
+        shared = [call for call in self.waiting if call.team]
+        if not shared:
+            return displaced
+        view = self._measure_shares(now)
+        shared.sort(key=lambda call: self._make_team_key(call, view, now))
+        while shared:
+            last = shared.pop()
+            others = [call for call in self.waiting if call is not last]
+            start = now + self._estimate_wait(others, now)
+            if self._estimate_end(last, start) <= last.deadline:
+                break
+            self.waiting.remove(last)
+            displaced.append(last)
+        self.shares.displaced_count += len(displaced)
+        return displaced
+
+    def describe_share(self, team: str, now: float) -> dict[str, object]:
+        """Return what decisions on calls of `team` depend on, for logs; nothing without a team."""
+        if not team:
+            return {}
+        view = self._measure_shares(now)
+        usage_s = round(view.measure_usage(team), 3)
+        return {"team": team, "usage_s": usage_s, "floor_s": round(view.floor_s, 3)}
+
+    def _list_ahead(self, call: QueuedCall, now: float) -> list[QueuedCall]:
+        """Return the waiting calls that start before the new `call`."""
+        if not call.team:
+            return [waiting for waiting in self.waiting if waiting.rank <= call.rank]
+        view = self._measure_shares(now)
+        return view.list_ahead(call, self.waiting, lambda each: self.estimate_call(each.route))
+
+    def _measure_shares(self, now: float) -> ShareView:
+        held: dict[str, float] = {}
+        for call in self.running:
+            held_s = max(self.estimate_call(call.route), now - call.started)
+            held[call.team] = held.get(call.team, 0.0) + held_s
+        return self.shares.measure(held, now)
+
+    def _make_team_key(
+        self, call: QueuedCall, view: ShareView, now: float
+    ) -> tuple[bool, float, float, bool, float, int]:
+        late = call.is_new and not self._is_timely(call, now)
+        return (*view.make_sort_key(call), late, call.due, call.sequence)
+
     def _start(self, call: QueuedCall, now: float) -> None:
         call.started = now
         self.limit.take(now)
--- a/packages/mesh/src/corianderwall/mesh/authentication.py
+++ b/packages/mesh/src/corianderwall/mesh/authentication.py
@@ -88,6 +88,9 @@
                 return ANONYMOUS
             if result is not Denial.WITHDRAWN_KEY and not self._is_fresh():
                 return Denial.MAYBE_BEHIND
+        elif public:
+            # The call needs no key, so it also goes on if the key is withdrawn meanwhile.
+            return Identity(result.team)
         return result
 
     def _count(self, result: Identity | Denial) -> None:
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -580,6 +580,7 @@
             took_ms=round(took_s * 1000, 1),
             left_ms=round((state.deadline - now) * 1000, 1),
             config_version=self._configuration.snapshot.version,
+            **({"team": state.standing.team} if state.standing.team else {}),
         )
 
     def _read_timeout_s(self, call: IncomingCall) -> float:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -27,6 +27,7 @@
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.teams import NO_TEAMS, TeamTable, identify_caller
+from corianderwall.mesh.teamshares import TeamShares
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.errors import ErrorCode
 from corianderwall.node.crashdetector import CrashDetector, LostCall
@@ -92,7 +93,8 @@
         self.endpoint = EndpointTracker(
             settings, self._handle_start, self._handle_change, find_record
         )
-        self.queue = AdmissionQueue(0, uplink)
+        self.shares = TeamShares(lambda team: read_teams().weigh(team))
+        self.queue = AdmissionQueue(0, uplink, shares=self.shares)
         self.closing = False
         self.synced = False
         self.crash_count = 0
@@ -238,7 +240,7 @@
         self._pool = self._make_pool()
         self._failure_rate = 0.0
         self._has_responded = False
-        self.queue = AdmissionQueue(record.slots, self._uplink)
+        self.queue = AdmissionQueue(record.slots, self._uplink, shares=self.shares)
 
     def _handle_change(self, record: EndpointRecord) -> None:
         """Refuse waiting calls if the endpoint can no longer be used, and report the change."""
@@ -539,6 +541,7 @@
             waiting=load.waiting,
             slots=load.slots,
             wait_ms=round(wait_ms, 1),
+            **self.queue.describe_share(queued.team, now),
         )
         metadata = ResponseMetadata(
             ran=False, load=load, refusal=refusal, wait_ms=round(wait_ms, 1), reached=reached
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -1,5 +1,6 @@
 """Serves the metrics of a node over HTTP."""
 
+import asyncio
 from collections.abc import Mapping
 
 from corianderwall.httpflow.call import IncomingCall
@@ -50,6 +51,21 @@
             metrics.platform_calls.set({"kind": kind}, count)
         metrics.crashes.set({}, node.gate.crash_count)
         metrics.quarantined_requests.set({}, node.suspects.count_quarantined())
+        self._export_teams()
         suppressed = node.entry.log_budget.suppressed + node.gate.log_budget.suppressed
         metrics.log_lines_dropped.set({"cause": "reader"}, self._output.dropped)
         metrics.log_lines_dropped.set({"cause": "volume"}, suppressed)
+
+    def _export_teams(self) -> None:
+        """Export what concerns teams, nothing in a deployment without them."""
+        node, metrics = self._node, self._metrics
+        if not node.holder.teams.is_active:
+            return
+        for result, count in node.entry.authenticator.counts.items():
+            metrics.authentications.set({"result": result}, count)
+        age_ms = node.holder.freshness.compute_age_ms(asyncio.get_running_loop().time())
+        if age_ms is not None:
+            metrics.config_age.set({}, age_ms / 1000)
+        for team, seconds in node.gate.shares.totals_s.items():
+            metrics.team_slot_seconds.set({"team": team}, seconds)
+        metrics.displaced_calls.set({}, node.gate.shares.displaced_count)
--- a/packages/mesh/src/corianderwall/mesh/teams.py
+++ b/packages/mesh/src/corianderwall/mesh/teams.py
@@ -25,6 +25,7 @@
     by_digest: Mapping[str, Team]
     withdrawn: tuple[str, ...] = ()
     withdrawn_ids: frozenset[str] = frozenset()
+    default_weight: float = 1.0
 
     @classmethod
     def compile(cls, snapshot: Snapshot, former: "TeamTable | None" = None) -> "TeamTable":
@@ -34,11 +35,13 @@
         if former is not None:
             known = (*former.withdrawn, *former.by_digest)
             withdrawn = tuple(key for key in known if key not in by_digest)[-MAX_WITHDRAWN:]
+        rates = [team.rate_per_s for team in snapshot.teams if team.rate_per_s > 0]
         return cls(
             by_name={team.name: team for team in snapshot.teams},
             by_digest=by_digest,
             withdrawn=withdrawn,
             withdrawn_ids=frozenset(map(make_key_id, withdrawn)),
+            default_weight=sum(rates) / len(rates) if rates else 1.0,
         )
 
     @property
@@ -46,6 +49,16 @@
         """Return whether callers need keys."""
         return bool(self.by_name)
 
+    def weigh(self, team: str) -> float:
+        """Return the share of a team relative to others: its quota, or the mean quota without one.
+
+        Quotas follow the usual loads of the teams, which differ by a factor of hundreds.
+        """
+        found = self.by_name.get(team)
+        return (
+            found.rate_per_s if found is not None and found.rate_per_s > 0 else self.default_weight
+        )
+
     def is_withdrawn(self, key_id: str) -> bool:
         """Return whether calls that were admitted with this key may no longer run."""
         return self.is_active and key_id in self.withdrawn_ids
--- a/packages/mesh/tests/test_authentication.py
+++ b/packages/mesh/tests/test_authentication.py
@@ -52,9 +52,12 @@
 ) -> None:
     """Guards against a scheme in other letters that is denied, and a key that is kept."""
     authenticator = make_authenticator(header_names, fresh=False)
-    identity = authenticator.check(make_headers(b"bearer  k2 "), public=True, nested=False)
-    assert isinstance(identity, Identity) and identity.team is TEAM
+    headers = make_headers(b"bearer  k2 ")
+    identity = authenticator.check(headers, public=False, nested=False)
+    assert isinstance(identity, Identity) and identity.team is TEAM and identity.key_id
     assert "k2" not in repr(identity)
+    # Without a key id, its withdrawal does not end a call that needs no key.
+    assert authenticator.check(headers, public=True, nested=False) == Identity(TEAM)
 
 
 def test_headers_pass_unchanged_without_teams(header_names: HeaderNames) -> None:
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -23,7 +23,7 @@
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder
 from corianderwall.mesh.node import READINESS_DELAY_S, STOP_MARGIN_S, HostNode, plan_stop
-from corianderwall.mesh.owner import ForwardedRequest
+from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.source import ConflictError, SourceError
 from corianderwall.model.endpoint import Address
@@ -301,8 +301,15 @@
     """Guards against a key that reaches an endpoint or a peer, and a caller that names its team."""
 
     async def scenario(fleet: Fleet) -> None:
+        async def serve(metadata: CallMetadata, request: ForwardedRequest) -> OwnerResponse:
+            forwarded.extend(request.headers)
+            return await serve_at_owner(metadata, request)
+
+        forwarded: list[tuple[bytes, bytes]] = []
         fleet.source.put_config(make_team_snapshot(1, "k1"))
-        await fleet.add("n1")
+        gate = (await fleet.add("n1")).node.gate
+        serve_at_owner = gate.serve
+        gate.serve = serve  # type: ignore[method-assign]
         await fleet.add("n2", service="other", announce=False)
         await fleet.wait_until_synced()
         forged = {"team": "forged"}
@@ -315,6 +322,7 @@
         seen = [request.headers for request in fleet.hosts["n1"].upstream.requests]
         assert [headers.get("team") for headers in seen] == ["t", None, None]
         assert not any("authorization" in headers for headers in seen)
+        assert forwarded and not {b"authorization", b"team"} & {name for name, _ in forwarded}
 
     return run_scenario(scenario)
 
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -62,6 +62,19 @@
         self.quarantined_requests = self._add_gauge(
             "quarantined_requests", "Requests known to crash endpoints, which get to none."
         )
+        self.authentications = self._add_counter(
+            "authentications", "Calls whose key was checked by this node, by result."
+        )
+        self.config_age = self._add_gauge(
+            "config_confirmed_age_seconds",
+            "Time since the active configuration was certainly the newest.",
+        )
+        self.team_slot_seconds = self._add_counter(
+            "team_slot_seconds", "Time for which calls held slots of the endpoint, by team."
+        )
+        self.displaced_calls = self._add_counter(
+            "displaced_calls", "Waiting calls refused since teams that had used less came first."
+        )
 
     def _add_counter(self, name: str, text: str) -> Counter:
         return Counter(f"corianderwall_{name}_total", text, registry=self.registry)
