--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -26,6 +26,7 @@
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.source import ConflictError, SourceError
+from corianderwall.mesh.teams import identify_caller
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import (
     CallerLimits,
@@ -1579,6 +1580,26 @@
     return run_scenario(scenario)
 
 
+# Guards against a team whose requests keep those of another from the endpoints, and against an
+# entry and an owner that know one request by two fingerprints.
+def test_entry_and_owner_count_the_team_as_the_caller_of_a_quarantined_request() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_team_snapshot(1, "k1"))
+        owner = await fleet.add("n1")
+        entry = await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        request = ForwardedRequest(b"q1", b"GET", b"/p/x", [(b"host", b"h.example")])
+        records = quarantine(request.compute_fingerprint(identify_caller("", "t"), b""))
+        for host in (owner, entry):
+            host.node.suspects.merge(records, fleet.now())
+            reply = await fleet.send_call("n2", "/p/x", authorization="Bearer k1")
+            assert reply.status == 503
+            assert (await fleet.send_call("n2", "/p/x")).status == 200
+        assert len(owner.upstream.requests) == 2
+
+    return run_scenario(scenario)
+
+
 # Guards against trials of one request at several endpoints, each of which it may end.
 def test_entries_that_try_a_request_after_its_quarantine_send_it_once(
     monkeypatch: pytest.MonkeyPatch,
