--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -269,7 +269,7 @@
             return {}
         view = self._measure_shares(now)
         usage_s = round(view.measure_usage(team), 3)
-        return {"team": team, "usage_s": usage_s, "floor_s": round(view.floor_s, 3)}
+        return {"team": team, "usage_s": usage_s, "share_s": round(view.share_s, 3)}
 
     def _list_ahead(self, call: QueuedCall, now: float) -> list[QueuedCall]:
         """Return the waiting calls that start before the new `call`."""
--- a/packages/mesh/src/corianderwall/mesh/teamshares.py
+++ b/packages/mesh/src/corianderwall/mesh/teamshares.py
@@ -11,6 +11,12 @@
 FLOOR = 0.4
 """Part of its share of the used slot time that a team gets whatever its rank. The terms grant a
 quarter; the rest is for the uneven demand at single endpoints."""
+ALLOWANCE = 0.025
+"""Part of all slot time that a team may use beyond its share before it comes after the others. It
+covers the bursts of small teams, and is what one team that sends far more than usual may cost."""
+MAX_ALLOWANCE = 1.5
+"""Limit of that allowance as a multiple of the share: a team that sends ten times its usual load is
+served a quarter as often as all if it gets two and a half shares."""
 ACTIVE_CHECK_S = 1.0
 """Interval at which the teams that compete are listed; they change over `USAGE_MEMORY_S`."""
 MAX_EXPONENT = 40.0
@@ -46,13 +52,15 @@
 class ShareView:
     """The shares at one instant; `unit_s` is the unit of the accounts in seconds.
 
-    `floor_s` is the slot time for each unit of weight below which a team precedes all ranks.
+    Usage is slot time by weight. `share_s` is the usage of all teams if they had used the same, of
+    which `total_weight` is the weight.
     """
 
     accounts: Mapping[str, _Account]
     unit_s: float
     held_s: Mapping[str, float]
-    floor_s: float
+    share_s: float
+    total_weight: float
     weigh: Callable[[str], float]
 
     def measure_usage(self, team: str) -> float:
@@ -63,20 +71,26 @@
 
     def is_below_floor(self, team: str) -> bool:
         """Return whether a team has used far less than its share, as others precede it."""
-        return bool(team) and self.measure_usage(team) < self.floor_s
+        return bool(team) and self.measure_usage(team) < FLOOR * self.share_s
+
+    def measure_excess(self, team: str, more_s: float = 0.0) -> float:
+        """Return the usage beyond share and allowance, after `more_s` seconds of slot time."""
+        weight = self.weigh(team)
+        allowance = min(MAX_ALLOWANCE, ALLOWANCE * self.total_weight / weight)
+        usage = self.measure_usage(team) + more_s / weight
+        return max(0.0, usage - self.share_s * (1 + allowance))
 
     def make_sort_key(self, call: SharedCall) -> tuple[bool, float, float]:
         """Return the part of the order that rank and shares decide; the lowest starts first."""
-        usage = self.measure_usage(call.team)
-        return not (call.team and usage < self.floor_s), call.rank, usage
+        return not self.is_below_floor(call.team), call.rank, self.measure_excess(call.team)
 
     def list_ahead(
         self, call: SharedCall, waiting: Iterable[Call], estimate_s: Callable[[Call], float]
     ) -> list[Call]:
         """Return the calls that start before `call`, which is offered now.
 
-        Another team of the same rank starts calls until it has used as much as the team of `call`
-        will have by then, however many more it has waiting.
+        Another team of the same rank starts calls until it has exceeded its share as far as the
+        team of `call` will have by then, however many more it has waiting.
         """
         if self.is_below_floor(call.team):
             return [each for each in waiting if each.team == call.team and each.rank <= call.rank]
@@ -88,14 +102,12 @@
             elif each.rank == call.rank:
                 rivals.append(each)
         own_s = sum(estimate_s(each) for each in ahead if each.team == call.team)
-        level = self.measure_usage(call.team) + own_s / self.weigh(call.team)
-        reached: dict[str, float] = {}
+        level = self.measure_excess(call.team, own_s)
+        started_s: dict[str, float] = {}
         for each in rivals:
-            usage = reached.get(each.team)
-            if usage is None:
-                usage = self.measure_usage(each.team)
-            if usage < level:
-                reached[each.team] = usage + estimate_s(each) / self.weigh(each.team)
+            more_s = started_s.get(each.team, 0.0)
+            if self.measure_excess(each.team, more_s) <= level:
+                started_s[each.team] = more_s + estimate_s(each)
                 ahead.append(each)
         return ahead
 
@@ -145,11 +157,10 @@
                 if team and now - account.offered_at < USAGE_MEMORY_S
             )
         unit_s = self._compute_unit(now)
-        floor_s = 0.0
+        share_s = 0.0
         if self._active_weight:
-            used_s = self._total * unit_s + sum(held_s.values())
-            floor_s = FLOOR * used_s / self._active_weight
-        return ShareView(self._accounts, unit_s, held_s, floor_s, self._weigh)
+            share_s = (self._total * unit_s + sum(held_s.values())) / self._active_weight
+        return ShareView(self._accounts, unit_s, held_s, share_s, self._active_weight, self._weigh)
 
     def _compute_unit(self, now: float) -> float:
         """Return the unit of the accounts in seconds, and scale them if it has become too small."""
