--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -8,6 +8,13 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from corianderwall.httpflow.call import IncomingCall
+from corianderwall.mesh.authentication import (
+    ANONYMOUS,
+    DENIAL_STATUSES,
+    Authenticator,
+    Denial,
+    Identity,
+)
 from corianderwall.mesh.body import BodyFailure, BodyReader
 from corianderwall.mesh.bodymemory import BodyMemory
 from corianderwall.mesh.callertimeouts import CallerTimeouts
@@ -21,6 +28,7 @@
 from corianderwall.mesh.pacedchoice import estimate_paced_wait, record_paced_refusal
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
 from corianderwall.mesh.probing import ProbePolicy
+from corianderwall.mesh.ranks import Standing
 from corianderwall.mesh.retryafter import DEFAULT_RETRY_AFTER_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
 from corianderwall.mesh.selection import (
@@ -35,7 +43,8 @@
 from corianderwall.mesh.sizes import ResponseSizes
 from corianderwall.mesh.splits import WeightedSplit
 from corianderwall.mesh.tasks import run_call
-from corianderwall.model.resource import Route
+from corianderwall.mesh.teams import identify_caller, make_wait_class
+from corianderwall.model.resource import Route, Team
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
 from corianderwall.traffic.suspects import Suspects, choose_for_trial
@@ -67,6 +76,8 @@
     `version` is the version of the endpoint whose owner was asked last, empty before that.
     `try_new` allows the new version of a running move; it is None until it is decided.
 
+    `identity` holds the team whose key the caller has sent; a nested call has none of its own.
+
     A nested call has no latency objective before its deadline: refusing it would fail the running
     call that made it.
     """
@@ -91,6 +102,22 @@
     fingerprint: str = ""
     quarantined: bool = False
     try_new: bool | None = None
+    identity: Identity = ANONYMOUS
+    key_withdrawn: bool = False
+
+    @property
+    def team(self) -> Team | None:
+        """Return the team whose key the caller has sent, None without one."""
+        return self.identity.team
+
+    @property
+    def standing(self) -> Standing:
+        """Return for whom the call is made, which is its parent's team for a nested one."""
+        if self.parent is not None and self.parent.standing is not None:
+            return self.parent.standing
+        if self.team is None:
+            return Standing(priority=self.route.priority)
+        return Standing(self.team.name, self.team.priority, self.route.priority)
 
     @property
     def nested(self) -> bool:
@@ -142,6 +169,11 @@
         self._random = random
         self._loop = asyncio.get_running_loop()
         self._splits = WeightedSplit(random)
+        self.authenticator = Authenticator(
+            headers,
+            lambda: configuration.teams,
+            lambda: configuration.freshness.is_fresh(self._loop.time()),
+        )
         bounds = settings.bounds
         self._budget = RetryBudget(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
@@ -173,12 +205,16 @@
         route = self._find_route(call, request_id)
         if route is None:
             return
+        identity = await self._authenticate(call, request_id, route)
+        if identity is None:
+            return
         limit = self._configuration.snapshot.limits.max_body_bytes
         body = BodyReader(call, limit, self._body_memory)
         if not body.admit():
             self._refuse_body(call, request_id, body)
             return
         state = self._make_state(call, request_id, route, began)
+        state.identity = identity
         self._metrics.running += 1
         pending = Deferred.fromCoroutine(self._read_and_send(state, body))
         timer = self._loop.call_at(state.deadline, pending.cancel)
@@ -209,6 +245,21 @@
             self._refuse_early(call, request_id, 404, "no route")
         return route
 
+    async def _authenticate(
+        self, call: IncomingCall, request_id: bytes, route: Route
+    ) -> Identity | None:
+        """Return who makes `call`, or refuse it and return None."""
+        if not self.authenticator.is_active:
+            return ANONYMOUS
+        nested = self._find_parent(request_id) is not None
+        result = await self.authenticator.authenticate(
+            call.headers, public=route.public, nested=nested
+        )
+        if isinstance(result, Denial):
+            self._refuse_early(call, request_id, DENIAL_STATUSES[result], result.value)
+            return None
+        return result
+
     def _make_state(
         self, call: IncomingCall, request_id: bytes, route: Route, began: float
     ) -> _CallState:
@@ -258,24 +309,33 @@
             for number in range(round_.max_owners):
                 if not round_.may_wait and number >= self._limit_probes(state):
                     break
-                if self._find_release(state) is not None:
-                    state.quarantined = True
+                if self._is_barred(state):
                     return state.failure
                 view = self._choose(state, excluded, round_)
                 if view is None:
                     break
                 excluded.add(view.record.id)
                 reply = await self._send_to_owner(state, view, may_wait=round_.may_wait)
+                refusal = reply.metadata.refusal
                 if not round_.may_wait:
-                    full = reply.metadata.refusal is Refusal.FULL
-                    self._probes.record(state.service, self._loop.time(), refused=full)
-                if reply.metadata.refusal is Refusal.QUARANTINED:
-                    state.quarantined = True
+                    self._record_probe(state, refused=refusal is Refusal.FULL)
+                state.quarantined = refusal is Refusal.QUARANTINED
+                state.key_withdrawn = refusal is Refusal.KEY_WITHDRAWN
+                if state.quarantined or state.key_withdrawn:
                     return state.failure
                 if self._is_final(state, reply):
                     return reply
         return state.failure
 
+    def _is_barred(self, state: _CallState) -> bool:
+        """Return whether no owner may get the call any more, and record why."""
+        state.quarantined = self._find_release(state) is not None
+        state.key_withdrawn = self.authenticator.is_withdrawn(state.identity.key_id)
+        return state.quarantined or state.key_withdrawn
+
+    def _record_probe(self, state: _CallState, *, refused: bool) -> None:
+        self._probes.record(state.service, self._loop.time(), refused=refused)
+
     def _limit_probes(self, state: _CallState) -> int:
         return self._probes.limit_probes(state.service, self._loop.time())
 
@@ -287,7 +347,7 @@
 
     def _find_fingerprint(self, state: _CallState) -> str:
         if not state.fingerprint:
-            caller = self._settings.service
+            caller = identify_caller(self._settings.service, state.standing.team)
             state.fingerprint = state.request.compute_fingerprint(caller, state.body)
         return state.fingerprint
 
@@ -311,7 +371,7 @@
         views = self._moves.filter_endpoints(state.service, views, now, try_new=state.try_new)
         traits = self._make_traits(state)
         # Nested calls ignore earlier refusals, because a running call depends on them.
-        route = "" if state.nested else state.route.name
+        route = "" if state.nested else make_wait_class(state.route.name, state.standing.team)
         views = list_candidates(views, traits, round_, route, now)
         return choose_endpoint(views, traits, excluded, now, self._random)
 
@@ -342,12 +402,13 @@
         record = view.record
         state.version = record.version
         route = state.route
+        standing = state.standing
         now = self._loop.time()
         metadata = CallMetadata(
             endpoint=record.id,
             left_ms=round((state.deadline - now) * 1000, 1),
             due_ms=round((state.due - now) * 1000, 1),
-            priority=route.priority,
+            priority=standing.priority,
             caller=self._settings.service,
             nested=state.nested,
             is_retry=state.is_retry or state.attempts > 0,
@@ -357,6 +418,9 @@
             over_link=record.node != self._settings.name,
             limit_per_s=view.limit_per_s,
             cold_per_s=view.load.cold_per_s,
+            team=standing.team,
+            team_priority=standing.team_priority,
+            key_id=state.identity.key_id,
         )
         owner: Owner = self._local_owner
         if metadata.over_link:
@@ -401,8 +465,9 @@
             record_paced_refusal(view, metadata, route="", now=now)
         elif metadata.refusal is Refusal.LATE:
             state.refused_wait_ms.append(metadata.wait_ms)
-            view.late_until[state.route.name] = now + AVOID_WHEN_LATE_S
-            record_paced_refusal(view, metadata, route=state.route.name, now=now)
+            wait_class = make_wait_class(state.route.name, state.standing.team)
+            view.mark_late(wait_class, now + AVOID_WHEN_LATE_S, now)
+            record_paced_refusal(view, metadata, route=wait_class, now=now)
         else:
             state.unusable.add(view.record.id)
             state.attempts += metadata.reached
@@ -440,6 +505,8 @@
     def _respond(self, call: IncomingCall, state: _CallState, reply: OwnerResponse | None) -> None:
         if reply is None and state.quarantined:
             self._respond_quarantined(call, state)
+        elif reply is None and state.key_withdrawn:
+            self._respond_error(call, state, 401, Denial.WITHDRAWN_KEY.value)
         elif reply is None or reply.metadata.ran is False:
             waits = state.refused_wait_ms
             wait_s = min(waits) / 1000 if waits else self._estimate_unasked_wait(state)
@@ -544,6 +611,7 @@
             took_ms=round(took_s * 1000, 1),
             left_ms=round((state.deadline - now) * 1000, 1),
             config_version=self._configuration.snapshot.version,
+            **({"team": state.standing.team} if state.standing.team else {}),
         )
 
     def _is_cold(self, service: str) -> bool:
@@ -560,4 +628,5 @@
     def _strip_headers(self, call: IncomingCall) -> list[tuple[bytes, bytes]]:
         names = self._headers
         own = {names.deadline_ms, names.expected_instance, names.caller}
-        return [header for header in strip_own_headers(call.headers) if header[0] not in own]
+        headers = [header for header in strip_own_headers(call.headers) if header[0] not in own]
+        return self.authenticator.strip(headers)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -11,6 +11,7 @@
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
+from corianderwall.mesh.authentication import replace_credentials
 from corianderwall.mesh.endpoint import EndpointTracker
 from corianderwall.mesh.evacuations import OpenZone, ZoneGuard
 from corianderwall.mesh.exchange import Exchange, Response, run_exchange
@@ -23,8 +24,11 @@
     ResponseMetadata,
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse, ReceivedBody
+from corianderwall.mesh.ranks import Standing, compute_rank
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.settings import PLACES_SECTION, HeaderNames, HostSettings
+from corianderwall.mesh.teams import NO_TEAMS, TeamTable, identify_caller
+from corianderwall.mesh.teamshares import TeamShares
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.mesh.warmup import WarmupMonitor
 from corianderwall.model.errors import ErrorCode
@@ -65,13 +69,15 @@
 
     `nested_failed` is set once a nested call of it has failed: its own failure then says nothing
     about the endpoint or its version. `nested_refused` is set if a cold service has refused one,
-    and `nested_served` if one was served.
+    and `nested_served` if one was served. Nested calls take over its `standing`, which is set if it
+    has a team.
     """
 
     is_retry: bool
     nested_failed: bool = False
     nested_refused: bool = False
     nested_served: bool = False
+    standing: Standing | None = None
 
 
 class EndpointGate:
@@ -91,6 +97,7 @@
         suspects: Suspects,
         on_suspects: Callable[[tuple[SuspectRecord, ...]], None],
         find_record: Callable[[str], EndpointRecord | None] = lambda _: None,
+        read_teams: Callable[[], TeamTable] = lambda: NO_TEAMS,
     ) -> None:
         self.warmup = WarmupMonitor(
             settings.bounds, headers, lambda: self._pool, lambda: self.record, self._dispatch
@@ -102,7 +109,8 @@
             find_record,
             self.warmup.handle_statement,
         )
-        self.queue = AdmissionQueue(0, uplink, pace=self.warmup.pace)
+        self.shares = TeamShares(lambda team: read_teams().weigh(team))
+        self.queue = AdmissionQueue(0, uplink, pace=self.warmup.pace, shares=self.shares)
         self.closing = False
         self.synced = False
         self.crash_count = 0
@@ -117,6 +125,7 @@
         # Set while the endpoint may be bound to a rate that is not known yet: entries may have got
         # the configuration before this node.
         self._awaits_terms = PLACES_SECTION in settings.sections
+        self._read_teams = read_teams
         self._loop = asyncio.get_running_loop()
         self._pool = self._make_pool()
         self._crashes = CrashDetector(settings.endpoint, self._may_connect, self._handle_crash)
@@ -169,16 +178,24 @@
         """Run a call at the endpoint or refuse it."""
         now = self._loop.time()
         deadline = now + metadata.left_ms / 1000
-        refusal = self._find_refusal(metadata.endpoint)
+        refusal = self._find_refusal(metadata)
         if refusal is not None:
             return self._refuse(request, refusal)
         if not self._has_responded and metadata.limit_per_s is not None:
             self._set_limit(metadata.limit_per_s, "an entry")
         self.warmup.prepare(metadata.cold_per_s)
-        rank = 0 if metadata.nested else 1 + metadata.priority
+        rank = compute_rank(metadata)
         sending_s = self._uplink.estimate_sending_s(metadata.route) if metadata.over_link else 0.0
         due = now + metadata.due_ms / 1000
-        queued = QueuedCall(metadata.route, rank, due, deadline, sending_s)
+        queued = QueuedCall(
+            metadata.route,
+            rank,
+            due,
+            deadline,
+            sending_s,
+            team=metadata.team,
+            nested=metadata.nested,
+        )
         try:
             request = await self._receive_first(request, queued, metadata)
             refusal = await self._admit(queued, metadata)
@@ -189,13 +206,16 @@
             return self._refuse(request, refusal, queued)
         exchange: Exchange | None = None
         body: bytes | None = None
-        running = self._running[request.request_id] = RunningCall(metadata.is_retry)
+        running = self._running[request.request_id] = RunningCall(
+            metadata.is_retry, standing=_find_standing(metadata)
+        )
         sent_at = queued.started
         try:
             body = await self._receive_body(request, deadline)
             sent_at = self._loop.time()
-            # The endpoint may have begun to leave while the body was on its way.
-            refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata.endpoint)
+            # The endpoint may have begun to leave, or the key may have been withdrawn, while the
+            # call waited or its body was on its way.
+            refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata)
             refusal = refusal or self._check_turn(queued, sent_at)
             if body is not None and refusal is None:
                 refusal = self._check_suspect(metadata, request, body)
@@ -264,7 +284,9 @@
         self._failure_rate = 0.0
         self._has_responded = False
         self.warmup.handle_start()
-        self.queue = AdmissionQueue(record.slots, self._uplink, pace=self.warmup.pace)
+        self.queue = AdmissionQueue(
+            record.slots, self._uplink, pace=self.warmup.pace, shares=self.shares
+        )
 
     def _handle_change(self, record: EndpointRecord) -> None:
         """Refuse waiting calls if the endpoint can no longer be used, and report the change."""
@@ -275,7 +297,7 @@
             self._refuse_waiting(Refusal.DOWN)
         self._on_change(record)
 
-    def _find_refusal(self, endpoint: str) -> Refusal | None:
+    def _find_refusal(self, metadata: CallMetadata) -> Refusal | None:
         record = self.record
         if self.closing:
             return Refusal.LEAVING
@@ -284,8 +306,10 @@
             return Refusal.UNKNOWN
         if self._awaits_terms:
             return Refusal.UNKNOWN
-        if record is None or record.id != endpoint:
+        if record is None or record.id != metadata.endpoint:
             return Refusal.UNKNOWN
+        if self._read_teams().is_withdrawn(metadata.key_id):
+            return Refusal.KEY_WITHDRAWN
         if record.state is EndpointState.DOWN:
             return Refusal.DOWN
         if record.state is not EndpointState.READY:
@@ -379,7 +403,7 @@
         if self._suspects.is_empty:
             return None
         now = self._loop.time()
-        fingerprint = request.compute_fingerprint(metadata.caller, body)
+        fingerprint = _compute_fingerprint(metadata, request, body)
         if self._suspects.find_release(fingerprint, now) is not None:
             return Refusal.QUARANTINED
         if self._suspects.needs_trial(fingerprint):
@@ -400,7 +424,7 @@
         not_run = response.find_header(self._headers.not_run) is not None
         if self._suspects.is_empty or not_run or response.status == MISDIRECTED:
             return
-        fingerprint = request.compute_fingerprint(metadata.caller, body)
+        fingerprint = _compute_fingerprint(metadata, request, body)
         changed = self._suspects.record_response(fingerprint, self._loop.time())
         if changed:
             self._on_suspects(changed)
@@ -415,9 +439,14 @@
         self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, deadline: float
     ) -> Exchange:
         names = self._headers
+        received = request.headers
+        if metadata.team or self._read_teams().is_active:
+            # An entry that is behind the configuration passes on what its caller has sent.
+            team = "" if metadata.nested else metadata.team
+            received = replace_credentials(received, names, team)
         left_ms = max(1, int((deadline - self._loop.time()) * 1000))
         headers = [
-            *request.headers,
+            *received,
             (names.deadline_ms, b"%d" % left_ms),
             (names.expected_instance, metadata.endpoint.encode()),
             (names.caller, metadata.caller.encode()),
@@ -499,7 +528,7 @@
         self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, exchange: Exchange
     ) -> OwnerResponse:
         error = exchange.error.value if exchange.error is not None else ""
-        fingerprint = request.compute_fingerprint(metadata.caller, body)
+        fingerprint = _compute_fingerprint(metadata, request, body)
         self._log(
             "no complete response from the endpoint",
             request=request.request_id.decode(),
@@ -602,6 +631,7 @@
             slots=load.slots,
             wait_ms=round(wait_ms, 1),
             cold_per_s=load.cold_per_s,
+            **self.queue.describe_share(queued.team, now),
         )
         evacuated = refusal is Refusal.EVACUATED
         metadata = ResponseMetadata(
@@ -613,3 +643,13 @@
             evacuations=self.zone_guard.report_refusal() if evacuated else None,
         )
         return OwnerResponse(metadata)
+
+
+def _find_standing(metadata: CallMetadata) -> Standing | None:
+    if not metadata.team:
+        return None
+    return Standing(metadata.team, metadata.team_priority, metadata.priority)
+
+
+def _compute_fingerprint(metadata: CallMetadata, request: ForwardedRequest, body: bytes) -> str:
+    return request.compute_fingerprint(identify_caller(metadata.caller, metadata.team), body)
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -105,8 +105,9 @@
     endpoint before, or that a retried call makes. `over_link` is set if the response has to leave
     the owner's host. `limit_per_s` is the endpoint's limit as the entry knows it, for an owner that
     has just started. `team` is the team whose key the caller has sent, empty without one, and
-    `team_priority` its priority. `cold_per_s` is the endpoint's pace as the entry knows it, for an
-    owner that has no configuration yet.
+    `team_priority` its priority; a nested call has those of its parent. `key_id` is the beginning
+    of the digest of that key, empty for a nested call. `cold_per_s` is the endpoint's pace as the
+    entry knows it, for an owner that has no configuration yet.
     """
 
     endpoint: str
@@ -124,6 +125,7 @@
     team: str = ""
     team_priority: int = 0
     cold_per_s: float | None = None
+    key_id: str = ""
 
 
 class EvacuationState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -153,6 +155,7 @@
     NO_MEMORY = "no memory"
     QUARANTINED = "quarantined"
     EVACUATED = "evacuated"
+    KEY_WITHDRAWN = "key withdrawn"
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -247,6 +250,8 @@
     `moves` holds all orders that the sender knows, so that a restarted node gets them from its
     peers. `synced` is false while a node that has just started lacks the records of its peers.
     `evacuations` is None if the sender doesn't know their state or doesn't need it.
+    `confirmed_age_ms` is how long ago the sender's version was certainly the newest, None if it
+    does not know or if there are no teams.
     """
 
     node: NodeRecord
@@ -259,6 +264,7 @@
     synced: bool = True
     suspects_digest: str = ""
     evacuations: EvacuationState | None = None
+    confirmed_age_ms: float | None = None
 
 
 class EvacuationNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -22,6 +22,7 @@
     ConfigurationHolder,
     ConfigurationSync,
 )
+from corianderwall.mesh.confirmation import ConfigurationConfirmation
 from corianderwall.mesh.directory import Directory, list_node_endpoints
 from corianderwall.mesh.entry import Entry
 from corianderwall.mesh.evacuationsync import EVACUATION_NOTICE_KIND, EvacuationSync
@@ -115,7 +116,7 @@
         )
         self.metrics = CallMetrics()
         self.directory = Directory(own)
-        self.holder = ConfigurationHolder()
+        self.holder = ConfigurationHolder(settings.bounds.config_apply_s)
         self.moves = MoveTracker(settings.bounds.canary_share, random)
         self.uplink = Uplink(settings.link_bytes_per_s)
         self.suspects = Suspects()
@@ -132,6 +133,7 @@
             self.suspects,
             self._share_suspects,
             self._find_own_record,
+            lambda: self.holder.teams,
         )
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
@@ -182,6 +184,15 @@
             random,
             self.evacuations,
         )
+        confirmation = ConfigurationConfirmation(
+            self.holder,
+            self.directory,
+            lambda: self.sync.source_ok,
+            self.gossip.send_heartbeat,
+            self.spawn,
+            random,
+        )
+        self.entry.authenticator.request_confirmation = confirmation.request
         handlers = {
             HEARTBEAT_KIND: self.gossip.handle_heartbeat,
             TABLES_KIND: self.gossip.handle_tables,
@@ -282,6 +293,11 @@
             synced=self.gate.synced,
             suspects_digest=self.suspects.compute_digest(),
             evacuations=self.evacuations.make_state(),
+            confirmed_age_ms=(
+                self.holder.freshness.compute_age_ms(self._loop.time())
+                if self.holder.teams.is_active
+                else None
+            ),
         )
 
     def _make_limits(self) -> ServerLimits:
