Run pipelined requests at once and answer them in order

Cause: a connection ran its requests one after another, so the times of pipelined requests added up. Change: the handler gets up to max_concurrent_calls of a connection at once (host nodes: 8, all other servers: 1 as before). Responses are buffered within limits and written in the order of the requests. A call that is not idempotent runs alone. A call whose time passes behind others is answered 503.

--- a/packages/httpflow/src/corianderwall/httpflow/call.py
+++ b/packages/httpflow/src/corianderwall/httpflow/call.py
@@ -22,8 +22,14 @@
 class IncomingCall:
     """A request and the methods to respond to it; responses to a disconnected caller are dropped.
 
-    `body_length` is 0 without a body and None for a chunked one. `on_disconnect` is called once if
+    `body_length` is 0 without a body and None for a chunked one. `received_at` is when its head was
+    read, in monotonic seconds, which is earlier than when it is handled if it had to wait for calls
+    before it. `on_disconnect` is called once if
     the caller disconnects before the response has ended.
+
+    If the server's limits allow it, calls of one connection run at the same time, and their
+    responses are sent in the order of the requests. A handler that must not run a call beside
+    others calls `run_alone` before `handle` returns.
     """
 
     __slots__ = (
@@ -31,9 +37,11 @@
         "_chunked_response",
         "_chunks",
         "_connection",
+        "_on_first",
         "_paused",
         "_remaining",
         "_sink",
+        "blocks_following",
         "body_length",
         "body_received",
         "expects_continue",
@@ -43,12 +51,15 @@
         "keep_alive",
         "method",
         "on_disconnect",
+        "received_at",
         "responded",
         "response_source",
         "target",
     )
 
-    def __init__(self, connection: "ServerConnection", head: RequestHead) -> None:
+    def __init__(
+        self, connection: "ServerConnection", head: RequestHead, received_at: float
+    ) -> None:
         self.method = head.method
         self.target = head.target
         self.headers = head.headers
@@ -57,10 +68,14 @@
         self.is_http11 = head.is_http11
         self.body_length = head.body_length
         self.expects_continue = head.expects_continue
+        self.received_at = received_at
         self.body_received = False
         self.responded = False
         self.response_source: BodySource | None = None
         self.on_disconnect: Callable[[], None] | None = None
+        # The handler gets nothing behind a request that ends the connection.
+        self.blocks_following = not head.keep_alive
+        self._on_first: Callable[[], None] | None = None
         self._connection: ServerConnection | None = connection
         self._chunks: list[bytes] = []
         self._buffered_bytes = 0
@@ -86,6 +101,24 @@
         """Return the caller's connection, None after the end of the response or a disconnect."""
         return self._connection
 
+    def run_alone(self, start: "Callable[[], None]") -> None:
+        """Call `start` once all calls before this one have been answered.
+
+        The handler gets no call behind this one before the response to it has ended.
+        """
+        self.blocks_following = True
+        connection = self._connection
+        if connection is None or connection.is_first(self):
+            start()
+        else:
+            self._on_first = start
+
+    def handle_first(self) -> None:
+        """Run what waits until all calls before this one have been answered."""
+        start, self._on_first = self._on_first, None
+        if start is not None:
+            start()
+
     def take_body(self) -> bytes | None:
         """Return the body if all of it has been received and it is not streamed, otherwise None."""
         if not self.body_received or self._sink is not None:
@@ -101,7 +134,7 @@
         connection = self._connection
         if connection is not None and self.expects_continue and not self.body_received:
             self.expects_continue = False
-            connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            connection.write_response(self, b"HTTP/1.1 100 Continue\r\n\r\n")
         for chunk in chunks:
             sink.write_body(chunk)
         if self.body_received:
@@ -132,7 +165,10 @@
         framing = b"content-length: %d\r\n" % len(body) if has_body else b""
         keep_alive = self._keeps_alive(connection)
         head = encode_response_head(status, headers, framing if keep_alive else framing + CLOSE)
-        connection.write(head + body if has_body and self.method != b"HEAD" else head)
+        whole = head + body if has_body and self.method != b"HEAD" else head
+        if not keep_alive:
+            connection.close_after(self)
+        connection.write_response(self, whole)
         self._end_call(connection, keep_alive)
 
     def start_response(
@@ -160,10 +196,12 @@
         if not self._keeps_alive(connection):
             self.keep_alive = False
             framing += CLOSE
+        head = encode_response_head(status, headers, framing)
+        if not self.keep_alive:
+            connection.close_after(self)
         self.response_source = source
-        connection.write(encode_response_head(status, headers, framing))
-        if source is not None and connection.write_paused:
-            source.pause_body()
+        connection.write_response(self, head)
+        connection.update_source(self)
 
     def write_body(self, data: bytes) -> None:
         """Write the next bytes of the streamed response."""
@@ -171,14 +209,14 @@
         if connection is None or not data or self.method == b"HEAD":
             return
         if self._chunked_response:
-            connection.write_all(encode_chunk(data))
+            connection.write_response(self, *encode_chunk(data))
             return
         if self._remaining is not None:
             self._remaining -= len(data)
             if self._remaining < 0:
                 self.abort_response()
                 return
-        connection.write(data)
+        connection.write_response(self, data)
 
     def end_response(self) -> None:
         """End the streamed response, or abort it if it is shorter than its announced length."""
@@ -189,15 +227,19 @@
             self.abort_response()
             return
         if self._chunked_response:
-            connection.write(LAST_CHUNK)
+            connection.write_response(self, LAST_CHUNK)
         self._end_call(connection, self.keep_alive)
 
     def abort_response(self) -> None:
-        """Reset the connection, so that a truncated response never looks complete."""
+        """Reset the connection, so that a truncated response never looks complete.
+
+        If nothing of the response has been written yet, it is replaced by one with status 502.
+        """
         connection = self._connection
         if connection is not None:
+            keep_alive = self._keeps_alive(connection)
             self._release()
-            connection.abort_call(self)
+            connection.abort_call(self, keep_alive)
 
     def receive_body(self, data: bytes) -> None:
         """Receive bytes of the request's body, and buffer them until a sink is set."""
@@ -238,9 +280,10 @@
         self._sink = None
         self.response_source = None
         self.on_disconnect = None
+        self._on_first = None
 
     def _keeps_alive(self, connection: "ServerConnection") -> bool:
-        return self.keep_alive and self.body_received and not connection.draining
+        return self.keep_alive and self.body_received and not connection.must_close_after(self)
 
     def _end_call(self, connection: "ServerConnection", keep_alive: bool) -> None:
         self._release()
--- a/packages/httpflow/src/corianderwall/httpflow/limits.py
+++ b/packages/httpflow/src/corianderwall/httpflow/limits.py
@@ -8,13 +8,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerLimits:
-    """Limits of a server and of each caller's connection; times in seconds, sizes in bytes."""
+    """Limits of a server and of each caller's connection; times in seconds, sizes in bytes.
+
+    The handler gets up to `max_concurrent_calls` pipelined calls of a connection at once. Responses
+    that wait for those before them hold up to `response_buffer_bytes` for a connection and
+    `max_response_buffer_bytes` for all, beyond which only calls that already run add to them.
+    """
 
     max_head_bytes: int = 32 * KIB
     max_headers: int = 100
     max_body_bytes: int = 1024 * MIB
     body_buffer_bytes: int = 64 * KIB
     write_buffer_bytes: int = 256 * KIB
+    max_concurrent_calls: int = 1
+    response_buffer_bytes: int = 256 * KIB
+    max_response_buffer_bytes: int = 8 * MIB
     max_connections: int = 4096
     head_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -1,4 +1,4 @@
-"""One caller's connection: reads requests, runs them in order, writes the responses."""
+"""One caller's connection: reads requests, runs them, writes the responses in order."""
 
 import asyncio
 import math
@@ -12,8 +12,13 @@
 from corianderwall.httpflow.call import CallHandler, IncomingCall
 from corianderwall.httpflow.headers import CLOSE, NOT_RUN_HEADER, encode_response_head
 from corianderwall.httpflow.limits import ServerLimits
+from corianderwall.httpflow.pipeline import BufferCounter, Pipeline
 from corianderwall.httpflow.request_parser import RequestHead, RequestParser, RequestRefusedError
 
+EMPTY_BODY = b"content-length: 0\r\n"
+BAD_GATEWAY = 502
+"""Status instead of a response that was aborted before any of it was written."""
+
 
 class ServerState:
     """The state that the connections of one server share."""
@@ -25,6 +30,7 @@
         self.running_calls = 0
         self.ended_calls = 0
         self.connections: set[ServerConnection] = set()
+        self.pipelining = BufferCounter()
 
     def advance_drain(self) -> None:
         """Handle the end of a call or a connection; does nothing by default."""
@@ -41,7 +47,7 @@
         self._loop = loop
         self._limits = state.limits
         self._parser = RequestParser(self, state.limits)
-        self._active: IncomingCall | None = None
+        self._running = Pipeline(self, state.limits, state.pipelining)
         self._waiting: deque[IncomingCall] = deque()
         self._incoming: IncomingCall | None = None
         self._refusal_status = 0
@@ -49,15 +55,15 @@
         self._dispatching = False
         self._reading = True
 
-    @property
-    def draining(self) -> bool:
-        """Return whether the server drains, so that each response must close the connection."""
-        return self._state.draining
-
     @property
     def is_idle(self) -> bool:
         """Return whether no request is running, waiting or partly read."""
-        return self._active is None and not self._waiting and not self._parser.in_message
+        return self.is_answered and not self._parser.in_message
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the responses to all requests that were read whole have been written."""
+        return not self._running and not self._waiting
 
     # Events of the transport.
 
@@ -90,8 +96,7 @@
         self._discards_input = True
         self.deadline = math.inf
         self._state.connections.discard(self)
-        lost = [*([self._active] if self._active else []), *self._waiting]
-        self._active = None
+        lost = [*self._running.clear(), *self._waiting]
         self._waiting.clear()
         self._state.running_calls -= len(lost)
         for call in lost:
@@ -102,21 +107,22 @@
         """Pause the source of the response."""
         self.write_paused = True
         self.deadline = self._loop.time() + self._limits.write_timeout_s
-        if self._active is not None and self._active.response_source is not None:
-            self._active.response_source.pause_body()
+        if self._running.first is not None:
+            self.update_source(self._running.first)
 
     def resume_writing(self) -> None:
-        """Resume the source of the response."""
+        """Resume the source of the response, and run the calls that waited for the caller."""
         self.write_paused = False
         self._set_deadline()
-        if self._active is not None and self._active.response_source is not None:
-            self._active.response_source.resume_body()
+        if self._running.first is not None:
+            self.update_source(self._running.first)
+        self._dispatch()
 
     # Events of the parser.
 
     def receive_head(self, head: RequestHead) -> None:
         """Queue a call."""
-        call = IncomingCall(self, head)
+        call = IncomingCall(self, head, self._loop.time())
         self._incoming = call
         self._waiting.append(call)
         self._state.running_calls += 1
@@ -142,6 +148,26 @@
         """Write several buffers to the caller."""
         self._transport.writelines(buffers)
 
+    def write_response(self, call: IncomingCall, *buffers: bytes) -> None:
+        """Write a part of the response to `call` after the responses to all calls before it."""
+        self._running.write(call, buffers)
+
+    def update_source(self, call: IncomingCall) -> None:
+        """Pause or resume the source of the response to `call`."""
+        self._running.update_source(call, write_paused=self.write_paused)
+
+    def is_first(self, call: IncomingCall) -> bool:
+        """Return whether all calls before `call` have been answered."""
+        return self._running.first is call
+
+    def must_close_after(self, call: IncomingCall) -> bool:
+        """Return whether the response to `call` must close the connection, as the server drains."""
+        return self._state.draining and self._running.is_last(call)
+
+    def close_after(self, call: IncomingCall) -> None:
+        """Run no calls behind `call`, as the response to it closes the connection."""
+        self._running.close_after(call)
+
     def update_reading(self) -> None:
         """Pause reading while a call waits or the body's buffer is full, otherwise resume it."""
         incoming = self._incoming
@@ -158,29 +184,29 @@
         self._set_deadline()
 
     def end_call(self, call: IncomingCall, keep_alive: bool) -> None:
-        """Run the next call after the response to `call` has ended, or close."""
-        self._active = None
-        self._state.running_calls -= 1
-        self._state.ended_calls += 1
-        if keep_alive:
-            self._dispatch()
-        else:
-            self._drop_waiting()
-            self._close(linger=self._incoming is not None or not call.body_received)
+        """Run the next calls after the response to `call` has ended, or close."""
+        if not keep_alive:
+            self._running.close_after(call)
+        self._advance()
+        self._dispatch()
         if self._state.draining:
             self._state.advance_drain()
 
-    def abort_call(self, call: IncomingCall) -> None:
-        """Reset the connection in the middle of the response to `call`."""
-        self._active = None
-        self._state.running_calls -= 1
-        self._drop_waiting()
+    def abort_call(self, call: IncomingCall, keep_alive: bool) -> None:
+        """Reset the connection in the middle of the response to `call`.
+
+        If the response still waits for others, it is replaced.
+        """
+        if not self.is_first(call):
+            self._replace_response(call, keep_alive)
+            return
         self._discards_input = True
+        self._drop_calls()
         self._transport.abort()
 
     def expire(self) -> None:
         """Close after the deadline has passed."""
-        if self._active is not None or self._waiting or self._discards_input:
+        if self._running or self._waiting or self._discards_input:
             self._transport.abort()
         elif self._parser.in_message:
             self._refuse_request(408)
@@ -219,17 +245,52 @@
         if self._dispatching:
             return
         self._dispatching = True
-        while self._active is None and self._waiting:
+        while self._waiting and self._admits(self._waiting[0]):
             call = self._waiting.popleft()
-            self._active = call
+            self._running.append(call)
             self._handle(call)
         self._dispatching = False
-        if self._refusal_status and self._active is None:
+        if self._refusal_status and self.is_answered:
             self._write_refusal()
         elif not self._discards_input:
             self.update_reading()
             self._set_deadline()
 
+    def _admits(self, call: IncomingCall) -> bool:
+        """Return whether the handler may get `call` now, as the caller reads its responses."""
+        return not self.write_paused and self._running.admits(call, draining=self._state.draining)
+
+    def _advance(self) -> None:
+        """Remove the first calls whose responses have ended, and write the response behind them."""
+        while (first := self._running.first) is not None and not first.is_open:
+            if self._running.closes_after(first):
+                self._end_connection(first)
+                return
+            self._count_ended()
+            self._running.remove_first()
+            following = self._running.first
+            if following is not None:
+                self.update_source(following)
+                following.handle_first()
+
+    def _end_connection(self, call: IncomingCall) -> None:
+        """Close after the response to `call`; the calls behind it get none."""
+        self._count_ended()
+        self._running.remove(call)
+        self._drop_calls()
+        self._close(linger=self._incoming is not None or not call.body_received)
+
+    def _count_ended(self) -> None:
+        self._state.running_calls -= 1
+        self._state.ended_calls += 1
+
+    def _replace_response(self, call: IncomingCall, keep_alive: bool) -> None:
+        keep_alive = keep_alive and not self._running.closes_after(call)
+        framing = EMPTY_BODY if keep_alive else EMPTY_BODY + CLOSE
+        self._running.discard_output(call)
+        self.write_response(call, encode_response_head(BAD_GATEWAY, [], framing))
+        self.end_call(call, keep_alive)
+
     def _handle(self, call: IncomingCall) -> None:
         try:
             self._state.handler.handle(call)
@@ -243,37 +304,49 @@
     def _refuse_request(self, status: int) -> None:
         self._discards_input = True
         incomplete, self._incoming = self._incoming, None
-        if incomplete is not None and incomplete is self._active:
-            self._active = None
-            self._state.running_calls -= 1
-            incomplete.handle_disconnect()
-            if incomplete.responded:
-                self._transport.abort()
-                return
-        elif incomplete is not None:
+        if incomplete is not None and incomplete in self._waiting:
             self._waiting.remove(incomplete)
             self._state.running_calls -= 1
+        elif incomplete is not None and not self._stop_incomplete(incomplete):
+            return
         self._refusal_status = status
         self.deadline = math.inf
-        if self._active is None and not self._waiting:
+        if self.is_answered:
             self._write_refusal()
 
+    def _stop_incomplete(self, call: IncomingCall) -> bool:
+        """Stop a call whose body is refused; return whether the refusal may be its response."""
+        if not call.is_open:
+            # Its response, which closes the connection, waits for those before it.
+            return False
+        is_first = self.is_first(call)
+        self._running.remove(call)
+        self._state.running_calls -= 1
+        call.handle_disconnect()
+        if is_first and call.responded:
+            self._transport.abort()
+            return False
+        return True
+
     def _refuse_connection(self) -> None:
         # After a reset the caller could not know whether its request has run.
         self._discards_input = True
-        framing = b"content-length: 0\r\n" + CLOSE
-        self.write(encode_response_head(503, [NOT_RUN_HEADER], framing))
+        self.write(encode_response_head(503, [NOT_RUN_HEADER], EMPTY_BODY + CLOSE))
         self._close(linger=True)
 
     def _write_refusal(self) -> None:
         status, self._refusal_status = self._refusal_status, 0
-        self.write(encode_response_head(status, [], b"content-length: 0\r\n" + CLOSE))
+        self.write(encode_response_head(status, [], EMPTY_BODY + CLOSE))
         self._close(linger=True)
 
-    def _drop_waiting(self) -> None:
+    def _drop_calls(self) -> None:
+        """Cancel the running calls, and drop those that the handler has not got."""
         self._refusal_status = 0
-        self._state.running_calls -= len(self._waiting)
+        running = self._running.clear()
+        self._state.running_calls -= len(running) + len(self._waiting)
         self._waiting.clear()
+        for call in running:
+            call.handle_disconnect()
 
     def _close(self, *, linger: bool) -> None:
         self._discards_input = True
@@ -296,9 +369,10 @@
         limits = self._limits
         if self.write_paused:
             return
-        if self._incoming is not None and self._reading:
+        first = self._running.first
+        if self._incoming is not None and self._reading and first in (None, self._incoming):
             self.deadline = self._loop.time() + limits.body_timeout_s
-        elif self._active is not None:
+        elif first is not None:
             self.deadline = math.inf
         elif self._parser.in_message:
             self.deadline = min(self.deadline, self._loop.time() + limits.head_timeout_s)
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -32,6 +32,7 @@
 from corianderwall.mesh.sizes import ResponseSizes
 from corianderwall.mesh.splits import WeightedSplit
 from corianderwall.mesh.tasks import run_call
+from corianderwall.mesh.turns import wait_for_turn
 from corianderwall.model.resource import Route
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
@@ -61,6 +62,7 @@
 class _CallState:
     """The state of a call at the entry; instants are monotonic seconds.
 
+    `began` is when the call was received, `waited_s` how long calls of its connection came first.
     `version` is the version of the endpoint whose owner was asked last, empty before that.
     `try_new` allows the new version of a running move; it is None until it is decided.
 
@@ -77,6 +79,7 @@
     began: float
     parent: RunningCall | None
     is_retry: bool
+    waited_s: float = 0.0
     unusable: set[str] = field(default_factory=set)
     attempts: int = 0
     refused_wait_ms: list[float] = field(default_factory=list)
@@ -157,17 +160,21 @@
         run_call(call, self._handle_call(call))
 
     async def _handle_call(self, call: IncomingCall) -> None:
-        began = self._loop.time()
         request_id = call.find_header(self._headers.request_id) or b""
         route = self._find_route(call, request_id)
-        if route is None:
+        if route is None or not await self._await_turn(call, request_id, route):
             return
+        if self._loop.time() > call.received_at:
+            # The configuration may have changed while the call waited.
+            route = self._find_route(call, request_id)
+            if route is None:
+                return
         limit = self._configuration.snapshot.limits.max_body_bytes
         body = BodyReader(call, limit, self._body_memory)
         if not body.admit():
             self._refuse_body(call, request_id, body)
             return
-        state = self._make_state(call, request_id, route, began)
+        state = self._make_state(call, request_id, route)
         self._metrics.running += 1
         pending = Deferred.fromCoroutine(self._read_and_send(state, body))
         timer = self._loop.call_at(state.deadline, pending.cancel)
@@ -198,11 +205,24 @@
             self._refuse_early(call, request_id, 404, "no route")
         return route
 
-    def _make_state(
-        self, call: IncomingCall, request_id: bytes, route: Route, began: float
-    ) -> _CallState:
+    async def _await_turn(self, call: IncomingCall, request_id: bytes, route: Route) -> bool:
+        """Return whether the call may run now; a call that is not idempotent runs alone.
+
+        A call whose time has passed behind others of its connection is refused.
+        """
+        deadline = call.received_at + self._read_timeout_s(call)
+        came = route.idempotent or await wait_for_turn(call, deadline)
+        now = self._loop.time()
+        if came and now <= max(call.received_at, min(deadline, self._latest_end)):
+            return True
+        self._refuse_early(call, request_id, 503, "late behind calls of its connection")
+        return False
+
+    def _make_state(self, call: IncomingCall, request_id: bytes, route: Route) -> _CallState:
         timeout_s = self._read_timeout_s(call)
-        deadline = min(began + min(timeout_s, route.timeout_ms / 1000), self._latest_end)
+        began = call.received_at
+        now = self._loop.time()
+        deadline = min(began + timeout_s, now + route.timeout_ms / 1000, self._latest_end)
         parent = self._find_parent(request_id)
         due = deadline
         if parent is None:
@@ -220,6 +240,7 @@
             began=began,
             parent=parent,
             is_retry=parent is not None and parent.is_retry,
+            waited_s=now - began,
         )
         if parent is None:
             # The retry budget is a fraction of the calls of callers; nested calls don't add to it.
@@ -514,6 +535,7 @@
             fingerprint=state.fingerprint,
             crashes=self._suspects.count_crashes(state.fingerprint),
             took_ms=round(took_s * 1000, 1),
+            waited_ms=round(state.waited_s * 1000, 1),
             left_ms=round((state.deadline - now) * 1000, 1),
             config_version=self._configuration.snapshot.version,
         )
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -40,6 +40,8 @@
         metrics.endpoint_calls.set({"state": "running"}, load.running)
         metrics.endpoint_calls.set({"state": "waiting"}, load.waiting)
         metrics.running_calls.set({}, node.metrics.running)
+        metrics.pipelined_calls.set({}, node.pipelining.concurrent_calls)
+        metrics.pipelined_bytes.set({}, node.pipelining.buffered_bytes)
         live = sum(1 for _ in node.directory.list_live())
         metrics.hosts.set({"state": "live"}, live + 1)
         metrics.hosts.set({"state": "doubted"}, len(node.directory.peers) - live)
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -13,6 +13,7 @@
 from corianderwall.httpflow.attempt import OutgoingCall
 from corianderwall.httpflow.call import CallHandler
 from corianderwall.httpflow.limits import ServerLimits
+from corianderwall.httpflow.pipeline import BufferCounter
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.httpflow.server import CallServer
 from corianderwall.mesh.bodymemory import BODY_MEMORY_FRACTION, BodyMemory
@@ -58,6 +59,8 @@
 """Time for the last responses to reach their callers; ten times their usual network time."""
 RESERVED_DESCRIPTORS = 400
 """File descriptors reserved for connections to peers, the endpoint and the platform."""
+MAX_PIPELINED_CALLS = 8
+"""Pipelined calls of one caller's connection that run at once; about the slots of an endpoint."""
 FIND_INTERVAL_S = 0.3
 """Interval at which a restarted node probes the endpoint that its peers report beside it."""
 MAX_FIND_TRIES = 10
@@ -178,7 +181,8 @@
         }
         peer_handler = PeerHandler(self.gate, headers, handlers, sender, self.body_memory)
         limits = self._make_limits()
-        self._outbound = CallServer(self.entry, limits)
+        outbound_limits = replace(limits, max_concurrent_calls=MAX_PIPELINED_CALLS)
+        self._outbound = CallServer(self.entry, outbound_limits)
         self._inbound = CallServer(peer_handler, limits)
         self._extra_servers: list[CallServer] = []
         self.holder.listeners.append(self._apply_configuration)
@@ -197,6 +201,11 @@
         task.add_done_callback(self._finish_task)
         return task
 
+    @property
+    def pipelining(self) -> BufferCounter:
+        """Return the counts of pipelined calls."""
+        return self._outbound.pipelining
+
     async def start(self, extra: list[tuple[CallHandler, Address]]) -> None:
         """Listen on all addresses, then join the fleet; `extra` are the handlers of the adapter."""
         await self._listen(self._inbound, self.settings.inbound)
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1448,3 +1448,71 @@
         assert len(endpoints.crashed_at) == known
 
     return run_scenario(scenario)
+
+
+async def send_pipelined(fleet: Fleet, *requests: tuple[str, str, int]) -> list[int]:
+    """Send requests (method, target, deadline in ms) at once; return the statuses in order."""
+    port = fleet.hosts["n1"].node.settings.outbound.port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for number, (method, target, deadline_ms) in enumerate(requests):
+        writer.write(
+            f"{method} {target} HTTP/1.1\r\nhost: h.example\r\nrequest-id: q{number}\r\n"
+            f"deadline-ms: {deadline_ms}\r\n\r\n".encode()
+        )
+    statuses = []
+    for _ in requests:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        statuses.append(int(head.split()[1]))
+        await reader.readexactly(int(head.partition("content-length: ")[2].split()[0]))
+    writer.close()
+    return statuses
+
+
+def play_pipelined(*requests: tuple[str, str, int]) -> tuple[Deferred[None], SimpleNamespace]:
+    """Play calls that take 0.1 s each; the result names which began and which ran together."""
+    seen = SimpleNamespace(statuses=[], started=[], together=[], running=set())
+
+    async def respond(request: ReceivedRequest) -> bytes:
+        seen.started.append(request.target)
+        seen.running.add(request.target)
+        seen.together.append(frozenset(seen.running))
+        await asyncio.sleep(0.1)
+        seen.running.discard(request.target)
+        return make_response(request)
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.respond = respond
+        writes = make_route("w", "s", idempotent=False)
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s"), writes))
+        await fleet.add("n1")
+        await fleet.wait_until_synced()
+        async with asyncio.timeout(WAIT_S):
+            seen.statuses = await send_pipelined(fleet, *requests)
+
+    return run_scenario(scenario), seen
+
+
+def test_pipelined_reads_run_together_and_a_write_among_them_alone() -> Deferred[None]:
+    """Guards against a write that overtakes a read before it, or is overtaken by one behind it."""
+    done, seen = play_pipelined(
+        ("GET", "/r/1", 2000), ("GET", "/r/2", 2000), ("PUT", "/w/3", 2000), ("GET", "/r/4", 2000)
+    )
+
+    def check(_: None) -> None:
+        assert seen.statuses == [200] * 4
+        assert frozenset({"/r/1", "/r/2"}) in seen.together
+        assert [each for each in seen.together if "/w/3" in each] == [frozenset({"/w/3"})]
+        assert seen.started[2:] == ["/w/3", "/r/4"]
+
+    return done.addCallback(check)
+
+
+def test_a_write_whose_time_passes_behind_a_read_is_refused_as_not_run() -> Deferred[None]:
+    """Guards against a write that is sent, or answered 504, after its caller has given it up."""
+    done, seen = play_pipelined(("GET", "/r/1", 2000), ("PUT", "/w/2", 50), ("GET", "/r/3", 2000))
+
+    def check(_: None) -> None:
+        assert seen.statuses == [200, 503, 200]
+        assert sorted(seen.started) == ["/r/1", "/r/3"]
+
+    return done.addCallback(check)
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -56,6 +56,12 @@
             "moves_ended", "Moves seen to end, by service and outcome."
         )
 
+        self.pipelined_calls = self._add_counter(
+            "pipelined_calls", "Calls run beside an unanswered one of the same connection."
+        )
+        self.pipelined_bytes = self._add_gauge(
+            "pipelined_response_bytes", "Responses that wait for those before them."
+        )
         self.crashes = self._add_counter(
             "endpoint_crashes", "Crashes of the endpoint beside this node while it ran calls."
         )
