Use the speed that endpoints name for their machine

Cause: machines change their speed within some hundred milliseconds; call times followed it ten calls later, and all entries chose the same fast endpoints. Change: owners keep call times at usual speed and multiply them by the newest value while it is fresh. Entries draw a few endpoints in proportion to their speed and take the least loaded of these. Without a fourth value in the load header nothing changes.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from corianderwall.mesh.ratelimit import RateLimit
+from corianderwall.mesh.slowdown import Slowdown
 from corianderwall.mesh.uplink import Uplink
 
 EWMA_WEIGHT = 0.15
@@ -36,6 +37,7 @@
 
     A response after `due` misses the latency objective, and one after `deadline` is useless.
     `sending_s` is how long a big response will occupy the host's link, 0 for a small response.
+    `slowdown` is that of the machine when the call started, None if it was not known.
     """
 
     route: str
@@ -45,6 +47,7 @@
     sending_s: float = 0.0
     sequence: int = 0
     started: float = 0.0
+    slowdown: float | None = None
 
 
 @dataclass(slots=True)
@@ -53,7 +56,8 @@
 
     A call with a big response starts only when `uplink` will be free to send the response, which
     would otherwise wait there. Meanwhile calls with small responses may overtake it. No call starts
-    beyond the rate `limit` that the endpoint has named.
+    beyond the rate `limit` that the endpoint has named. Call times are kept as they are at the
+    machine's usual speed, and multiplied by its `slowdown` where they are used.
 
     In an overload late calls get only free slots. Callers that were refused come back late, and if
     their calls waited, they would take the slots in which others could still be timely.
@@ -62,6 +66,7 @@
     slots: int
     uplink: Uplink = field(default_factory=Uplink)
     limit: RateLimit = field(default_factory=RateLimit)
+    slowdown: Slowdown = field(default_factory=Slowdown)
     running: set[QueuedCall] = field(default_factory=set)
     waiting: list[QueuedCall] = field(default_factory=list)
     route_means_s: dict[str, float] = field(default_factory=dict)
@@ -97,7 +102,7 @@
         self.running.discard(call)
         if not ran:
             return
-        took_s = now - call.started
+        took_s = (now - call.started) / self.slowdown.average(call.slowdown, now)
         previous = self.route_means_s.get(call.route)
         self.route_means_s[call.route] = (
             took_s if previous is None else _update_mean(previous, took_s)
@@ -133,15 +138,16 @@
         waiting, self.waiting = self.waiting, []
         return waiting
 
-    def estimate_call(self, route: str) -> float:
-        """Return the expected time of a call on `route` at the endpoint, in seconds."""
-        return self.route_means_s.get(route) or self.mean_s or DEFAULT_CALL_S
+    def estimate_call(self, route: str, at: float = math.inf) -> float:
+        """Return the expected time in seconds of a call on `route` that starts `at` that time."""
+        usual_s = self.route_means_s.get(route) or self.mean_s or DEFAULT_CALL_S
+        return usual_s * self.slowdown.estimate(at)
 
     def estimate_wait(self, now: float, rank: int) -> float:
         """Return the seconds until a new call of `rank` would get a slot."""
         if len(self.running) < self.slots and not self.waiting:
             return 0.0
-        queued_s = sum(self.estimate_call(t.route) for t in self.waiting if t.rank <= rank)
+        queued_s = sum(self.estimate_call(t.route, now) for t in self.waiting if t.rank <= rank)
         remaining_s = sum(self._estimate_remaining(call, now) for call in self.running)
         return (queued_s + remaining_s) / max(1, self.slots)
 
@@ -152,7 +158,7 @@
         if not call.sending_s:
             return wait_s
         ahead_s = sum(t.sending_s for t in self.waiting if t.rank <= call.rank)
-        link_s = self.estimate_link_wait(now) + ahead_s - self.estimate_call(call.route)
+        link_s = self.estimate_link_wait(now) + ahead_s - self.estimate_call(call.route, now)
         return max(wait_s, link_s)
 
     def estimate_link_wait(self, now: float) -> float:
@@ -183,18 +189,18 @@
     def _is_link_free(self, call: QueuedCall, now: float) -> bool:
         if not call.sending_s:
             return True
-        ready_s = self.estimate_call(call.route) + LINK_SLACK_S
+        ready_s = self.estimate_call(call.route, now) + LINK_SLACK_S
         return self.estimate_link_wait(now) <= ready_s
 
     def _estimate_end(self, call: QueuedCall, start: float) -> float:
-        return start + self.estimate_call(call.route) + call.sending_s
+        return start + self.estimate_call(call.route, start) + call.sending_s
 
     def _estimate_remaining(self, call: QueuedCall, now: float) -> float:
-        mean_s = self.estimate_call(call.route)
+        mean_s = self.estimate_call(call.route, now)
         return max(mean_s - (now - call.started), mean_s * MIN_REMAINING_FRACTION)
 
     def _is_timely(self, call: QueuedCall, start: float) -> bool:
-        expected_s = self.estimate_call(call.route) + call.sending_s
+        expected_s = self.estimate_call(call.route, start) + call.sending_s
         return start + TIMELY_MARGIN * expected_s <= call.due
 
     def _make_sort_key(self, call: QueuedCall, now: float) -> tuple[bool, int, float, int]:
@@ -203,6 +209,7 @@
 
     def _start(self, call: QueuedCall, now: float) -> None:
         call.started = now
+        call.slowdown = self.slowdown.read_fresh(now)
         self.limit.take(now)
         self.running.add(call)
 
--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -63,6 +63,7 @@
     """An endpoint with its load; `pending` counts the calls from this node.
 
     `limit_per_s` is the rate that it last named, also if its owner has restarted since.
+    `reports_speed` is set once its machine has been slower or faster than usual.
 
     Its owner has recently refused calls: until `full_until` it is assumed to have no free slot,
     and until the time in `late_until` to be too slow for the deadlines of that route's calls.
@@ -78,6 +79,7 @@
     joined_at: float = 0.0
     full_until: float = 0.0
     late_until: dict[str, float] = field(default_factory=dict)
+    reports_speed: bool = False
     small_overhead: NetworkOverhead = field(default_factory=NetworkOverhead)
     big_overhead: NetworkOverhead = field(default_factory=NetworkOverhead)
 
@@ -169,6 +171,7 @@
         if view is not None:
             view.load = load
             view.load_at = now
+            view.reports_speed |= load.slowdown != 1.0
             if load.has_responded:
                 view.limit_per_s = load.limit_per_s
 
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -136,6 +136,7 @@
             failures=round(self._failure_rate, 3),
             limit_per_s=queue.limit.rate_per_s,
             has_responded=self._has_responded,
+            slowdown=round(queue.slowdown.estimate(self._loop.time()), 2),
         )
 
     async def serve(self, metadata: CallMetadata, request: ForwardedRequest) -> OwnerResponse:
@@ -375,15 +376,24 @@
         )
         echo = (names.request_id, request.request_id)
         exchange = await run_exchange(self._pool, call, echo)
-        if not exchange.dropped:
-            return exchange
-        resent = self._take_resend(metadata)
-        if self.log_budget.take(self._loop.time()):
-            log_drop(self.connections, metadata, request, exchange, resent=resent)
-        if not resent:
-            return exchange
-        running.is_retry = True
-        return await resend(self._pool, call, echo)
+        if exchange.dropped:
+            resent = self._take_resend(metadata)
+            if self.log_budget.take(self._loop.time()):
+                log_drop(self.connections, metadata, request, exchange, resent=resent)
+            if resent:
+                running.is_retry = True
+                exchange = await resend(self._pool, call, echo)
+        self._read_speed(metadata, exchange)
+        return exchange
+
+    def _read_speed(self, metadata: CallMetadata, exchange: Exchange) -> None:
+        """Keep what a response says of the machine's speed, before its call time is counted."""
+        record, response = self.record, exchange.response
+        if response is None or record is None or record.id != metadata.endpoint:
+            return
+        if response.status != MISDIRECTED:
+            load = response.find_header(self._headers.load)
+            self.queue.slowdown.record(load, self._loop.time())
 
     def _take_resend(self, metadata: CallMetadata) -> bool:
         """Return whether a call that the endpoint has not taken may be sent to it once more."""
@@ -548,6 +558,7 @@
             running=load.running,
             waiting=load.waiting,
             slots=load.slots,
+            slowdown=load.slowdown,
             wait_ms=round(wait_ms, 1),
         )
         metadata = ResponseMetadata(
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -50,6 +50,7 @@
             metrics.link_bytes.set(labels, size)
         for kind, count in self._platform_calls.items():
             metrics.platform_calls.set({"kind": kind}, count)
+        metrics.slowdown.set({}, load.slowdown)
         metrics.connections.set({}, node.gate.connections.opened)
         metrics.drops.set({"resent": "yes"}, node.gate.resent_count)
         metrics.drops.set({"resent": "no"}, node.gate.connections.drops - node.gate.resent_count)
--- a/packages/mesh/src/corianderwall/mesh/selection.py
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from corianderwall.mesh.directory import EndpointView
+from corianderwall.mesh.slowdown import fade
 
 MAX_PROBES = 3
 """Owners that are asked for a free slot before the call is queued at one of them."""
@@ -35,6 +36,11 @@
 """Random fraction added to the latency, so that nodes don't all choose the same endpoint."""
 EXPLORATION_FRACTION = 0.02
 """Fraction of calls sent to a random endpoint, to notice new and recovered endpoints."""
+DRAWN_NEAR = 2
+"""Endpoints of the zone that are compared if endpoints report their speed; with more, the busiest
+one got over 1.4 times the mean load by its speed in the model of test_slowdown."""
+DRAWN_FAR = 1
+"""Endpoints of other zones that are compared with these."""
 DEFAULT_SERVICE_MS = 50.0
 """Call time assumed if no endpoint of the service has reported one."""
 
@@ -131,13 +137,20 @@
     if not traits.big and random.random() < EXPLORATION_FRACTION:
         return random.choice(candidates)
     typical_ms = _compute_typical_ms(candidates, now)
+    by_speed = any(view.reports_speed for view in candidates)
+    if by_speed:
+        candidates = draw_by_speed(candidates, traits.zone, typical_ms, now, random)
     best: EndpointView | None = None
     best_ms = 0.0
     for view in candidates:
         overhead = view.big_overhead if traits.big else view.small_overhead
         expected_ms = estimate_call_ms(view, typical_ms, now) + overhead.estimate_ms(now)
         expected_ms *= 1 + JITTER * random.random()
-        expected_ms += LATE_PENALTY * max(0.0, expected_ms * LATE_MARGIN - traits.objective_ms)
+        late_ms = max(0.0, expected_ms * LATE_MARGIN - traits.objective_ms)
+        if by_speed:
+            # The draw has counted the speed; counting it twice would load the fast ones most.
+            expected_ms *= typical_ms / _estimate_service_ms(view, typical_ms, now)
+        expected_ms += LATE_PENALTY * late_ms
         if view.record.zone != traits.zone:
             expected_ms += traits.other_zone_penalty_ms
         if now < view.deprioritized_until:
@@ -147,6 +160,24 @@
     return best
 
 
+def draw_by_speed(
+    views: list[EndpointView], zone: str, typical_ms: float, now: float, random: Random
+) -> list[EndpointView]:
+    """Return a few endpoints of the zone and one of the others, drawn by how fast they are.
+
+    Each endpoint is then loaded in proportion to its speed, however old the reports are. The best
+    of all would get the calls of all entries until their reports change.
+    """
+    near = [view for view in views if view.record.zone == zone]
+    far = [view for view in views if view.record.zone != zone]
+    drawn: list[EndpointView] = []
+    for group, count in ((near, DRAWN_NEAR), (far, DRAWN_FAR if near else DRAWN_NEAR)):
+        if group:
+            speeds = [1.0 / _estimate_service_ms(view, typical_ms, now) for view in group]
+            drawn += random.choices(group, speeds, k=count)
+    return drawn
+
+
 def prefer_zone(views: list[EndpointView], traits: CallTraits, now: float) -> list[EndpointView]:
     """Return the endpoints of the zone whose links are not crowded, or all endpoints if none."""
     near = [
@@ -164,15 +195,21 @@
     slots = max(1, view.record.slots)
     fresh = max(0.0, 1.0 - (now - view.load_at) / LOAD_DECAY_S)
     busy = max(float(view.pending), (load.running + load.waiting) * fresh)
-    # Old reports count less, so that an endpoint recovers from the slow calls of a cold start.
-    weight = max(0.0, 1.0 - (now - view.load_at) / CALL_TIME_DECAY_S) if load.service_ms else 0.0
-    service_ms = typical_ms + (load.service_ms - typical_ms) * weight
+    service_ms = _estimate_service_ms(view, typical_ms, now)
     overload = max(0.0, busy + 1 - slots) / slots
     utilisation = 0.3 * min(1.0, busy / slots)
     failure_factor = 1 + FAILURE_PENALTY * load.failures
     return service_ms * (1 + utilisation + overload) * failure_factor
 
 
+def _estimate_service_ms(view: EndpointView, typical_ms: float, now: float) -> float:
+    load, age_s = view.load, now - view.load_at
+    # Old reports count less, so that an endpoint recovers from the slow calls of a cold start.
+    weight = max(0.0, 1.0 - age_s / CALL_TIME_DECAY_S) if load.service_ms else 0.0
+    service_ms = typical_ms + (load.service_ms - typical_ms) * weight
+    return service_ms * fade(load.slowdown, age_s)
+
+
 def _compute_typical_ms(views: list[EndpointView], now: float) -> float:
     reported = [view for view in views if view.load.service_ms > 0]
     recent = [view for view in reported if now - view.load_at < CALL_TIME_DECAY_S] or reported
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -675,3 +675,21 @@
         assert (reply.metadata.ran, reply.metadata.resent) == (None, True)
 
     return run_forgetful(scenario)
+
+
+@pytest.mark.parametrize(("value", "slowdown"), [("1, 0, 1, 250", 2.5), ("1, 0, 1", 1.0)])
+def test_the_speed_that_an_endpoint_names_reaches_its_load_and_its_call_times(
+    value: str, slowdown: float
+) -> Deferred[None]:
+    """Guards against a value that is read after the call that it explains has been counted."""
+
+    async def respond(request: ReceivedRequest) -> bytes:
+        await asyncio.sleep(0.1)
+        return make_response(request, extra_headers=f"Load: {value}\r\n")
+
+    async def scenario(setup: Setup) -> None:
+        reply = await setup.serve()
+        assert reply.metadata.load.slowdown == pytest.approx(slowdown, abs=0.1)
+        assert reply.metadata.load.service_ms == pytest.approx(100 / slowdown, rel=0.3)
+
+    return run_scenario(respond, scenario)
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -62,6 +62,9 @@
         self.pipelined_bytes = self._add_gauge(
             "pipelined_response_bytes", "Responses that wait for those before them."
         )
+        self.slowdown = self._add_gauge(
+            "endpoint_slowdown", "How many times longer than usual work takes at that endpoint."
+        )
         self.connections = self._add_counter(
             "endpoint_connections", "Connections opened to the endpoint beside this node."
         )
