Bound the time of callers that do not read, and log those that leave before their turn

Cause: a refused head behind waiting calls removed the write timeout, and nothing was logged for a call that was cancelled while it waited for its turn. Change: the write timeout holds until the caller reads again; a log line; a crash that is found takes back what its resets seemed to say of rested connections. Result: test_pipeline.py has a test that failed before.

--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -310,7 +310,7 @@
         elif incomplete is not None and not self._stop_incomplete(incomplete):
             return
         self._refusal_status = status
-        self.deadline = math.inf
+        self._set_deadline()
         if self.is_answered:
             self._write_refusal()
 
@@ -364,11 +364,14 @@
             self._transport.resume_reading()
 
     def _set_deadline(self) -> None:
+        if self.write_paused:
+            return
         if self._discards_input:
+            if self._refusal_status:
+                # The refusal waits for the calls that run.
+                self.deadline = math.inf
             return
         limits = self._limits
-        if self.write_paused:
-            return
         first = self._running.first
         if self._incoming is not None and self._reading and first in (None, self._incoming):
             self.deadline = self._loop.time() + limits.body_timeout_s
--- a/packages/httpflow/tests/test_pipeline.py
+++ b/packages/httpflow/tests/test_pipeline.py
@@ -228,3 +228,14 @@
     harness.calls[0].respond(200, [])
     assert list_statuses(harness) == [b"200", b"200", b"304"]
     assert b"hello" not in harness.written
+
+
+def test_a_caller_that_reads_nothing_has_a_deadline_also_after_a_refused_head(harness) -> None:
+    """Guards against connections that stay for ever, each with calls that wait for the caller."""
+    harness.connection.pause_writing()
+    harness.feed(GET % 0 + b"nonsense\r\n\r\n")
+    assert harness.connection.deadline < float("inf")
+    harness.connection.resume_writing()
+    assert harness.connection.deadline == float("inf")
+    harness.calls[0].respond(200, [])
+    assert list_statuses(harness) == [b"200", b"400"]
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -211,7 +211,11 @@
         A call whose time has passed behind others of its connection is refused.
         """
         deadline = call.received_at + self._read_timeout_s(call)
-        came = route.idempotent or await wait_for_turn(call, deadline)
+        try:
+            came = route.idempotent or await wait_for_turn(call, deadline)
+        except CancelledError:
+            self._refuse_early(call, request_id, 0, "caller left before its turn")
+            raise
         now = self._loop.time()
         if came and now <= max(call.received_at, min(deadline, self._latest_end)):
             return True
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -505,6 +505,7 @@
     def _handle_crash(self, start: str, calls: tuple[LostCall, ...]) -> None:
         """Remember the calls that the endpoint ran when this start of it crashed."""
         self.crash_count += 1
+        self.connections.forget_suspected()
         if self.record is not None and self.record.start == start:
             self.endpoint.mark_down("no connection")
         fingerprints = [call.fingerprint for call in calls]
