--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -7,6 +7,7 @@
 from corianderwall.mesh.nestedlimit import NestedLimits
 from corianderwall.mesh.pace import Pace
 from corianderwall.mesh.ratelimit import RateLimit
+from corianderwall.mesh.slowdown import Slowdown
 from corianderwall.mesh.teamshares import ShareView, TeamShares
 from corianderwall.mesh.uplink import Uplink
 
@@ -40,6 +41,7 @@
     A response after `due` misses the latency objective, and one after `deadline` is useless.
     `sending_s` is how long a big response will occupy the host's link, 0 for a small response.
     `team` is empty for a call without one.
+    `slowdown` is that of the machine when the call started, None if it was not known.
     """
 
     route: str
@@ -51,6 +53,7 @@
     started: float = 0.0
     team: str = ""
     nested: bool = False
+    slowdown: float | None = None
 
     @property
     def is_new(self) -> bool:
@@ -68,7 +71,9 @@
     A call with a big response starts only when `uplink` will be free to send the response, which
     would otherwise wait there. Meanwhile calls with small responses may overtake it. No call starts
     beyond the rate `limit` that the endpoint has named, beyond its `pace` while it may be cold, or
-    while `nested_limits` expect its nested calls to be refused.
+    while `nested_limits` expect its nested calls to be refused. Call times are kept as they are at
+    the machine's usual speed when the endpoint is warm, and multiplied by its `slowdown` and the
+    time factor of the `pace` where they are used.
 
     In an overload late calls get only free slots. Callers that were refused come back late, and if
     their calls waited, they would take the slots in which others could still be timely.
@@ -80,6 +85,7 @@
     pace: Pace = field(default_factory=Pace)
     nested_limits: NestedLimits = field(default_factory=NestedLimits)
     shares: TeamShares = field(default_factory=TeamShares)
+    slowdown: Slowdown = field(default_factory=Slowdown)
     running: set[QueuedCall] = field(default_factory=set)
     waiting: list[QueuedCall] = field(default_factory=list)
     route_means_s: dict[str, float] = field(default_factory=dict)
@@ -128,7 +134,8 @@
         self.shares.record_end(call.team, now - call.started, now)
         if not ran:
             return
-        took_s = (now - call.started) / self.pace.estimate_time_factor(now)
+        factor = self.pace.estimate_time_factor(now) * self.slowdown.average(call.slowdown, now)
+        took_s = (now - call.started) / factor
         previous = self.route_means_s.get(call.route)
         self.route_means_s[call.route] = (
             took_s if previous is None else _update_mean(previous, took_s)
@@ -165,9 +172,10 @@
         waiting, self.waiting = self.waiting, []
         return waiting
 
-    def estimate_call(self, route: str) -> float:
-        """Return the usual time of a call on `route` at the endpoint, in seconds."""
-        return self.route_means_s.get(route) or self.mean_s or DEFAULT_CALL_S
+    def estimate_call(self, route: str, at: float = math.inf) -> float:
+        """Return the expected time in seconds of a call on `route` that starts `at` that time."""
+        usual_s = self.route_means_s.get(route) or self.mean_s or DEFAULT_CALL_S
+        return usual_s * self.slowdown.estimate(at) * self.pace.estimate_time_factor(at)
 
     def estimate_wait(self, now: float, rank: float) -> float:
         """Return the seconds until a new call of `rank` would get a slot."""
@@ -177,7 +185,7 @@
         slots = self.pace.limit_slots(self.slots, now)
         if len(self.running) < slots and not self.waiting:
             return 0.0
-        queued_s = sum(self._estimate_call(t.route, now) for t in queued)
+        queued_s = sum(self.estimate_call(t.route, now) for t in queued)
         remaining_s = sum(self._estimate_remaining(call, now) for call in self.running)
         return (queued_s + remaining_s) / max(1, slots)
 
@@ -193,7 +201,7 @@
         if not call.sending_s:
             return wait_s
         ahead_s = sum(t.sending_s for t in ahead)
-        link_s = self.estimate_link_wait(now) + ahead_s - self._estimate_call(call.route, now)
+        link_s = self.estimate_link_wait(now) + ahead_s - self.estimate_call(call.route, now)
         return max(wait_s, link_s)
 
     def estimate_link_wait(self, now: float) -> float:
@@ -229,21 +237,18 @@
     def _is_link_free(self, call: QueuedCall, now: float) -> bool:
         if not call.sending_s:
             return True
-        ready_s = self._estimate_call(call.route, now) + LINK_SLACK_S
+        ready_s = self.estimate_call(call.route, now) + LINK_SLACK_S
         return self.estimate_link_wait(now) <= ready_s
 
     def _estimate_end(self, call: QueuedCall, start: float) -> float:
-        return start + self._estimate_call(call.route, start) + call.sending_s
-
-    def _estimate_call(self, route: str, start: float) -> float:
-        return self.estimate_call(route) * self.pace.estimate_time_factor(start)
+        return start + self.estimate_call(call.route, start) + call.sending_s
 
     def _estimate_remaining(self, call: QueuedCall, now: float) -> float:
-        mean_s = self._estimate_call(call.route, now)
+        mean_s = self.estimate_call(call.route, now)
         return max(mean_s - (now - call.started), mean_s * MIN_REMAINING_FRACTION)
 
     def _is_timely(self, call: QueuedCall, start: float) -> bool:
-        expected_s = self._estimate_call(call.route, start) + call.sending_s
+        expected_s = self.estimate_call(call.route, start) + call.sending_s
         return start + TIMELY_MARGIN * expected_s <= call.due
 
     def _make_sort_key(self, call: QueuedCall, now: float) -> tuple[bool, float, float, int]:
@@ -317,6 +322,7 @@
 
     def _start(self, call: QueuedCall, now: float) -> None:
         call.started = now
+        call.slowdown = self.slowdown.read_fresh(now)
         self.limit.take(now)
         self.running.add(call)
         self.pace.take(now, len(self.running))
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -10,6 +10,7 @@
 from corianderwall.httpflow.attempt import OutgoingCall
 from corianderwall.httpflow.limits import ClientLimits
 from corianderwall.httpflow.pool import UpstreamPool
+from corianderwall.httpflow.resting import ConnectionHistory
 from corianderwall.mesh.admission import Admission, AdmissionQueue, QueuedCall
 from corianderwall.mesh.authentication import replace_credentials
 from corianderwall.mesh.endpoint import EndpointTracker
@@ -26,6 +27,7 @@
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse, ReceivedBody
 from corianderwall.mesh.ranks import Standing, compute_rank
 from corianderwall.mesh.ratelimit import parse_rate
+from corianderwall.mesh.resending import log_drop, mark_resent, resend
 from corianderwall.mesh.settings import PLACES_SECTION, HeaderNames, HostSettings
 from corianderwall.mesh.teams import NO_TEAMS, TeamTable, identify_caller
 from corianderwall.mesh.teamshares import TeamShares
@@ -65,7 +67,7 @@
 
 @dataclass(slots=True)
 class RunningCall:
-    """A call that runs at the endpoint; `is_retry` is set if it counts as a retry.
+    """A call that runs at the endpoint; `is_retry` is set if it was sent to one before.
 
     `nested_failed` is set once a nested call of it has failed: its own failure then says nothing
     about the endpoint or its version. `nested_refused` is set if a cold service has refused one,
@@ -127,6 +129,8 @@
         self._awaits_terms = PLACES_SECTION in settings.sections
         self._read_teams = read_teams
         self._loop = asyncio.get_running_loop()
+        self.connections = ConnectionHistory(MAX_IDLE_S, MAX_NON_IDEMPOTENT_IDLE_S)
+        self.resent_count = 0
         self._pool = self._make_pool()
         self._crashes = CrashDetector(settings.endpoint, self._may_connect, self._handle_crash)
         self._running: dict[bytes, RunningCall] = {}
@@ -172,6 +176,7 @@
             limit_per_s=queue.limit.rate_per_s,
             has_responded=self._has_responded,
             cold_per_s=queue.pace.estimate_rate(self._loop.time(), queue.slots, queue.mean_s),
+            slowdown=round(queue.slowdown.estimate(self._loop.time()), 2),
         )
 
     async def serve(self, metadata: CallMetadata, request: ForwardedRequest) -> OwnerResponse:
@@ -220,7 +225,7 @@
             if body is not None and refusal is None:
                 refusal = self._check_suspect(metadata, request, body)
             if body is not None and refusal is None:
-                exchange = await self._send(metadata, request, body, deadline)
+                exchange = await self._send(metadata, request, body, deadline, running)
         except CancelledError:
             self._log_cancelled(request, metadata, "running", queued.started)
             raise
@@ -232,15 +237,17 @@
         if exchange is None:
             return self._refuse(request, refusal or Refusal.BODY_LOST)
         if exchange.response is None:
-            return self._handle_failure(metadata, request, body or b"", exchange)
+            reply = self._handle_failure(metadata, request, body or b"", exchange)
+            return mark_resent(reply, exchange)
         self._clear_suspect(metadata, request, body or b"", exchange.response)
         ended = self._loop.time()
         total_ms = round((ended - now) * 1000, 1)
         took_s = ended - sent_at
         self._count_nested(metadata.route, running, failed=exchange.response.status >= SERVER_ERROR)
-        return self._handle_response(
+        reply = self._handle_response(
             metadata, request, exchange.response, took_s, total_ms, running.nested_failed
         )
+        return mark_resent(reply, exchange)
 
     def find_parent(self, request_id: bytes) -> RunningCall | None:
         """Return the call at the endpoint whose id `request_id` extends, None if there is none.
@@ -274,12 +281,13 @@
             stalled_after_s=math.inf,
             stale_after_s=STALE_AFTER_S,
         )
-        return UpstreamPool(self._settings.endpoint, DEFAULT_CONNECTIONS, limits)
+        return UpstreamPool(self._settings.endpoint, DEFAULT_CONNECTIONS, limits, self.connections)
 
     def _handle_start(self, record: EndpointRecord) -> None:
         """Reset the queue, connections and failure rate for an endpoint that has just started."""
         self._refuse_waiting(Refusal.UNKNOWN)
         self._pool.close()
+        self.connections.forget_suspected()
         self._pool = self._make_pool()
         self._failure_rate = 0.0
         self._has_responded = False
@@ -436,7 +444,12 @@
             )
 
     async def _send(
-        self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, deadline: float
+        self,
+        metadata: CallMetadata,
+        request: ForwardedRequest,
+        body: bytes,
+        deadline: float,
+        running: RunningCall,
     ) -> Exchange:
         names = self._headers
         received = request.headers
@@ -459,7 +472,38 @@
             idempotent=metadata.idempotent,
             body=body,
         )
-        return await run_exchange(self._pool, call, (names.request_id, request.request_id))
+        echo = (names.request_id, request.request_id)
+        exchange = await run_exchange(self._pool, call, echo)
+        if exchange.dropped:
+            resent = self._take_resend(metadata)
+            if self.log_budget.take(self._loop.time()):
+                log_drop(self.connections, metadata, request, exchange, resent=resent)
+            if resent:
+                running.is_retry = True
+                exchange = await resend(self._pool, call, echo)
+        self._read_speed(metadata, exchange)
+        return exchange
+
+    def _read_speed(self, metadata: CallMetadata, exchange: Exchange) -> None:
+        """Keep what a response says of the machine's speed, before its call time is counted."""
+        record, response = self.record, exchange.response
+        if response is None or record is None or record.id != metadata.endpoint:
+            return
+        if response.status != MISDIRECTED:
+            load = response.find_header(self._headers.load)
+            self.queue.slowdown.record(load, self._loop.time())
+
+    def _take_resend(self, metadata: CallMetadata) -> bool:
+        """Return whether a call that the endpoint has not taken may be sent to it once more."""
+        now = self._loop.time()
+        paced = self.read_load().cold_per_s is not None
+        if not metadata.may_resend or paced or self._find_refusal(metadata) is not None:
+            return False
+        if not self.queue.limit.permits(now):
+            return False
+        self.queue.limit.take(now)
+        self.resent_count += 1
+        return True
 
     def _handle_response(
         self,
@@ -535,6 +579,7 @@
             endpoint=metadata.endpoint,
             handed_over=exchange.send_started,
             error=error,
+            rest_ms=round(exchange.rest_s * 1000, 1),
             fingerprint=fingerprint,
             caller=metadata.caller,
             route=metadata.route,
@@ -562,6 +607,7 @@
     def _handle_crash(self, start: str, calls: tuple[LostCall, ...]) -> None:
         """Remember the calls that the endpoint ran when this start of it crashed."""
         self.crash_count += 1
+        self.connections.forget_suspected()
         if self.record is not None and self.record.start == start:
             self.warmup.handle_crash()
             self.endpoint.mark_down("no connection")
@@ -629,6 +675,7 @@
             running=load.running,
             waiting=load.waiting,
             slots=load.slots,
+            slowdown=load.slowdown,
             wait_ms=round(wait_ms, 1),
             cold_per_s=load.cold_per_s,
             **self.queue.describe_share(queued.team, now),
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -107,7 +107,8 @@
     has just started. `team` is the team whose key the caller has sent, empty without one, and
     `team_priority` its priority; a nested call has those of its parent. `key_id` is the beginning
     of the digest of that key, empty for a nested call. `cold_per_s` is the endpoint's pace as the
-    entry knows it, for an owner that has no configuration yet.
+    entry knows it, for an owner that has no configuration yet. `may_resend` allows the owner to
+    send the call once more if the endpoint had forgotten the connection.
     """
 
     endpoint: str
@@ -126,6 +127,7 @@
     team_priority: int = 0
     cold_per_s: float | None = None
     key_id: str = ""
+    may_resend: bool = False
 
 
 class EvacuationState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -164,6 +166,7 @@
     `ran` is None if the owner doesn't know whether the endpoint ran the call; `refusal` is set if
     it did not run. `wait_ms` is the expected time until a slot is free, `took_ms` the total time
     at the owner. `evacuations` is what the owner knows if it has refused the call for that reason.
+    `resent` is set if the call was sent to the endpoint twice.
     """
 
     ran: bool | None
@@ -174,6 +177,7 @@
     reached: bool = True
     took_ms: float = 0.0
     evacuations: EvacuationState | None = None
+    resent: bool = False
 
 
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
