Take one credit for a team's call at the entry before an owner is asked

A quota that each host enforces for itself either passes too much or refuses a team whose callers use one host. A call that has certainly reached no endpoint gives its credit back, and each send that may have reached one needs its own. Deployments without rates send no message about quotas.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -25,6 +25,7 @@
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse, ReceivedBody
 from corianderwall.mesh.peerlink import PeerLink, RemoteOwner, strip_own_headers
+from corianderwall.mesh.quotaexchange import CallQuota, OverQuota, QuotaExchange
 from corianderwall.mesh.ranks import Standing
 from corianderwall.mesh.retryafter import DEFAULT_RETRY_AFTER_S, compute_retry_after, encode_seconds
 from corianderwall.mesh.retrybudget import RetryBudget
@@ -101,6 +102,7 @@
     try_new: bool | None = None
     identity: Identity = ANONYMOUS
     key_withdrawn: bool = False
+    quota: CallQuota | None = None
 
     @property
     def team(self) -> Team | None:
@@ -144,7 +146,9 @@
         metrics: CallMetrics,
         body_memory: BodyMemory,
         random: Random,
+        quotas: QuotaExchange | None = None,
     ) -> None:
+        self._quotas = quotas
         self._settings = settings
         self._headers = headers
         self._directory = directory
@@ -204,6 +208,8 @@
             return
         state = self._make_state(call, request_id, route, began)
         state.identity = identity
+        if self._quotas is not None and identity.team is not None:
+            state.quota = CallQuota(self._quotas, identity.team.name)
         self._metrics.running += 1
         pending = Deferred.fromCoroutine(self._read_and_send(state, body))
         timer = self._loop.call_at(state.deadline, pending.cancel)
@@ -218,6 +224,8 @@
             self._pending.discard(pending)
             self._metrics.running -= 1
             body.release()
+            if state.quota is not None:
+                state.quota.end()
         if state.body_received:
             self._respond(call, state, response)
         else:
@@ -302,6 +310,8 @@
                 if self.authenticator.is_withdrawn(state.identity.key_id):
                     state.key_withdrawn = True
                     return state.failure
+                if state.quota is not None and not await state.quota.admit(self._loop.time):
+                    return state.failure
                 view = self._choose(state, excluded, round_)
                 if view is None:
                     break
@@ -404,7 +414,8 @@
             owner = RemoteOwner(self._link, self._directory.peers[record.node].record)
         view.pending += 1
         try:
-            reply = await owner.serve(metadata, state.request)
+            serving = owner.serve(metadata, state.request)
+            reply = await (serving if state.quota is None else state.quota.track(serving))
         except CancelledError:
             self._moves.count_arrival(state.service, record.version)
             raise
@@ -481,6 +492,8 @@
             self._respond_quarantined(call, state)
         elif reply is None and state.key_withdrawn:
             self._respond_error(call, state, 401, Denial.WITHDRAWN_KEY.value)
+        elif reply is None and state.quota is not None and state.quota.refusal is not None:
+            self._respond_over_quota(call, state, state.quota.refusal)
         elif reply is None or reply.metadata.ran is False:
             waits = state.refused_wait_ms
             self._respond_error(
@@ -506,6 +519,16 @@
         call.respond(503, headers)
         self._log(state, 503, "quarantined")
 
+    def _respond_over_quota(
+        self, call: IncomingCall, state: _CallState, refusal: OverQuota
+    ) -> None:
+        headers = [
+            (self._headers.request_id, state.request.request_id),
+            (self._headers.retry_after, encode_seconds(refusal.retry_after_s)),
+        ]
+        call.respond(429, headers)
+        self._log(state, 429, "over quota")
+
     def _respond_cancelled(self, call: IncomingCall, state: _CallState) -> None:
         """Respond to a call that was given up at its deadline, if its caller is still there."""
         if not call.is_open:
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -69,3 +69,8 @@
         for team, seconds in node.gate.shares.totals_s.items():
             metrics.team_slot_seconds.set({"team": team}, seconds)
         metrics.displaced_calls.set({}, node.gate.shares.displaced_count)
+        for (team, outcome), count in node.quotas.outcomes.items():
+            metrics.quota_calls.set({"team": team, "outcome": outcome}, count)
+        for kind, count in node.quotas.messages.items():
+            metrics.quota_messages.set({"kind": kind}, count)
+        metrics.quota_parts.set({}, node.quotas.pool.parts)
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -38,6 +38,12 @@
 from corianderwall.mesh.movecontroller import MOVE_NOTICE_KIND, MoveController
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerHandler, PeerLink
+from corianderwall.mesh.quotaexchange import (
+    DISTRIBUTOR_KIND,
+    LEASE_KIND,
+    LENDER_KIND,
+    QuotaExchange,
+)
 from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
@@ -156,6 +162,9 @@
         self.move_controller = MoveController(
             self.moves, source, self.directory, self.link, self.sync, self.gate, self.spawn
         )
+        self.quotas = QuotaExchange(
+            self.directory, self.link, settings.bounds, joined, self.spawn, random
+        )
         self.entry = Entry(
             settings,
             headers,
@@ -169,6 +178,7 @@
             self.metrics,
             self.body_memory,
             random,
+            self.quotas,
         )
         confirmation = ConfigurationConfirmation(
             self.holder,
@@ -186,6 +196,9 @@
             CONFIG_PULL_KIND: self.sync.handle_pull,
             CONFIG_PUSH_KIND: self.sync.handle_push,
             MOVE_NOTICE_KIND: self.move_controller.handle_notice,
+            LEASE_KIND: self.quotas.handle_lease,
+            LENDER_KIND: self.quotas.handle_lender_request,
+            DISTRIBUTOR_KIND: self.quotas.handle_request,
         }
         peer_handler = PeerHandler(self.gate, headers, handlers, sender, self.body_memory)
         limits = self._make_limits()
@@ -193,6 +206,7 @@
         self._inbound = CallServer(peer_handler, limits)
         self._extra_servers: list[CallServer] = []
         self.holder.listeners.append(self._apply_configuration)
+        self.holder.listeners.append(self.quotas.apply_configuration)
         self.sync.source_listeners.append(self.gossip.broadcast_heartbeat)
         self.sync.era_listeners.append(self._restore_records)
 
@@ -219,6 +233,7 @@
         self.spawn(self.sync.run())
         self.spawn(self.gossip.join())
         self.spawn(self.gossip.run())
+        self.spawn(self.quotas.run())
         self.spawn(self.gossip.pull_records())
         self.spawn(self._archive.run())
         self.spawn(self.move_controller.watch_orders())
--- a/packages/mesh/src/corianderwall/mesh/quotalease.py
+++ b/packages/mesh/src/corianderwall/mesh/quotalease.py
@@ -50,9 +50,16 @@
         return ranked
 
 
-def choose_roles(own: str, zone: str, nodes: Iterable[tuple[str, str, int]]) -> Roles:
+def choose_roles(
+    own: str,
+    zone: str,
+    nodes: Iterable[tuple[str, str, int]],
+    leaving: Iterable[tuple[str, int]] = (),
+) -> Roles:
     """Choose among the live `nodes` (name, zone, incarnation), this one included.
 
+    Nodes that are `leaving` (name, incarnation) get no role, but still give parts back.
+
     All nodes with the same view choose the same ones. Each zone has its own lenders, so that it
     keeps its parts when it is cut off.
     """
@@ -71,7 +78,8 @@
     # there are no others.
     others = [name for name in incarnations if name not in lenders] or list(incarnations)
     distributors = _choose(others, "distributor", HOSTS_PER_DISTRIBUTOR)
-    return Roles(own, home, tuple(lenders), tuple(distributors), incarnations)
+    known = incarnations | dict(leaving)
+    return Roles(own, home, tuple(lenders), tuple(distributors), known)
 
 
 def _choose(names: list[str], seed: str, nodes_each: int) -> list[str]:
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -24,6 +24,8 @@
 from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder
 from corianderwall.mesh.node import READINESS_DELAY_S, STOP_MARGIN_S, HostNode, plan_stop
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
+from corianderwall.mesh.quota import SETTLE_S
+from corianderwall.mesh.quotaexchange import TICK_S
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.source import ConflictError, SourceError
 from corianderwall.mesh.teams import identify_caller
@@ -371,6 +373,46 @@
     return run_scenario(scenario)
 
 
+def test_a_quota_holds_over_all_entries_and_refused_calls_give_credit_back() -> Deferred[None]:
+    """Guards against a quota per host, and calls that cost credit though they have not run."""
+
+    async def scenario(fleet: Fleet) -> None:
+        snapshot = make_team_snapshot(1, "k1")
+        team = replace(snapshot.teams[0], rate_per_s=4.0, burst=10.0)
+        fleet.source.put_config(replace(snapshot, teams=(team,)))
+        await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        nodes = [host.node for host in fleet.hosts.values()]
+        await fleet.wait_for(lambda: sum(node.quotas.pool.parts for node in nodes) == 2)
+        # The buckets of a node that has just started are empty.
+        await asyncio.sleep(SETTLE_S + 2)
+        fleet.hosts["n1"].node.gate.endpoint.mark_down("test")
+        unserved = [await fleet.send_call("n1", authorization="Bearer k1") for _ in range(30)]
+        assert {reply.status for reply in unserved} == {503}
+        fleet.hosts["n1"].announce(sequence=2)
+        replies = [
+            await fleet.send_call(f"n{1 + number % 2}", authorization="Bearer k1")
+            for number in range(60)
+        ]
+        statuses = [reply.status for reply in replies]
+        assert set(statuses) == {200, 429}
+        served = statuses.count(200)
+        assert 8 <= served <= (4 * 5 + 10) * 1.1 + 20
+        assert len(fleet.hosts["n1"].upstream.requests) == served
+        refused = [reply for reply in replies if reply.status == 429]
+        assert all(0.05 <= float(reply.headers["retry-after"]) <= 15 for reply in refused)
+        fleet.source.put_config(make_team_snapshot(2, "k1"))
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n2", authorization="Bearer k1")).status == 200
+        await asyncio.sleep(TICK_S)
+        sent = [node.quotas.messages.total() for node in nodes]
+        await asyncio.sleep(4 * TICK_S)
+        assert [node.quotas.messages.total() for node in nodes] == sent
+
+    return run_scenario(scenario)
+
+
 def test_a_withdrawn_key_ends_on_open_connections_and_in_queues() -> Deferred[None]:
     """Guards against calls that arrive with a withdrawn key because they were admitted before."""
 
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -76,6 +76,16 @@
             "displaced_calls", "Waiting calls refused since teams that had used less came first."
         )
 
+        self.quota_calls = self._add_counter(
+            "quota_calls", "Calls of a team with a quota at this entry, by team and outcome."
+        )
+        self.quota_messages = self._add_counter(
+            "quota_messages", "Messages about quotas that this node has sent, by kind."
+        )
+        self.quota_parts = self._add_gauge(
+            "quota_parts", "Parts of the quotas that this node lends; each node owns one."
+        )
+
     def _add_counter(self, name: str, text: str) -> Counter:
         return Counter(f"corianderwall_{name}_total", text, registry=self.registry)
 
