Fix what a review of the merged parts has found

- A call that was resent or retried after a lost attempt and then refused was told as not run; it is answered 502, as the first attempt may have run.
- A call with the id of a nested call skipped the check of its key; endpoints hold no key, so one that is sent is checked.
- Bodies that came late could flood an endpoint that had become cold, and a call that waited for its body was missed by an evacuation or a leave.
- One wasted call held a service without a warm-up to a call in four seconds.
- The count of nodes and the second look for the route cost time on every call.

--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -177,6 +177,12 @@
         usual_s = self.route_means_s.get(route) or self.mean_s or DEFAULT_CALL_S
         return usual_s * self.slowdown.estimate(at) * self.pace.estimate_time_factor(at)
 
+    def estimate_rate(self, now: float) -> float:
+        """Return how many calls a second have started lately."""
+        if self.pace.is_configured:
+            return self.pace.count_recent(now)
+        return len(self.running) / (self.mean_s or DEFAULT_CALL_S)
+
     def estimate_wait(self, now: float, rank: float) -> float:
         """Return the seconds until a new call of `rank` would get a slot."""
         return self._estimate_wait([t for t in self.waiting if t.rank <= rank], now)
--- a/packages/mesh/src/corianderwall/mesh/authentication.py
+++ b/packages/mesh/src/corianderwall/mesh/authentication.py
@@ -80,7 +80,7 @@
         Nested calls carry no key; the call that makes them has been admitted. A node whose
         configuration may be behind does not deny what a newer one may allow.
         """
-        if nested or not self.is_active:
+        if not self.is_active or (nested and not self._has_credentials(headers)):
             return ANONYMOUS
         result = self._resolve(headers)
         if isinstance(result, Denial):
@@ -93,6 +93,10 @@
             return Identity(result.team)
         return result
 
+    def _has_credentials(self, headers: Headers) -> bool:
+        """Return whether a request carries a key; endpoints hold none for their nested calls."""
+        return any(name == self._headers.authorization for name, _ in headers)
+
     def _count(self, result: Identity | Denial) -> None:
         name = "admitted"
         if isinstance(result, Denial):
--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -103,11 +103,13 @@
         self._by_service: dict[str, list[EndpointView]] = {}
         self._gone_at: dict[str, float] = {}
         self._digest = ""
+        self._node_count = 0
 
     def merge_node(self, record: NodeRecord, now: float) -> bool:
         """Merge the record of a node; return whether it was new."""
         if record.name == self.own.name:
             return False
+        self._node_count = 0
         peer = self.peers.get(record.name)
         if peer is None:
             self.peers[record.name] = Peer(record)
@@ -215,7 +217,9 @@
 
     def count_nodes(self) -> int:
         """Return the number of known nodes, including this one."""
-        return 1 + sum(not peer.record.leaving for peer in self.peers.values())
+        if not self._node_count:
+            self._node_count = 1 + sum(not peer.record.leaving for peer in self.peers.values())
+        return self._node_count
 
     def compute_digest(self) -> str:
         """Return a digest of all endpoint records; it depends on these records only."""
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -209,10 +209,11 @@
     async def _handle_call(self, call: IncomingCall) -> None:
         request_id = call.find_header(self._headers.request_id) or b""
         route = self._find_route(call, request_id)
+        table = self._configuration.table
         if route is None or not await self._await_turn(call, request_id, route):
             return
-        if self._loop.time() > call.received_at:
-            # The configuration may have changed while the call waited.
+        if self._configuration.table is not table:
+            # The configuration has changed while the call waited.
             route = self._find_route(call, request_id)
             if route is None:
                 return
@@ -340,7 +341,7 @@
         for round_ in BIG_ROUNDS if self._make_traits(state).big else ROUNDS:
             excluded = set(state.unusable)
             for number in range(round_.max_owners):
-                if not round_.may_wait and number >= self._limit_probes(state):
+                if round_ is ROUNDS[0] and number >= self._limit_probes(state):
                     break
                 if self._is_barred(state):
                     return state.failure
@@ -352,14 +353,15 @@
                 excluded.add(view.record.id)
                 reply = await self._send_to_owner(state, view, may_wait=round_.may_wait)
                 refusal = reply.metadata.refusal
-                if not round_.may_wait:
+                if round_ is ROUNDS[0]:
                     self._record_probe(state, refused=refusal is Refusal.FULL)
                 state.quarantined = refusal is Refusal.QUARANTINED
                 state.key_withdrawn = refusal is Refusal.KEY_WITHDRAWN
                 if state.quarantined or state.key_withdrawn:
                     return state.failure
                 if self._is_final(state, reply):
-                    return reply
+                    # An earlier attempt without a response may have run.
+                    return state.failure if reply.metadata.ran is False else reply
         return state.failure
 
     def _is_barred(self, state: _CallState) -> bool:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -202,8 +202,8 @@
             nested=metadata.nested,
         )
         try:
-            request = await self._receive_first(request, queued, metadata)
-            refusal = await self._admit(queued, metadata)
+            request, refusal = await self._receive_first(request, queued, metadata)
+            refusal = refusal or await self._admit(queued, metadata)
         except CancelledError:
             self._log_cancelled(request, metadata, "waiting", now)
             raise
@@ -377,19 +377,23 @@
 
     async def _receive_first(
         self, request: ForwardedRequest, queued: QueuedCall, metadata: CallMetadata
-    ) -> ForwardedRequest:
-        """Receive the body before the call starts, if the endpoint is paced.
+    ) -> tuple[ForwardedRequest, Refusal | None]:
+        """Receive the body before the call starts, if the endpoint is or may become cold.
 
         Calls that wait for their bodies after their start could arrive at the endpoint all at once.
         A call that would be refused does not move its body to this host.
         """
         now = self._loop.time()
-        if not self.warmup.pace.is_paced(now):
-            return request
+        pace = self.warmup.pace
+        if not pace.rate_per_s and not pace.is_paced(now):
+            return request, None
         if not self.queue.would_accept(queued, now, may_wait=metadata.may_wait):
-            return request
+            return request, None
         body = await self._receive_body(request, queued.deadline)
-        return request if body is None else replace(request, body=ReceivedBody(body))
+        if body is None:
+            return request, Refusal.BODY_LOST
+        # What has refused the waiting calls meanwhile has not met this one.
+        return replace(request, body=ReceivedBody(body)), self._find_refusal(metadata)
 
     def _check_turn(self, queued: QueuedCall, now: float) -> Refusal | None:
         """Return the refusal of a call that has lost its turn by waiting for its body."""
@@ -651,7 +655,7 @@
                 route,
                 now,
                 wasted=failed and running.nested_refused,
-                rate_per_s=self.queue.pace.count_recent(now),
+                rate_per_s=self.queue.estimate_rate(now),
             )
 
     def _refuse(
--- a/packages/mesh/src/corianderwall/mesh/resending.py
+++ b/packages/mesh/src/corianderwall/mesh/resending.py
@@ -24,10 +24,16 @@
 
 
 def mark_resent(reply: OwnerResponse, exchange: Exchange) -> OwnerResponse:
-    """Return `reply` with the note that the call was sent twice, if it was."""
+    """Return `reply` with the note that the call was sent twice, if it was.
+
+    If the endpoint has refused the second request, the first one may still have run.
+    """
     if not exchange.resent:
         return reply
-    return replace(reply, metadata=msgspec.structs.replace(reply.metadata, resent=True))
+    metadata = msgspec.structs.replace(reply.metadata, resent=True)
+    if metadata.ran is False:
+        metadata = msgspec.structs.replace(metadata, ran=None, refusal=None)
+    return replace(reply, metadata=metadata)
 
 
 def log_drop(
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -829,3 +829,103 @@
         assert reply.metadata.load.service_ms == pytest.approx(100 / slowdown, rel=0.3)
 
     return run_scenario(respond, scenario)
+
+
+@pytest.mark.parametrize(
+    ("status", "extra"), [("503 Full", "Not-Executed: 1\r\n"), ("421 Misdirected", "")]
+)
+def test_a_call_that_was_resent_and_then_refused_may_have_run(
+    status: str, extra: str
+) -> Deferred[None]:
+    """Guards against "not run" for a call whose first request was lost while it ran."""
+    setups: list[Setup] = []
+
+    async def respond(request: ReceivedRequest) -> bytes | None:
+        number = len(setups[0].upstream.requests)
+        if number == 2:
+            setups[0].upstream.break_connections()
+            return None
+        if number == 3:
+            return make_response(request, status, extra_headers=extra)
+        return make_response(request)
+
+    async def scenario(setup: Setup) -> None:
+        setups.append(setup)
+        await setup.serve("q1", idempotent=True)
+        await asyncio.sleep(0.1)
+        reply = await setup.serve("q2", idempotent=True, may_resend=True)
+        assert (reply.metadata.ran, reply.metadata.resent) == (None, True)
+
+    return run_scenario(respond, scenario)
+
+
+class LateBody:
+    """A body that arrives when the test sends it."""
+
+    def __init__(self) -> None:
+        self.arrival: Deferred[bytes | None] = Deferred()
+
+    async def read(self) -> bytes | None:
+        return await self.arrival
+
+    def expire(self) -> None:
+        if not self.arrival.called:
+            self.arrival.callback(None)
+
+
+def serve_late(setup: Setup, name: str) -> "tuple[LateBody, asyncio.Future[OwnerResponse]]":
+    body = LateBody()
+    request = replace(make_request(name), body=body)
+    metadata = make_metadata(left_ms=5000.0, due_ms=5000.0)
+    serving = Deferred.fromCoroutine(setup.gate.serve(metadata, request))
+    return body, serving.asFuture(asyncio.get_running_loop())
+
+
+def test_bodies_that_arrive_together_do_not_flood_an_endpoint_that_became_cold() -> Deferred[None]:
+    """Guards against calls that start while the endpoint is warm and are all sent later."""
+
+    async def respond(request: ReceivedRequest) -> bytes:
+        await asyncio.sleep(0.3)
+        return make_response(request)
+
+    async def scenario(setup: Setup) -> None:
+        setup.gate.configure_service(COLD_SERVICE)
+        calls = []
+        for number in range(30):
+            if number % 5 == 0:
+                announcement = make_announcement(setup.address, sequence=2 + number, slots=40)
+                setup.gate.endpoint.handle_announcement(announcement)
+            calls.append(serve_late(setup, f"q{number}"))
+        await asyncio.sleep(0.1)
+        for body, _ in calls:
+            body.arrival.callback(b"x")
+        await asyncio.sleep(0.25)
+        assert len(setup.upstream.requests) < COLD_SERVICE.warmup_per_s * 1.5 + 8
+        await asyncio.wait([serving for _, serving in calls])
+
+    return run_scenario(respond, scenario, slots=40)
+
+
+def test_a_call_whose_body_comes_after_an_evacuation_is_refused_at_once() -> Deferred[None]:
+    """Guards against a call that waits for a slot that it may not use."""
+
+    async def scenario(setup: Setup) -> None:
+        gate = setup.gate
+        gate.configure_service(COLD_SERVICE)
+        body, serving = serve_late(setup, "q1")
+        await asyncio.sleep(0.05)
+        gate.zone_guard = ClosedZone()
+        gate.handle_evacuation(True)
+        body.arrival.callback(b"x")
+        assert (await serving).metadata.refusal is Refusal.EVACUATED
+        assert gate.warmup.pace.count_recent(asyncio.get_running_loop().time()) == 0
+
+    return run_scenario(respond_ok, scenario, slots=1)
+
+
+class ClosedZone:
+    def find_refusal(self) -> Refusal:
+        return Refusal.EVACUATED
+
+    def report_refusal(self) -> None:
+        return None
--- a/packages/mesh/tests/test_nestedlimit.py
+++ b/packages/mesh/tests/test_nestedlimit.py
@@ -31,3 +31,13 @@
     limits = NestedLimits()
     limits.record_end("r", 0.0, wasted=False, rate_per_s=1.0)
     assert limits.is_empty and limits.permits("r", 0.0)
+
+
+def test_the_limit_of_a_service_that_has_no_warm_up_starts_from_the_rate_of_its_calls() -> None:
+    """Guards against a warm service that is held to a call in four seconds by one wasted call."""
+    queue = AdmissionQueue(50)
+    queue.mean_s = 1.0
+    for _ in range(40):
+        queue.offer(QueuedCall("r", 1, 99.0, 99.0), 10.0, may_wait=False)
+    queue.nested_limits.record_end("r", 10.1, wasted=True, rate_per_s=queue.estimate_rate(10.1))
+    assert queue.nested_limits.estimate_wait("r", 10.1, ahead=9) < 1.0
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -2014,3 +2014,27 @@
         assert len(host.node.entry._budget._services["s"].retries) == 1
 
     return run_scenario(scenario)
+
+
+def test_a_call_that_was_lost_once_and_then_refused_may_have_run() -> Deferred[None]:
+    """Guards against 503, which promises that a request has not run, after a lost attempt."""
+
+    async def scenario(fleet: Fleet) -> None:
+        seen: list[str] = []
+
+        async def respond(request: ReceivedRequest) -> bytes | None:
+            seen.append(request.headers["expected-instance"])
+            if len(seen) == 1:
+                fleet.hosts[seen[0].removeprefix("i-")].upstream.break_connections()
+                return None
+            return make_response(request, "503 Full", extra_headers="Not-Executed: 1\r\n")
+
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=2)))
+        await fleet.add("n1")
+        await fleet.add("n2")
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n1")).status == 502
+        assert len(seen) == 2
+
+    return run_scenario(scenario)
