--- a/packages/ctl/src/corianderwall/ctl/main.py
+++ b/packages/ctl/src/corianderwall/ctl/main.py
@@ -6,6 +6,7 @@
 import click
 from click.shell_completion import get_completion_class
 
+from corianderwall.ctl.check_command import check_config
 from corianderwall.ctl.fleet_commands import audit, config, explain, node, operation
 from corianderwall.ctl.move_commands import move
 from corianderwall.ctl.output import JSON, TABLE
@@ -103,6 +104,7 @@
     operation,
     explain,
     explain_request,
+    check_config,
 )
 for _command in _COMMANDS:
     ctl.add_command(_command)
--- a/packages/mesh/src/corianderwall/mesh/routes.py
+++ b/packages/mesh/src/corianderwall/mesh/routes.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from corianderwall.model.resource import Route, ServiceWeight, Snapshot
+from corianderwall.model.resource import Route, Snapshot
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +40,3 @@
                 return route
             end = prefix.rfind("/", 0, end)
         return None
-
-
-def list_backends(route: Route) -> tuple[ServiceWeight, ...]:
-    """Return the services of `route` with their weights."""
-    return route.backends or (ServiceWeight(service=route.service, weight=1),)
--- a/packages/mesh/src/corianderwall/mesh/splits.py
+++ b/packages/mesh/src/corianderwall/mesh/splits.py
@@ -2,8 +2,7 @@
 
 from random import Random
 
-from corianderwall.mesh.routes import list_backends
-from corianderwall.model.resource import Route
+from corianderwall.model.resource import Route, list_backends
 
 
 class WeightedSplit:
--- a/packages/mesh/tests/test_routes.py
+++ b/packages/mesh/tests/test_routes.py
@@ -1,5 +1,5 @@
-from corianderwall.mesh.routes import RouteTable, list_backends
-from corianderwall.model.resource import Route, ServiceWeight, Snapshot
+from corianderwall.mesh.routes import RouteTable
+from corianderwall.model.resource import Route, ServiceWeight, Snapshot, list_backends
 
 
 def make_table(*prefixes: str) -> RouteTable:
--- a/packages/model/src/corianderwall/model/codec.py
+++ b/packages/model/src/corianderwall/model/codec.py
@@ -15,12 +15,17 @@
     return _encoder.encode(snapshot)
 
 
-def decode_snapshot(data: bytes) -> Snapshot:
-    """Return the snapshot encoded in `data`; raise `DAMAGED_UPDATE` unless it is canonical."""
+def parse_snapshot(data: bytes) -> Snapshot:
+    """Return the snapshot in `data`, which need not be canonical, or raise `DAMAGED_UPDATE`."""
     try:
-        snapshot = _decoder.decode(data)
+        return _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise CorianderwallError(ErrorCode.DAMAGED_UPDATE, f"invalid snapshot: {error}") from error
+
+
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Return the snapshot encoded in `data`; raise `DAMAGED_UPDATE` unless it is canonical."""
+    snapshot = parse_snapshot(data)
     if encode_snapshot(snapshot) != data:
         raise CorianderwallError(ErrorCode.DAMAGED_UPDATE, "the snapshot is not in canonical form")
     return snapshot
--- a/packages/model/src/corianderwall/model/delta.py
+++ b/packages/model/src/corianderwall/model/delta.py
@@ -84,7 +84,8 @@
     return result
 
 
-def _get_key(item: Service | Route | Subscriber | Move | Team) -> str:
+def get_key(item: Service | Route | Subscriber | Move | Team) -> str:
+    """Return the name by which `item` is known within its collection."""
     return item.id if isinstance(item, Move) else item.name
 
 
@@ -94,15 +95,15 @@
 
 
 def _find_removed(base: tuple[Item, ...], result: tuple[Item, ...]) -> tuple[str, ...]:
-    kept = {_get_key(item) for item in result}
-    return tuple(_get_key(item) for item in base if _get_key(item) not in kept)
+    kept = {get_key(item) for item in result}
+    return tuple(get_key(item) for item in base if get_key(item) not in kept)
 
 
 def _merge(
     base: tuple[Item, ...], changed: tuple[Item, ...], removed: tuple[str, ...]
 ) -> tuple[Item, ...]:
-    items = {_get_key(item): item for item in base}
-    items.update({_get_key(item): item for item in changed})
+    items = {get_key(item): item for item in base}
+    items.update({get_key(item): item for item in changed})
     for name in removed:
         items.pop(name, None)
     return tuple(items[name] for name in sorted(items))
--- a/packages/model/src/corianderwall/model/resource.py
+++ b/packages/model/src/corianderwall/model/resource.py
@@ -174,4 +174,9 @@
     teams: tuple[Team, ...] = ()
 
 
+def list_backends(route: Route) -> tuple[ServiceWeight, ...]:
+    """Return the services of `route` with their weights."""
+    return route.backends or (ServiceWeight(service=route.service, weight=1),)
+
+
 EMPTY_SNAPSHOT = Snapshot()
--- a/packages/model/src/corianderwall/model/validation.py
+++ b/packages/model/src/corianderwall/model/validation.py
@@ -14,6 +14,7 @@
     Service,
     Snapshot,
     Subscriber,
+    list_backends,
 )
 
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?")
@@ -29,9 +30,13 @@
     sentence: str
 
 
-def find_problems(snapshot: Snapshot) -> list[Problem]:
-    """Return all problems of `snapshot`, an empty list if it is valid."""
-    return list(_check_snapshot(snapshot))
+def find_problems(snapshot: Snapshot, *, versioned: bool = True) -> list[Problem]:
+    """Return all problems of `snapshot`, an empty list if it is valid.
+
+    Host nodes are not `versioned`: they split calls among the backends of a route, not among the
+    versions of a service, and do not restrict the syntax of names.
+    """
+    return list(_check_snapshot(snapshot, versioned))
 
 
 def require_valid(snapshot: Snapshot) -> None:
@@ -42,16 +47,19 @@
         raise CorianderwallError(problems[0].code, sentence)
 
 
-def _check_snapshot(snapshot: Snapshot) -> Iterator[Problem]:
-    yield from _check_names("service", [service.name for service in snapshot.services])
-    yield from _check_names("route", [route.name for route in snapshot.routes])
-    yield from _check_names("subscriber", [each.name for each in snapshot.subscribers])
-    yield from _check_names("move", [move.id for move in snapshot.moves])
+def _check_snapshot(snapshot: Snapshot, versioned: bool) -> Iterator[Problem]:
+    check_names = _check_names if versioned else _check_order
+    yield from check_names("service", [service.name for service in snapshot.services])
+    yield from check_names("route", [route.name for route in snapshot.routes])
+    yield from check_names("subscriber", [each.name for each in snapshot.subscribers])
+    yield from check_names("move", [move.id for move in snapshot.moves])
+    # Deltas tell teams apart by name.
+    yield from _check_order("team", [team.name for team in snapshot.teams])
     services = {service.name: service for service in snapshot.services}
-    for service in snapshot.services:
+    for service in snapshot.services if versioned else ():
         yield from _check_service(service)
     for route in snapshot.routes:
-        yield from _check_route(route, services)
+        yield from _check_route(route, services, versioned)
     for subscriber in snapshot.subscribers:
         yield from _check_subscriber(subscriber)
     for move in snapshot.moves:
@@ -67,9 +75,13 @@
 
 
 def _check_names(kind: str, names: list[str]) -> Iterator[Problem]:
+    yield from _check_order(kind, names)
+    yield from _check_name_syntax(kind, names)
+
+
+def _check_order(kind: str, names: list[str]) -> Iterator[Problem]:
     if names != sorted(set(names)):
         yield _invalid(f"{kind} names are not unique and sorted")
-    yield from _check_name_syntax(kind, names)
 
 
 def _check_name_syntax(kind: str, names: Iterable[str]) -> Iterator[Problem]:
@@ -91,12 +103,20 @@
         yield _invalid(f"the split of service {service.name!r} does not sum to {PERMILLE}")
 
 
-def _check_route(route: Route, services: dict[str, Service]) -> Iterator[Problem]:
-    service = services.get(route.service)
-    if service is None:
-        yield _dangling(f"route {route.name!r} points at no service {route.service!r}")
-    elif route.pinned_version and route.pinned_version not in service.versions:
-        yield _dangling(f"route {route.name!r} points at no version {route.pinned_version!r}")
+def list_targets(route: Route, *, versioned: bool) -> list[str]:
+    """Return the names of the services that get the calls of `route`."""
+    if versioned:
+        return [route.service]
+    return [backend.service for backend in list_backends(route)]
+
+
+def _check_route(route: Route, services: dict[str, Service], versioned: bool) -> Iterator[Problem]:
+    for name in list_targets(route, versioned=versioned):
+        service = services.get(name)
+        if service is None:
+            yield _dangling(f"route {route.name!r} points at no service {name!r}")
+        elif route.pinned_version and route.pinned_version not in service.versions:
+            yield _dangling(f"route {route.name!r} points at no version {route.pinned_version!r}")
     if not route.path_prefix.startswith("/"):
         yield _invalid(f"route {route.name!r} has a path prefix that does not start with /")
     if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
