Test the precedence of routes that name methods in the check

Without the rule for methods the check called a route unused that gets all other methods, and no test failed. The new case fails without it.

--- a/packages/ctl/tests/test_check_command.py
+++ b/packages/ctl/tests/test_check_command.py
@@ -1,6 +1,7 @@
 import json
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
@@ -31,21 +32,25 @@
 
 
 @pytest.mark.parametrize(
-    "change",
+    ("first_change", "change"),
     [
-        {},
-        {"methods": ("GET",)},
-        {"path_prefix": "/a/"},
-        {"headers": (HeaderMatch(name="x", value="1"),)},
-        {"host": "g"},
+        ({}, {}),
+        ({}, {"methods": ("GET",)}),
+        ({"methods": ("GET",)}, {}),
+        ({}, {"path_prefix": "/a/"}),
+        ({}, {"headers": (HeaderMatch(name="x", value="1"),)}),
+        ({}, {"host": "g"}),
     ],
 )
-def test_routes_are_found_as_never_used_as_the_nodes_use_them(change: dict[str, str]) -> None:
+def test_routes_are_found_as_never_used_as_the_nodes_use_them(
+    first_change: dict[str, Any], change: dict[str, Any]
+) -> None:
     """Guards against an order of precedence in the check other than that of the route table."""
     base = Route(name="a", service="s", host="h", path_prefix="/a")
     other = replace(base, name="b", **change)
-    snapshot = replace(CLEAN, routes=(base, other))
-    request = CallRequest(other.host, "/a", "GET", {"x": "1"})
+    snapshot = replace(CLEAN, routes=(replace(base, **first_change), other))
+    method = other.methods[0] if other.methods else "POST"
+    request = CallRequest(other.host, "/a", method, {"x": "1"})
     is_used = RouteTable.compile(snapshot).match(request, Random(1)).route == "b"
     result = CliRunner().invoke(ctl, ["check-config"], input=encode_snapshot(snapshot))
     assert ("route 'b' never matches" not in result.output) is is_used
