Let the tests of quotas notice hosts that pass saved-up requests together

The former test used twelve hosts whose requests at once are below the bound, so a fixed first level passed it.

--- a/packages/mesh/tests/test_quota.py
+++ b/packages/mesh/tests/test_quota.py
@@ -123,6 +123,23 @@
     assert passed == pytest.approx(20, abs=1)
 
 
+def test_hosts_that_lose_their_lender_together_do_not_pass_their_first_request_together() -> None:
+    # All 82 parts are below one request; saved up and passed at once they would exceed the bound.
+    team = Team(name="t", rate_per_s=1, burst=2)
+    pools = [Pool(f"h{index}", 1, 0.0, Random(index)) for index in range(82)]
+    for pool in pools:
+        pool.set_nodes(82, 0.0)
+        pool.set_quotas(make_quotas((team,), Bounds()), 0.0)
+        pool.add_own(0.0)
+    passed = []
+    for step in range(400):
+        now = SETTLE_S + step * 0.25
+        passed.append(sum(ask(pool, step + 1, now, need=1) for pool in pools))
+    windows = [sum(passed[start : start + 21]) for start in range(380)]
+    assert max(windows) <= (1 * 5 + 2) * 1.1 + 20
+    assert sum(passed) >= 60
+
+
 def test_adding_a_removed_team_again_gives_no_new_burst() -> None:
     pool = make_pool(1)
     pool.add_own(0.0)
