--- a/packages/bench/src/corianderwall/bench/runner.py
+++ b/packages/bench/src/corianderwall/bench/runner.py
@@ -21,6 +21,7 @@
         "footprint",
         "moves",
         "overload",
+        "quotas",
         "partition",
         "platform-cost",
         "platform-path",
