--- a/packages/mesh/src/corianderwall/mesh/selection.py
+++ b/packages/mesh/src/corianderwall/mesh/selection.py
@@ -42,6 +42,10 @@
 one got over 1.4 times the mean load by its speed in the model of test_slowdown."""
 DRAWN_FAR = 1
 """Endpoints of other zones that are compared with these."""
+BUSY_FRACTION = 0.5
+"""Fraction of taken slots from which calls are spread by speed. With most slots free the fastest
+endpoint serves a call soonest: at 0.3 of the load 0.981 of the calls of a model with 74 endpoints
+were in time instead of 0.973."""
 DEFAULT_SERVICE_MS = 50.0
 """Call time assumed if no endpoint of the service has reported one."""
 
@@ -142,7 +146,7 @@
     if paced is not None:
         return paced
     candidates = [view for view in candidates if view.load.cold_per_s is None]
-    by_speed = any(view.reports_speed for view in candidates)
+    by_speed = any(view.reports_speed for view in candidates) and is_busy(candidates, now)
     if by_speed:
         candidates = draw_by_speed(candidates, traits.zone, typical_ms, now, random)
 
@@ -177,6 +181,17 @@
     return expected_ms
 
 
+def is_busy(views: Iterable[EndpointView], now: float) -> bool:
+    """Return whether the recent reports show that many of the slots are taken."""
+    recent = [view for view in views if now - view.load_at < LOAD_DECAY_S]
+    slots = sum(view.record.slots for view in recent)
+    busy = sum(
+        min(view.record.slots, max(view.pending, view.load.running + view.load.waiting))
+        for view in recent
+    )
+    return busy >= slots * BUSY_FRACTION > 0
+
+
 def draw_by_speed(
     views: list[EndpointView], zone: str, typical_ms: float, now: float, random: Random
 ) -> list[EndpointView]:
