Spread half of a team's burst over the window of its quota

A quota is granted as rate x window + burst in every window, but the burst counted once only. The sum over a window stays the same; the tests of the bound pass, and the new test failed before.

--- a/packages/mesh/src/corianderwall/mesh/quota.py
+++ b/packages/mesh/src/corianderwall/mesh/quota.py
@@ -34,6 +34,9 @@
 about n."""
 RATE_FACTOR = 1.01
 """Factor on the rate for the same reason; credits that lapse unused are about one in a hundred."""
+STEADY_BURST_FRACTION = 0.5
+"""Fraction of the burst that is spread over the window. The terms grant rate x window + burst in every
+window, also to a team that asks steadily for more than its rate; the rest is for single bursts."""
 WANT_FRACTION = 0.5
 """Fraction of a bucket that one request gets in advance; during a partition two distributors
 ask."""
@@ -135,7 +138,9 @@
     spare = in_window * bounds.quota_overage + bounds.quota_slack
     extra_rate = min(RATE_FACTOR - 1, bounds.quota_overage * OVERAGE_FRACTION) * team.rate_per_s
     extra_burst = max(0.0, spare * OVERAGE_FRACTION - extra_rate * bounds.quota_window_s)
-    return Quota(team.rate_per_s + extra_rate, team.burst + extra_burst)
+    steady = team.burst * STEADY_BURST_FRACTION
+    rate_per_s = team.rate_per_s + extra_rate + steady / bounds.quota_window_s
+    return Quota(rate_per_s, team.burst - steady + extra_burst)
 
 
 @dataclass(slots=True)
--- a/packages/mesh/tests/test_quota.py
+++ b/packages/mesh/tests/test_quota.py
@@ -188,3 +188,15 @@
         passed = quota.rate_per_s * (bounds.quota_window_s + 0.35) + quota.burst
         allowed = (rate * 5 + burst) * 1.1 + 20
         assert passed <= allowed
+
+
+def test_a_team_that_asks_steadily_for_more_than_its_rate_gets_what_its_window_grants() -> None:
+    """Guards against a burst that counts once only, though the terms grant it in every window."""
+    quota = make_quotas((Team(name="t", rate_per_s=10, burst=10),), Bounds())["t"]
+    pool = make_pool(1, quota=quota)
+    pool.add_own(0.0)
+    granted = used = 0
+    for number in range(1, 655):
+        used = ask(pool, number, 2 + number / 10.9, need=1, used=used)
+        granted += used
+    assert granted > 654 * 0.98
