--- a/packages/mesh/src/corianderwall/mesh/quota.py
+++ b/packages/mesh/src/corianderwall/mesh/quota.py
@@ -35,8 +35,9 @@
 RATE_FACTOR = 1.01
 """Factor on the rate for the same reason; credits that lapse unused are about one in a hundred."""
 STEADY_BURST_FRACTION = 0.5
-"""Fraction of the burst that is spread over the window. The terms grant rate x window + burst in every
-window, also to a team that asks steadily for more than its rate; the rest is for single bursts."""
+"""Fraction of the burst that is spread over the window. The terms grant rate x window + burst in
+every window, also to a team that asks steadily for more than its rate; the rest is for single
+bursts."""
 WANT_FRACTION = 0.5
 """Fraction of a bucket that one request gets in advance; during a partition two distributors
 ask."""
