--- a/packages/mesh/src/corianderwall/mesh/admission.py
+++ b/packages/mesh/src/corianderwall/mesh/admission.py
@@ -41,7 +41,7 @@
     A response after `due` misses the latency objective, and one after `deadline` is useless.
     `sending_s` is how long a big response will occupy the host's link, 0 for a small response.
     `team` is empty for a call without one.
-    `slowdown` is that of the machine when the call started, None if it was not known.
+    `slowdown` is that of the endpoint's host when the call started, None if it was not known.
     """
 
     route: str
@@ -72,7 +72,7 @@
     would otherwise wait there. Meanwhile calls with small responses may overtake it. No call starts
     beyond the rate `limit` that the endpoint has named, beyond its `pace` while it may be cold, or
     while `nested_limits` expect its nested calls to be refused. Call times are kept as they are at
-    the machine's usual speed when the endpoint is warm, and multiplied by its `slowdown` and the
+    the host's usual speed when the endpoint is warm, and multiplied by its `slowdown` and the
     time factor of the `pace` where they are used.
 
     In an overload late calls get only free slots. Callers that were refused come back late, and if
--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -66,7 +66,7 @@
     """An endpoint with its load; `pending` counts the calls from this node.
 
     `limit_per_s` is the rate that it last named, also if its owner has restarted since.
-    `reports_speed` is set once its machine has been slower or faster than usual.
+    `reports_speed` is set once its host has been slower or faster than usual.
 
     Its owner has recently refused calls: until `full_until` it is assumed to have no free slot,
     and until the time in `late_until` to be too slow for the deadlines of that class of calls.
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -489,7 +489,7 @@
         return exchange
 
     def _read_speed(self, metadata: CallMetadata, exchange: Exchange) -> None:
-        """Keep what a response says of the machine's speed, before its call time is counted."""
+        """Keep what a response says of the host's speed, before its call time is counted."""
         record, response = self.record, exchange.response
         if response is None or record is None or record.id != metadata.endpoint:
             return
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -83,7 +83,7 @@
     `limit_per_s` is how many calls a second the endpoint takes, None if it has named no limit;
     this is not known before it `has_responded` to the owner's process. `cold_per_s` is the rate of
     its pace while it warms up, None if it has none. `slowdown` is how many times longer than usual
-    work takes on its machine at this moment.
+    work takes on its host at this moment.
     """
 
     running: int = 0
--- a/packages/mesh/src/corianderwall/mesh/settings.py
+++ b/packages/mesh/src/corianderwall/mesh/settings.py
@@ -15,7 +15,7 @@
     """The headers, in lower case, that callers and endpoints use; given by the adapter.
 
     An endpoint names in `limit` how many requests a second it takes, in `leaving` that it is about
-    to stop, in `load` its load and the speed of its machine, and in `warmup_left` how many
+    to stop, in `load` its load and the speed of its host, and in `warmup_left` how many
     milliseconds it stays cold. Callers send their key in `authorization`; endpoints get the team
     that holds it in `team`.
     """
--- a/packages/mesh/src/corianderwall/mesh/slowdown.py
+++ b/packages/mesh/src/corianderwall/mesh/slowdown.py
@@ -1,14 +1,14 @@
-"""How many times longer than usual work takes on an endpoint's machine at this moment."""
+"""How many times longer than usual work takes on an endpoint's host at this moment."""
 
 import math
 import re
 from dataclasses import dataclass
 
 FRESH_S = 1.0
-"""Age from which a value no longer counts; machines change their speed every few 100 ms."""
+"""Age from which a value no longer counts; hosts change their speed every few 100 ms."""
 MIN_SLOWDOWN = 0.1
 MAX_SLOWDOWN = 20.0
-"""Bounds on the value; known machines take between half and 2.5 times as long as usual."""
+"""Bounds on the value; known hosts take between half and 2.5 times as long as usual."""
 SLOWDOWN_POSITION = 3
 """Position of the value in the header, behind running calls, waiting calls and slots."""
 PERCENT = 100.0
