--- a/review/2/case.py
+++ b/review/2/case.py
@@ -76,8 +76,8 @@
 
 
 def make_mesh(record: Record) -> Mesh:
-    """Return two zones with two machines each."""
-    services = ["booking", "booking", "listing", "listing"]
+    """Return two zones with four machines each; a service has four endpoints."""
+    services = ["booking"] * 4 + ["listing"] * 4
     return Mesh(record, services, ["zone-a", "zone-b"], lambda: WORK_S)
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,10 +9,10 @@
 from harness.mesh import BOUNDS, Machine, Mesh, Result, make_route
 from harness.record import Record
 
-ROUNDS = 4
+ROUNDS = 3
 CUT_MACHINES = 2
-CUT_S = 5.5
-ROUND_S = 16.0
+CUT_S = 4.3
+ROUND_S = 14.0
 """A cut, and the time until all machines have caught up and are in touch again."""
 BEFORE_CHANGE_S = 0.1
 REQUEST_INTERVAL_S = 0.05
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -79,8 +79,8 @@
 
 
 def make_mesh(record: Record) -> Mesh:
-    """Return two zones with two machines each."""
-    services = ["booking", "booking", "listing", "listing"]
+    """Return two zones with nine machines; one of seven endpoints crashes."""
+    services = ["booking"] * 7 + ["listing"] * 2
     return Mesh(record, services, ["zone-a", "zone-b"], lambda: WORK_S)
 
 
