Write the leave of an endpoint to the platform before it is acknowledged

Cause: an acknowledged leave was known to nodes only. After the end of all processes the first heartbeat that came in counted as a start, also one that was sent before the leave. The log of the second process showed 'endpoint started' with the former start.

Change: LeaveArchive writes the leave to the platform, and the report is acknowledged once that is done; without it within 0.7 s the endpoint gets no calls, but no acknowledgement either, and reports again. A starting node reads the leaves before its endpoint gets calls, or has a peer's records and has waited 0.5 s. Without both it uses the endpoint after 6 s, so that no sound endpoint stays out.

--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from corianderwall.mesh.messages import STATE_RANK, EndpointRecord, EndpointState
+from corianderwall.mesh.messages import STATE_RANK, EndpointRecord, EndpointState, Leave
 from corianderwall.mesh.settings import HostSettings
 from corianderwall.model.endpoint import Address
 from corianderwall.node.logs import log_info, log_warning
@@ -77,7 +77,6 @@
             return True
         if record is None or self._is_new_start(record, announcement):
             self._start_record(announcement)
-            self._apply_kept_leave()
             return True
         self._last_seen_at = self._loop.time()
         if announcement.sequence <= self._sequence:
@@ -95,10 +94,9 @@
         record = self.record
         if record is None or record.id != endpoint:
             log_info("leave notice of an unknown endpoint", endpoint=endpoint)
-            left_ms = born_unix_ms if born_unix_ms is not None else int(time.time() * 1000)
-            self._left_until[endpoint] = max(left_ms, self._left_until.pop(endpoint, 0))
-            if len(self._left_until) > MAX_KEPT_LEAVES:
-                del self._left_until[next(iter(self._left_until))]
+            self._keep_leave(
+                endpoint, born_unix_ms if born_unix_ms is not None else int(time.time() * 1000)
+            )
             known = self._find_record(endpoint)
             if record is None and known is not None:
                 self._adopt_record(known)
@@ -109,10 +107,31 @@
             return
         self._set_state(EndpointState.GONE, "left")
 
+    def restore_leave(self, leave: Leave) -> None:
+        """Honour a leave that an earlier process here has acknowledged."""
+        self._keep_leave(leave.endpoint, leave.born_unix_ms)
+        self._apply_kept_leave()
+
+    def find_leave(self, endpoint: str) -> Leave | None:
+        """Return the leave of `endpoint` if it leaves, which must outlive this process."""
+        record = self.record
+        if record is not None and record.id == endpoint:
+            born_unix_ms = record.born_unix_ms if STATE_RANK[record.state] else None
+        else:
+            born_unix_ms = self._left_until.get(endpoint)
+        if born_unix_ms is None:
+            return None
+        return Leave(
+            endpoint=endpoint,
+            node=self._settings.name,
+            born_unix_ms=born_unix_ms,
+            at_unix_ms=int(time.time() * 1000),
+        )
+
     def merge_record(self, record: EndpointRecord) -> None:
         """Merge a record that peers have from an earlier process of this node."""
         own = self.record
-        if own is None and record.born_unix_ms <= self._left_until.get(record.id, 0):
+        if own is None and self._has_left(record.id, record.born_unix_ms):
             self._adopt_record(record)
             self._apply_kept_leave()
             return
@@ -157,9 +176,17 @@
         self._last_seen_at = self._loop.time()
         self._on_warmup(None)
 
+    def _keep_leave(self, endpoint: str, born_unix_ms: int) -> None:
+        self._left_until[endpoint] = max(born_unix_ms, self._left_until.pop(endpoint, 0))
+        if len(self._left_until) > MAX_KEPT_LEAVES:
+            del self._left_until[next(iter(self._left_until))]
+
+    def _has_left(self, endpoint: str, born_unix_ms: int) -> bool:
+        return born_unix_ms <= self._left_until.get(endpoint, 0)
+
     def _apply_kept_leave(self) -> None:
         record = self.record
-        if record is not None and record.born_unix_ms <= self._left_until.get(record.id, 0):
+        if record is not None and self._has_left(record.id, record.born_unix_ms):
             self._set_state(EndpointState.GONE, "left before it was known here")
 
     def _is_new_start(self, record: EndpointRecord, announcement: Announcement) -> bool:
@@ -172,6 +199,8 @@
         self._sequence = announcement.sequence
         self._last_seen_at = self._loop.time()
         state = EndpointState.DRAINING if announcement.draining else EndpointState.READY
+        if self._has_left(announcement.id, announcement.born_unix_ms):
+            state = EndpointState.GONE
         warm_ms = int(time.time() * 1000 + announcement.warm_after_s * 1000)
         self.record = EndpointRecord(
             id=announcement.id,
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -10,7 +10,8 @@
 from corianderwall.mesh.directory import Directory, Peer
 from corianderwall.mesh.evacuationsync import EvacuationSync
 from corianderwall.mesh.gate import EndpointGate
-from corianderwall.mesh.messages import EndpointRecord, Heartbeat, NodeRecord, Tables
+from corianderwall.mesh.leavearchive import LeaveArchive
+from corianderwall.mesh.messages import EndpointRecord, Heartbeat, Leave, NodeRecord, Tables
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
@@ -29,7 +30,11 @@
 """Longest wait for these peers; the endpoint expects a response within a second."""
 CONFIRM_POLL_INTERVAL_S = 0.005
 SYNC_TIMEOUT_S = 0.5
-"""Longest wait after a start for the records of peers before the endpoint gets calls."""
+"""Longest wait after a start for the records of peers, once the platform has told the leaves, or
+for the platform, once a peer has sent its records."""
+LEAVES_TIMEOUT_S = 6.0
+"""Longest wait after a start before the endpoint gets calls if neither is heard. Without the
+platform and peers there is no configuration either; calls must be served 15 s after a start."""
 PULL_INTERVAL_S = 0.1
 """Interval at which records are pulled; several response times of a peer in another zone."""
 MAX_PULL_ROUNDS = 20
@@ -81,6 +86,7 @@
         gate: EndpointGate,
         suspects: Suspects,
         archive: SuspectArchive,
+        leaves: LeaveArchive,
         make_heartbeat: Callable[[], Heartbeat],
         spawn: Spawn,
         random: Random,
@@ -97,6 +103,7 @@
         self._gate = gate
         self._suspects = suspects
         self._archive = archive
+        self._leaves = leaves
         self._make_heartbeat = make_heartbeat
         self._spawn = spawn
         self._random = random
@@ -106,6 +113,7 @@
         self._unshared: dict[str, SuspectRecord] = {}
         self._confirmation_count = 0
         self._pulled = False
+        self._pulling_since = self._loop.time()
         self._synced_peers: dict[str, bool] = {}
 
     async def join(self) -> None:
@@ -225,42 +233,72 @@
         if records:
             self.broadcast_tables(Tables(sender=self._directory.own, suspects=records))
 
-    async def confirm_leave(self) -> None:
-        """Wait until peers have the last change, so that it outlives this process.
+    async def confirm_leave(self, leave: Leave) -> bool:
+        """Return whether `leave` outlives all processes, and wait until peers have the last change.
 
-        Returns after `CONFIRM_TIMEOUT_S` at the latest.
+        Waits for the peers until `CONFIRM_TIMEOUT_S` at the latest.
         """
+        saved, _ = await asyncio.gather(self._leaves.save(leave), self._wait_for_peers())
+        return saved
+
+    async def _wait_for_peers(self) -> None:
         wanted = min(CONFIRMING_PEERS, sum(1 for _ in self._directory.list_live()))
         end = self._loop.time() + CONFIRM_TIMEOUT_S
         while self._confirmation_count < wanted and self._loop.time() < end:
             await asyncio.sleep(CONFIRM_POLL_INTERVAL_S)
 
     async def pull_records(self) -> None:
-        """Pull records from peers until one has sent them, and then let the endpoint get calls.
-
-        It gets calls without them after `SYNC_TIMEOUT_S`, and once it is clear that all nodes have
-        started together.
-        """
-        end = self._loop.time() + SYNC_TIMEOUT_S
+        """Pull records from peers until one has sent them, and then let the endpoint get calls."""
+        self._pulling_since = self._loop.time()
         tries = 0
         while not self._pulled and (tries < MAX_PULL_ROUNDS or not self._gate.synced):
             peers = self._list_pull_candidates()
             for peer in self._random.sample(peers, min(PULLS_PER_ROUND, len(peers))):
                 self._spawn(self._pull(peer))
             tries += 1
-            await asyncio.sleep(
-                PULL_INTERVAL_S if self._loop.time() < end else HEARTBEAT_INTERVAL_S
-            )
-            if not self._gate.synced and (self._loop.time() >= end or self._started_together()):
-                log_info(
-                    "no peer has sent its records; using the endpoint without them",
-                    peers=len(self._directory.peers),
-                    answered=len(self._synced_peers),
-                )
-                self._gate.synced = True
-                # Of nodes that have started together, the first by name deletes what has expired.
-                is_first = all(name > self._directory.own.name for name in self._directory.peers)
-                self._spawn(self._archive.load(deletes_expired=is_first))
+            is_long = self._loop.time() >= self._pulling_since + SYNC_TIMEOUT_S
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S if is_long else PULL_INTERVAL_S)
+            self._decide_sync()
+        while not self._gate.synced:
+            await asyncio.sleep(PULL_INTERVAL_S)
+            self._decide_sync()
+
+    def restore_leaves(self, leaves: tuple[Leave, ...]) -> None:
+        """Honour the leaves of this host's endpoints that earlier processes have acknowledged."""
+        for leave in leaves:
+            if leave.node == self._directory.own.name:
+                self._gate.endpoint.restore_leave(leave)
+        self._decide_sync()
+
+    def _decide_sync(self) -> None:
+        """Let the endpoint get calls unless a leave that was acknowledged may be missing here.
+
+        Either the platform or a peer that has records tells of it. If neither does, the endpoint
+        gets calls after `LEAVES_TIMEOUT_S`.
+        """
+        if self._gate.synced:
+            return
+        waited_s = self._loop.time() - self._pulling_since
+        if not self._leaves.loaded:
+            is_due = waited_s >= (SYNC_TIMEOUT_S if self._pulled else LEAVES_TIMEOUT_S)
+        else:
+            is_due = self._pulled or waited_s >= SYNC_TIMEOUT_S or self._started_together()
+        if not is_due:
+            return
+        self._gate.synced = True
+        if self._pulled and self._leaves.loaded:
+            return
+        log_info(
+            "using the endpoint without the records of peers or the platform",
+            peers=len(self._directory.peers),
+            answered=len(self._synced_peers),
+            pulled=self._pulled,
+            leaves_loaded=self._leaves.loaded,
+        )
+        if not self._pulled:
+            # Of nodes that have started together, the first by name deletes what has expired.
+            is_first = all(name > self._directory.own.name for name in self._directory.peers)
+            self._spawn(self._archive.load(deletes_expired=is_first))
 
     def _list_pull_candidates(self) -> list[Peer]:
         """Return the peers that report that they have records, or all peers if none does."""
@@ -306,6 +344,7 @@
             moves=self._moves.list_views(now),
             suspects=self._suspects.list_records(now),
             evacuations=self._evacuations.make_state(),
+            leaves=self._leaves.list_leaves(),
         )
         return msgspec.msgpack.encode(tables)
 
@@ -319,13 +358,14 @@
         for record in tables.endpoints:
             if record.node == self._directory.own.name:
                 self._gate.endpoint.merge_record(record)
+        self._leaves.merge(tables.leaves)
+        self.restore_leaves(tables.leaves)
 
     async def _pull(self, peer: Peer) -> None:
         reply = await self._link.post(peer.record, TABLES_PULL_KIND, b"")
         if reply:
-            self._merge(_tables_decoder.decode(reply))
             self._pulled = True
-            self._gate.synced = True
+            self._merge(_tables_decoder.decode(reply))
 
     async def _send_tables(self, node: NodeRecord, body: bytes) -> None:
         asked_at = self._loop.time()
--- /dev/null
+++ b/packages/mesh/src/corianderwall/mesh/leavearchive.py
@@ -0,0 +1,159 @@
+"""Keeps acknowledged leaves at the platform, as a loss of all hosts ends every node's memory."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from corianderwall.mesh.messages import Leave
+from corianderwall.mesh.source import Source, SourceError
+from corianderwall.mesh.tasks import Spawn
+from corianderwall.node.logs import log_info, log_warning
+
+SAVE_TIMEOUT_S = 0.7
+"""Longest wait for a write; the endpoint expects a response within a second."""
+RETRY_MIN_S = 0.3
+RETRY_MAX_S = 2.0
+"""First and longest pause after a failed request to the platform."""
+MAX_UNSAVED = 16
+"""Leaves that are written at once; a host has one endpoint, so further ones are not genuine."""
+RETENTION_S = 3600.0
+"""Age at which a leave is deleted; no endpoint that leaves and no message of it lasts that long."""
+SWEEP_INTERVAL_S = 600.0
+"""Interval at which expired leaves are deleted, by one node of the fleet."""
+
+
+class LeaveArchive:
+    """Writes the leaves that this node acknowledges, and loads those of earlier processes.
+
+    `on_loaded` is called with all leaves that the platform had when this process started.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        source: Source,
+        spawn: Spawn,
+        on_loaded: Callable[[tuple[Leave, ...]], None],
+        is_sweeper: Callable[[], bool],
+    ) -> None:
+        self.loaded = False
+        self.saved_count = 0
+        self._node = node
+        self._source = source
+        self._spawn = spawn
+        self._on_loaded = on_loaded
+        self._is_sweeper = is_sweeper
+        self._leaves: dict[str, Leave] = {}
+        self._unsaved: dict[tuple[str, int], asyncio.Event] = {}
+
+    @property
+    def unsaved_count(self) -> int:
+        """Return the number of leaves that wait for their acknowledgement."""
+        return len(self._unsaved)
+
+    def list_leaves(self) -> tuple[Leave, ...]:
+        """Return the leaves of all nodes that are known here to be at the platform."""
+        return tuple(self._leaves.values())
+
+    def merge(self, leaves: tuple[Leave, ...]) -> None:
+        """Merge leaves that are at the platform."""
+        for leave in leaves:
+            known = self._leaves.get(leave.endpoint)
+            if known is None or leave.at_unix_ms >= known.at_unix_ms:
+                self._leaves[leave.endpoint] = leave
+
+    async def save(self, leave: Leave) -> bool:
+        """Write `leave` unless it is written already; return whether it is within the timeout.
+
+        The write goes on after the timeout, so that the endpoint's next report can be acknowledged.
+        """
+        known = self._leaves.get(leave.endpoint)
+        if known is not None and known.born_unix_ms == leave.born_unix_ms:
+            return True
+        key = (leave.endpoint, leave.born_unix_ms)
+        saved = self._unsaved.get(key)
+        if saved is None:
+            if len(self._unsaved) >= MAX_UNSAVED:
+                log_warning("too many leaves at once", endpoint=leave.endpoint)
+                return False
+            saved = self._unsaved[key] = asyncio.Event()
+            self._spawn(self._write(leave, saved))
+        try:
+            async with asyncio.timeout(SAVE_TIMEOUT_S):
+                await saved.wait()
+        except TimeoutError:
+            log_warning("a leave is not at the platform yet", endpoint=leave.endpoint)
+            return False
+        return True
+
+    async def load(self) -> None:
+        """Load the leaves of earlier processes, however long the platform is away."""
+        pause_s = RETRY_MIN_S
+        while not self.loaded:
+            try:
+                leaves = await self._source.list_leaves(stale=False)
+            except SourceError as error:
+                log_warning("loading the leaves failed", reason=error.reason)
+                await asyncio.sleep(pause_s)
+                pause_s = min(RETRY_MAX_S, pause_s * 2)
+                continue
+            self.loaded = True
+            self.merge(leaves)
+            log_info("loaded the leaves", count=len(leaves))
+            self._on_loaded(leaves)
+
+    def restore(self) -> None:
+        """Write this node's leaves again, since the platform may have lost them."""
+        lost = [leave for leave in self._leaves.values() if leave.node == self._node]
+        for leave in lost:
+            key = (leave.endpoint, leave.born_unix_ms)
+            if key not in self._unsaved and not _is_expired(leave):
+                self._unsaved[key] = asyncio.Event()
+                self._spawn(self._write(leave, self._unsaved[key]))
+
+    async def run(self) -> None:
+        """Delete expired leaves until cancelled, while this node is the one that does so."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._forget_expired()
+            if self._is_sweeper():
+                await self._sweep()
+
+    async def _write(self, leave: Leave, saved: asyncio.Event) -> None:
+        pause_s = RETRY_MIN_S
+        try:
+            while not saved.is_set():
+                try:
+                    await self._source.write_leave(leave)
+                except SourceError as error:
+                    log_warning(
+                        "saving a leave failed", endpoint=leave.endpoint, reason=error.reason
+                    )
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(RETRY_MAX_S, pause_s * 2)
+                else:
+                    saved.set()
+        finally:
+            del self._unsaved[leave.endpoint, leave.born_unix_ms]
+        self.saved_count += 1
+        self._leaves[leave.endpoint] = leave
+        log_info("saved a leave", endpoint=leave.endpoint, born=leave.born_unix_ms)
+
+    def _forget_expired(self) -> None:
+        self._leaves = {k: leave for k, leave in self._leaves.items() if not _is_expired(leave)}
+
+    async def _sweep(self) -> None:
+        try:
+            leaves = await self._source.list_leaves(stale=True)
+            expired = [leave for leave in leaves if _is_expired(leave)]
+            for leave in expired:
+                await self._source.delete_leave(leave.endpoint)
+        except SourceError as error:
+            log_warning("deleting expired leaves failed", reason=error.reason)
+            return
+        if expired:
+            log_info("deleted expired leaves", count=len(expired))
+
+
+def _is_expired(leave: Leave) -> bool:
+    return time.time() - leave.at_unix_ms / 1000 > RETENTION_S
--- a/packages/mesh/src/corianderwall/mesh/memorysource.py
+++ b/packages/mesh/src/corianderwall/mesh/memorysource.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from corianderwall.mesh.messages import MoveOrder, NodeRecord
+from corianderwall.mesh.messages import Leave, MoveOrder, NodeRecord
 from corianderwall.mesh.source import (
     CALL_TIMEOUT_S,
     WATCH_TIMEOUT_MARGIN_S,
@@ -36,6 +36,7 @@
     orders: dict[str, MoveOrder] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     suspects: dict[str, SuspectRecord] = field(default_factory=dict)
+    leaves: dict[str, Leave] = field(default_factory=dict)
     evacuations: frozenset[str] = frozenset()
     evacuation_changes: tuple[tuple[int, EvacuationChange], ...] = ()
     config_revision: int = 0
@@ -91,6 +92,7 @@
             orders=dict(self.orders),
             nodes=dict(self.nodes),
             suspects=dict(self.suspects),
+            leaves=dict(self.leaves),
         )
 
     def restore_copy(self, copy: "MemorySource") -> None:
@@ -98,7 +100,7 @@
         self.era += 1
         self.revision, self.config_revision = copy.revision, copy.config_revision
         self.snapshot, self.orders, self.nodes = copy.snapshot, copy.orders, copy.nodes
-        self.suspects = copy.suspects
+        self.suspects, self.leaves = copy.suspects, copy.leaves
         self.evacuations, self.evacuation_changes = copy.evacuations, copy.evacuation_changes
         self._notify()
 
@@ -187,6 +189,23 @@
         if self.suspects.pop(fingerprint, None) is not None:
             self._advance()
 
+    async def list_leaves(self, *, stale: bool) -> tuple[Leave, ...]:
+        """Return the acknowledged leaves."""
+        await self._admit()
+        return tuple(self.leaves.values())
+
+    async def write_leave(self, leave: Leave) -> None:
+        """Write an acknowledged leave."""
+        await self._admit()
+        self.leaves[leave.endpoint] = leave
+        self._advance()
+
+    async def delete_leave(self, endpoint: str) -> None:
+        """Delete the leave of an endpoint."""
+        await self._admit()
+        if self.leaves.pop(endpoint, None) is not None:
+            self._advance()
+
     def _advance(self) -> int:
         self.revision += 1
         self._notify()
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -59,6 +59,15 @@
         return self.revision > other.revision
 
 
+class Leave(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One start of an endpoint beside `node` that leaves, and when that was acknowledged."""
+
+    endpoint: str
+    node: str
+    born_unix_ms: int
+    at_unix_ms: int
+
+
 class NodeRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One node; `incarnation`, its start in Unix milliseconds, distinguishes its starts."""
 
@@ -183,8 +192,8 @@
 class Tables(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The records of all nodes and endpoints that a node knows, or of those that have changed.
 
-    A node that has just started also gets the `moves` and the `evacuations`, which say what calls
-    the endpoints may get.
+    A node that has just started also gets the `moves`, the `evacuations` and the `leaves`, which
+    say what calls the endpoints may get.
     """
 
     sender: NodeRecord
@@ -193,6 +202,7 @@
     moves: tuple["MoveView", ...] = ()
     suspects: tuple[SuspectRecord, ...] = ()
     evacuations: EvacuationState | None = None
+    leaves: tuple[Leave, ...] = ()
 
 
 class MoveOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -30,10 +30,13 @@
 from corianderwall.mesh.exchange import Response, await_exchange
 from corianderwall.mesh.gate import EndpointGate
 from corianderwall.mesh.gossip import HEARTBEAT_KIND, TABLES_KIND, TABLES_PULL_KIND, Gossip
+from corianderwall.mesh.leaders import list_leaders
+from corianderwall.mesh.leavearchive import LeaveArchive
 from corianderwall.mesh.messages import (
     EndpointRecord,
     EndpointState,
     Heartbeat,
+    Leave,
     NodeRecord,
     Tables,
 )
@@ -159,6 +162,9 @@
             self.gate.handle_evacuation,
         )
         self.gate.zone_guard = self.evacuations
+        self.leaves = LeaveArchive(
+            settings.name, source, self.spawn, self._restore_leaves, self._is_first_leader
+        )
         self.gossip = Gossip(
             self.directory,
             self.link,
@@ -170,6 +176,7 @@
             self.gate,
             self.suspects,
             self._archive,
+            self.leaves,
             self.make_heartbeat,
             self.spawn,
             random,
@@ -260,6 +267,8 @@
         self.spawn(self.quotas.run())
         self.spawn(self.gossip.pull_records())
         self.spawn(self._archive.run())
+        self.spawn(self.leaves.load())
+        self.spawn(self.leaves.run())
         self.spawn(self.evacuations.run())
         self.spawn(self.move_controller.watch_orders())
         self.spawn(self.move_controller.run())
@@ -334,8 +343,16 @@
 
     def _restore_records(self) -> None:
         self.suspects.restore_saved()
+        self.leaves.restore()
         self.spawn(self.gossip.restore_records())
 
+    def _restore_leaves(self, leaves: tuple[Leave, ...]) -> None:
+        self.gossip.restore_leaves(leaves)
+
+    def _is_first_leader(self) -> bool:
+        leaders = list_leaders(self.directory, self.sync.source_ok)
+        return leaders[:1] == [self.settings.name]
+
     def _announce_endpoint(self, record: EndpointRecord) -> None:
         self.gossip.announce_endpoint(record)
 
--- a/packages/mesh/src/corianderwall/mesh/source.py
+++ b/packages/mesh/src/corianderwall/mesh/source.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
-from corianderwall.mesh.messages import MoveOrder, NodeRecord
+from corianderwall.mesh.messages import Leave, MoveOrder, NodeRecord
 from corianderwall.model.resource import MoveState, Snapshot
 from corianderwall.traffic.suspects import SuspectRecord
 
@@ -113,3 +113,12 @@
 
     async def delete_suspect(self, fingerprint: str) -> None:
         """Delete the record of a request, if there is one."""
+
+    async def list_leaves(self, *, stale: bool) -> tuple[Leave, ...]:
+        """Return the acknowledged leaves of endpoints; a `stale` list may be seconds old."""
+
+    async def write_leave(self, leave: Leave) -> None:
+        """Write a leave, in place of an earlier one of the same endpoint."""
+
+    async def delete_leave(self, endpoint: str) -> None:
+        """Delete the leave of an endpoint, if there is one."""
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -19,11 +19,13 @@
     TABLES_PULL_KIND,
     Gossip,
 )
+from corianderwall.mesh.leavearchive import LeaveArchive
 from corianderwall.mesh.messages import (
     EndpointRecord,
     EndpointState,
     EvacuationState,
     Heartbeat,
+    Leave,
     MoveOrder,
     MoveView,
     NodeRecord,
@@ -69,6 +71,9 @@
 
     def __init__(self, records: tuple[NodeRecord, ...]) -> None:
         self.announced: list[NodeRecord] = []
+        self.leaves: tuple[Leave, ...] = ()
+        self.responds = asyncio.Event()
+        self.responds.set()
         self._records = records
 
     async def announce_node(self, record: NodeRecord) -> None:
@@ -79,6 +84,11 @@
         """Return the given nodes."""
         return self._records
 
+    async def list_leaves(self, *, stale: bool) -> tuple[Leave, ...]:
+        """Return the given leaves once the platform responds."""
+        await self.responds.wait()
+        return self.leaves
+
     async def list_suspects(self) -> tuple[SuspectRecord, ...]:
         """Return nothing, as no request is in quarantine."""
         return ()
@@ -90,7 +100,10 @@
     def __init__(self, records: tuple[NodeRecord, ...], reply: Reply) -> None:
         self.learned: list[EndpointRecord] = []
         self.link = RecordingLink(reply)
-        tracker = SimpleNamespace(merge_record=self.learned.append)
+        self.restored: list[Leave] = []
+        tracker = SimpleNamespace(
+            merge_record=self.learned.append, restore_leave=self.restored.append
+        )
         self.gate = SimpleNamespace(synced=False, endpoint=tracker)
         self.directory = Directory(make_record("own"))
         self.early_evacuations: set[EvacuationState | None] = set()
@@ -98,6 +111,13 @@
         self.suspects = Suspects()
         self.source = FakePlatform(records)
         self.tasks: set[asyncio.Task[None]] = set()
+        self.leaves = LeaveArchive(
+            "own",
+            self.source,  # type: ignore[arg-type]
+            self.spawn,
+            lambda leaves: self.gossip.restore_leaves(leaves),
+            lambda: False,
+        )
         self.gossip = Gossip(
             self.directory,
             self.link,  # type: ignore[arg-type]
@@ -109,6 +129,7 @@
             self.gate,  # type: ignore[arg-type]
             self.suspects,
             SuspectArchive(self.suspects, self.source),  # type: ignore[arg-type]
+            self.leaves,
             self.make_heartbeat,
             self.spawn,
             Random(1),
@@ -123,6 +144,11 @@
             self.early_evacuations.add(state)
         return False
 
+    async def synchronize(self) -> None:
+        """Load the leaves and pull records, as a node does after its start."""
+        self.spawn(self.leaves.load())
+        await self.gossip.pull_records()
+
     def make_heartbeat(self) -> Heartbeat:
         digest = self.directory.compute_digest()
         return Heartbeat(
@@ -198,7 +224,7 @@
 
         newcomer = Newcomer((make_record("n1"),), reply)
         newcomer.directory.merge_node(make_record("n1"), 0.0)
-        await newcomer.gossip.pull_records()
+        await newcomer.synchronize()
         assert newcomer.gate.synced
         assert newcomer.learned == [leaving]
         assert pulls == 7
@@ -216,7 +242,7 @@
             lambda kind, body: peer.gossip.handle_pull(body) if kind == TABLES_PULL_KIND else None,
         )
         newcomer.directory.merge_node(make_record("n1"), 0.0)
-        await newcomer.gossip.pull_records()
+        await newcomer.synchronize()
         assert newcomer.gate.synced
         assert EVACUATION in newcomer.early_evacuations
 
@@ -267,7 +293,7 @@
             name = f"n{i}"
             newcomer.directory.merge_node(make_record(name), 0.0)
             newcomer.gossip.handle_heartbeat(make_heartbeat(name, synced=i < others_synced))
-        syncing = newcomer.spawn(newcomer.gossip.pull_records())
+        syncing = newcomer.spawn(newcomer.synchronize())
         await asyncio.wait([syncing], timeout=1.0)
         assert newcomer.gate.synced is (others_synced == 0)
         pulls = {name for name, kind, _ in newcomer.link.posted if kind == TABLES_PULL_KIND}
@@ -278,6 +304,64 @@
     return run(scenario())
 
 
+# Guards against the use of an endpoint whose leave was acknowledged before all nodes ended.
+@pytest.mark.parametrize("origin", ["platform", "peer"])
+def test_an_endpoint_gets_no_calls_before_the_leaves_of_earlier_processes_are_known(
+    monkeypatch: pytest.MonkeyPatch, origin: str
+) -> Deferred[None]:
+    monkeypatch.setattr("corianderwall.mesh.gossip.SYNC_TIMEOUT_S", 0.02)
+    monkeypatch.setattr("corianderwall.mesh.gossip.PULL_INTERVAL_S", 0.01)
+    monkeypatch.setattr("corianderwall.mesh.gossip.HEARTBEAT_INTERVAL_S", 0.01)
+    leave = Leave(endpoint="i-1", node="own", born_unix_ms=1, at_unix_ms=2)
+    other = Leave(endpoint="i-2", node="n2", born_unix_ms=1, at_unix_ms=2)
+
+    async def scenario() -> None:
+        tables = msgspec.msgpack.encode(Tables(sender=make_record("n1"), leaves=(leave, other)))
+        asked = asyncio.Event()
+
+        def reply(kind: str, body: bytes) -> bytes | None:
+            return tables if kind == TABLES_PULL_KIND and asked.is_set() else None
+
+        newcomer = Newcomer((make_record("n1"),), reply)
+        newcomer.directory.merge_node(make_record("n1"), 0.0)
+        newcomer.source.leaves = (leave, other)
+        newcomer.source.responds.clear()
+        syncing = newcomer.spawn(newcomer.synchronize())
+        await asyncio.sleep(0.1)
+        assert not newcomer.gate.synced
+        if origin == "platform":
+            newcomer.source.responds.set()
+        else:
+            asked.set()
+        await asyncio.wait([syncing], timeout=1.0)
+        assert newcomer.gate.synced
+        assert newcomer.restored == [leave]
+
+    return run(scenario())
+
+
+# Guards against a sound endpoint that stays out while neither platform nor peers respond.
+def test_an_endpoint_gets_calls_at_last_if_neither_platform_nor_peers_respond(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr("corianderwall.mesh.gossip.SYNC_TIMEOUT_S", 0.02)
+    monkeypatch.setattr("corianderwall.mesh.gossip.LEAVES_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("corianderwall.mesh.gossip.PULL_INTERVAL_S", 0.01)
+    monkeypatch.setattr("corianderwall.mesh.gossip.HEARTBEAT_INTERVAL_S", 0.01)
+
+    async def scenario() -> None:
+        newcomer = Newcomer((), lambda kind, body: None)
+        newcomer.source.responds.clear()
+        syncing = newcomer.spawn(newcomer.synchronize())
+        await asyncio.sleep(0.05)
+        assert not newcomer.gate.synced
+        await asyncio.sleep(0.15)
+        assert newcomer.gate.synced
+        syncing.cancel()
+
+    return run(scenario())
+
+
 def test_unresponsive_peers_do_not_show_that_all_nodes_have_started_together(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
@@ -290,7 +374,7 @@
             newcomer.directory.merge_node(make_record(f"n{i}"), 0.0)
         for i in range(MIN_UNSYNCED_PEERS - 1):
             newcomer.gossip.handle_heartbeat(make_heartbeat(f"n{i}", synced=False))
-        syncing = newcomer.spawn(newcomer.gossip.pull_records())
+        syncing = newcomer.spawn(newcomer.synchronize())
         await asyncio.wait([syncing], timeout=1.0)
         assert not newcomer.gate.synced
         syncing.cancel()
@@ -319,7 +403,7 @@
         tables = knowing.gossip.handle_pull(b"")
         newcomer = Newcomer((), lambda kind, body: tables if kind == TABLES_PULL_KIND else None)
         newcomer.directory.merge_node(make_record("n1"), 0.0)
-        await newcomer.gossip.pull_records()
+        await newcomer.synchronize()
         views = newcomer.directory.list_ready("s")
         allowed = newcomer.moves.filter_endpoints("s", views, 0.0, try_new=False)
         assert [view.record.version for view in allowed] == ["v1"]
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1293,7 +1293,8 @@
         await fleet.add("n2", announce=False)
         await fleet.wait_until_synced()
         leaving.announce(draining=True, sequence=2)
-        await leaving.node.gossip.confirm_leave()
+        leave = leaving.node.gate.endpoint.find_leave("i-n1")
+        assert leave is not None and await leaving.node.gossip.confirm_leave(leave)
         leaving.node.close()
         node = HostNode(leaving.node.settings, NAMES, fleet.source, Random(9))
         await node.start([])
@@ -1309,6 +1310,59 @@
     return run_scenario(scenario)
 
 
+# Guards against a leave that is forgotten when all nodes end at once after its acknowledgement.
+@pytest.mark.parametrize("draining", [True, False])
+def test_an_acknowledged_leave_outlives_all_processes(draining: bool) -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        hosts = [await fleet.add("n1"), await fleet.add("n2", announce=False)]
+        await fleet.wait_until_synced()
+        tracker = hosts[0].node.gate.endpoint
+        if draining:
+            hosts[0].announce(draining=True, sequence=2)
+        else:
+            tracker.handle_leave("i-n1", 1)
+        leave = tracker.find_leave("i-n1")
+        assert leave is not None and await hosts[0].node.gossip.confirm_leave(leave)
+        for host in hosts:
+            host.node.close()
+        for number, host in enumerate(hosts):
+            node = HostNode(host.node.settings, NAMES, fleet.source, Random(number))
+            await node.start([])
+            fleet.hosts[node.settings.name] = Host(node, host.upstream)
+        restarted = fleet.hosts["n1"]
+        # This announcement was sent before the leave and arrives after the restart.
+        restarted.announce(sequence=1)
+        await fleet.wait_until_synced()
+        await fleet.wait_for(lambda: restarted.node.gate.synced)
+        before = count_seen(fleet)["n1"]
+        assert (await fleet.send_call("n2")).status == 503
+        assert count_seen(fleet)["n1"] == before
+        # The endpoint starts again under its id.
+        restarted.announce(sequence=1, born=2)
+        await fleet.wait_for(lambda: bool(fleet.hosts["n2"].node.directory.list_ready("s")))
+        assert (await fleet.send_call("n2")).status == 200
+
+    return run_scenario(scenario)
+
+
+# Guards against an acknowledgement that the loss of all processes would break.
+def test_a_leave_is_not_confirmed_before_the_platform_has_it() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        leaving = await fleet.add("n1")
+        await fleet.wait_for(lambda: leaving.node.gate.synced)
+        fleet.source.failing = "status 503"
+        leaving.announce(draining=True, sequence=2)
+        leave = leaving.node.gate.endpoint.find_leave("i-n1")
+        assert leave is not None and not await leaving.node.gossip.confirm_leave(leave)
+        fleet.source.failing = ""
+        await fleet.wait_for(lambda: "i-n1" in fleet.source.leaves)
+        # The endpoint repeats what was not acknowledged.
+        assert await leaving.node.gossip.confirm_leave(leave)
+
+    return run_scenario(scenario)
+
+
 def test_a_bad_version_is_rolled_back_even_if_the_first_leader_loses_the_platform() -> (
     Deferred[None]
 ):
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -74,6 +74,9 @@
         self.crashes = self._add_counter(
             "endpoint_crashes", "Crashes of the endpoint beside this node while it ran calls."
         )
+        self.leaves = self._add_gauge(
+            "endpoint_leaves", "Leaves of endpoints by whether they are at the platform."
+        )
         self.endpoint_pace = self._add_gauge(
             "endpoint_pace_per_s", "Calls that may start a second at the cold endpoint, 0 if warm."
         )
