Hear an endpoint whatever its clock or another writer has said before

Cause: EndpointTracker acknowledged announcements that it ignored: those below the highest sequence number, which another writer can raise, and those of a start with an earlier time of birth, which a step of the clock makes of a later start. The log had one line for the second branch and none for the first.

Change: what cannot be placed is not acknowledged. A start that looks earlier, or that was replaced, is used once it goes on announcing itself while the current one does not; after a leave of the same id this takes 8 s, since announcements arrive seconds late. An unknown service is refused. Peers order starts as the owner does.

--- a/packages/mesh/src/corianderwall/mesh/directory.py
+++ b/packages/mesh/src/corianderwall/mesh/directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+import msgspec
 import xxhash
 
 from corianderwall.mesh.messages import (
@@ -108,6 +109,7 @@
     def merge_node(self, record: NodeRecord, now: float) -> bool:
         """Merge the record of a node; return whether it was new."""
         if record.name == self.own.name:
+            self._outdo(record)
             return False
         self._node_count = 0
         peer = self.peers.get(record.name)
@@ -123,6 +125,15 @@
         peer.record = record
         return True
 
+    def _outdo(self, record: NodeRecord) -> None:
+        """Take a later incarnation than an earlier process here, whose clock may have been ahead.
+
+        Peers would otherwise keep that process's record, which may say that it was leaving.
+        """
+        own = self.own
+        if record.incarnation > own.incarnation or (record.supersedes(own) and not own.leaving):
+            self.own = msgspec.structs.replace(own, incarnation=record.incarnation + 1)
+
     def merge_endpoint(self, record: EndpointRecord, now: float) -> bool:
         """Merge the record of an endpoint; return whether it was new."""
         view = self.endpoints.get(record.id)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -100,6 +100,7 @@
         on_suspects: Callable[[tuple[SuspectRecord, ...]], None],
         find_record: Callable[[str], EndpointRecord | None] = lambda _: None,
         read_teams: Callable[[], TeamTable] = lambda: NO_TEAMS,
+        knows_service: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self.warmup = WarmupMonitor(
             settings.bounds, headers, lambda: self._pool, lambda: self.record, self._dispatch
@@ -110,6 +111,7 @@
             self._handle_change,
             find_record,
             self.warmup.handle_statement,
+            knows_service,
         )
         self.shares = TeamShares(lambda team: read_teams().weigh(team))
         self.queue = AdmissionQueue(0, uplink, pace=self.warmup.pace, shares=self.shares)
@@ -524,7 +526,7 @@
             log_warning(
                 "another endpoint uses the address of this endpoint", endpoint=metadata.endpoint
             )
-            self.endpoint.mark_down("misdirected")
+            self.endpoint.refute(metadata.endpoint)
             return self._refuse(request, Refusal.UNKNOWN, reached=True)
         if response.find_header(self._headers.not_run) is not None:
             self.warmup.pace.record_refusal(metadata.route, self._loop.time())
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -29,8 +29,9 @@
 class EndpointRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One start of an endpoint, as reported by its owner, the node beside it.
 
-    `born_unix_ms` distinguishes the starts of one id; `revision` grows with each change that the
-    owner makes to the record.
+    `born_unix_ms` orders the starts of one id; it is later than what the start announces,
+    `announced_unix_ms`, if that would put it before an earlier one. `revision` grows with each
+    change that the owner makes to the record.
     """
 
     id: str
@@ -43,6 +44,7 @@
     state: EndpointState = EndpointState.READY
     warm_unix_ms: int = 0
     revision: int = 0
+    announced_unix_ms: int = 0
 
     @property
     def start(self) -> str:
@@ -60,12 +62,16 @@
 
 
 class Leave(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One start of an endpoint beside `node` that leaves, and when that was acknowledged."""
+    """A start of an endpoint beside `node` that leaves, and when that was acknowledged.
+
+    If it is not `exact`, all starts until `born_unix_ms` have left.
+    """
 
     endpoint: str
     node: str
     born_unix_ms: int
     at_unix_ms: int
+    exact: bool = True
 
 
 class NodeRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -146,6 +146,7 @@
             self._share_suspects,
             self._find_own_record,
             lambda: self.holder.teams,
+            self._knows_service,
         )
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
@@ -363,6 +364,9 @@
         view = self.directory.endpoints.get(endpoint)
         return view.record if view is not None and view.record.node == self.settings.name else None
 
+    def _knows_service(self, name: str) -> bool:
+        return any(service.name == name for service in self.holder.snapshot.services)
+
     def _count_call(self, route: str, endpoint: str, failed: bool, took_s: float) -> None:
         record = self.gate.record
         if record is not None and record.id == endpoint:
--- a/packages/mesh/tests/test_directory.py
+++ b/packages/mesh/tests/test_directory.py
@@ -1,6 +1,8 @@
 from itertools import permutations
 from typing import Any
 
+import msgspec
+
 from corianderwall.mesh.directory import GONE_RETENTION_S, RETRY_DELAY_MIN_S, Directory
 from corianderwall.mesh.messages import EndpointState, Heartbeat, Tables
 
@@ -95,3 +97,22 @@
     assert "i-1" in directory.endpoints
     directory.remove_expired(GONE_RETENTION_S + 1)
     assert "i-1" not in directory.endpoints
+
+
+# Guards against a node that counts as leaving for good, as its clock was set back at its restart.
+def test_a_node_outdoes_the_record_of_an_earlier_process_with_a_clock_ahead(
+    make_node: Any,
+) -> None:
+    peer = Directory(make_node("n2"))
+    own = Directory(make_node("n1", incarnation=1000))
+    former = msgspec.structs.replace(make_node("n1", incarnation=3000), leaving=True)
+    peer.merge_node(former, 0.0)
+    peer.merge_node(own.own, 0.0)
+    assert not list(peer.list_live())
+    own.merge(peer.make_tables(), 0.0)
+    peer.merge_node(own.own, 1.0)
+    assert [each.record.name for each in peer.list_live()] == ["n1"]
+    # A stopping node stays so.
+    own.own = msgspec.structs.replace(own.own, leaving=True)
+    own.merge(Tables(sender=make_node("n2"), nodes=(own.own,)), 0.0)
+    assert own.own.leaving
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -74,6 +74,9 @@
         self.crashes = self._add_counter(
             "endpoint_crashes", "Crashes of the endpoint beside this node while it ran calls."
         )
+        self.unplaced_reports = self._add_counter(
+            "endpoint_reports_unplaced", "Announcements that no known start may have sent."
+        )
         self.leaves = self._add_gauge(
             "endpoint_leaves", "Leaves of endpoints by whether they are at the platform."
         )
