Replace a leader that is not heard within the bound of a change

Cause: only the leader of a zone reads the store, and it was replaced once it had told its peers that the store fails: a watch, its margin, a pause, a read and a check, 4 s in all. A frozen leader tells nobody, and its zone waited for random heartbeats.

Change: a leader tells two standbys of its zone of each response; one that is not told for a watch, a pause and 0.2 s reads the store itself. FollowTimes derives the limits from the bound: 1.4 s for the first standby, 1.7 s for the second. Standbys also watch the orders of moves.

--- a/packages/mesh/src/corianderwall/mesh/configuration.py
+++ b/packages/mesh/src/corianderwall/mesh/configuration.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import zlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from corianderwall.mesh.directory import Directory, Peer
 from corianderwall.mesh.freshness import DEFAULT_BOUND_S, ConfigurationFreshness
-from corianderwall.mesh.leaders import find_zone_leaders
+from corianderwall.mesh.leaders import find_zone_leaders, list_zone_followers
 from corianderwall.mesh.messages import NodeRecord
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.routes import RouteTable
@@ -26,17 +27,24 @@
 
 MAX_FORMER_SNAPSHOTS = 16
 """Number of former snapshots that are kept, so that a peer can be sent a delta."""
-WATCH_TIMEOUT_S = 1.5
-"""Timeout of one watch. The response to a watch that is sent during an outage is lost, so this also
-bounds the time for which a leader does not notice that the platform responds again: a version has
-to be active within 3 s of that."""
+WATCH_FRACTION = 0.35
+"""Timeout of one watch as a fraction of the bound within which a version has to be active. The
+response to a watch that is sent during an outage is lost, so this also bounds the time for which a
+leader does not notice that the platform responds again."""
+CONFIRM_MARGIN_S = 0.2
+"""Time after a watch and a pause by which a standby has been told of the response."""
+STANDBY_DELAY_S = 0.3
+"""Time that each standby gives the one before it; a read and its confirmation take less."""
+DELIVERY_S = 0.25
+"""Time for a read and the way to all nodes; many times the usual one."""
 WATCH_PAUSE_S = 0.25
 """Pause between two watches, so that versions in quick succession cost one request."""
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 1.0
 """First and longest pause after a failed request to the platform."""
 LEADER_CHECK_INTERVAL_S = 0.5
-"""Interval at which a node that does not watch checks whether it should."""
+MIN_CHECK_S = 0.02
+"""Longest and shortest interval at which a node that does not watch checks whether it should."""
 SOURCE_TEST_INTERVAL_S = 2.0
 """Interval of tests of a platform that did not respond; a test costs a tenth of a read."""
 MAX_PUSH_RETRIES = 2
@@ -50,6 +58,40 @@
 
 CONFIG_PUSH_KIND = "config"
 CONFIG_PULL_KIND = "config-pull"
+CONFIG_CONFIRM_KIND = "config-confirmed"
+
+
+@dataclass(frozen=True, slots=True)
+class FollowTimes:
+    """The time limits of following the configuration, for a bound of `apply_s`.
+
+    A leader tells its standbys of each response of the platform. A standby that is not told for
+    `silence_s` reads the platform itself, whether the leader has ended, is frozen or is cut off.
+    """
+
+    watch_s: float
+    silence_s: float
+
+    @classmethod
+    def plan(cls, apply_s: float) -> "FollowTimes":
+        """Return the limits by which a version is active within `apply_s`."""
+        watch_s = WATCH_FRACTION * apply_s
+        return cls(watch_s, watch_s + WATCH_PAUSE_S + CONFIRM_MARGIN_S)
+
+    def find_turn(self, heard_at: float, rank: int) -> float:
+        """Return when the standby of `rank`, 1 for the first one, reads the platform."""
+        return heard_at + self.silence_s + (rank - 1) * STANDBY_DELAY_S
+
+    def compute_longest_s(self, rank: int) -> float:
+        """Return the longest time until a version is active if the standby of `rank` reads it."""
+        return self.find_turn(0.0, rank) + DELIVERY_S
+
+
+class ConfigConfirmation(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Tells a standby that the platform has just responded, and the version that it has."""
+
+    sender: NodeRecord
+    version: int
 
 
 class ConfigPush(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -64,6 +106,9 @@
     body: bytes
 
 
+_confirmation_decoder = msgspec.msgpack.Decoder(ConfigConfirmation)
+
+
 class ConfigurationHolder:
     """Holds the active snapshot, which is replaced as a whole and only by a newer one."""
 
@@ -100,7 +145,10 @@
 
 
 class ConfigurationSync:
-    """Watches the platform while this node leads its zone, and sends changes to peers."""
+    """Watches the platform while this node leads its zone, and sends changes to peers.
+
+    `apply_s` is the bound within which a version has to be active everywhere.
+    """
 
     def __init__(
         self,
@@ -110,7 +158,9 @@
         link: PeerLink,
         joined: asyncio.Event,
         spawn: Spawn,
+        apply_s: float = DEFAULT_BOUND_S,
     ) -> None:
+        self.takeover_count = 0
         self.source_ok = True
         self.source_listeners: list[Callable[[], None]] = []
         self.era_listeners: list[Callable[[], None]] = []
@@ -124,6 +174,17 @@
         self._spawn = spawn
         self._pushing: set[str] = set()
         self._fetching = False
+        self._times = FollowTimes.plan(apply_s)
+        self._heard_at = asyncio.get_running_loop().time()
+        # 0 for the leader of the zone, more for its standbys, None for the other nodes.
+        self._rank: int | None = None
+        # Set while this node reads the platform in place of the leader of its zone.
+        self._stands_in = False
+
+    @property
+    def follows_source(self) -> bool:
+        """Return whether this node watches the platform, for itself and its zone."""
+        return self._stands_in or self.is_zone_leader
 
     @property
     def is_zone_leader(self) -> bool:
@@ -138,13 +199,14 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(JOIN_TIMEOUT_S):
                 await self._joined.wait()
+        self._heard_at = loop.time()
         position: Position | None = None
         pause_s = RETRY_MIN_S
         while True:
             bypass_leader = self._holder.table is None and loop.time() > bypass_leader_at
-            if not bypass_leader and not self.is_zone_leader:
+            if not bypass_leader and not self._must_follow():
                 position = None
-                await asyncio.sleep(LEADER_CHECK_INTERVAL_S)
+                await asyncio.sleep(self._choose_check_s())
                 if not self.source_ok and loop.time() >= self._next_test_at:
                     await self._test_source()
                 continue
@@ -173,6 +235,57 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
 
+    def _must_follow(self) -> bool:
+        """Return whether this node watches now: as leader, or as the leader may not do so."""
+        now = asyncio.get_running_loop().time()
+        followers = list_zone_followers(self._directory, self.source_ok)
+        own = self._directory.own.name
+        self._rank = followers.index(own) if own in followers else None
+        stands_in = bool(self._rank) and self._find_turn() <= now
+        if stands_in and not self._stands_in:
+            self.takeover_count += 1
+            log_info(
+                "reading the platform in place of the leader of the zone",
+                leader=followers[0],
+                rank=self._rank,
+                silent_s=round(now - self._heard_at, 3),
+            )
+        self._stands_in = stands_in
+        return self._rank == 0 or stands_in
+
+    def _find_turn(self) -> float:
+        return self._times.find_turn(self._heard_at, self._rank or 1)
+
+    def _choose_check_s(self) -> float:
+        """Return the time until this node may have to watch, at most `LEADER_CHECK_INTERVAL_S`."""
+        if self._rank is None:
+            return LEADER_CHECK_INTERVAL_S
+        left_s = self._find_turn() - asyncio.get_running_loop().time()
+        return max(MIN_CHECK_S, min(LEADER_CHECK_INTERVAL_S, left_s))
+
+    def handle_confirmation(self, body: bytes) -> bytes | None:
+        """Handle a message of a node that watches for this zone."""
+        confirmation = _confirmation_decoder.decode(body)
+        self._heard_at = asyncio.get_running_loop().time()
+        peer = self._directory.peers.get(confirmation.sender.name)
+        if peer is not None:
+            self.handle_version(peer, confirmation.version)
+        return b"ok"
+
+    def _confirm(self) -> None:
+        """Tell the other followers of the zone that the platform has just responded."""
+        confirmation = ConfigConfirmation(
+            sender=self._directory.own, version=self._holder.snapshot.version
+        )
+        body = msgspec.msgpack.encode(confirmation)
+        for name in list_zone_followers(self._directory, self.source_ok):
+            peer = self._directory.peers.get(name)
+            if peer is not None:
+                self._spawn(self._send_confirmation(peer, body))
+
+    async def _send_confirmation(self, peer: Peer, body: bytes) -> None:
+        await self._link.post(peer.record, CONFIG_CONFIRM_KIND, body)
+
     def handle_push(self, body: bytes, *, forward: bool = True) -> bytes | None:
         """Apply a configuration from a peer and forward it.
 
@@ -260,7 +373,7 @@
         if position is None:
             reading = await self._source.read_config()
         else:
-            wait_s = WATCH_TIMEOUT_S
+            wait_s = self._times.watch_s
             if self._holder.teams.is_active:
                 wait_s = freshness.limit_watch(wait_s, confirmed_at)
             reading = await self._source.watch_config(position, wait_s)
@@ -282,6 +395,7 @@
                 listener()
         self._era = reading.position.era
         freshness.confirm(confirmed_at, loop.time())
+        self._confirm()
         return reading.position
 
     def _forward(self, from_zone: str | None) -> None:
--- a/packages/mesh/src/corianderwall/mesh/leaders.py
+++ b/packages/mesh/src/corianderwall/mesh/leaders.py
@@ -4,6 +4,9 @@
 
 from corianderwall.mesh.directory import Directory
 
+ZONE_STANDBYS = 2
+"""Nodes of a zone that may replace its leader; the first one may be cut off with it."""
+
 
 def find_zone_leaders(directory: Directory, source_ok: bool) -> dict[str, str]:
     """Return the leader of each zone: a live node that reaches the platform, by a hash of names.
@@ -21,6 +24,19 @@
     return {zone: min(keys)[2] for zone, keys in candidates.items()}
 
 
+def list_zone_followers(directory: Directory, source_ok: bool) -> list[str]:
+    """Return the leader of this node's zone and its standbys, which replace it in their order."""
+    own = directory.own
+    keys = [
+        _make_sort_key(peer.record.name, peer.source_ok)
+        for peer in directory.list_live()
+        if peer.record.zone == own.zone
+    ]
+    if not own.leaving:
+        keys.append(_make_sort_key(own.name, source_ok))
+    return [name for _, _, name in sorted(keys)[: 1 + ZONE_STANDBYS]]
+
+
 def list_leaders(directory: Directory, source_ok: bool) -> list[str]:
     """Return the leaders of all zones in the order in which they write for the whole fleet."""
     leaders = find_zone_leaders(directory, source_ok)
--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -77,10 +77,10 @@
         self._changed = asyncio.Event()
 
     async def watch_orders(self) -> None:
-        """Watch the platform for orders while this node is the leader of its zone."""
+        """Watch the platform for orders while this node follows it for its zone."""
         position: Position | None = None
         while True:
-            if not self._sync.is_zone_leader:
+            if not self._sync.follows_source:
                 position = None
                 await asyncio.sleep(WATCH_PAUSE_S)
                 continue
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -18,6 +18,7 @@
 from corianderwall.httpflow.server import CallServer
 from corianderwall.mesh.bodymemory import BODY_MEMORY_FRACTION, BodyMemory
 from corianderwall.mesh.configuration import (
+    CONFIG_CONFIRM_KIND,
     CONFIG_PULL_KIND,
     CONFIG_PUSH_KIND,
     ConfigurationHolder,
@@ -150,7 +151,13 @@
         )
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
-            self.holder, source, self.directory, self.link, joined, self.spawn
+            self.holder,
+            source,
+            self.directory,
+            self.link,
+            joined,
+            self.spawn,
+            settings.bounds.config_apply_s,
         )
         self.evacuations = EvacuationSync(
             settings,
@@ -220,6 +227,7 @@
             TABLES_PULL_KIND: self.gossip.handle_pull,
             CONFIG_PULL_KIND: self.sync.handle_pull,
             CONFIG_PUSH_KIND: self.sync.handle_push,
+            CONFIG_CONFIRM_KIND: self.sync.handle_confirmation,
             MOVE_NOTICE_KIND: self.move_controller.handle_notice,
             EVACUATION_NOTICE_KIND: self.evacuations.handle_notice,
             LEASE_KIND: self.quotas.handle_lease,
--- a/packages/mesh/tests/test_configuration.py
+++ b/packages/mesh/tests/test_configuration.py
@@ -8,18 +8,27 @@
 
 from corianderwall.mesh import configuration as configuration_module
 from corianderwall.mesh.configuration import (
+    CONFIG_CONFIRM_KIND,
     CONFIG_PULL_KIND,
     CONFIG_PUSH_KIND,
     ConfigPush,
     ConfigurationHolder,
     ConfigurationSync,
+    FollowTimes,
 )
 from corianderwall.mesh.directory import Directory
+from corianderwall.mesh.leaders import ZONE_STANDBYS, list_zone_followers
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import NodeRecord
-from corianderwall.mesh.source import Source
+from corianderwall.mesh.source import (
+    CALL_TIMEOUT_S,
+    WATCH_TIMEOUT_MARGIN_S,
+    SourceError,
+)
 from corianderwall.model.resource import Route, Service, Snapshot
 
+APPLY_S = 2.0
+"""The operator's bound within which a version has to be active everywhere."""
 CONTACT_S = 3.0
 """Time after an outage of the platform from which the operator's bounds hold again."""
 
@@ -46,7 +55,7 @@
         *,
         former: int = 0,
         zone: str = "a",
-        source: Source | None = None,
+        source: Any = None,
     ) -> None:
         self.directory = Directory(make_record(name, zone))
         self.holder = ConfigurationHolder()
@@ -60,7 +69,7 @@
         joined.set()
         link: Any = self
         self.sync = ConfigurationSync(
-            self.holder, source or MemorySource(), self.directory, link, joined, self.spawn
+            self.holder, source or MemorySource(), self.directory, link, joined, self.spawn, APPLY_S
         )
 
     def connect(self, *others: "SyncNode") -> None:
@@ -77,6 +86,7 @@
         handlers: dict[str, Callable[[bytes], bytes | None]] = {
             CONFIG_PULL_KIND: sync.handle_pull,
             CONFIG_PUSH_KIND: sync.handle_push,
+            CONFIG_CONFIRM_KIND: sync.handle_confirmation,
         }
         return handlers[kind](body)
 
@@ -235,3 +245,122 @@
         watching.cancel()
 
     return run(scenario())
+
+
+# The time limits leave what the operator grants for a change, also if the first standby is cut off
+# together with the leader.
+@pytest.mark.parametrize("apply_s", [2.0, 2.5])
+def test_a_leader_is_replaced_within_the_bound_of_a_change(apply_s: float) -> None:
+    times = FollowTimes.plan(apply_s)
+    assert times.compute_longest_s(ZONE_STANDBYS) < apply_s
+    pause_s = configuration_module.WATCH_PAUSE_S
+    assert times.silence_s > times.watch_s + pause_s
+
+
+class Zone:
+    """The nodes of one zone, each with its own way to the store."""
+
+    def __init__(self, size: int) -> None:
+        self.source = MemorySource()
+        self.nodes = [SyncNode(f"n{i}", 0, source=PathToSource(self.source)) for i in range(size)]
+        for node in self.nodes:
+            node.connect(*(other for other in self.nodes if other is not node))
+
+    def list_followers(self) -> list[SyncNode]:
+        names = list_zone_followers(self.nodes[0].directory, True)
+        by_name = {node.directory.own.name: node for node in self.nodes}
+        return [by_name[name] for name in names]
+
+    async def start(self) -> None:
+        self.source.put_config(make_snapshot(1))
+        self.watching = [node.spawn(node.sync.run()) for node in self.nodes]
+        for node in self.nodes:
+            await node.wait_for_version(1, 2.0)
+
+    def stop(self) -> None:
+        for task in self.watching:
+            task.cancel()
+
+
+class PathToSource:
+    """Forwards the calls of one node; while `cut`, none of them gets a response."""
+
+    def __init__(self, source: MemorySource) -> None:
+        self._source = source
+        self.cut = False
+
+    async def read_config(self) -> Any:
+        return await self._pass(self._source.read_config(), CALL_TIMEOUT_S)
+
+    async def watch_config(self, after: Any, wait_s: float) -> Any:
+        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        return await self._pass(self._source.watch_config(after, wait_s), timeout_s)
+
+    async def list_nodes(self, *, stale: bool) -> Any:
+        return await self._pass(self._source.list_nodes(stale=stale), CALL_TIMEOUT_S)
+
+    async def _pass(self, call: Coroutine[Any, Any, Any], timeout_s: float) -> Any:
+        end = asyncio.get_running_loop().time() + timeout_s
+        response = await call
+        if self.cut:
+            await asyncio.sleep(end - asyncio.get_running_loop().time())
+            raise SourceError("no response")
+        return response
+
+
+# Guards against nodes that stay behind as long as the leader of their zone notices that it is cut
+# off, or for ever if it is frozen: its store calls fail only after their own timeouts.
+@pytest.mark.parametrize("cause", ["cut", "cut with a standby", "frozen"])
+def test_a_version_is_active_in_time_although_the_leader_does_not_get_it(
+    cause: str,
+) -> Deferred[None]:
+    async def scenario() -> None:
+        zone = Zone(4)
+        await zone.start()
+        followers = zone.list_followers()
+        harmed = followers[: 2 if cause == "cut with a standby" else 1]
+        await asyncio.sleep(1.0)
+        for node in harmed:
+            if cause == "frozen":
+                zone.watching[zone.nodes.index(node)].cancel()
+            node.sync._source.cut = True  # type: ignore[attr-defined]
+        zone.source.put_config(make_snapshot(2))
+        others = [node for node in zone.nodes if node not in harmed]
+        await asyncio.gather(*(node.wait_for_version(2, APPLY_S) for node in others))
+        assert sum(node.sync.takeover_count for node in others) >= 1
+        zone.stop()
+
+    return run(scenario())
+
+
+def test_standbys_make_no_calls_while_the_leader_gets_responses() -> Deferred[None]:
+    async def scenario() -> None:
+        zone = Zone(4)
+        await zone.start()
+        before = zone.source.calls
+        await asyncio.sleep(3.0)
+        interval_s = FollowTimes.plan(APPLY_S).watch_s + configuration_module.WATCH_PAUSE_S
+        assert zone.source.calls - before <= 3.0 / interval_s + 1
+        assert not any(node.sync.takeover_count for node in zone.nodes)
+        zone.stop()
+
+    return run(scenario())
+
+
+# Guards against a leader that is replaced for good by a short cut.
+def test_the_leader_watches_alone_again_once_it_gets_responses() -> Deferred[None]:
+    async def scenario() -> None:
+        zone = Zone(3)
+        await zone.start()
+        leader, standby, _ = zone.list_followers()
+        leader.sync._source.cut = True  # type: ignore[attr-defined]
+        async with asyncio.timeout(APPLY_S):
+            while not standby.sync.follows_source:
+                await asyncio.sleep(0.01)
+        leader.sync._source.cut = False  # type: ignore[attr-defined]
+        async with asyncio.timeout(CONTACT_S):
+            while standby.sync.follows_source or not leader.sync.source_ok:
+                await asyncio.sleep(0.01)
+        zone.stop()
+
+    return run(scenario())
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -74,6 +74,9 @@
         self.crashes = self._add_counter(
             "endpoint_crashes", "Crashes of the endpoint beside this node while it ran calls."
         )
+        self.config_takeovers = self._add_counter(
+            "config_takeovers", "Times that this node read the platform in place of its leader."
+        )
         self.unplaced_reports = self._add_counter(
             "endpoint_reports_unplaced", "Announcements that no known start may have sent."
         )
