Confine an odd entry or report to itself, and start failed tasks again

Callers saw, in a report of operators of similar systems and here on real processes: one entry of another writer, very deep or with a text that cannot be decoded, and no node follows the configuration any more; nodes that start afterwards answer 503 for good.

Cause: the decoder gives up a page for one value, with a RecursionError that nothing expected; a task that ended by an exception never ran again; numbers out of range passed the border and stopped each message that carried them.

--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -80,9 +80,13 @@
         # Set while the record is gone by a leave that may be one of an earlier start.
         self._is_leave_doubtful = False
         self._last_seen_at = -math.inf
+        # What has been passed on; less than the record if passing it on has failed.
+        self._started: EndpointRecord | None = None
+        self._reported: EndpointRecord | None = None
 
     def handle_announcement(self, announcement: Announcement) -> bool:
         """Handle an announcement; return whether it is acknowledged."""
+        self._repeat_failed_report()
         if announcement.address != self._settings.endpoint:
             log_warning("an announcement has an unexpected address", endpoint=announcement.id)
             return False
@@ -108,6 +112,7 @@
 
         It is kept if the record is not known yet.
         """
+        self._repeat_failed_report()
         record = self.record
         if record is None or record.id != endpoint:
             log_info("leave notice of an unknown endpoint", endpoint=endpoint)
@@ -166,12 +171,12 @@
             else:
                 # The start that looks later may be the one that is known here.
                 self._adopt_record(record)
-                self._on_change(record)
+                self._report()
         elif record.born_unix_ms > own.born_unix_ms:
             self._order.record(record.id, record.born_unix_ms)
             born_unix_ms = self._order.assign(_find_start(own))
-            self.record = msgspec.structs.replace(own, born_unix_ms=born_unix_ms)
-            self._on_change(self.record)
+            self.record = self._started = msgspec.structs.replace(own, born_unix_ms=born_unix_ms)
+            self._report()
 
     def adopt(self, record: EndpointRecord) -> None:
         """Adopt the record of an endpoint that an earlier process here has known."""
@@ -314,7 +319,7 @@
             self._set_state(EndpointState.GONE, "has left before")
 
     def _adopt_record(self, record: EndpointRecord) -> None:
-        self.record = record
+        self.record = self._started = self._reported = record
         self._is_leave_doubtful = False
         self._order.record(record.id, record.born_unix_ms)
         self._sequence = SequenceFilter(record.revision // REVISIONS_PER_SEQUENCE)
@@ -352,8 +357,6 @@
             revision=announcement.sequence * REVISIONS_PER_SEQUENCE,
             announced_unix_ms=announcement.born_unix_ms,
         )
-        self._on_start(self.record)
-        self._on_warmup(announcement.warm_after_s)
         log_info(
             "endpoint started",
             endpoint=announcement.id,
@@ -364,7 +367,9 @@
             born=announcement.born_unix_ms,
             order=self.record.born_unix_ms,
         )
-        self._on_change(self.record)
+        self._report_start()
+        self._on_warmup(announcement.warm_after_s)
+        self._report()
 
     def _set_state(self, state: EndpointState, cause: str, *, force: bool = False) -> None:
         record = self.record
@@ -383,7 +388,28 @@
             cause=cause,
             sequence=sequence,
         )
-        self._on_change(self.record)
+        self._report()
+
+    def _report_start(self) -> None:
+        record = self.record
+        if record is not None:
+            self._on_start(record)
+            self._started = record
+
+    def _report(self) -> None:
+        record = self.record
+        if record is not None:
+            self._on_change(record)
+            self._reported = record
+
+    def _repeat_failed_report(self) -> None:
+        """Pass on the record again if that has failed, so that no report is lost for good."""
+        record = self.record
+        if record is None or self._reported is record:
+            return
+        if self._started is None or self._started.start != record.start:
+            self._report_start()
+        self._report()
 
 
 def _find_start(record: EndpointRecord) -> Start:
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -52,6 +52,9 @@
 JOIN_RETRY_MAX_S = 3.0
 """First and longest pause before a failed announcement to the platform is repeated."""
 
+HEAR_TIMEOUT_S = 0.2
+HEAR_POLL_INTERVAL_S = 0.01
+"""Longest wait for a response of a listed node, and the interval of checks meanwhile."""
 MAX_RESTORE_TRIES = 20
 """Tries to restore records after the platform has come back from an earlier copy."""
 MAX_STALE_LISTS = 3
@@ -139,12 +142,23 @@
                 pause_s = min(JOIN_RETRY_MAX_S, pause_s * 2)
                 continue
             self._contact_peers(records)
-            if self._directory.peers or tries > MAX_STALE_LISTS:
+            if tries > MAX_STALE_LISTS or await self._hear_peer():
                 break
             await asyncio.sleep(JOIN_RETRY_MIN_S)
         log_info("joined the fleet through the platform", nodes=len(records), tries=tries)
         self._joined.set()
 
+    async def _hear_peer(self) -> bool:
+        """Return whether a listed node responds; entries of other writers never do."""
+        end = self._loop.time() + HEAR_TIMEOUT_S
+        while self._directory.peers:
+            if any(peer.record.incarnation for peer in self._directory.peers.values()):
+                return True
+            if self._loop.time() >= end:
+                break
+            await asyncio.sleep(HEAR_POLL_INTERVAL_S)
+        return False
+
     async def restore_records(self) -> None:
         """Write the records of this zone's nodes again if the platform has lost them.
 
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -62,6 +62,8 @@
         metrics.drops.set({"resent": "no"}, node.gate.connections.drops - node.gate.resent_count)
         metrics.crashes.set({}, node.gate.crash_count)
         metrics.quarantined_requests.set({}, node.suspects.count_quarantined())
+        for name, count in node.supervisor.failures.items():
+            metrics.task_failures.set({"task": name}, count)
         metrics.config_takeovers.set({}, node.sync.takeover_count)
         metrics.unplaced_reports.set({}, node.gate.endpoint.unplaced_count)
         metrics.leaves.set({"state": "saved"}, node.leaves.saved_count)
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -53,6 +53,7 @@
 from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
+from corianderwall.mesh.supervision import Supervisor, Work
 from corianderwall.mesh.suspectarchive import SuspectArchive
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
@@ -79,6 +80,8 @@
 """Number of these attempts after a start; later the endpoint has announced itself."""
 SILENCE_CHECK_INTERVAL_S = 0.5
 """Interval at which the endpoint is checked for missing announcements."""
+SHORT_TASKS = "short"
+"""The name under which failures of all tasks that end by themselves are counted."""
 PROBE_TIMEOUT_S = 0.5
 """Timeout of a health check of the endpoint."""
 
@@ -120,6 +123,7 @@
         self._headers = headers
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
+        self.supervisor = Supervisor(self.spawn)
         own = NodeRecord(
             name=settings.name,
             zone=settings.zone,
@@ -248,7 +252,9 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the node should get calls from callers."""
-        return self.holder.table is not None and not self.stopping
+        return (
+            self.holder.table is not None and not self.stopping and not self.supervisor.has_failed
+        )
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
         """Run `work` as a task of this node and log a failure."""
@@ -270,19 +276,23 @@
             self._extra_servers.append(server)
             await self._listen(server, address)
         await self._listen(self._outbound, self.settings.outbound)
-        self.spawn(self.sync.run())
-        self.spawn(self.gossip.join())
-        self.spawn(self.gossip.run())
-        self.spawn(self.quotas.run())
-        self.spawn(self.gossip.pull_records())
-        self.spawn(self._archive.run())
-        self.spawn(self.leaves.load())
-        self.spawn(self.leaves.run())
-        self.spawn(self.evacuations.run())
-        self.spawn(self.move_controller.watch_orders())
-        self.spawn(self.move_controller.run())
-        self.spawn(self._watch_endpoint())
-        self.spawn(self._find_known_endpoint())
+        works: dict[str, Work] = {
+            "configuration": self.sync.run,
+            "join": self.gossip.join,
+            "heartbeats": self.gossip.run,
+            "records": self.gossip.pull_records,
+            "quotas": self.quotas.run,
+            "suspects": self._archive.run,
+            "leaves": self.leaves.load,
+            "expired leaves": self.leaves.run,
+            "evacuations": self.evacuations.run,
+            "orders": self.move_controller.watch_orders,
+            "moves": self.move_controller.run,
+            "silence": self._watch_endpoint,
+            "known endpoint": self._find_known_endpoint,
+        }
+        for name, work in works.items():
+            self.supervisor.start(name, work)
         log_info(
             "node started",
             outbound=str(self.settings.outbound),
@@ -434,4 +444,6 @@
     def _finish_task(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
+            failures = self.supervisor.failures
+            failures[SHORT_TASKS] = failures.get(SHORT_TASKS, 0) + 1
             log_error("a task failed", error=repr(task.exception()))
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -205,6 +205,28 @@
     return run(scenario())
 
 
+# Guards against nodes that start together and list only the entry of another writer: they would
+# never look for each other again.
+def test_a_node_goes_on_listing_until_a_listed_node_responds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Deferred[None]:
+    monkeypatch.setattr("corianderwall.mesh.gossip.HEAR_TIMEOUT_S", 0.02)
+    monkeypatch.setattr("corianderwall.mesh.gossip.JOIN_RETRY_MIN_S", 0.01)
+
+    async def scenario() -> None:
+        foreign = msgspec.structs.replace(make_record("foreign"), incarnation=0)
+        listed = msgspec.structs.replace(make_record("n1"), incarnation=0)
+
+        newcomer = Newcomer((foreign,), lambda kind, body: None)
+        joining = newcomer.spawn(newcomer.gossip.join())
+        await asyncio.sleep(0.03)
+        newcomer.source._records = (foreign, listed)
+        await asyncio.wait([joining], timeout=1.0)
+        assert "n1" in {name for name, _, _ in newcomer.link.posted}
+
+    return run(scenario())
+
+
 def test_records_are_pulled_until_a_peer_sends_them_even_if_the_endpoint_is_in_use_before(
     monkeypatch: pytest.MonkeyPatch, make_endpoint: Any
 ) -> Deferred[None]:
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1310,6 +1310,29 @@
     return run_scenario(scenario)
 
 
+# Guards against a node that follows no configuration any more after an exception in that task.
+def test_a_node_goes_on_after_exceptions_that_nobody_expected() -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        watch = fleet.source.watch_config
+
+        async def fail(after: Any, wait_s: float) -> Any:
+            raise RuntimeError("nobody expected this")
+
+        fleet.source.watch_config = fail  # type: ignore[method-assign]
+        await fleet.wait_for(lambda: host.node.supervisor.failures.get("configuration", 0) >= 1)
+        fleet.source.put_config(make_snapshot(2, make_route("r", "s"), make_route("q", "s")))
+        # Each start reads the configuration once before the watch fails again.
+        await fleet.wait_for(lambda: host.node.holder.snapshot.version == 2)
+        assert (await fleet.send_call("n1")).status == 200
+        fleet.source.watch_config = watch  # type: ignore[method-assign]
+        await fleet.wait_for(lambda: host.node.is_ready)
+
+    return run_scenario(scenario)
+
+
 # Guards against a leave that is forgotten when all nodes end at once after its acknowledgement.
 @pytest.mark.parametrize("draining", [True, False])
 def test_an_acknowledged_leave_outlives_all_processes(draining: bool) -> Deferred[None]:
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -74,6 +74,9 @@
         self.crashes = self._add_counter(
             "endpoint_crashes", "Crashes of the endpoint beside this node while it ran calls."
         )
+        self.task_failures = self._add_counter(
+            "task_failures", "Tasks of this node that have ended by an exception."
+        )
         self.config_takeovers = self._add_counter(
             "config_takeovers", "Times that this node read the platform in place of its leader."
         )
