Believe a refusal only of the request that it names, and only once

Callers saw, in a report of operators of similar systems and here on real processes: 503 for requests that an endpoint was running, after it had written an earlier refusal once more on a kept connection.

Cause: a response without an id was believed, and a connection was used again after a refusal.

--- a/packages/httpflow/tests/test_pool.py
+++ b/packages/httpflow/tests/test_pool.py
@@ -52,6 +52,16 @@
     assert result.complete
 
 
+# Guards against a copy of the refusal that is taken for the response to the next request.
+@pytest_twisted.ensureDeferred
+async def test_a_connection_is_not_used_again_after_a_refusal(pool_harness, tools) -> None:
+    marked = b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\ncontent-length: 2\r\n\r\nno"
+    pool = await pool_harness.open(tools.respond_with(OK, marked, marked), tools.respond_with(OK))
+    verdicts = [(await pool_harness.call(pool, b"POST"))[0].verdict for _ in range(3)]
+    assert verdicts == [Verdict.RAN, Verdict.NOT_RUN, Verdict.RAN]
+    assert pool_harness.upstream.connections == 2
+
+
 @pytest.mark.parametrize(
     "response",
     [
--- a/packages/mesh/src/corianderwall/mesh/exchange.py
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -10,6 +10,8 @@
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.model.errors import ErrorCode
 
+MISDIRECTED = 421
+"""The status of an endpoint that is not the one that the request names."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Size of a response body from which the response is given up; an endpoint may send without end.
 All slots of an endpoint together can then fill no more than a third of a host's memory."""
@@ -36,7 +38,8 @@
     """The outcome of a request; `response` is None unless the response is complete.
 
     `send_started` is set once a byte of the request may have left this process; if the receiver has
-    to ask for the body, once a byte of the body may have. `dropped` is set if the receiver had
+    to ask for the body, once a byte of the body may have. `foreign` is set if there was a response
+    that does not belong to the request. `dropped` is set if the receiver had
     forgotten the connection, which had rested for `rest_s`; `resent` if this is the outcome of a
     second request, sent after the first one was dropped.
     """
@@ -44,15 +47,43 @@
     response: Response | None
     send_started: bool
     error: ErrorCode | None = None
+    foreign: bool = False
     dropped: bool = False
     rest_s: float = 0.0
     resent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Echo:
+    """What tells that a response belongs to its request: it carries `value` in the header `name`.
+
+    A response without the header is believed only if that is not `required`, and if it does not say
+    that the request has not run, by the header `not_run` or the status `MISDIRECTED`.
+    """
+
+    name: bytes
+    value: bytes
+    not_run: bytes = b""
+    required: bool = False
+
+    def matches(self, head: ResponseHead) -> bool:
+        """Return whether a response belongs to the request."""
+        found = head.find_header(self.name)
+        if found is None:
+            return not self.required and not self.is_refusal(head)
+        return found == self.value
+
+    def is_refusal(self, head: ResponseHead) -> bool:
+        """Return whether a response says that its request has not run."""
+        if not self.not_run:
+            return False
+        return head.status == MISDIRECTED or head.find_header(self.not_run) is not None
+
+
 class ResponseCollector:
-    """Collects a response; a response that carries the id of another request counts as lost."""
+    """Collects a response; one that does not belong to the request counts as lost."""
 
-    def __init__(self, echo: tuple[bytes, bytes] | None) -> None:
+    def __init__(self, echo: Echo | None) -> None:
         self.done: Deferred[AttemptResult] = Deferred()
         self.body: list[bytes] = []
         self.mismatched = False
@@ -66,11 +97,12 @@
             self._give_up()
         if self._echo is None:
             return
-        name, expected = self._echo
-        found = head.find_header(name)
-        self.mismatched = found is not None and found != expected
+        self.mismatched = not self._echo.matches(head)
         if self.mismatched:
             self._give_up()
+        elif self.attempt is not None and self._echo.is_refusal(head):
+            # A second copy of it would be taken for the response to the next request.
+            self.attempt.ends_connection = True
 
     def receive_body(self, data: bytes) -> None:
         """Store the next bytes of the body."""
@@ -93,14 +125,14 @@
 async def run_exchange(
     pool: UpstreamPool,
     call: OutgoingCall,
-    echo: tuple[bytes, bytes] | None = None,
+    echo: Echo | None = None,
     *,
     fresh: bool = False,
 ) -> Exchange:
     """Send `call` and return its outcome; cancelling closes the connection at once.
 
-    `echo` is a header whose value must be the same in the response, if the response has it. With
-    `fresh` no connection is used that has rested.
+    `echo` tells whether the response belongs to the request. With `fresh` no connection is used
+    that has rested.
     """
     collector = ResponseCollector(echo)
     attempt = pool.send(call, collector, fresh=fresh)
@@ -113,13 +145,20 @@
     head = result.head
     if collector.mismatched or not result.complete or head is None:
         error = result.error or ErrorCode.UPSTREAM_LOST
-        return Exchange(None, attempt.send_started, error, attempt.dropped, attempt.rest_s)
+        return Exchange(
+            None,
+            attempt.send_started,
+            error,
+            foreign=collector.mismatched,
+            dropped=attempt.dropped,
+            rest_s=attempt.rest_s,
+        )
     response = Response(head.status, head.headers, b"".join(collector.body))
     return Exchange(response, attempt.send_started)
 
 
 async def await_exchange(
-    pool: UpstreamPool, call: OutgoingCall, echo: tuple[bytes, bytes] | None = None
+    pool: UpstreamPool, call: OutgoingCall, echo: Echo | None = None
 ) -> Exchange:
     """Run `run_exchange` from an asyncio task."""
     exchange = Deferred.fromCoroutine(run_exchange(pool, call, echo))
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -15,7 +15,7 @@
 from corianderwall.mesh.authentication import replace_credentials
 from corianderwall.mesh.endpoint import EndpointTracker
 from corianderwall.mesh.evacuations import OpenZone, ZoneGuard
-from corianderwall.mesh.exchange import Exchange, Response, run_exchange
+from corianderwall.mesh.exchange import MISDIRECTED, Echo, Exchange, Response, run_exchange
 from corianderwall.mesh.messages import (
     CallMetadata,
     EndpointRecord,
@@ -39,7 +39,6 @@
 from corianderwall.node.logs import LogBudget, log_info, log_warning
 from corianderwall.traffic.suspects import SuspectRecord, Suspects
 
-MISDIRECTED = 421
 LEAVING = b"1"
 SERVER_ERROR = 500
 EWMA_WEIGHT = 0.1
@@ -141,6 +140,8 @@
         self._failure_rate = 0.0
         # Set once the endpoint has responded to this process, whose knowledge then decides.
         self._has_responded = False
+        # Set once the endpoint has sent the id of a request back, as it then does in each response.
+        self._echoes_ids = False
         self.zone_guard: ZoneGuard = OpenZone()
 
     @property
@@ -292,7 +293,7 @@
         self.connections.forget_suspected()
         self._pool = self._make_pool()
         self._failure_rate = 0.0
-        self._has_responded = False
+        self._has_responded = self._echoes_ids = False
         self.warmup.handle_start()
         self.queue = AdmissionQueue(
             record.slots, self._uplink, pace=self.warmup.pace, shares=self.shares
@@ -478,7 +479,9 @@
             idempotent=metadata.idempotent,
             body=body,
         )
-        echo = (names.request_id, request.request_id)
+        echo = Echo(
+            names.request_id, request.request_id, not_run=names.not_run, required=self._echoes_ids
+        )
         exchange = await run_exchange(self._pool, call, echo)
         if exchange.dropped:
             resent = self._take_resend(metadata)
@@ -488,6 +491,8 @@
                 running.is_retry = True
                 exchange = await resend(self._pool, call, echo)
         self._read_speed(metadata, exchange)
+        if exchange.response is not None:
+            self._echoes_ids |= exchange.response.find_header(names.request_id) is not None
         return exchange
 
     def _read_speed(self, metadata: CallMetadata, exchange: Exchange) -> None:
@@ -585,6 +590,7 @@
             endpoint=metadata.endpoint,
             handed_over=exchange.send_started,
             error=error,
+            foreign=exchange.foreign,
             rest_ms=round(exchange.rest_s * 1000, 1),
             fingerprint=fingerprint,
             caller=metadata.caller,
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -15,7 +15,7 @@
 from corianderwall.mesh.body import BodyReader
 from corianderwall.mesh.bodymemory import BodyMemory
 from corianderwall.mesh.directory import Directory
-from corianderwall.mesh.exchange import Response, await_exchange, run_exchange
+from corianderwall.mesh.exchange import Echo, Response, await_exchange, run_exchange
 from corianderwall.mesh.linkbytes import START_LINE_BYTES, LinkBytes
 from corianderwall.mesh.messages import CallMetadata, Load, NodeRecord, Refusal, ResponseMetadata
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse
@@ -103,7 +103,7 @@
             expects_continue=len(body) >= EXPECT_BODY_BYTES,
             send_body=self._sender.send_request_body,
         )
-        echo = (self._headers.request_id, request.request_id)
+        echo = Echo(self._headers.request_id, request.request_id)
         exchange = await run_exchange(self._find_pool(node), call, echo)
         response = exchange.response
         if exchange.send_started:
--- a/packages/mesh/src/corianderwall/mesh/resending.py
+++ b/packages/mesh/src/corianderwall/mesh/resending.py
@@ -8,13 +8,13 @@
 from corianderwall.httpflow.attempt import OutgoingCall
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.httpflow.resting import ConnectionHistory
-from corianderwall.mesh.exchange import Exchange, run_exchange
+from corianderwall.mesh.exchange import Echo, Exchange, run_exchange
 from corianderwall.mesh.messages import CallMetadata
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.node.logs import log_info
 
 
-async def resend(pool: UpstreamPool, call: OutgoingCall, echo: tuple[bytes, bytes]) -> Exchange:
+async def resend(pool: UpstreamPool, call: OutgoingCall, echo: Echo) -> Exchange:
     """Send `call` on a connection that has not rested.
 
     The first request may have run, so the outcome never says that none was sent.
--- a/packages/mesh/tests/test_exchange.py
+++ b/packages/mesh/tests/test_exchange.py
@@ -4,6 +4,7 @@
 import os
 from typing import Any
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -11,7 +12,7 @@
 from corianderwall.httpflow.attempt import Attempt, AttemptResult, OutgoingCall
 from corianderwall.httpflow.client_connection import ClientConnection
 from corianderwall.httpflow.limits import ClientLimits
-from corianderwall.mesh.exchange import ResponseCollector
+from corianderwall.mesh.exchange import Echo, ResponseCollector
 
 EXAMPLES = int(os.environ.get("EXCHANGE_EXAMPLES", "100"))
 """Random series that are played; the long run by hand sets a hundred times as many."""
@@ -75,6 +76,59 @@
     return head + b"\r\n" + body
 
 
+class Owner:
+    """Keeps nothing of the events of a connection."""
+
+    def handle_opened(self, connection: ClientConnection) -> None:
+        pass
+
+    def handle_idle(self, connection: ClientConnection) -> None:
+        pass
+
+    def handle_closed(self, connection: ClientConnection) -> None:
+        pass
+
+
+# Guards against a success with an empty or short body, after a response that broke off anywhere.
+@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
+@pytest.mark.parametrize("reset", [True, False])
+@pytest.mark.parametrize("informational", [True, False])
+@pytest.mark.parametrize("kept", [True, False])
+def test_a_response_that_breaks_off_anywhere_is_not_complete(
+    framing: str, reset: bool, informational: bool, kept: bool
+) -> None:
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n" if informational else b""
+    whole = interim + encode_response(2, framing)
+    head_end = whole.index(b"\r\n\r\n", len(interim)) + 4
+    for size in range(len(whole)):
+        connection = ClientConnection(Owner(), ClientLimits(), Clock())  # type: ignore[arg-type]
+        connection.connection_made(FakeTransport())
+        for number in (1, 2) if kept else (2,):
+            name = b"q%d" % number
+            call = OutgoingCall(
+                method=b"GET",
+                target=b"/",
+                headers=[(b"request-id", name)],
+                deadline=1.0,
+                idempotent=True,
+            )
+            collector = ResponseCollector(Echo(b"request-id", name))
+            attempt = collector.attempt = Attempt(call, collector)
+            attempt.start_on(connection)
+            results: list[AttemptResult] = []
+            collector.done.addCallback(results.append)
+            if number == 1:
+                connection.data_received(encode_response(1, "length"))
+                assert results[0].complete
+        if size:
+            connection.data_received(whole[:size])
+        if not connection.closed:
+            connection.connection_lost(ConnectionResetError() if reset else None)
+        # Without a length, only a reset shows that the body is not whole.
+        may_be_whole = framing == "close" and not reset and size >= head_end
+        assert [result.complete for result in results] == [may_be_whole]
+
+
 class ExchangeMachine(RuleBasedStateMachine):
     """Requests one after another, on a connection that is kept while the product keeps it."""
 
@@ -88,6 +142,8 @@
         self.sent_whole = False
         self.until_close = False
         self.responses: list[tuple[bool, bool]] = []
+        self.refusals: list[bytes] = []
+        self.refused: int | None = None
 
     # The owner of the connection.
 
@@ -124,7 +180,7 @@
             deadline=1.0,
             idempotent=False,
         )
-        self.collector = ResponseCollector((b"request-id", name))
+        self.collector = ResponseCollector(Echo(b"request-id", name, not_run=b"not-executed"))
         self.attempt = self.collector.attempt = Attempt(call, self.collector)
         self.sent_whole = self.until_close = False
         self.collector.done.addCallback(self.check)
@@ -162,6 +218,22 @@
         if self.number > back:
             self.deliver(encode_response(self.number - back, framing), [])
 
+    @precondition(lambda self: self.attempt is not None)
+    @rule(copies=st.integers(0, 2), has_id=st.booleans())
+    def refuse(self, copies: int, has_id: bool) -> None:
+        """Refuse the request, and send the refusal again behind it or later."""
+        identity = b"request-id: q%d\r\n" % self.number if has_id else b""
+        refusal = b"HTTP/1.1 503 Busy\r\n%bnot-executed: 1\r\ncontent-length: 0\r\n\r\n" % identity
+        self.refusals.append(refusal)
+        self.refused = self.number if has_id else None
+        self.deliver(refusal * (1 + copies), [])
+
+    @precondition(lambda self: bool(self.refusals))
+    @rule(number=st.integers(0, 3))
+    def repeat_refusal(self, number: int) -> None:
+        """Send a late copy of an earlier refusal, whether the connection is in use or not."""
+        self.deliver(self.refusals[number % len(self.refusals)], [])
+
     @rule(reset=st.booleans())
     def close(self, reset: bool) -> None:
         connection = self.connection
@@ -181,6 +253,9 @@
         assert collector is not None
         if result.complete and not collector.mismatched:
             # A failure inside a Deferred would go unnoticed, so it is kept for the invariant.
+            if collector.attempt is not None and result.status == 503:
+                self.responses.append((True, self.refused == self.number))
+                return
             own = b"".join(collector.body) == make_body(self.number)
             self.responses.append((self.sent_whole, own))
 
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -248,6 +248,72 @@
     return run_scenario(respond_ok, scenario)
 
 
+# Guards against a promise of 'not run' for a request that runs, by an earlier refusal that the
+# endpoint writes once more on a kept connection.
+@pytest.mark.parametrize("status", ["503 Busy", "421 Misdirected Request", "429 Too Many Requests"])
+@pytest.mark.parametrize("names_id", [True, False])
+def test_a_refusal_that_is_written_again_says_nothing_of_the_next_request(
+    status: str, names_id: bool
+) -> Deferred[None]:
+    refusals: list[bytes] = []
+    ran: list[str] = []
+
+    async def respond(request: ReceivedRequest) -> bytes:
+        identity = request.headers["request-id"]
+        if identity == "refused":
+            line = f"Request-Id: {identity}\r\n" if names_id else ""
+            mark = "" if status.startswith("421") else "Not-Executed: 1\r\n"
+            refusals.append(f"HTTP/1.1 {status}\r\n{line}{mark}Content-Length: 0\r\n\r\n".encode())
+            return refusals[0]
+        ran.append(identity)
+        # The endpoint runs each request, whatever it writes first.
+        return b"".join(refusals) + make_response(request)
+
+    async def scenario(setup: Setup) -> None:
+        assert (await setup.serve("first")).metadata.ran is True
+        await setup.serve("refused")
+        setup.gate.endpoint.handle_announcement(make_announcement(setup.address, sequence=2))
+        setup.gate.endpoint.handle_announcement(make_announcement(setup.address, sequence=3))
+        await asyncio.sleep(0.02)
+        setup.gate.endpoint.handle_announcement(make_announcement(setup.address, sequence=4))
+        for number in range(3):
+            reply = await setup.serve(f"next-{number}")
+            assert reply.metadata.ran is not False or f"next-{number}" not in ran
+
+    return run_scenario(respond, scenario)
+
+
+def test_a_connection_is_not_used_again_after_a_refusal() -> Deferred[None]:
+    async def shed(request: ReceivedRequest) -> bytes:
+        busy = request.headers["request-id"] == "busy"
+        return make_response(
+            request,
+            "503 Service Unavailable" if busy else "200 OK",
+            extra_headers="Not-Executed: 1\r\n" if busy else "",
+        )
+
+    async def scenario(setup: Setup) -> None:
+        for name in ("q1", "busy", "q2", "q3"):
+            await setup.serve(name)
+        assert setup.upstream.accepted_connections == 2
+
+    return run_scenario(shed, scenario)
+
+
+# Guards against a response to another request, in which an endpoint that names ids has none.
+def test_a_response_without_an_id_is_lost_once_the_endpoint_has_named_one() -> Deferred[None]:
+    async def respond(request: ReceivedRequest) -> bytes:
+        if request.headers["request-id"] in ("q0", "q2"):
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+        return make_response(request)
+
+    async def scenario(setup: Setup) -> None:
+        outcomes = [(await setup.serve(f"q{number}")).metadata.ran for number in range(4)]
+        assert outcomes == [True, True, None, True]
+
+    return run_scenario(respond, scenario)
+
+
 def test_a_shed_call_has_not_run_and_counts_as_an_arrival() -> Deferred[None]:
     async def shed(request: ReceivedRequest) -> bytes:
         return make_response(
