Complete a move only while an endpoint of the new version is ready

Found by review while reading.

Change: no shift and no completion without a ready endpoint of the new version; at the deadline the move is taken back.

Before: test_a_move_is_completed_only_with_an_endpoint_of_the_new_version failed without an endpoint (completed). After: it passes, as do the 31 tests of moves and versions in test_node and test_moves.

--- a/packages/mesh/src/corianderwall/mesh/movecontroller.py
+++ b/packages/mesh/src/corianderwall/mesh/movecontroller.py
@@ -14,6 +14,7 @@
     Move,
     MoveTracker,
     find_regression,
+    is_overdue,
     may_complete,
     sum_evidence,
 )
@@ -207,32 +208,64 @@
         if move.cut:
             if move.cut_write_at is not None and now >= move.cut_write_at:
                 self._start_write(move, MoveState.TAKEN_BACK)
+        else:
+            self._advance(move, write_delay_s)
+
+    def _advance(self, move: Move, write_delay_s: float) -> None:
+        """Move a service on towards its new version, of which nothing bad is known."""
+        now = self._loop.time()
+        has_endpoint = self._has_new_endpoint(move)
+        if not has_endpoint and is_overdue(move, now - write_delay_s):
+            self._give_up(move)
         elif move.shifting:
-            self._finish_shift(move, write_delay_s)
-        elif may_complete(move, now - write_delay_s):
-            new, old = sum_evidence(move)
-            log_info(
-                "the move can complete; the old version gets no more calls",
-                service=move.order.service,
-                version_ordered=move.order.version,
-                age_s=round(now - move.seen_at, 3),
-                calls=new.calls,
-                failures=new.failures,
-                old_calls=old.calls,
-                old_failures=old.failures,
-            )
-            move.shifting = True
-            move.shift_until = now + SHIFT_DURATION_S
-            self._broadcast_views()
+            self._finish_shift(move, write_delay_s, has_endpoint=has_endpoint)
+        elif has_endpoint and may_complete(move, now - write_delay_s):
+            self._start_shift(move)
         elif move.order.state is None and now - move.seen_at >= write_delay_s:
             self._start_write(move, MoveState.RUNNING)
 
-    def _finish_shift(self, move: Move, write_delay_s: float) -> None:
+    def _start_shift(self, move: Move) -> None:
+        """Give the old version no more calls, so that its running ones end before it is stopped."""
+        now = self._loop.time()
+        new, old = sum_evidence(move)
+        log_info(
+            "the move can complete; the old version gets no more calls",
+            service=move.order.service,
+            version_ordered=move.order.version,
+            age_s=round(now - move.seen_at, 3),
+            calls=new.calls,
+            failures=new.failures,
+            old_calls=old.calls,
+            old_failures=old.failures,
+        )
+        move.shifting = True
+        move.shift_until = now + SHIFT_DURATION_S
+        self._broadcast_views()
+
+    def _has_new_endpoint(self, move: Move) -> bool:
+        """Return whether an endpoint can take the calls once the old ones are stopped."""
+        ready = self._directory.list_ready(move.order.service)
+        return any(view.record.version == move.order.version for view in ready)
+
+    def _give_up(self, move: Move) -> None:
+        """Take a move back that has no endpoint to complete with at its deadline."""
+        log_warning(
+            "the new version has no endpoint at its deadline; the move is taken back",
+            service=move.order.service,
+            version_ordered=move.order.version,
+            shifting=move.shifting,
+        )
+        move.cut = True
+        move.cut_write_at = self._loop.time()
+        self._broadcast_views()
+
+    def _finish_shift(self, move: Move, write_delay_s: float, *, has_endpoint: bool) -> None:
         """Complete a move once the calls to the old version have ended."""
         now = self._loop.time()
         if move.shift_until is None:
             move.shift_until = now + SHIFT_DURATION_S + write_delay_s
-        if now >= move.shift_until:
+        # Until the deadline an endpoint may come back.
+        if now >= move.shift_until and has_endpoint:
             self._start_write(move, MoveState.COMPLETED)
 
     def _start_write(self, move: Move, state: MoveState) -> None:
--- a/packages/mesh/src/corianderwall/mesh/moves.py
+++ b/packages/mesh/src/corianderwall/mesh/moves.py
@@ -323,6 +323,11 @@
     return early or age_s >= move.order.duration_s * LATEST_COMPLETION_FRACTION
 
 
+def is_overdue(move: Move, now: float) -> bool:
+    """Return whether the time that the operator has given is over."""
+    return now - move.seen_at >= move.order.duration_s
+
+
 def _exclude_unordered(views: list[EndpointView], now: float) -> list[EndpointView]:
     """Return `views` without those of a version that has just appeared and has no order yet."""
     settled = {v.record.version for v in views if now - v.joined_at >= UNORDERED_HOLD_S}
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1386,6 +1386,32 @@
     return run_scenario(scenario)
 
 
+# Guards against the stop of the old endpoints, which follows a completed move, without any new one.
+@pytest.mark.parametrize("appears", [False, True])
+def test_a_move_is_completed_only_with_an_endpoint_of_the_new_version(
+    appears: bool,
+) -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        await fleet.add("n1", zone="a")
+        newcomer = await fleet.add("n2", zone="b", announce=False)
+        await fleet.wait_until_synced()
+        fleet.source.put_order("s", "v2", 4.0)
+        orders = fleet.source.orders
+        await fleet.wait_for(lambda: orders["s"].state is MoveState.RUNNING)
+        if appears:
+            newcomer.announce(version="v2")
+        async with asyncio.timeout(8.0):
+            while orders["s"].state is MoveState.RUNNING:
+                await asyncio.sleep(0.05)
+        expected = MoveState.COMPLETED if appears else MoveState.TAKEN_BACK
+        assert orders["s"].state is expected
+        # The service is served either way.
+        assert (await fleet.send_call("n1")).status == 200
+
+    return run_scenario(scenario)
+
+
 def test_a_bad_version_is_rolled_back_even_if_the_first_leader_loses_the_platform() -> (
     Deferred[None]
 ):
