Remove the headers of nodes from the responses of endpoints

Callers saw: 500 for a call that had run, if a faulty endpoint's response had the header in which owners report to entries; a forged one could have said 'not run' in the owner's name.

Cause: the owner passed on all headers of the endpoint, and the entry read the first of that name; a report that it could not decode ended the call by an exception.

Change: the owner removes them; a report that cannot be decoded is a lost response. A success with 'not executed' contradicts itself and promises nothing.

--- a/packages/mesh/src/corianderwall/mesh/exchange.py
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -10,6 +10,7 @@
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.model.errors import ErrorCode
 
+CLIENT_ERROR = 400
 MISDIRECTED = 421
 """The status of an endpoint that is not the one that the request names."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -77,7 +78,15 @@
         """Return whether a response says that its request has not run."""
         if not self.not_run:
             return False
-        return head.status == MISDIRECTED or head.find_header(self.not_run) is not None
+        return head.status == MISDIRECTED or says_not_run(head, self.not_run)
+
+
+def says_not_run(response: ResponseHead | Response, name: bytes) -> bool:
+    """Return whether a response with the header `name` says that its request has not run.
+
+    A success with that header contradicts itself, so it promises nothing.
+    """
+    return response.status >= CLIENT_ERROR and response.find_header(name) is not None
 
 
 class ResponseCollector:
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -15,7 +15,14 @@
 from corianderwall.mesh.authentication import replace_credentials
 from corianderwall.mesh.endpoint import EndpointTracker
 from corianderwall.mesh.evacuations import OpenZone, ZoneGuard
-from corianderwall.mesh.exchange import MISDIRECTED, Echo, Exchange, Response, run_exchange
+from corianderwall.mesh.exchange import (
+    MISDIRECTED,
+    Echo,
+    Exchange,
+    Response,
+    run_exchange,
+    says_not_run,
+)
 from corianderwall.mesh.messages import (
     CallMetadata,
     EndpointRecord,
@@ -436,7 +443,7 @@
         self, metadata: CallMetadata, request: ForwardedRequest, body: bytes, response: Response
     ) -> None:
         """Record that the endpoint has run a request and goes on running."""
-        not_run = response.find_header(self._headers.not_run) is not None
+        not_run = says_not_run(response, self._headers.not_run)
         if self._suspects.is_empty or not_run or response.status == MISDIRECTED:
             return
         fingerprint = _compute_fingerprint(metadata, request, body)
@@ -533,7 +540,7 @@
             )
             self.endpoint.refute(metadata.endpoint)
             return self._refuse(request, Refusal.UNKNOWN, reached=True)
-        if response.find_header(self._headers.not_run) is not None:
+        if says_not_run(response, self._headers.not_run):
             self.warmup.pace.record_refusal(metadata.route, self._loop.time())
             self._count_result(metadata, failed=True, took_s=took_s, ran=False)
             return self._refuse(request, Refusal.SHED, reached=True)
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -117,7 +117,11 @@
                 self._directory.record_failure(node.name, self._loop.time())
             return self._report_no_response(exchange.send_started, exchange.error)
         self._directory.record_response(node.name, self._loop.time())
-        response_metadata = _response_decoder.decode(raw)
+        try:
+            response_metadata = _response_decoder.decode(raw)
+        except (msgspec.DecodeError, RecursionError) as error:
+            log_warning("cannot decode the report of an owner", node=node.name, error=str(error))
+            return self._report_no_response(exchange.send_started, exchange.error)
         if response_metadata.ran:
             kept = [header for header in response.headers if header[0] != RESPONSE_HEADER]
             return OwnerResponse(response_metadata, Response(response.status, kept, response.body))
@@ -237,7 +241,8 @@
         if reply.response is None:
             call.respond(503, [(self._headers.request_id, request_id), encoded])
         else:
-            headers = [*reply.response.headers, encoded]
+            # An endpoint could otherwise speak to the entry in the owner's name.
+            headers = [*strip_own_headers(reply.response.headers), encoded]
             self._sender.respond(call, reply.response.status, headers, reply.response.body)
 
     def _report_no_memory(self, metadata: CallMetadata, request_id: bytes) -> OwnerResponse:
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -283,6 +283,17 @@
     return run_scenario(respond, scenario)
 
 
+def test_a_success_that_says_that_it_has_not_run_is_a_response() -> Deferred[None]:
+    async def respond(request: ReceivedRequest) -> bytes:
+        return make_response(request, extra_headers="Not-Executed: 1\r\n")
+
+    async def scenario(setup: Setup) -> None:
+        reply = await setup.serve()
+        assert (reply.metadata.ran, reply.metadata.refusal) == (True, None)
+
+    return run_scenario(respond, scenario)
+
+
 def test_a_connection_is_not_used_again_after_a_refusal() -> Deferred[None]:
     async def shed(request: ReceivedRequest) -> bytes:
         busy = request.headers["request-id"] == "busy"
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -1310,6 +1310,28 @@
     return run_scenario(scenario)
 
 
+# Guards against an endpoint that says in the name of its node what has run.
+@pytest.mark.parametrize("forged", ["[false]", "1,2", ""])
+def test_headers_of_nodes_in_the_response_of_an_endpoint_reach_nobody(
+    forged: str,
+) -> Deferred[None]:
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            return make_response(request, extra_headers=f"cw-answer: {forged}\r\n")
+
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        await fleet.add("n1")
+        await fleet.add("n2", announce=False)
+        await fleet.wait_until_synced()
+        reply = await fleet.send_call("n2")
+        assert reply.status == 200
+        assert not any(name.startswith("cw-") for name in reply.headers)
+        assert count_seen(fleet)["n1"] == 1
+
+    return run_scenario(scenario)
+
+
 # Guards against a node that follows no configuration any more after an exception in that task.
 def test_a_node_goes_on_after_exceptions_that_nobody_expected() -> Deferred[None]:
     async def scenario(fleet: Fleet) -> None:
--- a/packages/mesh/tests/test_peerlink.py
+++ b/packages/mesh/tests/test_peerlink.py
@@ -72,6 +72,20 @@
     return run_scenario(respond_with_a_copy, scenario, make_node, header_names)
 
 
+# Guards against a call that fails with an exception, which the caller sees as 500.
+def test_a_report_that_cannot_be_decoded_is_a_lost_response(
+    make_node: Any, header_names: HeaderNames
+) -> Deferred[None]:
+    async def respond(request: ReceivedRequest) -> bytes:
+        return make_response(request, extra_headers="cw-answer: 1,2,3\r\n")
+
+    async def scenario(send: Callable[..., Awaitable[OwnerResponse]]) -> None:
+        lost = await send("q1")
+        assert (lost.response, lost.metadata.ran) == (None, None)
+
+    return run_scenario(respond, scenario, make_node, header_names)
+
+
 def test_a_peer_lost_before_it_asked_for_the_body_has_not_run_the_call(
     make_node: Any, header_names: HeaderNames
 ) -> Deferred[None]:
