Let no leave of another writer keep an endpoint out for good

Cause: a leave at the platform could cover all starts until a time, which another writer may set far ahead; a sound endpoint would then stay out for good after the next start of its node.

--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -131,8 +131,11 @@
         return self._handle_earlier_leave(record, Start(endpoint, born_unix_ms))
 
     def restore_leave(self, leave: Leave) -> None:
-        """Honour a leave that an earlier process here has acknowledged."""
-        self._leaves.add(leave.endpoint, leave.born_unix_ms, exact=leave.exact)
+        """Honour a leave that an earlier process here has acknowledged.
+
+        Another writer may have left it, so only the very start that it names stays out for good.
+        """
+        self._leaves.add(leave.endpoint, leave.born_unix_ms, exact=True)
         self._apply_leave()
 
     def find_leave(self, endpoint: str) -> Leave | None:
@@ -141,18 +144,17 @@
         if record is not None and record.id == endpoint:
             if not STATE_RANK[record.state]:
                 return None
-            born_unix_ms, exact = _find_start(record).born_unix_ms, True
+            born_unix_ms = _find_start(record).born_unix_ms
         else:
             kept = self._leaves.get(endpoint)
             if kept is None:
                 return None
-            born_unix_ms, exact = kept.born_unix_ms, kept.exact
+            born_unix_ms = kept.born_unix_ms
         return Leave(
             endpoint=endpoint,
             node=self._settings.name,
             born_unix_ms=born_unix_ms,
             at_unix_ms=int(time.time() * 1000),
-            exact=exact,
         )
 
     def merge_record(self, record: EndpointRecord) -> None:
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -62,16 +62,12 @@
 
 
 class Leave(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A start of an endpoint beside `node` that leaves, and when that was acknowledged.
-
-    If it is not `exact`, all starts until `born_unix_ms` have left.
-    """
+    """A start of an endpoint beside `node` that leaves, and when that was acknowledged."""
 
     endpoint: str
     node: str
     born_unix_ms: int
     at_unix_ms: int
-    exact: bool = True
 
 
 class NodeRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/mesh/tests/test_endpoint.py
+++ b/packages/mesh/tests/test_endpoint.py
@@ -190,6 +190,20 @@
     return run(scenario)
 
 
+# Guards against an endpoint that stays out for good by an entry that another writer has left.
+def test_a_forged_leave_delays_a_sound_endpoint_but_does_not_keep_it_out() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        forged = Leave(endpoint="i-1", node="n1", born_unix_ms=2**53 - 1, at_unix_ms=1)
+        setup.tracker.restore_leave(forged)
+        assert not any(await setup.repeat(3))
+        assert setup.state is EndpointState.GONE
+        await asyncio.sleep(REUSE_DELAY_S)
+        assert setup.announce(make_announcement(sequence=9))
+        assert setup.state is EndpointState.READY
+
+    return run(scenario)
+
+
 # Guards against late announcements of a crashed start that take the place of the one after it.
 def test_a_start_that_was_replaced_does_not_come_back_while_the_current_one_announces_itself() -> (
     Deferred[None]
