Keep connections after refusals that name their request, and pull records promptly

Cause: a connection was closed after each refusal of an endpoint. A node that waits for the records of its peers before its endpoint gets calls asked for them once a second after the first half second.

Change: on the users' platform a late copy is told by its id, so the connection is kept; a request that was refused is sent again only on a new one. The product's own path, without ids, still closes.

--- a/packages/httpflow/src/corianderwall/httpflow/attempt.py
+++ b/packages/httpflow/src/corianderwall/httpflow/attempt.py
@@ -107,8 +107,7 @@
     run" and never a false "not run".
 
     `rest_s` is how long its connection had rested. `dropped` is set if the connection was lost at
-    once after that rest and without any byte of a response: the upstream had forgotten it. With
-    `ends_connection` it carries no further request.
+    once after that rest and without any byte of a response: the upstream had forgotten it.
     """
 
     call: OutgoingCall
@@ -120,7 +119,6 @@
     finished: bool = False
     body_ended: bool = False
     dropped: bool = False
-    ends_connection: bool = False
     started: float = 0.0
     rest_s: float = 0.0
     _unsent_body: list[bytes] = field(default_factory=list)
--- a/packages/httpflow/src/corianderwall/httpflow/client_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -125,8 +125,6 @@
         if self._history is not None:
             self._history.record_response(attempt.rest_s, attempt.started)
         attempt.refused = head.status == REFUSAL_STATUS and NOT_RUN_HEADER in head.headers
-        # A second copy of a refusal would be taken for that of the next request, which may run.
-        attempt.ends_connection = attempt.refused
         if not attempt.refused:
             attempt.receiver.receive_head(head)
 
@@ -239,7 +237,8 @@
             return
         # The rest of a body that the upstream has not read would delay the next request.
         all_sent = self._body_sent and not self._transport.get_write_buffer_size()
-        if self._parser.reusable and all_sent and not attempt.ends_connection:
+        # A second copy of a refusal would be taken for that of the next request, which may run.
+        if self._parser.reusable and all_sent and not attempt.refused:
             if attempt.is_paused:
                 self.resume_reading()
             self.idle_since = self._loop.time()
--- a/packages/mesh/src/corianderwall/mesh/exchange.py
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -109,9 +109,6 @@
         self.mismatched = not self._echo.matches(head)
         if self.mismatched:
             self._give_up()
-        elif self.attempt is not None and self._echo.is_refusal(head):
-            # A second copy of it would be taken for the response to the next request.
-            self.attempt.ends_connection = True
 
     def receive_body(self, data: bytes) -> None:
         """Store the next bytes of the body."""
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -63,6 +63,8 @@
 """Rank used to estimate the wait of a call that is refused before its rank is computed."""
 DEFAULT_CONNECTIONS = 64
 """Connection limit if the configuration has none; above the slots of any endpoint."""
+MAX_REFUSED_IDS = 1024
+"""Refused requests that are remembered; more than an endpoint refuses while callers retry."""
 MAX_IDLE_S = 8.0
 """Idle time after which a connection is not reused; endpoints close theirs soon after."""
 STALE_AFTER_S = 0.2
@@ -149,6 +151,7 @@
         self._has_responded = False
         # Set once the endpoint has sent the id of a request back, as it then does in each response.
         self._echoes_ids = False
+        self._refused_ids: dict[bytes, None] = {}
         self.zone_guard: ZoneGuard = OpenZone()
 
     @property
@@ -489,7 +492,9 @@
         echo = Echo(
             names.request_id, request.request_id, not_run=names.not_run, required=self._echoes_ids
         )
-        exchange = await run_exchange(self._pool, call, echo)
+        # A copy of its refusal may still come on the connection that carried the first request.
+        was_refused = request.request_id in self._refused_ids
+        exchange = await run_exchange(self._pool, call, echo, fresh=was_refused)
         if exchange.dropped:
             resent = self._take_resend(metadata)
             if self.log_budget.take(self._loop.time()):
@@ -541,6 +546,7 @@
             self.endpoint.refute(metadata.endpoint)
             return self._refuse(request, Refusal.UNKNOWN, reached=True)
         if says_not_run(response, self._headers.not_run):
+            self._keep_refused(request.request_id)
             self.warmup.pace.record_refusal(metadata.route, self._loop.time())
             self._count_result(metadata, failed=True, took_s=took_s, ran=False)
             return self._refuse(request, Refusal.SHED, reached=True)
@@ -562,6 +568,11 @@
             ResponseMetadata(ran=True, load=self.read_load(), took_ms=total_ms), response
         )
 
+    def _keep_refused(self, request_id: bytes) -> None:
+        self._refused_ids[request_id] = None
+        while len(self._refused_ids) > MAX_REFUSED_IDS:
+            del self._refused_ids[next(iter(self._refused_ids))]
+
     def _read_notices(self, metadata: CallMetadata, response: Response) -> None:
         """Apply what an endpoint says of itself in each response."""
         record = self.record
--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -270,8 +270,7 @@
             for peer in self._random.sample(peers, min(PULLS_PER_ROUND, len(peers))):
                 self._spawn(self._pull(peer))
             tries += 1
-            is_long = self._loop.time() >= self._pulling_since + SYNC_TIMEOUT_S
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S if is_long else PULL_INTERVAL_S)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S if self._gate.synced else PULL_INTERVAL_S)
             self._decide_sync()
         while not self._gate.synced:
             await asyncio.sleep(PULL_INTERVAL_S)
