Let no single announcement give an endpoint to another service

Callers saw, on real processes: 277 requests of another service ran at an endpoint in 16 s and none of its own, for good, after one forged heartbeat that was the first one that a restarted node heard; 54 in 2.6 s after one with a later birth.

Cause: EndpointTracker believed the service, version and slots of the first announcement of a start, and refused what the endpoint itself said afterwards.

Change: a start of another service than that of the settings needs two announcements in a row, and gives way at once to the service of the settings; two announcements in a row that differ in version or slots replace the record. test_a_service_of_the_configuration_may_take_over_the_address expected a takeover by one announcement, which is the fault; it now expects the refusal of the first and the takeover by the second.

--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -41,12 +41,31 @@
         return Start(self.id, self.born_unix_ms)
 
 
+class TermsFilter:
+    """Tells a change of what a start says of itself from a single forged announcement."""
+
+    def __init__(self) -> None:
+        self._other: Announcement | None = None
+
+    def accept(self, record: EndpointRecord, announcement: Announcement) -> bool:
+        """Return whether two announcements in a row differ from `record` in the same way."""
+        terms = (announcement.version, announcement.slots)
+        if terms == (record.version, record.slots):
+            self._other = None
+            return False
+        other, self._other = self._other, announcement
+        if other is None or other.sequence >= announcement.sequence:
+            return False
+        return terms == (other.version, other.slots)
+
+
 class EndpointTracker:
     """Keeps the record of the endpoint at this host's address.
 
     A start that looks earlier than the current one, or that has been replaced, becomes the current
     one only if it goes on announcing itself while the current one does not, since the time of day
-    may have been set back. What cannot be placed is not acknowledged.
+    may have been set back. So does one of another service than that of the settings, which may be
+    a forged announcement. What cannot be placed is not acknowledged.
 
     `on_start` is called with the record of each new start and `on_change` with each new record.
     `find_record` returns the record of an endpoint that peers have from an earlier process here.
@@ -74,6 +93,7 @@
         self._knows_service = knows_service
         self._loop = asyncio.get_running_loop()
         self._sequence = SequenceFilter(0)
+        self._terms = TermsFilter()
         self._claims = StartClaims(settings.bounds.heartbeat_s)
         self._order = StartOrder()
         self._leaves = KeptLeaves()
@@ -98,8 +118,7 @@
             return False
         record = self.record
         if record is None:
-            self._start_record(announcement)
-            placed = not self._is_leave_doubtful
+            placed = self._handle_first(announcement)
         elif announcement.start == _find_start(record):
             placed = self._handle_current(record, announcement)
         else:
@@ -216,10 +235,22 @@
             self._claims.retire(_find_start(record))
             self._set_state(EndpointState.DOWN, "misdirected")
 
+    def _handle_first(self, announcement: Announcement) -> bool:
+        if self._is_foreign(announcement) and not self._claim(announcement, after_leave=False):
+            return False
+        self._start_record(announcement)
+        return not self._is_leave_doubtful
+
+    def _is_foreign(self, announcement: Announcement) -> bool:
+        return announcement.service != self._settings.service
+
     def _handle_current(self, record: EndpointRecord, announcement: Announcement) -> bool:
         if announcement.service != record.service:
             log_warning("an announcement has another service", endpoint=announcement.id)
-            return False
+            if self._is_foreign(announcement):
+                return False
+            self._start_record(announcement)
+            return not self._is_leave_doubtful
         if self._is_leave_doubtful and not announcement.draining:
             return self._reuse(announcement)
         if self._claims.is_retired(announcement.start):
@@ -234,6 +265,9 @@
             self._on_warmup(announcement.warm_after_s)
         if announcement.draining:
             self._leave(EndpointState.DRAINING, "announced")
+        elif self._terms.accept(record, announcement) and not STATE_RANK[record.state]:
+            # The first announcement of this start may have been forged.
+            self._start_record(announcement)
         elif is_new and record.state is EndpointState.DOWN:
             self._set_state(EndpointState.READY, "announced again")
         return True
@@ -245,7 +279,7 @@
         if covered and self._leaves.is_certain(start):
             return True
         is_retired = self._claims.is_retired(start)
-        if not is_retired and not covered:
+        if not is_retired and not covered and not self._is_foreign(announcement):
             is_down = record.state is EndpointState.DOWN
             if is_down or start.born_unix_ms > current.born_unix_ms:
                 self._start_record(announcement)
@@ -338,6 +372,7 @@
         self._claims.restore(start)
         self._claims.clear()
         self._sequence = SequenceFilter(announcement.sequence)
+        self._terms = TermsFilter()
         self._last_seen_at = self._loop.time()
         state = EndpointState.DRAINING if announcement.draining else EndpointState.READY
         if self._leaves.covers(start):
--- a/packages/mesh/tests/test_endpoint.py
+++ b/packages/mesh/tests/test_endpoint.py
@@ -242,12 +242,63 @@
 def test_a_service_of_the_configuration_may_take_over_the_address() -> Deferred[None]:
     async def scenario(setup: Setup) -> None:
         setup.announce(make_announcement())
-        assert setup.announce(make_announcement(id="i-2", service="other", born_unix_ms=2000))
+        other = {"id": "i-2", "service": "other", "born_unix_ms": 2000}
+        assert await setup.repeat(3, **other) == [False, True, True]
         assert setup.tracker.record is not None and setup.tracker.record.service == "other"
 
     return run(scenario)
 
 
+# Guards against calls of another service at an endpoint, and against an endpoint that is refused for
+# good, after one forged announcement with a service of the configuration.
+@pytest.mark.parametrize("known", [True, False])
+@pytest.mark.parametrize("changes", [{}, {"born_unix_ms": 9_000_000}, {"id": "i-9"}])
+def test_one_announcement_with_another_service_changes_nothing(
+    known: bool, changes: dict[str, Any]
+) -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        if known:
+            setup.announce(make_announcement())
+        former = setup.tracker.record
+        assert not setup.announce(make_announcement(service="other", sequence=9, **changes))
+        assert setup.tracker.record is former
+        assert setup.announce(make_announcement(sequence=2))
+        assert setup.tracker.record is not None
+        assert (setup.tracker.record.id, setup.tracker.record.service) == ("i-1", "s")
+        assert setup.state is EndpointState.READY
+
+    return run(scenario)
+
+
+def test_the_service_of_the_settings_takes_its_start_back_at_once() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        await setup.repeat(2, service="other")
+        assert setup.announce(make_announcement(sequence=1))
+        assert setup.tracker.record is not None and setup.tracker.record.service == "s"
+
+    return run(scenario)
+
+
+# Guards against a version or a number of slots of another writer that stays for good, as it came in
+# the first announcement that a restarted node has heard.
+@pytest.mark.parametrize("changes", [{"slots": 65535}, {"version": "v9"}])
+def test_what_one_announcement_says_gives_way_to_what_the_start_repeats(
+    changes: dict[str, Any],
+) -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        setup.announce(make_announcement(sequence=900, **changes))
+        assert await setup.repeat(2) == [True, True]
+        record = setup.tracker.record
+        assert record is not None and (record.version, record.slots) == ("v1", 4)
+        assert setup.state is EndpointState.READY
+        for sequence in (901, 3, 902):
+            setup.announce(make_announcement(sequence=sequence, **changes))
+            setup.announce(make_announcement(sequence=4))
+        assert setup.tracker.record is record
+
+    return run(scenario)
+
+
 # Guards against a forged sequence number after which the endpoint is not heard any more.
 def test_a_sequence_that_was_raised_by_another_writer_is_given_up() -> Deferred[None]:
     async def scenario(setup: Setup) -> None:
