Write a leave although another writer has left one like it for another node

Cause: a leave counted as written if the store had one of the same endpoint and birth; after a restart a node honours only the leaves that name it. Found by reading, not seen on real processes.

Test: test_a_leave_that_names_another_node_does_not_stand_for_one_of_this_node failed before and passes.

--- a/packages/mesh/src/corianderwall/mesh/leavearchive.py
+++ b/packages/mesh/src/corianderwall/mesh/leavearchive.py
@@ -68,7 +68,11 @@
         The write goes on after the timeout, so that the endpoint's next report can be acknowledged.
         """
         known = self._leaves.get(leave.endpoint)
-        if known is not None and known.born_unix_ms == leave.born_unix_ms:
+        # Only the node that a leave names honours it after a restart.
+        if known is not None and (known.node, known.born_unix_ms) == (
+            leave.node,
+            leave.born_unix_ms,
+        ):
             return True
         key = (leave.endpoint, leave.born_unix_ms)
         saved = self._unsaved.get(key)
--- a/packages/mesh/tests/test_leavearchive.py
+++ b/packages/mesh/tests/test_leavearchive.py
@@ -3,6 +3,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
 import pytest
 from twisted.internet.defer import Deferred
 
@@ -57,6 +58,19 @@
     return run(scenario())
 
 
+# Guards against a leave that is acknowledged unwritten, as another writer has left one like it.
+def test_a_leave_that_names_another_node_does_not_stand_for_one_of_this_node() -> Deferred[None]:
+    async def scenario() -> None:
+        setup = Setup()
+        leave = make_leave()
+        setup.source.leaves["i-1"] = msgspec.structs.replace(leave, node="other")
+        await setup.archive.load()
+        assert await setup.archive.save(leave)
+        assert setup.source.leaves["i-1"].node == "own"
+
+    return run(scenario())
+
+
 def test_forged_leaves_do_not_pile_up_while_the_platform_is_away(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
