Keep no later start out for good by a leave that names no start

Cause: a leave notice without a birth, of an endpoint that the node did not know yet, covered all starts until then for certain; one that looks earlier after a step of the clock was acknowledged and never used. Found by reading, not seen on real processes.

Change: such a leave is in doubt for each start, as one of another start is: used after 8 s of announcements, not acknowledged before. A named leave stays certain beside it.

--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -168,7 +168,7 @@
             kept = self._leaves.get(endpoint)
             if kept is None:
                 return None
-            born_unix_ms = kept.born_unix_ms
+            born_unix_ms = kept.until_unix_ms
         return Leave(
             endpoint=endpoint,
             node=self._settings.name,
@@ -338,6 +338,7 @@
         """Give the current start no more calls, and remember this after its record is replaced."""
         if self.record is not None:
             self._keep_leave(*astuple(_find_start(self.record)))
+            self._is_leave_doubtful = False
         self._set_state(state, cause)
 
     def _keep_leave(self, endpoint: str, born_unix_ms: int | None) -> None:
--- a/packages/mesh/src/corianderwall/mesh/starts.py
+++ b/packages/mesh/src/corianderwall/mesh/starts.py
@@ -105,10 +105,10 @@
 
 @dataclass(frozen=True, slots=True)
 class KeptLeave:
-    """A leave of all starts until `born_unix_ms`; of that very start if it is `exact`."""
+    """A leave of all starts until `until_unix_ms`, and of the start `born_unix_ms` for certain."""
 
-    born_unix_ms: int
-    exact: bool
+    until_unix_ms: int
+    born_unix_ms: int | None
 
 
 class KeptLeaves:
@@ -118,13 +118,18 @@
         self._leaves: dict[str, KeptLeave] = {}
         self._exempt: dict[Start, None] = {}
 
-    def add(self, endpoint: str, born_unix_ms: int, *, exact: bool) -> None:
-        """Keep a leave; the latest one of an endpoint replaces the others."""
-        former = self._leaves.pop(endpoint, KeptLeave(-1, exact))
-        newest = max(former.born_unix_ms, born_unix_ms)
-        exact = exact if newest == born_unix_ms else former.exact
-        self._leaves[endpoint] = KeptLeave(newest, exact)
-        self._exempt.pop(Start(endpoint, born_unix_ms), None)
+    def add(self, endpoint: str, until_unix_ms: int, *, exact: bool) -> None:
+        """Keep a leave of all starts until that time; it names the last of them if it is `exact`.
+
+        Of the starts that leaves of an endpoint have named, the latest one is kept.
+        """
+        former = self._leaves.pop(endpoint, KeptLeave(-1, None))
+        born_unix_ms = former.born_unix_ms
+        if exact:
+            self._exempt.pop(Start(endpoint, until_unix_ms), None)
+            born_unix_ms = max(until_unix_ms, born_unix_ms or 0)
+        newest = max(former.until_unix_ms, until_unix_ms)
+        self._leaves[endpoint] = KeptLeave(newest, born_unix_ms)
         while len(self._leaves) > 2 * MAX_STARTS:
             del self._leaves[next(iter(self._leaves))]
 
@@ -143,7 +148,7 @@
         leave = self._leaves.get(start.id)
         if leave is None or start in self._exempt:
             return False
-        return start.born_unix_ms <= leave.born_unix_ms
+        return start.born_unix_ms <= leave.until_unix_ms
 
     def is_certain(self, start: Start) -> bool:
         """Return whether it is certain that `start` has left if a leave covers it.
@@ -152,7 +157,7 @@
         clock.
         """
         leave = self._leaves.get(start.id)
-        return leave is not None and (not leave.exact or start.born_unix_ms == leave.born_unix_ms)
+        return leave is not None and start.born_unix_ms == leave.born_unix_ms
 
 
 class StartOrder:
--- a/packages/mesh/tests/test_endpoint.py
+++ b/packages/mesh/tests/test_endpoint.py
@@ -204,6 +204,30 @@
     return run(scenario)
 
 
+# Guards against a sound endpoint that is out for good, as its clock was set back between a leave
+# notice that names no start and its next start.
+def test_a_leave_that_names_no_start_keeps_no_later_start_out_for_good() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        assert setup.tracker.handle_leave("i-1", None)
+        assert not setup.announce(make_announcement())
+        assert setup.state is EndpointState.GONE
+        assert setup.tracker.find_leave("i-1") is not None
+        await setup.repeat(7)
+        assert setup.state is EndpointState.READY
+
+    return run(scenario)
+
+
+def test_a_leave_that_names_no_start_does_not_weaken_one_that_does() -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        assert setup.tracker.handle_leave("i-1", 1000)
+        assert setup.tracker.handle_leave("i-1", None)
+        await setup.repeat(7)
+        assert setup.state is EndpointState.GONE
+
+    return run(scenario)
+
+
 # Guards against late announcements of a crashed start that take the place of the one after it.
 def test_a_start_that_was_replaced_does_not_come_back_while_the_current_one_announces_itself() -> (
     Deferred[None]
@@ -249,8 +273,8 @@
     return run(scenario)
 
 
-# Guards against calls of another service at an endpoint, and against an endpoint that is refused for
-# good, after one forged announcement with a service of the configuration.
+# Guards against calls of another service at an endpoint, and against an endpoint that is refused
+# for good, after one forged announcement with a service of the configuration.
 @pytest.mark.parametrize("known", [True, False])
 @pytest.mark.parametrize("changes", [{}, {"born_unix_ms": 9_000_000}, {"id": "i-9"}])
 def test_one_announcement_with_another_service_changes_nothing(
