Replace the endpoints of a host that has restarted, whatever its time of day

After a restart with a clock set back, a record with an endpoint in it was a change with a lower incarnation, which the balancer ignores: a drain was not heard.

Change: the view reports the endpoints of the former process as removed and those of the new one as added.

Test: test_a_restarted_host_replaces_its_endpoints_whatever_the_time_of_day failed before (a change with incarnation 600 after 9000) and passes; 55 tests of membership, balancer and upstream pass.

--- a/packages/membership/src/corianderwall/membership/view.py
+++ b/packages/membership/src/corianderwall/membership/view.py
@@ -211,7 +211,7 @@
         self._are_statuses_stale = True
         if before is None or before.life is not after.life or _has_moved(before, after):
             self._is_overlay_stale = True
-        self._add_endpoint_events(before.endpoints if before else (), after.endpoints)
+        self._add_endpoint_events(before, after)
         if after.life is not Life.LIVE:
             self.statuses.forget(after.host.name)
         self.suspicions.forget_accuser(after.host.name, _find_first_sequence(after))
@@ -229,11 +229,13 @@
             elif before.life is Life.DEAD:
                 self._events.append(HostReturned(after.host))
 
-    def _add_endpoint_events(
-        self, before: tuple[Endpoint, ...], after: tuple[Endpoint, ...]
-    ) -> None:
-        old = {endpoint.name: endpoint for endpoint in before}
-        new = {endpoint.name: endpoint for endpoint in after}
+    def _add_endpoint_events(self, before: Record | None, after: Record) -> None:
+        old = {endpoint.name: endpoint for endpoint in before.endpoints} if before else {}
+        if before is not None and before.session != after.session:
+            # What the former process has announced can't be ordered with what this one announces.
+            self._events += [EndpointRemoved(endpoint) for endpoint in old.values()]
+            old = {}
+        new = {endpoint.name: endpoint for endpoint in after.endpoints}
         for name, endpoint in new.items():
             if name not in old:
                 self._events.append(EndpointAdded(endpoint))
--- a/packages/membership/tests/test_membership.py
+++ b/packages/membership/tests/test_membership.py
@@ -162,6 +162,28 @@
     assert net.cores["host-007"].me.incarnation > 1000
 
 
+# Guards against a drain that peers ignore, as the clock of its host was set back before a restart.
+def test_a_restarted_host_replaces_its_endpoints_whatever_the_time_of_day(build_net: Build) -> None:
+    net = build_net(5)
+    core = net.cores["host-003"]
+    former = replace(make_endpoint(core.me), incarnation=9000)
+    net.send("host-003", core.announce(former, net.now))
+    net.run(1.0)
+    net.stop("host-003")
+    core = net.start(replace(net.hosts["host-003"], incarnation=500), [net.hosts["host-001"]])
+    draining = replace(former, state=EndpointState.DRAINING, incarnation=600)
+    net.send("host-003", core.announce(draining, net.now))
+    net.run(10.0)
+    for name in ("host-000", "host-001", "host-002", "host-004"):
+        kinds = (EndpointAdded, EndpointChanged, EndpointRemoved)
+        events = [event for event in net.events[name] if isinstance(event, kinds)]
+        assert events == [
+            EndpointAdded(former),
+            EndpointRemoved(former),
+            EndpointAdded(draining),
+        ]
+
+
 def test_a_host_that_leaves_is_removed_at_once(build_net: Build) -> None:
     net = build_net(20)
     core = net.cores["host-007"]
