Take over changed slots and versions of a start without starting it anew

Cause: since two announcements that differ in version or slots began a new record, and with it an empty queue: the calls that were running no longer counted, so the endpoint could get more than its slots.

Change: only version and slots of the record are replaced, and the change is logged.

Test: test_what_one_announcement_says_gives_way_to_what_the_start_repeats now counts the starts; tests of endpoint, gate, node and handlers pass.

--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -265,13 +265,37 @@
             self._on_warmup(announcement.warm_after_s)
         if announcement.draining:
             self._leave(EndpointState.DRAINING, "announced")
-        elif self._terms.accept(record, announcement) and not STATE_RANK[record.state]:
+        if self._terms.accept(record, announcement):
             # The first announcement of this start may have been forged.
-            self._start_record(announcement)
-        elif is_new and record.state is EndpointState.DOWN:
+            self._replace_terms(announcement)
+        if is_new and record.state is EndpointState.DOWN and not announcement.draining:
             self._set_state(EndpointState.READY, "announced again")
         return True
 
+    def _replace_terms(self, announcement: Announcement) -> None:
+        """Take over what the current start says of itself; its running calls go on."""
+        former = self.record
+        if former is None:
+            return
+        self.record = msgspec.structs.replace(
+            former,
+            version=announcement.version,
+            slots=announcement.slots,
+            revision=self._find_revision(former),
+        )
+        log_warning(
+            "the endpoint says something else of itself than before",
+            endpoint=former.id,
+            version_former=former.version,
+            upstream_version=announcement.version,
+            slots_former=former.slots,
+            slots=announcement.slots,
+        )
+        self._report()
+
+    def _find_revision(self, record: EndpointRecord) -> int:
+        return max(record.revision + 1, self._sequence.sequence * REVISIONS_PER_SEQUENCE)
+
     def _handle_other(self, record: EndpointRecord, announcement: Announcement) -> bool:
         """Handle an announcement of a start that is not the current one."""
         start, current = announcement.start, _find_start(record)
@@ -415,8 +439,7 @@
             return
         if STATE_RANK[state] < STATE_RANK[record.state]:
             return
-        sequence = self._sequence.sequence
-        revision = max(record.revision + 1, sequence * REVISIONS_PER_SEQUENCE)
+        revision = self._find_revision(record)
         self.record = msgspec.structs.replace(record, state=state, revision=revision)
         log_info(
             "endpoint state",
@@ -424,7 +447,7 @@
             former=record.state.value,
             state=state.value,
             cause=cause,
-            sequence=sequence,
+            sequence=self._sequence.sequence,
         )
         self._report()
 
--- a/packages/mesh/tests/test_endpoint.py
+++ b/packages/mesh/tests/test_endpoint.py
@@ -56,12 +56,16 @@
         )
         self.tracker = EndpointTracker(
             settings,
-            lambda _: None,
+            self.count_start,
             self.send,
             lambda _: None,
             knows_service=lambda name: name == "other",
         )
         self.announce = self.tracker.handle_announcement
+        self.starts = 0
+
+    def count_start(self, record: EndpointRecord) -> None:
+        self.starts += 1
 
     def send(self, record: EndpointRecord) -> None:
         self.peer.merge_endpoint(record, 0.0)
@@ -315,6 +319,8 @@
         record = setup.tracker.record
         assert record is not None and (record.version, record.slots) == ("v1", 4)
         assert setup.state is EndpointState.READY
+        # Its running calls go on.
+        assert setup.starts == 1
         for sequence in (901, 3, 902):
             setup.announce(make_announcement(sequence=sequence, **changes))
             setup.announce(make_announcement(sequence=4))
