Let peers write the leave of an endpoint whose node the platform turns away

Change: after 0.15 s without a write a node asks two peers that reach the platform to write the leave, and asks again until it is written.

--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -35,6 +35,8 @@
 LEAVES_TIMEOUT_S = 6.0
 """Longest wait after a start before the endpoint gets calls if neither is heard. Without the
 platform and peers there is no configuration either; calls must be served 15 s after a start."""
+ASKED_PEERS = 2
+"""Peers that are asked at once to write a leave; the platform may turn one of them away as well."""
 PULL_INTERVAL_S = 0.1
 """Interval at which records are pulled; several response times of a peer in another zone."""
 MAX_PULL_ROUNDS = 20
@@ -69,9 +71,11 @@
 HEARTBEAT_KIND = "beat"
 TABLES_KIND = "tables"
 TABLES_PULL_KIND = "tables-pull"
+LEAVE_KIND = "leave"
 
 _heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
 _tables_decoder = msgspec.msgpack.Decoder(Tables)
+_leave_decoder = msgspec.msgpack.Decoder(Leave)
 
 
 class Gossip:
@@ -255,6 +259,18 @@
         saved, _ = await asyncio.gather(self._leaves.save(leave), self._wait_for_peers())
         return saved
 
+    async def ask_to_save(self, leave: Leave) -> bool:
+        """Ask peers that reach the platform to write `leave`; return whether one of them has."""
+        peers = [peer for peer in self._directory.list_live() if peer.source_ok]
+        asked = self._random.sample(peers, min(ASKED_PEERS, len(peers)))
+        body = msgspec.msgpack.encode(leave)
+        posts = (self._link.post(peer.record, LEAVE_KIND, body) for peer in asked)
+        return any(await asyncio.gather(*posts))
+
+    def handle_leave(self, body: bytes) -> bytes | None:
+        """Write a leave for a peer; return None until it is written."""
+        return b"ok" if self._leaves.accept(_leave_decoder.decode(body)) else None
+
     async def _wait_for_peers(self) -> None:
         wanted = min(CONFIRMING_PEERS, sum(1 for _ in self._directory.list_live()))
         end = self._loop.time() + CONFIRM_TIMEOUT_S
--- a/packages/mesh/src/corianderwall/mesh/leavearchive.py
+++ b/packages/mesh/src/corianderwall/mesh/leavearchive.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from corianderwall.mesh.messages import Leave
 from corianderwall.mesh.source import Source, SourceError
@@ -14,6 +15,10 @@
 RETRY_MIN_S = 0.3
 RETRY_MAX_S = 2.0
 """First and longest pause after a failed request to the platform."""
+ASK_DELAY_S = 0.15
+"""Time for an own write before peers are asked; ten times the usual one."""
+ASK_INTERVAL_S = 0.1
+"""First pause before peers are asked again; enough for a write of theirs."""
 MAX_UNSAVED = 16
 """Leaves that are written at once; a host has one endpoint, so further ones are not genuine."""
 RETENTION_S = 3600.0
@@ -25,7 +30,9 @@
 class LeaveArchive:
     """Writes the leaves that this node acknowledges, and loads those of earlier processes.
 
-    `on_loaded` is called with all leaves that the platform had when this process started.
+    `on_loaded` is called with all leaves that the platform had when this process started. `ask`
+    asks peers to write a leave, for a node that the platform turns away, and returns whether one
+    of them has.
     """
 
     def __init__(
@@ -35,6 +42,7 @@
         spawn: Spawn,
         on_loaded: Callable[[tuple[Leave, ...]], None],
         is_sweeper: Callable[[], bool],
+        ask: Callable[[Leave], Coroutine[Any, Any, bool]],
     ) -> None:
         self.loaded = False
         self.saved_count = 0
@@ -43,6 +51,7 @@
         self._spawn = spawn
         self._on_loaded = on_loaded
         self._is_sweeper = is_sweeper
+        self._ask = ask
         self._leaves: dict[str, Leave] = {}
         self._unsaved: dict[tuple[str, int], asyncio.Event] = {}
 
@@ -67,21 +76,13 @@
 
         The write goes on after the timeout, so that the endpoint's next report can be acknowledged.
         """
-        known = self._leaves.get(leave.endpoint)
-        # Only the node that a leave names honours it after a restart.
-        if known is not None and (known.node, known.born_unix_ms) == (
-            leave.node,
-            leave.born_unix_ms,
-        ):
+        if self._is_saved(leave):
             return True
-        key = (leave.endpoint, leave.born_unix_ms)
-        saved = self._unsaved.get(key)
+        saved = self._unsaved.get((leave.endpoint, leave.born_unix_ms))
         if saved is None:
-            if len(self._unsaved) >= MAX_UNSAVED:
-                log_warning("too many leaves at once", endpoint=leave.endpoint)
+            saved = self._start_write(leave, asks_peers=True)
+            if saved is None:
                 return False
-            saved = self._unsaved[key] = asyncio.Event()
-            self._spawn(self._write(leave, saved))
         try:
             async with asyncio.timeout(SAVE_TIMEOUT_S):
                 await saved.wait()
@@ -90,6 +91,14 @@
             return False
         return True
 
+    def accept(self, leave: Leave) -> bool:
+        """Return whether a peer's leave is written, and begin to write it if it is not."""
+        if self._is_saved(leave):
+            return True
+        if (leave.endpoint, leave.born_unix_ms) not in self._unsaved:
+            self._start_write(leave, asks_peers=False)
+        return False
+
     async def load(self) -> None:
         """Load the leaves of earlier processes, however long the platform is away."""
         pause_s = RETRY_MIN_S
@@ -123,6 +132,38 @@
             if self._is_sweeper():
                 await self._sweep()
 
+    def _is_saved(self, leave: Leave) -> bool:
+        known = self._leaves.get(leave.endpoint)
+        if known is None:
+            return False
+        # Only the node that a leave names honours it after a restart.
+        return (known.node, known.born_unix_ms) == (leave.node, leave.born_unix_ms)
+
+    def _start_write(self, leave: Leave, *, asks_peers: bool) -> asyncio.Event | None:
+        """Return what is set once the leave is written, None if too many others are not."""
+        if len(self._unsaved) >= MAX_UNSAVED:
+            log_warning("too many leaves at once", endpoint=leave.endpoint)
+            return None
+        saved = self._unsaved[leave.endpoint, leave.born_unix_ms] = asyncio.Event()
+        self._spawn(self._save(leave, saved) if asks_peers else self._write(leave, saved))
+        return saved
+
+    async def _save(self, leave: Leave, saved: asyncio.Event) -> None:
+        await asyncio.gather(self._write(leave, saved), self._ask_peers(leave, saved))
+
+    async def _ask_peers(self, leave: Leave, saved: asyncio.Event) -> None:
+        """Ask peers to write a leave until it is written by one of them or by this node."""
+        await asyncio.sleep(ASK_DELAY_S)
+        pause_s = ASK_INTERVAL_S
+        while not saved.is_set():
+            if await self._ask(leave):
+                saved.set()
+                self._leaves[leave.endpoint] = leave
+                log_info("a peer has saved a leave", endpoint=leave.endpoint)
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(RETRY_MAX_S, pause_s * 2)
+
     async def _write(self, leave: Leave, saved: asyncio.Event) -> None:
         pause_s = RETRY_MIN_S
         try:
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -30,7 +30,13 @@
 from corianderwall.mesh.evacuationsync import EVACUATION_NOTICE_KIND, EvacuationSync
 from corianderwall.mesh.exchange import Response, await_exchange
 from corianderwall.mesh.gate import EndpointGate
-from corianderwall.mesh.gossip import HEARTBEAT_KIND, TABLES_KIND, TABLES_PULL_KIND, Gossip
+from corianderwall.mesh.gossip import (
+    HEARTBEAT_KIND,
+    LEAVE_KIND,
+    TABLES_KIND,
+    TABLES_PULL_KIND,
+    Gossip,
+)
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.leavearchive import LeaveArchive
 from corianderwall.mesh.messages import (
@@ -175,7 +181,12 @@
         )
         self.gate.zone_guard = self.evacuations
         self.leaves = LeaveArchive(
-            settings.name, source, self.spawn, self._restore_leaves, self._is_first_leader
+            settings.name,
+            source,
+            self.spawn,
+            self._restore_leaves,
+            self._is_first_leader,
+            self._ask_to_save,
         )
         self.gossip = Gossip(
             self.directory,
@@ -229,6 +240,7 @@
             HEARTBEAT_KIND: self.gossip.handle_heartbeat,
             TABLES_KIND: self.gossip.handle_tables,
             TABLES_PULL_KIND: self.gossip.handle_pull,
+            LEAVE_KIND: self.gossip.handle_leave,
             CONFIG_PULL_KIND: self.sync.handle_pull,
             CONFIG_PUSH_KIND: self.sync.handle_push,
             CONFIG_CONFIRM_KIND: self.sync.handle_confirmation,
@@ -368,6 +380,9 @@
     def _restore_leaves(self, leaves: tuple[Leave, ...]) -> None:
         self.gossip.restore_leaves(leaves)
 
+    async def _ask_to_save(self, leave: Leave) -> bool:
+        return await self.gossip.ask_to_save(leave)
+
     def _is_first_leader(self) -> bool:
         leaders = list_leaders(self.directory, self.sync.source_ok)
         return leaders[:1] == [self.settings.name]
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -117,6 +117,7 @@
             self.spawn,
             lambda leaves: self.gossip.restore_leaves(leaves),
             lambda: False,
+            lambda leave: self.gossip.ask_to_save(leave),
         )
         self.gossip = Gossip(
             self.directory,
--- a/packages/mesh/tests/test_leavearchive.py
+++ b/packages/mesh/tests/test_leavearchive.py
@@ -24,10 +24,14 @@
         self.source = MemorySource()
         self.loaded: list[tuple[Leave, ...]] = []
         self.tasks: set[asyncio.Task[None]] = set()
+        self.peer: LeaveArchive | None = None
         self.archive = LeaveArchive(
-            "own", self.source, self.spawn, self.loaded.append, lambda: True
+            "own", self.source, self.spawn, self.loaded.append, lambda: True, self.ask
         )
 
+    async def ask(self, leave: Leave) -> bool:
+        return self.peer is not None and self.peer.accept(leave)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
@@ -71,6 +75,35 @@
     return run(scenario())
 
 
+# Guards against endpoints that end without an acknowledgement, as the platform turns their node
+# away.
+def test_a_peer_writes_a_leave_for_a_node_that_the_platform_turns_away() -> Deferred[None]:
+    async def scenario() -> None:
+        setup, helper = Setup(), Setup()
+        setup.source.failing = "status 503"
+        setup.peer = helper.archive
+        leave = make_leave()
+        assert await setup.archive.save(leave)
+        assert helper.source.leaves == {"i-1": leave}
+        assert setup.archive.list_leaves() == helper.archive.list_leaves() == (leave,)
+        for task in setup.tasks:
+            task.cancel()
+
+    return run(scenario())
+
+
+def test_a_leave_is_not_acknowledged_while_peers_cannot_write_it_either() -> Deferred[None]:
+    async def scenario() -> None:
+        setup, helper = Setup(), Setup()
+        setup.source.failing = helper.source.failing = "status 503"
+        setup.peer = helper.archive
+        assert not await setup.archive.save(make_leave())
+        for task in setup.tasks | helper.tasks:
+            task.cancel()
+
+    return run(scenario())
+
+
 def test_forged_leaves_do_not_pile_up_while_the_platform_is_away(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
