Write nothing to a connection that has just ended

Cause: a reset closes a transport at once, and the pool hears of it one iteration later. A call sent in between took the connection: uvloop raises an exception, asyncio drops the bytes and the call counts as one that may have run.

Change: the pool takes no connection that is closing; a call on one has not run; servers do not write to one.

Before: two new tests of test_pool failed. After: they pass, with those of httpflow, exchange, gate, peerlink and sending.

--- a/packages/httpflow/src/corianderwall/httpflow/client_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/client_connection.py
@@ -149,6 +149,14 @@
 
     # Methods for attempts and the pool.
 
+    @property
+    def is_ending(self) -> bool:
+        """Return whether the connection has ended, though `connection_lost` may be still to come.
+
+        A write would then raise an error or be lost without one.
+        """
+        return self._transport.is_closing()
+
     def start(self, attempt: Attempt) -> None:
         """Send the head, with the body unless it is streamed or has to be asked for."""
         call = attempt.call
@@ -156,17 +164,21 @@
         self._parser.expect(head_only=call.method == b"HEAD")
         self._chunked_request = call.streamed and call.body_length is None
         self._body_sent = not call.streamed and not call.expects_continue
+        attempt.started = self._loop.time()
+        attempt.rest_s = attempt.started - self.idle_since
+        if self.is_ending:
+            return
         framing = self._make_framing(attempt)
         head = encode_request_head(call.method, call.target, call.headers, framing)
         attempt.send_started = not call.expects_continue
-        attempt.started = self._loop.time()
-        attempt.rest_s = attempt.started - self.idle_since
         self._transport.write(head if call.expects_continue else head + call.body)
         if attempt.is_paused:
             self._transport.pause_reading()
 
     def write_body(self, data: bytes) -> None:
         """Send bytes of a streamed request body."""
+        if self.is_ending:
+            return
         if self._chunked_request:
             self._transport.writelines(encode_chunk(data))
         else:
@@ -175,7 +187,7 @@
     def end_body(self) -> None:
         """End a streamed request body."""
         self._body_sent = True
-        if self._chunked_request:
+        if self._chunked_request and not self.is_ending:
             self._transport.write(LAST_CHUNK)
 
     def pause_reading(self) -> None:
--- a/packages/httpflow/src/corianderwall/httpflow/pool.py
+++ b/packages/httpflow/src/corianderwall/httpflow/pool.py
@@ -186,6 +186,8 @@
                 connection.close()
                 continue
             self._idle.pop()
+            if connection.is_ending:
+                continue
             if idle_s <= max_idle_s and not self._is_stale(connection, idle_s):
                 return connection
             connection.close()
--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -141,12 +141,14 @@
     # Methods for calls and the server.
 
     def write(self, data: bytes) -> None:
-        """Write to the caller."""
-        self._transport.write(data)
+        """Write to the caller, unless its end is about to be reported."""
+        if not self._transport.is_closing():
+            self._transport.write(data)
 
     def write_all(self, buffers: Iterable[bytes]) -> None:
-        """Write several buffers to the caller."""
-        self._transport.writelines(buffers)
+        """Write several buffers to the caller, unless its end is about to be reported."""
+        if not self._transport.is_closing():
+            self._transport.writelines(buffers)
 
     def write_response(self, call: IncomingCall, *buffers: bytes) -> None:
         """Write a part of the response to `call` after the responses to all calls before it."""
@@ -354,7 +356,8 @@
         limits = self._limits
         timeout_s = limits.write_timeout_s if unsent else limits.linger_timeout_s
         self.deadline = self._loop.time() + timeout_s
-        if not linger or not self._transport.can_write_eof():
+        is_ending = self._transport.is_closing()
+        if is_ending or not linger or not self._transport.can_write_eof():
             self._transport.close()
             return
         # Closing with unread bytes would reset the connection before the response is received.
--- a/packages/httpflow/tests/test_pool.py
+++ b/packages/httpflow/tests/test_pool.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_twisted
 
+from corianderwall.httpflow.attempt import Attempt
 from corianderwall.httpflow.pool import UpstreamPool
 from corianderwall.model.endpoint import Address
 from corianderwall.model.errors import ErrorCode
@@ -305,6 +306,33 @@
     assert (result.complete, pool_harness.upstream.connections) == (True, 2)
 
 
+# Guards against a write to a closed transport, which raises an error or loses a call that may run.
+@pytest_twisted.ensureDeferred
+async def test_a_connection_whose_end_is_still_to_be_reported_is_not_used(
+    pool_harness, tools
+) -> None:
+    pool = await pool_harness.open(tools.keep_responding(OK))
+    await pool_harness.call(pool)
+    (connection,) = pool.connections
+    connection._transport.abort()
+    result, _ = await pool_harness.call(pool, b"POST")
+    assert (result.verdict, result.complete) == (Verdict.RAN, True)
+    assert pool_harness.upstream.connections == 2
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_call_on_a_connection_that_has_just_ended_has_not_run(pool_harness, tools) -> None:
+    pool = await pool_harness.open(tools.keep_responding(OK))
+    await pool_harness.call(pool)
+    (connection,) = pool.connections
+    pool.reserve_idle(connection)
+    connection._transport.abort()
+    receiver = tools.Receiver()
+    Attempt(tools.make_call(b"POST", body=b"x"), receiver).start_on(connection)
+    result = await receiver.done
+    assert (result.verdict, result.error) == (Verdict.NOT_RUN, ErrorCode.UPSTREAM_LOST)
+
+
 @pytest_twisted.ensureDeferred
 async def test_only_idempotent_calls_use_a_long_idle_connection(pool_harness, tools) -> None:
     pool = await pool_harness.open(tools.keep_responding(OK), max_non_idempotent_idle_s=-1)
