Let three nodes read the leaves for all that start together

Change: three nodes read, the others ask them; what a reader has counts only if it was read after the launch of the asking process, so that no leave that its predecessor acknowledged can be missing.

--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -1,6 +1,7 @@
 """Joins the fleet, sends records to peers, and exchanges heartbeats with one peer at a time."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from random import Random
 
@@ -10,8 +11,16 @@
 from corianderwall.mesh.directory import Directory, Peer
 from corianderwall.mesh.evacuationsync import EvacuationSync
 from corianderwall.mesh.gate import EndpointGate
+from corianderwall.mesh.leaders import list_readers
 from corianderwall.mesh.leavearchive import LeaveArchive
-from corianderwall.mesh.messages import EndpointRecord, Heartbeat, Leave, NodeRecord, Tables
+from corianderwall.mesh.messages import (
+    EndpointRecord,
+    Heartbeat,
+    Leave,
+    LoadedLeaves,
+    NodeRecord,
+    Tables,
+)
 from corianderwall.mesh.moves import MoveTracker
 from corianderwall.mesh.peerlink import PeerLink
 from corianderwall.mesh.source import Source, SourceError
@@ -35,6 +44,11 @@
 LEAVES_TIMEOUT_S = 6.0
 """Longest wait after a start before the endpoint gets calls if neither is heard. Without the
 platform and peers there is no configuration either; calls must be served 15 s after a start."""
+LEAVE_READERS = 3
+"""Nodes that read the leaves for all others when the fleet starts; two of them may be away."""
+READERS_TIMEOUT_S = 0.25
+READERS_INTERVAL_S = 0.03
+"""Longest wait for them after a start, and the interval at which they are asked."""
 ASKED_PEERS = 2
 """Peers that are asked at once to write a leave; the platform may turn one of them away as well."""
 PULL_INTERVAL_S = 0.1
@@ -72,10 +86,12 @@
 TABLES_KIND = "tables"
 TABLES_PULL_KIND = "tables-pull"
 LEAVE_KIND = "leave"
+LOADED_LEAVES_KIND = "loaded-leaves"
 
 _heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
 _tables_decoder = msgspec.msgpack.Decoder(Tables)
 _leave_decoder = msgspec.msgpack.Decoder(Leave)
+_loaded_decoder = msgspec.msgpack.Decoder(LoadedLeaves)
 
 
 class Gossip:
@@ -292,6 +308,43 @@
             await asyncio.sleep(PULL_INTERVAL_S)
             self._decide_sync()
 
+    async def load_leaves(self) -> None:
+        """Load the leaves of earlier processes; few nodes read them if all start together."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READERS_TIMEOUT_S):
+                await self._ask_readers()
+        await self._leaves.load()
+
+    async def _ask_readers(self) -> None:
+        """Ask the readers for their leaves until one has them, or none has them from this start."""
+        own = self._directory.own.name
+        body = own.encode()
+        while not self._leaves.loaded:
+            if self._directory.peers:
+                readers = list_readers(self._directory, LEAVE_READERS)
+                if own in readers:
+                    return
+                peers = [self._directory.peers[name] for name in readers]
+                asked_at = self._loop.time()
+                posts = [self._ask_reader(peer, asked_at, body) for peer in peers]
+                for post in asyncio.as_completed(posts):
+                    if await post is not None:
+                        return
+            await asyncio.sleep(READERS_INTERVAL_S)
+
+    async def _ask_reader(self, peer: Peer, asked_at: float, body: bytes) -> bool | None:
+        """Return whether the leaves of a reader were taken over, None if it has none yet."""
+        reply = await self._link.post(peer.record, LOADED_LEAVES_KIND, body)
+        if not reply:
+            return None
+        loaded = _loaded_decoder.decode(reply)
+        return self._leaves.accept_loaded(loaded, asked_at, peer.record.name)
+
+    def handle_loaded_leaves(self, body: bytes) -> bytes | None:
+        """Return the leaves of a peer that this node has read, or None if it has not."""
+        loaded = self._leaves.find_loaded(body.decode())
+        return None if loaded is None else msgspec.msgpack.encode(loaded)
+
     def restore_leaves(self, leaves: tuple[Leave, ...]) -> None:
         """Honour the leaves of this host's endpoints that earlier processes have acknowledged."""
         for leave in leaves:
--- a/packages/mesh/src/corianderwall/mesh/leaders.py
+++ b/packages/mesh/src/corianderwall/mesh/leaders.py
@@ -59,5 +59,11 @@
     return leaders + names[: count - len(leaders)]
 
 
+def list_readers(directory: Directory, count: int) -> list[str]:
+    """Return the nodes that read for others what all need at their start, live or not."""
+    names = [directory.own.name, *directory.peers]
+    return sorted(names, key=lambda name: _make_sort_key(name, True))[:count]
+
+
 def _make_sort_key(name: str, source_ok: bool) -> tuple[bool, int, str]:
     return (not source_ok, xxhash.xxh32_intdigest(name.encode()), name)
--- a/packages/mesh/src/corianderwall/mesh/leavearchive.py
+++ b/packages/mesh/src/corianderwall/mesh/leavearchive.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from corianderwall.mesh.messages import Leave
+from corianderwall.mesh.messages import Leave, LoadedLeaves
 from corianderwall.mesh.source import Source, SourceError
 from corianderwall.mesh.tasks import Spawn
 from corianderwall.node.logs import log_info, log_warning
@@ -32,7 +32,7 @@
 
     `on_loaded` is called with all leaves that the platform had when this process started. `ask`
     asks peers to write a leave, for a node that the platform turns away, and returns whether one
-    of them has.
+    of them has. `startup_s` is the time since this process was launched.
     """
 
     def __init__(
@@ -43,6 +43,7 @@
         on_loaded: Callable[[tuple[Leave, ...]], None],
         is_sweeper: Callable[[], bool],
         ask: Callable[[Leave], Coroutine[Any, Any, bool]],
+        startup_s: float = 0.0,
     ) -> None:
         self.loaded = False
         self.saved_count = 0
@@ -54,6 +55,10 @@
         self._ask = ask
         self._leaves: dict[str, Leave] = {}
         self._unsaved: dict[tuple[str, int], asyncio.Event] = {}
+        self._loop = asyncio.get_running_loop()
+        self._launched_at = self._loop.time() - startup_s
+        # When this process asked the platform for the leaves that it has.
+        self._read_at: float | None = None
 
     @property
     def unsaved_count(self) -> int:
@@ -103,6 +108,7 @@
         """Load the leaves of earlier processes, however long the platform is away."""
         pause_s = RETRY_MIN_S
         while not self.loaded:
+            asked_at = self._loop.time()
             try:
                 leaves = await self._source.list_leaves(stale=False)
             except SourceError as error:
@@ -110,10 +116,33 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
                 continue
-            self.loaded = True
-            self.merge(leaves)
-            log_info("loaded the leaves", count=len(leaves))
-            self._on_loaded(leaves)
+            self._read_at = asked_at
+            self._finish_loading(leaves, "platform")
+
+    def find_loaded(self, node: str) -> LoadedLeaves | None:
+        """Return the leaves of `node`, None if this process has not read them itself."""
+        if self._read_at is None:
+            return None
+        return LoadedLeaves(
+            leaves=tuple(leave for leave in self._leaves.values() if leave.node == node),
+            age_s=self._loop.time() - self._read_at,
+        )
+
+    def accept_loaded(self, loaded: LoadedLeaves, asked_at: float, peer: str) -> bool:
+        """Take over the leaves that a peer has read, if it did so after the start of this process.
+
+        By then the process before it had ended, so none of its leaves is missing.
+        """
+        if self.loaded or asked_at - loaded.age_s <= self._launched_at:
+            return self.loaded
+        self._finish_loading(loaded.leaves, peer)
+        return True
+
+    def _finish_loading(self, leaves: tuple[Leave, ...], origin: str) -> None:
+        self.loaded = True
+        self.merge(leaves)
+        log_info("loaded the leaves", count=len(leaves), origin=origin)
+        self._on_loaded(leaves)
 
     def restore(self) -> None:
         """Write this node's leaves again, since the platform may have lost them."""
--- a/packages/mesh/src/corianderwall/mesh/messages.py
+++ b/packages/mesh/src/corianderwall/mesh/messages.py
@@ -70,6 +70,13 @@
     at_unix_ms: int
 
 
+class LoadedLeaves(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The leaves of one node that a peer has read from the platform, `age_s` ago."""
+
+    leaves: tuple[Leave, ...]
+    age_s: float
+
+
 class NodeRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One node; `incarnation`, its start in Unix milliseconds, distinguishes its starts."""
 
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -33,6 +33,7 @@
 from corianderwall.mesh.gossip import (
     HEARTBEAT_KIND,
     LEAVE_KIND,
+    LOADED_LEAVES_KIND,
     TABLES_KIND,
     TABLES_PULL_KIND,
     Gossip,
@@ -119,10 +120,19 @@
 
 
 class HostNode:
-    """Owns all components of a node; uses the running event loop."""
+    """Owns all components of a node; uses the running event loop.
+
+    `startup_s` is the time since the process was launched.
+    """
 
     def __init__(
-        self, settings: HostSettings, headers: HeaderNames, source: Source, random: Random
+        self,
+        settings: HostSettings,
+        headers: HeaderNames,
+        source: Source,
+        random: Random,
+        *,
+        startup_s: float = 0.0,
     ) -> None:
         self.settings = settings
         self.stopping = False
@@ -187,6 +197,7 @@
             self._restore_leaves,
             self._is_first_leader,
             self._ask_to_save,
+            startup_s,
         )
         self.gossip = Gossip(
             self.directory,
@@ -241,6 +252,7 @@
             TABLES_KIND: self.gossip.handle_tables,
             TABLES_PULL_KIND: self.gossip.handle_pull,
             LEAVE_KIND: self.gossip.handle_leave,
+            LOADED_LEAVES_KIND: self.gossip.handle_loaded_leaves,
             CONFIG_PULL_KIND: self.sync.handle_pull,
             CONFIG_PUSH_KIND: self.sync.handle_push,
             CONFIG_CONFIRM_KIND: self.sync.handle_confirmation,
@@ -295,7 +307,7 @@
             "records": self.gossip.pull_records,
             "quotas": self.quotas.run,
             "suspects": self._archive.run,
-            "leaves": self.leaves.load,
+            "leaves": self.gossip.load_leaves,
             "expired leaves": self.leaves.run,
             "evacuations": self.evacuations.run,
             "orders": self.move_controller.watch_orders,
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -12,6 +12,8 @@
 from corianderwall.mesh.directory import Directory
 from corianderwall.mesh.gossip import (
     FULL_TABLES_EVERY,
+    LEAVE_READERS,
+    LOADED_LEAVES_KIND,
     MIN_UNSYNCED_PEERS,
     RECENT_CHANGE_AGE_S,
     RETRY_CHECK_INTERVAL_S,
@@ -26,6 +28,7 @@
     EvacuationState,
     Heartbeat,
     Leave,
+    LoadedLeaves,
     MoveOrder,
     MoveView,
     NodeRecord,
@@ -72,6 +75,7 @@
     def __init__(self, records: tuple[NodeRecord, ...]) -> None:
         self.announced: list[NodeRecord] = []
         self.leaves: tuple[Leave, ...] = ()
+        self.leave_reads = 0
         self.responds = asyncio.Event()
         self.responds.set()
         self._records = records
@@ -86,6 +90,7 @@
 
     async def list_leaves(self, *, stale: bool) -> tuple[Leave, ...]:
         """Return the given leaves once the platform responds."""
+        self.leave_reads += 1
         await self.responds.wait()
         return self.leaves
 
@@ -413,6 +418,32 @@
     return run(scenario())
 
 
+@pytest.mark.parametrize(("age_s", "peers", "reads"), [(0.0, 40, 0), (9.0, 40, 1), (0.0, 2, 1)])
+def test_few_nodes_read_the_leaves_for_all_that_start_together(
+    age_s: float, peers: int, reads: int
+) -> Deferred[None]:
+    leave = Leave(endpoint="i-1", node="own", born_unix_ms=1, at_unix_ms=1)
+    loaded = LoadedLeaves(leaves=(leave,), age_s=age_s)
+
+    async def scenario() -> None:
+        newcomer = Newcomer(
+            (), lambda kind, body: msgspec.msgpack.encode(loaded) if body == b"own" else None
+        )
+        newcomer.source.leaves = (leave,)
+        loading = newcomer.spawn(newcomer.gossip.load_leaves())
+        await asyncio.sleep(0.05)
+        for number in range(peers):
+            newcomer.directory.merge_node(make_record(f"n{number}"), 0.0)
+        await loading
+        assert newcomer.leaves.loaded
+        assert newcomer.restored == [leave]
+        assert newcomer.source.leave_reads == reads
+        asked = {name for name, kind, _ in newcomer.link.posted if kind == LOADED_LEAVES_KIND}
+        assert len(asked) == (LEAVE_READERS if peers > LEAVE_READERS else 0)
+
+    return run(scenario())
+
+
 def test_unresponsive_peers_do_not_show_that_all_nodes_have_started_together(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
--- a/packages/mesh/tests/test_leavearchive.py
+++ b/packages/mesh/tests/test_leavearchive.py
@@ -20,13 +20,13 @@
 class Setup:
     """An archive on a store in memory."""
 
-    def __init__(self) -> None:
+    def __init__(self, startup_s: float = 0.0) -> None:
         self.source = MemorySource()
         self.loaded: list[tuple[Leave, ...]] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.peer: LeaveArchive | None = None
         self.archive = LeaveArchive(
-            "own", self.source, self.spawn, self.loaded.append, lambda: True, self.ask
+            "own", self.source, self.spawn, self.loaded.append, lambda: True, self.ask, startup_s
         )
 
     async def ask(self, leave: Leave) -> bool:
@@ -104,6 +104,31 @@
     return run(scenario())
 
 
+# Guards against a leave that is missing, as a peer has read the leaves before it was acknowledged.
+@pytest.mark.parametrize(("startup_s", "accepted"), [(0.0, False), (30.0, True)])
+def test_the_leaves_of_a_peer_count_only_if_it_read_them_after_the_launch(
+    startup_s: float, accepted: bool
+) -> Deferred[None]:
+    async def scenario() -> None:
+        reader = Setup()
+        reader.source.leaves["i-1"] = make_leave()
+        reader.source.leaves["i-2"] = msgspec.structs.replace(make_leave("i-2"), node="other")
+        assert reader.archive.find_loaded("own") is None
+        await reader.archive.load()
+        loaded = reader.archive.find_loaded("own")
+        assert loaded is not None and [leave.endpoint for leave in loaded.leaves] == ["i-1"]
+        setup = Setup(startup_s)
+        older = msgspec.structs.replace(loaded, age_s=20.0)
+        now = asyncio.get_running_loop().time()
+        assert setup.archive.accept_loaded(older, now, "reader") is accepted
+        assert setup.archive.loaded is accepted
+        assert setup.loaded == ([loaded.leaves] if accepted else [])
+        # It has not read them itself, and not those of other nodes.
+        assert setup.archive.find_loaded("other") is None
+
+    return run(scenario())
+
+
 def test_forged_leaves_do_not_pile_up_while_the_platform_is_away(
     monkeypatch: pytest.MonkeyPatch,
 ) -> Deferred[None]:
