--- a/packages/mesh/src/corianderwall/mesh/leavearchive.py
+++ b/packages/mesh/src/corianderwall/mesh/leavearchive.py
@@ -97,7 +97,7 @@
         return True
 
     def accept(self, leave: Leave) -> bool:
-        """Return whether a peer's leave is written, and begin to write it if it is not."""
+        """Return whether a peer's leave is written, and try to write it once if it is not."""
         if self._is_saved(leave):
             return True
         if (leave.endpoint, leave.born_unix_ms) not in self._unsaved:
@@ -174,12 +174,18 @@
             log_warning("too many leaves at once", endpoint=leave.endpoint)
             return None
         saved = self._unsaved[leave.endpoint, leave.born_unix_ms] = asyncio.Event()
-        self._spawn(self._save(leave, saved) if asks_peers else self._write(leave, saved))
+        self._spawn(self._save(leave, saved) if asks_peers else self._write_once(leave, saved))
         return saved
 
     async def _save(self, leave: Leave, saved: asyncio.Event) -> None:
         await asyncio.gather(self._write(leave, saved), self._ask_peers(leave, saved))
 
+    async def _write_once(self, leave: Leave, saved: asyncio.Event) -> None:
+        try:
+            await self._try_write(leave, saved)
+        finally:
+            del self._unsaved[leave.endpoint, leave.born_unix_ms]
+
     async def _ask_peers(self, leave: Leave, saved: asyncio.Event) -> None:
         """Ask peers to write a leave until it is written by one of them or by this node."""
         await asyncio.sleep(ASK_DELAY_S)
@@ -196,22 +202,23 @@
     async def _write(self, leave: Leave, saved: asyncio.Event) -> None:
         pause_s = RETRY_MIN_S
         try:
-            while not saved.is_set():
-                try:
-                    await self._source.write_leave(leave)
-                except SourceError as error:
-                    log_warning(
-                        "saving a leave failed", endpoint=leave.endpoint, reason=error.reason
-                    )
-                    await asyncio.sleep(pause_s)
-                    pause_s = min(RETRY_MAX_S, pause_s * 2)
-                else:
-                    saved.set()
+            while not saved.is_set() and not await self._try_write(leave, saved):
+                await asyncio.sleep(pause_s)
+                pause_s = min(RETRY_MAX_S, pause_s * 2)
         finally:
             del self._unsaved[leave.endpoint, leave.born_unix_ms]
+
+    async def _try_write(self, leave: Leave, saved: asyncio.Event) -> bool:
+        try:
+            await self._source.write_leave(leave)
+        except SourceError as error:
+            log_warning("saving a leave failed", endpoint=leave.endpoint, reason=error.reason)
+            return False
+        saved.set()
         self.saved_count += 1
         self._leaves[leave.endpoint] = leave
         log_info("saved a leave", endpoint=leave.endpoint, born=leave.born_unix_ms)
+        return True
 
     def _forget_expired(self) -> None:
         self._leaves = {k: leave for k, leave in self._leaves.items() if not _is_expired(leave)}
