--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -46,9 +46,11 @@
 platform and peers there is no configuration either; calls must be served 15 s after a start."""
 LEAVE_READERS = 3
 """Nodes that read the leaves for all others when the fleet starts; two of them may be away."""
+PEERS_TIMEOUT_S = 0.6
+"""Longest wait after a start for a peer to be listed; a new fleet lists again after 0.5 s."""
 READERS_TIMEOUT_S = 0.25
 READERS_INTERVAL_S = 0.03
-"""Longest wait for them after a start, and the interval at which they are asked."""
+"""Longest wait for the readers after that, and the interval at which they are asked."""
 ASKED_PEERS = 2
 """Peers that are asked at once to write a leave; the platform may turn one of them away as well."""
 PULL_INTERVAL_S = 0.1
@@ -310,6 +312,9 @@
 
     async def load_leaves(self) -> None:
         """Load the leaves of earlier processes; few nodes read them if all start together."""
+        peers_until = self._loop.time() + PEERS_TIMEOUT_S
+        while not self._directory.peers and self._loop.time() < peers_until:
+            await asyncio.sleep(READERS_INTERVAL_S)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READERS_TIMEOUT_S):
                 await self._ask_readers()
@@ -319,17 +324,16 @@
         """Ask the readers for their leaves until one has them, or none has them from this start."""
         own = self._directory.own.name
         body = own.encode()
-        while not self._leaves.loaded:
-            if self._directory.peers:
-                readers = list_readers(self._directory, LEAVE_READERS)
-                if own in readers:
+        while self._directory.peers and not self._leaves.loaded:
+            readers = list_readers(self._directory, LEAVE_READERS)
+            if own in readers:
+                return
+            peers = [self._directory.peers[name] for name in readers]
+            asked_at = self._loop.time()
+            posts = [self._ask_reader(peer, asked_at, body) for peer in peers]
+            for post in asyncio.as_completed(posts):
+                if await post is not None:
                     return
-                peers = [self._directory.peers[name] for name in readers]
-                asked_at = self._loop.time()
-                posts = [self._ask_reader(peer, asked_at, body) for peer in peers]
-                for post in asyncio.as_completed(posts):
-                    if await post is not None:
-                        return
             await asyncio.sleep(READERS_INTERVAL_S)
 
     async def _ask_reader(self, peer: Peer, asked_at: float, body: bytes) -> bool | None:
--- a/packages/mesh/tests/test_gossip.py
+++ b/packages/mesh/tests/test_gossip.py
@@ -431,7 +431,8 @@
         )
         newcomer.source.leaves = (leave,)
         loading = newcomer.spawn(newcomer.gossip.load_leaves())
-        await asyncio.sleep(0.05)
+        # A new fleet is listed some time after the start.
+        await asyncio.sleep(0.4)
         for number in range(peers):
             newcomer.directory.merge_node(make_record(f"n{number}"), 0.0)
         await loading
