Show requests with the caller of former settings

The case review/7: the settings of a machine name another service, SIGHUP says so, and the node goes on telling endpoints the former service as the caller of its requests (UNASKED).

--- a/review/mesh_2/mesh.py
+++ b/review/mesh_2/mesh.py
@@ -223,6 +223,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs: list[tuple[str, float]] = []
+        self.callers: dict[str, str] = {}
         self._mesh = mesh
         self._machine = machine
         self._slots = slots
@@ -235,6 +236,13 @@
         self._server = await serve(self._machine.ip, self._mesh.ports["app"], self.handle)
         self._tasks.append(asyncio.create_task(self._announce()))
 
+    def stop(self) -> None:
+        """End the endpoint, which has left before."""
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            self._server.close()
+
     async def handle(self, request: Request) -> Answer | None:
         """Run a request, or say that it does not."""
         if request.target == "/health":
@@ -253,8 +261,12 @@
         async with self._free:
             if time.monotonic() > deadline:
                 return Answer(503, echo | {"Not-Executed": "1"})
+            caller = request.headers.get("caller-service", "")
             self.runs.append((request_id, time.monotonic()))
-            self._mesh.record("run", request=request_id, endpoint=self.id, bytes=len(body))
+            self.callers[request_id] = caller
+            self._mesh.record(
+                "run", request=request_id, endpoint=self.id, caller=caller, bytes=len(body)
+            )
             await asyncio.sleep(self.work_s)
         if self.fails():
             self._mesh.record("failure", request=request_id, status=self.failure_status)
@@ -413,6 +425,7 @@
         self.machines: list[Machine] = []
         self.ports = dict.fromkeys(("inbound", "outbound", "ready", "control", "app"), 0)
         self.store = Store(self.record)
+        self.store_port = 0
         self._services = services
         self._zones = zones
         self._folder = folder
@@ -431,8 +444,8 @@
         """Start the store, the endpoints and the nodes, and wait until all serve."""
         base = random.randint(20, 50) * 1000
         self.ports = {name: base + 7 * n for n, name in enumerate(self.ports)}
-        store_port = base + 60
-        await serve(f"{self._net}.250", store_port, self.store.handle)
+        self.store_port = base + 60
+        await serve(f"{self._net}.250", self.store_port, self.store.handle)
         self.write_config(routes)
         for number, service in enumerate(self._services, 1):
             zone = f"zone-{number % self._zones}"
@@ -447,8 +460,8 @@
                 log=folder / f"{name}.log",
                 memory_mb=memory_mb,
             )
-            machine.settings.write_text(json.dumps(self._make_settings(machine, store_port)))
             self.machines.append(machine)
+            self.write_settings(machine)
             machine.endpoint = Endpoint(self, machine, number, **endpoint)
             await machine.endpoint.start()
         for machine in self.machines:
@@ -486,7 +499,12 @@
         self.store.put("config", "main", {"version": f"r{version}", "resources": resources})
         self.record("configuration", version=version)
 
-    def _make_settings(self, machine: Machine, store_port: int) -> dict:
+    def write_settings(self, machine: Machine) -> None:
+        """Write the settings file of a machine, as the platform does at a start and a change."""
+        machine.settings.write_text(json.dumps(self._make_settings(machine)))
+        self.record("settings", machine=machine.name, service=machine.service)
+
+    def _make_settings(self, machine: Machine) -> dict:
         def address(name: str) -> str:
             return f"{machine.ip}:{self.ports[name]}"
 
@@ -551,7 +569,7 @@
                 "entrypoint": "static",
                 "heartbeat_ms": int(HEARTBEAT_S * 1000),
                 "platform": {
-                    "address": f"{self._net}.250:{store_port}",
+                    "address": f"{self._net}.250:{self.store_port}",
                     "form": "objects",
                     "writes_per_s": 400,
                     "reads_per_s": 2000,
