--- a/review/mesh_2/mesh.py
+++ b/review/mesh_2/mesh.py
@@ -23,8 +23,6 @@
 METRICS_PORT = 9464
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 1.5
-SILENCE_S = 100.0
-"""Longer than any case; a silent server then closes the connection."""
 
 
 def say(text: str) -> None:
@@ -114,8 +112,7 @@
         self.revision = 10
         self.objects: dict[str, dict[str, dict]] = {}
         self.deleted: dict[str, list[dict]] = {}
-        self.silent = False
-        self.called = asyncio.Event()
+        self.busy = False
         self._record = record
         self._changed = asyncio.Event()
 
@@ -138,10 +135,9 @@
 
     async def handle(self, request: Request) -> Answer | None:
         """Answer one call."""
-        self.called.set()
         raw = await request.read_body()
-        if self.silent:
-            return await self._stay_silent()
+        if self.busy:
+            return Answer(503)
         url = urlsplit(request.target)
         path = [unquote(part) for part in url.path.removeprefix("/api/objects/").split("/")]
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
@@ -149,15 +145,9 @@
             status, body = await self._read(path, query)
         else:
             status, body = self._write(request.method, path, json.loads(raw or b"null"))
-        if self.silent:
-            return await self._stay_silent()
         headers = {"Content-Type": "application/json"}
         return Answer(status, headers, json.dumps(body).encode())
 
-    async def _stay_silent(self) -> None:
-        """Never answer; a connection on which an answer is lost returns nothing further."""
-        await asyncio.sleep(SILENCE_S)
-
     async def _read(self, path: list[str], query: dict[str, str]) -> tuple[int, object]:
         kind = path[0]
         items = self.objects.get(kind, {})
