--- a/review/6/play.py
+++ b/review/6/play.py
@@ -16,8 +16,8 @@
 FAILED_SHARE = 0.45
 GREY_S = 6.5
 CLIENTS = 32
-PLAY_S = 12.0
-GREY_FROM_S = 3.0
+PLAY_S = 20.0
+PAUSE_S = 3.0
 
 
 async def book(mesh: Mesh, client: Client, end: float, outcomes: dict[str, str]) -> None:
@@ -44,14 +44,15 @@
     end = loop.time() + PLAY_S
     clients = [Client(mesh, mesh.machines[n % len(mesh.machines)]) for n in range(CLIENTS)]
     tasks = [asyncio.create_task(book(mesh, client, end, outcomes)) for client in clients]
-    await asyncio.sleep(GREY_FROM_S)
-    grey = mesh.machines[0].endpoint
-    if mesh.trouble:
-        grey.failure_status = 503
-        grey.fails = lambda: random.random() < FAILED_SHARE
-        mesh.record("trouble", kind="srv_grey", endpoint=grey.id)
-    await asyncio.sleep(GREY_S)
-    grey.fails = lambda: False
+    for machine in (mesh.machines[0], mesh.machines[3]):
+        await asyncio.sleep(PAUSE_S)
+        grey = machine.endpoint
+        if mesh.trouble:
+            grey.failure_status = 503
+            grey.fails = lambda: random.random() < FAILED_SHARE
+            mesh.record("trouble", kind="srv_grey", endpoint=grey.id)
+        await asyncio.sleep(GREY_S)
+        grey.fails = lambda: False
     await asyncio.gather(*tasks)
     runs = Counter(run[0] for machine in mesh.machines for run in machine.endpoint.runs)
     broken = [name for name, outcome in outcomes.items() if outcome in PROMISES and runs[name]]
