Replace an endpoint's false promise that a call has not run

Cause: the entry passed on every response of an endpoint. The owner's report says whether the call ran, but that did not decide about the status; 408, 429 and 503 are a promise that it has not.

Change: choose_status decides from the status, what is known of the run, and the kind of the route. The entry asks it for responses of endpoints and for its own. Callers of idempotent routes get the endpoint's response unchanged.

Why it works: each response to a call that an owner may have got is written by one of two functions, and both ask choose_status.

--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -1,6 +1,7 @@
 """Accepts the calls of this host's callers and sends each to an owner."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -21,6 +22,7 @@
 from corianderwall.mesh.configuration import ConfigurationHolder
 from corianderwall.mesh.directory import Directory, EndpointView
 from corianderwall.mesh.evacuationsync import EvacuationSync
+from corianderwall.mesh.exchange import Response
 from corianderwall.mesh.gate import RunningCall
 from corianderwall.mesh.messages import CallMetadata, Refusal, ResponseMetadata
 from corianderwall.mesh.moves import MoveTracker
@@ -46,7 +48,9 @@
 from corianderwall.mesh.tasks import run_call
 from corianderwall.mesh.teams import identify_caller, make_wait_class
 from corianderwall.mesh.turns import wait_for_turn
+from corianderwall.model.promises import choose_status
 from corianderwall.model.resource import Route, Team
+from corianderwall.model.verdict import Verdict
 from corianderwall.node.logs import LogBudget, log_info
 from corianderwall.node.metrics import CallMetrics
 from corianderwall.traffic.suspects import Suspects, choose_for_trial
@@ -81,6 +85,8 @@
 
     `identity` holds the team whose key the caller has sent; a nested call has none of its own.
 
+    `verdict` says whether an endpoint has run the call, in any attempt.
+
     A nested call has no latency objective before its deadline: refusing it would fail the running
     call that made it.
     """
@@ -97,6 +103,7 @@
     waited_s: float = 0.0
     unusable: set[str] = field(default_factory=set)
     attempts: int = 0
+    verdict: Verdict = Verdict.NOT_RUN
     refused_wait_ms: list[float] = field(default_factory=list)
     trail: list[str] = field(default_factory=list)
     failure: OwnerResponse | None = None
@@ -129,6 +136,13 @@
         """Return whether a running call made this one."""
         return self.parent is not None
 
+    def record_verdict(self, ran: bool | None) -> None:
+        """Record whether an endpoint has run the call in an attempt, None if nobody knows."""
+        if ran:
+            self.verdict = Verdict.RAN
+        elif ran is None and self.verdict is Verdict.NOT_RUN:
+            self.verdict = Verdict.MAY_HAVE_RUN
+
     def report_end(self, status: int, *, refused_cold: bool) -> None:
         """Tell the parent call how this nested call has ended."""
         if self.parent is None:
@@ -141,7 +155,11 @@
 
 
 class Entry:
-    """Handles the calls of callers; at most one owner has a call at any time."""
+    """Handles the calls of callers; at most one owner has a call at any time.
+
+    `withheld` counts by status the responses of endpoints that callers did not get, as they promise
+    that a call that ran has not.
+    """
 
     def __init__(
         self,
@@ -187,6 +205,7 @@
         )
         self._caller_timeouts = CallerTimeouts()
         self.log_budget = LogBudget(CALL_LOG_LINES_PER_S)
+        self.withheld: Counter[int] = Counter()
         self._sizes = ResponseSizes()
         self._probes = ProbePolicy()
         self._latest_end = float("inf")
@@ -468,10 +487,12 @@
             serving = owner.serve(metadata, state.request)
             reply = await (serving if state.quota is None else state.quota.track(serving))
         except CancelledError:
+            state.record_verdict(None)
             self._moves.count_arrival(state.service, record.version)
             raise
         finally:
             view.pending -= 1
+        state.record_verdict(reply.metadata.ran)
         self._record_reply(state, view, reply.metadata)
         if reply.metadata.ran:
             ended = self._loop.time()
@@ -569,10 +590,20 @@
             late = self._loop.time() >= state.deadline
             self._respond_error(call, state, 504 if late else 502, "answer lost")
         else:
-            response = reply.response
-            self._sizes.record(state.route.name, len(response.body))
-            call.respond(response.status, response.headers, response.body)
-            self._log(state, response.status, "answered")
+            self._pass_on(call, state, reply.response)
+
+    def _pass_on(self, call: IncomingCall, state: _CallState, response: Response) -> None:
+        """Respond as the endpoint did, or with 502 if its status would be a false promise."""
+        self._sizes.record(state.route.name, len(response.body))
+        idempotent = bool(state.route.idempotent)
+        status = choose_status(response.status, state.verdict, idempotent=idempotent)
+        if status == response.status:
+            call.respond(status, response.headers, response.body)
+            self._log(state, status, "answered")
+            return
+        self.withheld[response.status] += 1
+        call.respond(status, [(self._headers.request_id, state.request.request_id)])
+        self._log(state, status, "false promise", endpoint_status=response.status)
 
     def _estimate_unasked_wait(self, state: _CallState) -> float:
         """Return the wait of a call that no owner was asked to queue."""
@@ -584,22 +615,12 @@
         """Refuse a request that ends the endpoints that run it, until its next trial."""
         release = self._find_release(state)
         left_s = DEFAULT_RETRY_AFTER_S if release is None else release - self._loop.time()
-        headers = [
-            (self._headers.request_id, state.request.request_id),
-            (self._headers.retry_after, encode_seconds(left_s)),
-        ]
-        call.respond(503, headers)
-        self._log(state, 503, "quarantined")
+        self._respond_own(call, state, 503, "quarantined", left_s)
 
     def _respond_over_quota(
         self, call: IncomingCall, state: _CallState, refusal: OverQuota
     ) -> None:
-        headers = [
-            (self._headers.request_id, state.request.request_id),
-            (self._headers.retry_after, encode_seconds(refusal.retry_after_s)),
-        ]
-        call.respond(429, headers)
-        self._log(state, 429, "over quota")
+        self._respond_own(call, state, 429, "over quota", refusal.retry_after_s)
 
     def _respond_cancelled(self, call: IncomingCall, state: _CallState) -> None:
         """Respond to a call that was given up at its deadline, if its caller is still there."""
@@ -613,7 +634,7 @@
     def _respond_error(
         self, call: IncomingCall, state: _CallState, status: int, cause: str, wait_s: float = 0.0
     ) -> None:
-        headers = [(self._headers.request_id, state.request.request_id)]
+        after_s = None
         if status == 503:
             now = self._loop.time()
             after_s = compute_retry_after(
@@ -622,7 +643,21 @@
                 left_s=state.caller_deadline - now,
                 timely_s=state.due - now,
             )
-            headers.append((self._headers.retry_after, encode_seconds(after_s)))
+        self._respond_own(call, state, status, cause, after_s)
+
+    def _respond_own(
+        self,
+        call: IncomingCall,
+        state: _CallState,
+        status: int,
+        cause: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Respond in the name of this node, and never promise that a call that ran has not."""
+        status = choose_status(status, state.verdict)
+        headers = [(self._headers.request_id, state.request.request_id)]
+        if retry_after_s is not None:
+            headers.append((self._headers.retry_after, encode_seconds(retry_after_s)))
         call.respond(status, headers)
         self._log(state, status, cause)
 
@@ -653,7 +688,7 @@
             config_version=self._configuration.snapshot.version,
         )
 
-    def _log(self, state: _CallState, status: int, cause: str) -> None:
+    def _log(self, state: _CallState, status: int, cause: str, **fields: object) -> None:
         state.report_end(status, refused_cold=status == 503 and self._is_cold(state.service))
         now = self._loop.time()
         took_s = now - state.began
@@ -677,6 +712,7 @@
             left_ms=round((state.deadline - now) * 1000, 1),
             config_version=self._configuration.snapshot.version,
             **({"team": state.standing.team} if state.standing.team else {}),
+            **fields,
         )
 
     def _is_cold(self, service: str) -> bool:
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -296,6 +296,85 @@
     return run_scenario(scenario)
 
 
+PROMISES = ("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable")
+SIGNED = "Response-Signature: sig\r\nRetry-After: 1\r\n"
+
+
+@pytest.mark.parametrize("status", PROMISES)
+@pytest.mark.parametrize("entry", ["n1", "n2"])
+@pytest.mark.parametrize("nested", [False, True])
+def test_a_promise_of_an_endpoint_that_ran_the_call_does_not_reach_the_caller(
+    status: str, entry: str, nested: bool
+) -> Deferred[None]:
+    """Guards against work that runs twice: a failing endpoint runs a call and answers 503."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            if nested and "." not in request.headers["request-id"]:
+                replies.append(await fleet.send_call("n1", request_id="q1.a"))
+                return make_response(request)
+            return make_response(request, status, b"failed", SIGNED)
+
+        replies: list[Reply] = []
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        host = await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        replies.append(await fleet.send_call(entry))
+        reply = replies[0]
+        assert (reply.status, reply.body) == (502, b"")
+        assert reply.headers["request-id"] == ("q1.a" if nested else "q1")
+        assert "response-signature" not in reply.headers
+        assert "retry-after" not in reply.headers
+        assert len(host.upstream.requests) == 1 + nested
+        withheld = {int(status[:3]): 1}
+        assert fleet.hosts["n1" if nested else entry].node.entry.withheld == withheld
+
+    return run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", PROMISES)
+@pytest.mark.parametrize("entry", ["n1", "n2"])
+def test_the_callers_of_a_route_that_may_run_again_get_the_endpoints_own_response(
+    status: str, entry: str
+) -> Deferred[None]:
+    """Guards against a node that hides what an endpoint says where running again does no harm."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            return make_response(request, status, b"failed", SIGNED)
+
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=1)))
+        await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        reply = await fleet.send_call(entry)
+        assert (reply.status, reply.body) == (int(status[:3]), b"failed")
+        assert reply.headers["response-signature"] == "sig"
+        assert not fleet.hosts[entry].node.entry.withheld
+
+    return run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [*PROMISES, "421 Misdirected Request"])
+def test_a_promise_that_the_endpoint_may_make_reaches_the_caller(status: str) -> Deferred[None]:
+    """Guards against a refused booking that its caller may not repeat."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            return make_response(request, status, b"", "Not-Executed: 1\r\n")
+
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", idempotent=False)))
+        await fleet.add("n1")
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n1")).status == 503
+
+    return run_scenario(scenario)
+
+
 def make_team_snapshot(version: int, *keys: str, **fields: object) -> Snapshot:
     digests = tuple(sha256(key.encode()).hexdigest() for key in keys)
     routes = (make_route("r", "s", **fields), make_route("p", "s", public=True))
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -104,6 +104,10 @@
         self.evacuated_zones = self._add_gauge(
             "evacuated_zones", "Zones whose endpoints get no calls, as this node knows."
         )
+        self.withheld = self._add_counter(
+            "withheld_responses",
+            "Responses of the endpoint replaced by 502, as they promised that a call had not run",
+        )
         self.evacuation_refusals = self._add_counter(
             "evacuation_refusals", "Calls for the endpoint beside this node in an evacuated zone."
         )
