Ignore what an upstream says about whether a call ran, except in a refusal

Callers saw: on the product's own interface, a response with x-not-run: 1 though the call had run, or a call that may run once sent a second time.

A response of an upstream kept x-not-run whatever its status, and x-verdict from an upstream was read as the report of another node.

Change: ResponseFlow drops both headers unless another node responds. An upstream's refusal, 503 with x-not-run, is recognized earlier and unchanged.

--- a/packages/node/src/corianderwall/node/entry.py
+++ b/packages/node/src/corianderwall/node/entry.py
@@ -154,7 +154,8 @@
         sender, outgoing = self._prepare(endpoint, now)
         if self._counts_as_load():
             self._outstanding = self._context.balancer.start(endpoint.name)
-        flow = ResponseFlow(self._call, self)
+        from_owner = self._hop is not None and not self._hop.direct
+        flow = ResponseFlow(self._call, self, from_owner=from_owner)
         self._attempt = flow.attempt = attempt = sender.send(outgoing, flow)
         if self._body is None:
             self._call.read_body(attempt)
--- a/packages/node/src/corianderwall/node/responseflow.py
+++ b/packages/node/src/corianderwall/node/responseflow.py
@@ -1,17 +1,20 @@
 """Forwards the response of an attempt to the caller, or reports that there is none."""
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
 from corianderwall.httpflow.attempt import AttemptResult, ResponseHead
 from corianderwall.model.errors import ErrorCode
 from corianderwall.model.verdict import Verdict
-from corianderwall.node.callhead import VERDICT_HEADER
+from corianderwall.node.callhead import NOT_RUN_HEADER, VERDICT_HEADER
 
 if TYPE_CHECKING:
     from corianderwall.httpflow.call import IncomingCall
     from corianderwall.node.attemptsender import RunningAttempt
 
 MAX_BUFFERED_BODY_BYTES = 16 * 1024
+_STATEMENTS = frozenset((NOT_RUN_HEADER, VERDICT_HEADER))
+"""Headers that say whether a call ran; a node decides that of the response of an endpoint."""
 _VERDICTS = {verdict.value.encode("ascii"): verdict for verdict in Verdict}
 
 
@@ -23,12 +26,28 @@
 
 
 class ResponseFlow:
-    """Forwards the response of one attempt; short responses are sent in a single write."""
-
-    __slots__ = ("_body", "_call", "_head", "_listener", "_relayed_verdict", "_started", "attempt")
+    """Forwards the response of one attempt; short responses are sent in a single write.
+
+    `from_owner` is set if another node responds, which may say in its own name whether the call
+    ran.
+    """
+
+    __slots__ = (
+        "_body",
+        "_call",
+        "_from_owner",
+        "_head",
+        "_listener",
+        "_relayed_verdict",
+        "_started",
+        "attempt",
+    )
 
-    def __init__(self, call: "IncomingCall", listener: AttemptListener) -> None:
+    def __init__(
+        self, call: "IncomingCall", listener: AttemptListener, *, from_owner: bool = False
+    ) -> None:
         self._call = call
+        self._from_owner = from_owner
         self._listener = listener
         self.attempt: RunningAttempt | None = None
         self._head: ResponseHead | None = None
@@ -38,6 +57,9 @@
 
     def receive_head(self, head: ResponseHead) -> None:
         """Forward the head, or hold it back if the body is short enough to be sent with it."""
+        if not self._from_owner:
+            kept = [header for header in head.headers if header[0] not in _STATEMENTS]
+            head = replace(head, headers=kept)
         self._head = head
         self._relayed_verdict = read_verdict(head)
         if self._relayed_verdict is None and (
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -9,6 +9,7 @@
 import pytest_twisted
 import treq
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 from twisted.web.client import ResponseFailed
 
@@ -25,6 +26,7 @@
 from corianderwall.node.metrics import CallMetrics, Metrics
 from corianderwall.node.pools import UpstreamPools
 from corianderwall.node.suspectexchange import SuspectExchange, SuspectNotice
+from corianderwall.standins.scripted import ReceivedRequest, ScriptedUpstream
 from corianderwall.standins.upstream import UpstreamStandin
 from corianderwall.standins.upstream_settings import Switches, UpstreamSettings
 from corianderwall.traffic.balancer import Balancer
@@ -246,6 +248,39 @@
     assert owner.upstream.executions[b"once"] == 1
 
 
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize("at", ["entry", "owner"])
+@pytest.mark.parametrize("statement", ["x-not-run: 1", "x-verdict: not_run"])
+@pytest.mark.parametrize("status", [200, 429, 500, 503])
+async def test_a_response_of_an_upstream_that_ran_the_call_never_says_that_it_has_not(
+    entry, owner, at, statement, status
+):
+    """Guards against work that runs twice, as a response is taken for a node's own refusal."""
+
+    async def respond(request: ReceivedRequest) -> bytes:
+        head = f"HTTP/1.1 {status} Status\r\n{statement}\r\ncontent-length: 3\r\n\r\n"
+        return head.encode() + b"ran"
+
+    host = entry if at == "entry" else owner
+    entry.learn(host)
+    for other in {entry, owner} - {host}:
+        entry.balancer.remove(other.endpoint.name)
+    host.upstream.stop()
+    upstream = ScriptedUpstream(respond, port=host.upstream.address.port)
+    await Deferred.fromFuture(asyncio.ensure_future(upstream.start()))
+    response = await entry.call("POST", headers={"x-call-id": "once"}, data=b"placement")
+    body = await response.content()
+    if status == 503 and statement.startswith("x-not-run"):
+        # This is how an upstream refuses a call before it runs.
+        assert response.headers.getRawHeaders("x-not-run") == ["1"]
+    else:
+        assert (response.code, body) == (status, b"ran")
+        assert not response.headers.hasHeader("x-not-run")
+        assert not response.headers.hasHeader("x-verdict")
+        assert len(upstream.requests) == 1
+    upstream.stop()
+
+
 @pytest_twisted.ensureDeferred
 async def test_an_idempotent_call_with_a_lost_response_is_retried(entry, owner):
     headers = {"x-call-id": "again", "x-fault": "close-run"}
