Refuse a response whose status is above 599

Callers saw: status 600 or 999 from an endpoint in trouble, as its signed answer. 000, which another operator has seen, was refused before.

Cause: the codec takes any three digits, and the parser refused only what is below 100.

Change: 100 to 599 is valid; anything else is an invalid response, so the call counts as one that may have run.

--- a/packages/httpflow/src/corianderwall/httpflow/response_parser.py
+++ b/packages/httpflow/src/corianderwall/httpflow/response_parser.py
@@ -17,6 +17,8 @@
     from corianderwall.httpflow.limits import ClientLimits
 
 
+MAX_STATUS = 599
+"""The greatest status that the protocol defines; the parser of bytes takes any three digits."""
 CONTINUE = 100
 """The status with which an upstream asks for the body of a request."""
 
@@ -107,7 +109,7 @@
                 self._events.receive_continue()
             return
         self._bytes_since_event = 0
-        if status < 100 or self._codec.get_http_version() not in ("1.1", "1.0"):
+        if not 100 <= status <= MAX_STATUS or self._codec.get_http_version() not in ("1.1", "1.0"):
             raise InvalidResponseError("invalid status line")
         headers = self._split_headers()
         if self._connection_header:
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -375,6 +375,32 @@
     return run_scenario(scenario)
 
 
+@pytest.mark.parametrize("status", ["000", "0", "099", "600", "999", "1000", "-1", "2xx", ""])
+@pytest.mark.parametrize("before", ["", "HTTP/1.1 103 Early Hints\r\n\r\n"])
+@pytest.mark.parametrize("entry", ["n1", "n2"])
+def test_a_response_whose_status_is_none_does_not_reach_the_caller(
+    status: str, before: str, entry: str
+) -> Deferred[None]:
+    """Guards against bytes that are no response: a failing endpoint answers with status 000."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            return before.encode() + make_response(request, f"{status} Status", b"bad", SIGNED)
+
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s", max_attempts=1)))
+        host = await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        reply = await fleet.send_call(entry)
+        assert (reply.status, reply.body) == (502, b"")
+        assert "response-signature" not in reply.headers
+        host.upstream.respond = respond_ok
+        assert (await fleet.send_call(entry, request_id="q2")).status == 200
+
+    return run_scenario(scenario)
+
+
 def make_team_snapshot(version: int, *keys: str, **fields: object) -> Snapshot:
     digests = tuple(sha256(key.encode()).hexdigest() for key in keys)
     routes = (make_route("r", "s", **fields), make_route("p", "s", public=True))
