Bound the memory for responses of an endpoint that sends without end

Callers saw (on another system): all requests on a machine ended with its node, which had run out of memory.

Causes: headers were counted at the end of a head only and trailers not at all; pieces of one byte cost eight; bodies were bounded each, but not together, and not while a slow caller read them; headers that were given up stayed until a garbage collection, as parser and codec refer to each other.

Without room the largest body that is still being received is given up.

--- a/packages/httpflow/src/corianderwall/httpflow/call.py
+++ b/packages/httpflow/src/corianderwall/httpflow/call.py
@@ -19,6 +19,10 @@
     from corianderwall.httpflow.server_connection import ServerConnection
 
 
+MAX_COPIED_BYTES = 64 * 1024
+"""Size of a body up to which it is sent in one buffer with its head."""
+
+
 class IncomingCall:
     """A request and the methods to respond to it; responses to a disconnected caller are dropped.
 
@@ -156,8 +160,10 @@
         if self._connection is not None:
             self._connection.update_reading()
 
-    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Send a complete response in one write."""
+    def respond(
+        self, status: int, headers: Headers, body: bytes = b"", account: object = None
+    ) -> None:
+        """Send a complete response in one write; `account` is held until it has been sent."""
         connection = self._begin_response()
         if connection is None:
             return
@@ -165,10 +171,17 @@
         framing = b"content-length: %d\r\n" % len(body) if has_body else b""
         keep_alive = self._keeps_alive(connection)
         head = encode_response_head(status, headers, framing if keep_alive else framing + CLOSE)
-        whole = head + body if has_body and self.method != b"HEAD" else head
+        if not has_body or self.method == b"HEAD":
+            buffers: tuple[bytes, ...] = (head,)
+        elif len(body) > MAX_COPIED_BYTES:
+            buffers = (head, body)
+        else:
+            buffers = (head + body,)
         if not keep_alive:
             connection.close_after(self)
-        connection.write_response(self, whole)
+        connection.write_response(self, *buffers)
+        if account is not None:
+            connection.hold(account)
         self._end_call(connection, keep_alive)
 
     def start_response(
--- a/packages/httpflow/src/corianderwall/httpflow/headers.py
+++ b/packages/httpflow/src/corianderwall/httpflow/headers.py
@@ -40,10 +40,18 @@
     """A header contains a line break, which would change the framing of its message."""
 
 
-def make_header_callback(received: Headers) -> Callable[[bytes, bytes], None]:
-    """Return the parser's callback for headers; it only appends, as it runs once per header."""
+def make_header_callback(
+    received: Headers, max_headers: int, error: Callable[[], Exception]
+) -> Callable[[bytes, bytes], None]:
+    """Return the parser's callback for headers, which raises `error` if there are too many.
+
+    Otherwise it only appends, as it runs once per header. A peer can send thousands of headers
+    before the parser sees the end of a head, and again in the trailers.
+    """
 
     def on_header(name: bytes, value: bytes) -> None:
+        if len(received) >= max_headers:
+            raise error()
         received.append((name.lower(), value))
 
     return on_header
--- a/packages/httpflow/src/corianderwall/httpflow/limits.py
+++ b/packages/httpflow/src/corianderwall/httpflow/limits.py
@@ -35,7 +35,8 @@
 class ClientLimits:
     """Limits of the connections to one upstream; times in seconds, sizes in bytes.
 
-    A request that is not idempotent never reuses a connection that was idle for longer than
+    A response may have `max_framing_bytes` of chunk lines and trailers, or more beside a large
+    body. A request that is not idempotent never reuses a connection that was idle for longer than
     `max_non_idempotent_idle_s`. A connection that was idle for longer than `stale_after_s` is
     polled before it is reused, because its peer may have closed it without the event loop having
     seen that yet. A call without any progress for `stalled_after_s` starts a comparison with a
@@ -45,6 +46,7 @@
 
     max_head_bytes: int = 64 * KIB
     max_headers: int = 200
+    max_framing_bytes: int = 256 * KIB
     write_buffer_bytes: int = 256 * KIB
     connect_timeout_s: float = 1.0
     max_idle_s: float = 30.0
--- a/packages/httpflow/src/corianderwall/httpflow/pipeline.py
+++ b/packages/httpflow/src/corianderwall/httpflow/pipeline.py
@@ -59,6 +59,11 @@
         """Return the call whose response is being written, None if no call runs."""
         return self._calls[0] if self._calls else None
 
+    @property
+    def has_buffered(self) -> bool:
+        """Return whether responses wait for those before them."""
+        return self._buffered_bytes > 0
+
     def is_last(self, call: "IncomingCall") -> bool:
         """Return whether the handler has got no call behind `call`."""
         return bool(self._calls) and self._calls[-1] is call
--- a/packages/httpflow/src/corianderwall/httpflow/request_parser.py
+++ b/packages/httpflow/src/corianderwall/httpflow/request_parser.py
@@ -63,7 +63,9 @@
         self._events = events
         self._limits = limits
         self._received: Headers = []
-        self.on_header = make_header_callback(self._received)
+        self.on_header = make_header_callback(
+            self._received, limits.max_headers, lambda: RequestRefusedError(431)
+        )
         self._codec = httptools.HttpRequestParser(self)
         self._bytes_since_event = 0
         self._body_bytes = 0
@@ -134,8 +136,6 @@
 
     def _split_headers(self) -> "Headers":
         received = self._received
-        if len(received) > self._limits.max_headers:
-            raise RequestRefusedError(431)
         headers: Headers = []
         size = len(self._target)
         for header in received:
--- a/packages/httpflow/src/corianderwall/httpflow/response_parser.py
+++ b/packages/httpflow/src/corianderwall/httpflow/response_parser.py
@@ -19,6 +19,8 @@
 
 MAX_STATUS = 599
 """The greatest status that the protocol defines; the parser of bytes takes any three digits."""
+MIN_BODY_PER_FRAMING = 8
+"""Bytes of a body for each byte of its framing beyond the limit; chunks of 40 bytes have that."""
 CONTINUE = 100
 """The status with which an upstream asks for the body of a request."""
 
@@ -54,10 +56,14 @@
         self._events = events
         self._limits = limits
         self._received: Headers = []
-        self.on_header = make_header_callback(self._received)
+        self.on_header = make_header_callback(
+            self._received, limits.max_headers, lambda: InvalidResponseError("too many headers")
+        )
         self._codec = httptools.HttpResponseParser(self)
         self._head_only = False
         self._bytes_since_event = 0
+        self._framing_bytes = 0
+        self._allowed_framing = limits.max_framing_bytes
         self._length: int | None = None
         self._chunked = False
         self._connection_header = b""
@@ -72,10 +78,13 @@
         self.responded = False
         self.until_close = False
         self._bytes_since_event = 0
+        self._framing_bytes = 0
+        self._allowed_framing = self._limits.max_framing_bytes
 
     def feed(self, data: bytes) -> None:
         """Parse `data`, or raise `InvalidResponseError`."""
         self._bytes_since_event += len(data)
+        self._framing_bytes += len(data)
         try:
             self._codec.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -86,6 +95,8 @@
             raise InvalidResponseError(str(error)) from None
         if self._bytes_since_event > self._limits.max_head_bytes + len(data):
             raise InvalidResponseError("framing exceeds the size limit")
+        if self._framing_bytes > self._allowed_framing:
+            raise InvalidResponseError("framing exceeds its share of the response")
 
     # Events of the codec.
 
@@ -122,7 +133,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Report bytes of the response's body."""
+        size = len(data)
         self._bytes_since_event = 0
+        self._framing_bytes -= size
+        self._allowed_framing += size // MIN_BODY_PER_FRAMING
         if self.responded:
             raise InvalidResponseError("body after the end of the response")
         self._events.receive_body(data)
@@ -135,8 +149,6 @@
 
     def _split_headers(self) -> "Headers":
         received = self._received
-        if len(received) > self._limits.max_headers:
-            raise InvalidResponseError("too many headers")
         headers: Headers = []
         size = 0
         for header in received:
--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -54,6 +54,7 @@
         self._discards_input = False
         self._dispatching = False
         self._reading = True
+        self._accounts: list[object] = []
 
     @property
     def is_idle(self) -> bool:
@@ -95,6 +96,7 @@
         """Report the disconnect to the running and waiting calls."""
         self._discards_input = True
         self.deadline = math.inf
+        self._accounts.clear()
         self._state.connections.discard(self)
         lost = [*self._running.clear(), *self._waiting]
         self._waiting.clear()
@@ -113,6 +115,7 @@
     def resume_writing(self) -> None:
         """Resume the source of the response, and run the calls that waited for the caller."""
         self.write_paused = False
+        self._release_accounts()
         self._set_deadline()
         if self._running.first is not None:
             self.update_source(self._running.first)
@@ -154,6 +157,11 @@
         """Write a part of the response to `call` after the responses to all calls before it."""
         self._running.write(call, buffers)
 
+    def hold(self, account: object) -> None:
+        """Hold `account` until what has been written so far has been sent, but for a short rest."""
+        if self.write_paused or self._running.has_buffered:
+            self._accounts.append(account)
+
     def update_source(self, call: IncomingCall) -> None:
         """Pause or resume the source of the response to `call`."""
         self._running.update_source(call, write_paused=self.write_paused)
@@ -274,6 +282,7 @@
             if following is not None:
                 self.update_source(following)
                 following.handle_first()
+        self._release_accounts()
 
     def _end_connection(self, call: IncomingCall) -> None:
         """Close after the response to `call`; the calls behind it get none."""
@@ -282,6 +291,10 @@
         self._drop_calls()
         self._close(linger=self._incoming is not None or not call.body_received)
 
+    def _release_accounts(self) -> None:
+        if self._accounts and not self.write_paused and not self._running.has_buffered:
+            self._accounts.clear()
+
     def _count_ended(self) -> None:
         self._state.running_calls -= 1
         self._state.ended_calls += 1
--- a/packages/httpflow/tests/test_response_parser.py
+++ b/packages/httpflow/tests/test_response_parser.py
@@ -89,6 +89,39 @@
     )
 
 
+# Guards against a single read that holds thousands of headers.
+@pytest.mark.parametrize(
+    "before", [b"", b"transfer-encoding: chunked\r\n\r\n0\r\n"], ids=["head", "trailers"]
+)
+def test_headers_of_one_piece_are_counted_as_they_come(before: bytes) -> None:
+    parser = ResponseParser(Events(), ClientLimits())
+    parser.expect(head_only=False)
+    with pytest.raises(InvalidResponseError, match="too many headers"):
+        parser.feed(b"HTTP/1.1 200 OK\r\n" + before + b"a: b\r\n" * 40_000)
+    assert len(parser._received) <= ClientLimits().max_headers
+
+
+def test_chunks_of_a_byte_are_refused_once_they_are_many() -> None:
+    parser = ResponseParser(Events(), ClientLimits())
+    parser.expect(head_only=False)
+    parser.feed(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    limit = ClientLimits().max_framing_bytes
+    with pytest.raises(InvalidResponseError, match="share"):
+        for _ in range(limit // 500):
+            parser.feed(b"1\r\nx\r\n" * 1000)
+
+
+def test_a_large_body_may_have_more_framing() -> None:
+    parser = ResponseParser(Events(), ClientLimits())
+    parser.expect(head_only=False)
+    parser.feed(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    chunk = b"40\r\n" + b"x" * 64 + b"\r\n"
+    for _ in range(100):
+        parser.feed(chunk * 1000)
+    parser.feed(b"0\r\n\r\n")
+    assert parser.responded
+
+
 def test_an_endless_head_is_refused_while_it_comes() -> None:
     parser = ResponseParser(Events(), LIMITS)
     parser.expect(head_only=False)
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -598,7 +598,7 @@
         idempotent = bool(state.route.idempotent)
         status = choose_status(response.status, state.verdict, idempotent=idempotent)
         if status == response.status:
-            call.respond(status, response.headers, response.body)
+            call.respond(status, response.headers, response.body, response.account)
             self._log(state, status, "answered")
             return
         self.withheld[response.status] += 1
--- a/packages/mesh/src/corianderwall/mesh/exchange.py
+++ b/packages/mesh/src/corianderwall/mesh/exchange.py
@@ -1,30 +1,31 @@
 """Sends a request on a pooled connection and collects the response, as a Twisted coroutine."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from twisted.internet.defer import CancelledError, Deferred
 
 from corianderwall.httpflow.attempt import Attempt, AttemptResult, OutgoingCall, ResponseHead
 from corianderwall.httpflow.flow import Headers
 from corianderwall.httpflow.pool import UpstreamPool
+from corianderwall.mesh.responsememory import HeldBody, ResponseMemory
 from corianderwall.model.errors import ErrorCode
 
 CLIENT_ERROR = 400
 MISDIRECTED = 421
 """The status of an endpoint that is not the one that the request names."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
-"""Size of a response body from which the response is given up; an endpoint may send without end.
-All slots of an endpoint together can then fill no more than a third of a host's memory."""
+"""Size of a response body from which the response is given up; an endpoint may send without end."""
 
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A complete response."""
+    """A complete response; `account` holds the memory of its body."""
 
     status: int
     headers: Headers
     body: bytes
+    account: HeldBody | None = field(default=None, compare=False, repr=False)
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the first value of the header `name` (lower case)."""
@@ -42,7 +43,8 @@
     to ask for the body, once a byte of the body may have. `foreign` is set if there was a response
     that does not belong to the request. `dropped` is set if the receiver had
     forgotten the connection, which had rested for `rest_s`; `resent` if this is the outcome of a
-    second request, sent after the first one was dropped.
+    second request, sent after the first one was dropped. `oversized` is set if the body was given
+    up, as it or all bodies together were too large.
     """
 
     response: Response | None
@@ -52,6 +54,7 @@
     dropped: bool = False
     rest_s: float = 0.0
     resent: bool = False
+    oversized: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,18 +95,20 @@
 class ResponseCollector:
     """Collects a response; one that does not belong to the request counts as lost."""
 
-    def __init__(self, echo: Echo | None) -> None:
+    def __init__(self, echo: Echo | None, memory: ResponseMemory | None = None) -> None:
         self.done: Deferred[AttemptResult] = Deferred()
-        self.body: list[bytes] = []
+        # Pieces may be as short as a byte, which would cost more in a list.
+        self.body = bytearray()
         self.mismatched = False
-        self.size = 0
+        self.oversized = False
         self.attempt: Attempt | None = None
+        self.account = (memory or ResponseMemory()).open(self._give_up_body)
         self._echo = echo
 
     def receive_head(self, head: ResponseHead) -> None:
         """Give up a response to another request, or one that is too long."""
         if (head.length or 0) > MAX_BODY_BYTES:
-            self._give_up()
+            self._give_up_body()
         if self._echo is None:
             return
         self.mismatched = not self._echo.matches(head)
@@ -112,11 +117,22 @@
 
     def receive_body(self, data: bytes) -> None:
         """Store the next bytes of the body."""
-        self.size += len(data)
-        if self.size > MAX_BODY_BYTES:
-            self._give_up()
-        else:
-            self.body.append(data)
+        if not self.account.is_open:
+            return
+        if len(self.body) + len(data) > MAX_BODY_BYTES:
+            self._give_up_body()
+        elif self.account.grow(len(data)):
+            self.body += data
+
+    def take_body(self) -> bytes:
+        """Return the body and hold it no longer."""
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
+
+    def _give_up_body(self) -> None:
+        self.oversized = True
+        self._give_up()
 
     def _give_up(self) -> None:
         if self.attempt is not None:
@@ -124,6 +140,11 @@
 
     def finish(self, result: AttemptResult) -> None:
         """Pass on the result."""
+        if result.complete:
+            self.account.complete()
+        else:
+            self.account.cancel()
+            self.body = bytearray()
         if not self.done.called:
             self.done.callback(result)
 
@@ -134,13 +155,14 @@
     echo: Echo | None = None,
     *,
     fresh: bool = False,
+    memory: ResponseMemory | None = None,
 ) -> Exchange:
     """Send `call` and return its outcome; cancelling closes the connection at once.
 
     `echo` tells whether the response belongs to the request. With `fresh` no connection is used
-    that has rested.
+    that has rested. The body counts in `memory`.
     """
-    collector = ResponseCollector(echo)
+    collector = ResponseCollector(echo, memory)
     attempt = pool.send(call, collector, fresh=fresh)
     collector.attempt = attempt
     try:
@@ -158,14 +180,19 @@
             foreign=collector.mismatched,
             dropped=attempt.dropped,
             rest_s=attempt.rest_s,
+            oversized=collector.oversized,
         )
-    response = Response(head.status, head.headers, b"".join(collector.body))
+    response = Response(head.status, head.headers, collector.take_body(), collector.account)
     return Exchange(response, attempt.send_started)
 
 
 async def await_exchange(
-    pool: UpstreamPool, call: OutgoingCall, echo: Echo | None = None
+    pool: UpstreamPool,
+    call: OutgoingCall,
+    echo: Echo | None = None,
+    *,
+    memory: ResponseMemory | None = None,
 ) -> Exchange:
     """Run `run_exchange` from an asyncio task."""
-    exchange = Deferred.fromCoroutine(run_exchange(pool, call, echo))
+    exchange = Deferred.fromCoroutine(run_exchange(pool, call, echo, memory=memory))
     return await exchange.asFuture(asyncio.get_running_loop())
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -35,6 +35,7 @@
 from corianderwall.mesh.ranks import Standing, compute_rank
 from corianderwall.mesh.ratelimit import parse_rate
 from corianderwall.mesh.resending import log_drop, mark_resent, resend
+from corianderwall.mesh.responsememory import ResponseMemory
 from corianderwall.mesh.settings import PLACES_SECTION, HeaderNames, HostSettings
 from corianderwall.mesh.teams import NO_TEAMS, TeamTable, identify_caller
 from corianderwall.mesh.teamshares import TeamShares
@@ -109,7 +110,9 @@
         find_record: Callable[[str], EndpointRecord | None] = lambda _: None,
         read_teams: Callable[[], TeamTable] = lambda: NO_TEAMS,
         knows_service: Callable[[str], bool] = lambda _: False,
+        memory: ResponseMemory | None = None,
     ) -> None:
+        self._memory = memory or ResponseMemory()
         self.warmup = WarmupMonitor(
             settings.bounds, headers, lambda: self._pool, lambda: self.record, self._dispatch
         )
@@ -494,14 +497,16 @@
         )
         # A copy of its refusal may still come on the connection that carried the first request.
         was_refused = request.request_id in self._refused_ids
-        exchange = await run_exchange(self._pool, call, echo, fresh=was_refused)
+        exchange = await run_exchange(
+            self._pool, call, echo, fresh=was_refused, memory=self._memory
+        )
         if exchange.dropped:
             resent = self._take_resend(metadata)
             if self.log_budget.take(self._loop.time()):
                 log_drop(self.connections, metadata, request, exchange, resent=resent)
             if resent:
                 running.is_retry = True
-                exchange = await resend(self._pool, call, echo)
+                exchange = await resend(self._pool, call, echo, self._memory)
         self._read_speed(metadata, exchange)
         if exchange.response is not None:
             self._echoes_ids |= exchange.response.find_header(names.request_id) is not None
@@ -609,6 +614,7 @@
             handed_over=exchange.send_started,
             error=error,
             foreign=exchange.foreign,
+            oversized=exchange.oversized,
             rest_ms=round(exchange.rest_s * 1000, 1),
             fingerprint=fingerprint,
             caller=metadata.caller,
--- a/packages/mesh/src/corianderwall/mesh/metricshandler.py
+++ b/packages/mesh/src/corianderwall/mesh/metricshandler.py
@@ -60,6 +60,8 @@
         metrics.connections.set({}, node.gate.connections.opened)
         metrics.drops.set({"resent": "yes"}, node.gate.resent_count)
         metrics.drops.set({"resent": "no"}, node.gate.connections.drops - node.gate.resent_count)
+        metrics.response_bytes.set({}, node.response_memory.held)
+        metrics.oversized.set({}, node.response_memory.given_up)
         for status, count in node.entry.withheld.items():
             metrics.withheld.set({"status": str(status)}, count)
         metrics.crashes.set({}, node.gate.crash_count)
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -57,6 +57,7 @@
     LENDER_KIND,
     QuotaExchange,
 )
+from corianderwall.mesh.responsememory import RESPONSE_MEMORY_FRACTION, ResponseMemory
 from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
@@ -155,8 +156,9 @@
         self.suspects = Suspects()
         self._archive = SuspectArchive(self.suspects, source)
         self.body_memory = BodyMemory(settings.memory_bytes * BODY_MEMORY_FRACTION)
+        self.response_memory = ResponseMemory(settings.memory_bytes * RESPONSE_MEMORY_FRACTION)
         sender = LinkSender(self.uplink)
-        self.link = PeerLink(self.directory, headers, sender)
+        self.link = PeerLink(self.directory, headers, sender, self.response_memory)
         self.gate = EndpointGate(
             settings,
             headers,
@@ -168,6 +170,7 @@
             self._find_own_record,
             lambda: self.holder.teams,
             self._knows_service,
+            self.response_memory,
         )
         joined = asyncio.Event()
         self.sync = ConfigurationSync(
--- a/packages/mesh/src/corianderwall/mesh/peerlink.py
+++ b/packages/mesh/src/corianderwall/mesh/peerlink.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
 import msgspec
@@ -15,10 +15,11 @@
 from corianderwall.mesh.body import BodyReader
 from corianderwall.mesh.bodymemory import BodyMemory
 from corianderwall.mesh.directory import Directory
-from corianderwall.mesh.exchange import Echo, Response, await_exchange, run_exchange
+from corianderwall.mesh.exchange import Echo, await_exchange, run_exchange
 from corianderwall.mesh.linkbytes import START_LINE_BYTES, LinkBytes
 from corianderwall.mesh.messages import CallMetadata, Load, NodeRecord, Refusal, ResponseMetadata
 from corianderwall.mesh.owner import ForwardedRequest, Owner, OwnerResponse
+from corianderwall.mesh.responsememory import ResponseMemory
 from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames
 from corianderwall.mesh.tasks import run_call
@@ -76,7 +77,14 @@
 class PeerLink:
     """The connections from this node to its peers."""
 
-    def __init__(self, directory: Directory, headers: HeaderNames, sender: LinkSender) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        headers: HeaderNames,
+        sender: LinkSender,
+        memory: ResponseMemory | None = None,
+    ) -> None:
+        self._memory = memory or ResponseMemory()
         self._directory = directory
         self._headers = headers
         self._sender = sender
@@ -104,7 +112,7 @@
             send_body=self._sender.send_request_body,
         )
         echo = Echo(self._headers.request_id, request.request_id)
-        exchange = await run_exchange(self._find_pool(node), call, echo)
+        exchange = await run_exchange(self._find_pool(node), call, echo, memory=self._memory)
         response = exchange.response
         if exchange.send_started:
             self.bytes.count("request_bodies", node.zone, len(body))
@@ -124,7 +132,7 @@
             return self._report_no_response(exchange.send_started, exchange.error)
         if response_metadata.ran:
             kept = [header for header in response.headers if header[0] != RESPONSE_HEADER]
-            return OwnerResponse(response_metadata, Response(response.status, kept, response.body))
+            return OwnerResponse(response_metadata, replace(response, headers=kept))
         return OwnerResponse(response_metadata)
 
     async def post(self, node: NodeRecord, kind: str, body: bytes) -> bytes | None:
@@ -137,7 +145,7 @@
             idempotent=True,
             body=body,
         )
-        exchange = await await_exchange(self._find_pool(node), call)
+        exchange = await await_exchange(self._find_pool(node), call, memory=self._memory)
         response = exchange.response
         reply_size = len(response.body) if response is not None else 0
         self.bytes.count(kind, node.zone, len(body) + reply_size + 2 * START_LINE_BYTES)
@@ -243,7 +251,7 @@
         else:
             # An endpoint could otherwise speak to the entry in the owner's name.
             headers = [*strip_own_headers(reply.response.headers), encoded]
-            self._sender.respond(call, reply.response.status, headers, reply.response.body)
+            self._sender.respond(call, replace(reply.response, headers=headers))
 
     def _report_no_memory(self, metadata: CallMetadata, request_id: bytes) -> OwnerResponse:
         log_info(
--- a/packages/mesh/src/corianderwall/mesh/resending.py
+++ b/packages/mesh/src/corianderwall/mesh/resending.py
@@ -11,15 +11,18 @@
 from corianderwall.mesh.exchange import Echo, Exchange, run_exchange
 from corianderwall.mesh.messages import CallMetadata
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
+from corianderwall.mesh.responsememory import ResponseMemory
 from corianderwall.node.logs import log_info
 
 
-async def resend(pool: UpstreamPool, call: OutgoingCall, echo: Echo) -> Exchange:
+async def resend(
+    pool: UpstreamPool, call: OutgoingCall, echo: Echo, memory: ResponseMemory
+) -> Exchange:
     """Send `call` on a connection that has not rested.
 
     The first request may have run, so the outcome never says that none was sent.
     """
-    exchange = await run_exchange(pool, call, echo, fresh=True)
+    exchange = await run_exchange(pool, call, echo, fresh=True, memory=memory)
     return replace(exchange, send_started=True, resent=True)
 
 
--- a/packages/mesh/src/corianderwall/mesh/sending.py
+++ b/packages/mesh/src/corianderwall/mesh/sending.py
@@ -7,7 +7,7 @@
 
 from corianderwall.httpflow.attempt import Attempt
 from corianderwall.httpflow.call import IncomingCall
-from corianderwall.httpflow.flow import Headers
+from corianderwall.mesh.exchange import Response
 from corianderwall.mesh.uplink import Uplink
 
 CHUNK_BYTES = 8192
@@ -47,12 +47,16 @@
 
 @dataclass(slots=True)
 class _Transfer:
-    """A big body that is being sent; `sent` bytes of `body` have been written."""
+    """A big body that is being sent; `sent` bytes of `body` have been written.
+
+    `account` holds the memory of the body.
+    """
 
     destination: _Destination
     body: bytes
     sent: int = 0
     paused: bool = False
+    account: object = None
 
     def pause_body(self) -> None:
         """Pause, as the receiver does not keep up."""
@@ -76,12 +80,13 @@
         self._next_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def respond(self, call: IncomingCall, status: int, headers: Headers, body: bytes) -> None:
+    def respond(self, call: IncomingCall, response: Response) -> None:
         """Respond to `call`, at once if the response is small."""
+        status, headers, body = response.status, response.headers, response.body
         if self._uplink.is_small(len(body)) or call.method == b"HEAD":
-            call.respond(status, headers, body)
+            call.respond(status, headers, body, response.account)
             return
-        transfer = _Transfer(_ResponseDestination(call), body)
+        transfer = _Transfer(_ResponseDestination(call), body, account=response.account)
         call.start_response(status, headers, len(body), transfer)
         self._enqueue(transfer)
 
--- a/packages/mesh/tests/test_gate.py
+++ b/packages/mesh/tests/test_gate.py
@@ -18,6 +18,7 @@
     Refusal,
 )
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
+from corianderwall.mesh.responsememory import ResponseMemory
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.uplink import Uplink
 from corianderwall.model.endpoint import Address
@@ -106,10 +107,13 @@
 class Setup:
     """A gate beside a scripted endpoint."""
 
-    def __init__(self, respond: Callable[[ReceivedRequest], Awaitable[bytes | None]]) -> None:
+    def __init__(
+        self, respond: Callable[[ReceivedRequest], Awaitable[bytes | Endless | None]]
+    ) -> None:
         self.upstream = ScriptedUpstream(respond)
         self.records: list[EndpointRecord] = []
         self.suspects = Suspects()
+        self.memory = ResponseMemory()
         self.shared: list[tuple[SuspectRecord, ...]] = []
 
     async def start(self, **fields: Any) -> None:
@@ -123,6 +127,7 @@
             Uplink(),
             self.suspects,
             self.shared.append,
+            memory=self.memory,
         )
         self.gate.synced = True
         assert self.gate.endpoint.handle_announcement(make_announcement(self.address, **fields))
@@ -132,7 +137,7 @@
 
 
 def run_scenario(
-    respond: Callable[[ReceivedRequest], Awaitable[bytes | None]],
+    respond: Callable[[ReceivedRequest], Awaitable[bytes | Endless | None]],
     scenario: Callable[[Setup], Awaitable[None]],
     **fields: Any,
 ) -> Deferred[None]:
@@ -615,6 +620,36 @@
     return run_scenario(respond_ok, scenario)
 
 
+# Guards against a node that runs out of memory, and takes the calls of others with it.
+@pytest.mark.parametrize("endless", [Endless.CHUNKS, Endless.UNTIL_CLOSE])
+def test_responses_without_end_leave_room_for_the_others(endless: Endless) -> Deferred[None]:
+    async def scenario(setup: Setup) -> None:
+        memory = setup.memory
+        memory.capacity = MAX_BODY_BYTES
+        peak = 0
+        bad = [serve(setup.gate, f"bad-{number}") for number in range(4)]
+        sound = [serve(setup.gate, f"sound-{number}") for number in range(4)]
+        waiting = asyncio.gather(*bad, *sound)
+        while not waiting.done():
+            peak = max(peak, memory.held)
+            await asyncio.sleep(0)
+        replies = await waiting
+        assert [reply.metadata.ran for reply in replies] == [None] * 4 + [True] * 4
+        assert {len(reply.response.body) for reply in replies[4:] if reply.response} == {1 << 20}
+        assert peak <= MAX_BODY_BYTES
+        assert memory.given_up > 0
+        assert memory.held == 4 << 20
+        del replies, waiting, bad, sound
+        assert memory.held == 0
+
+    async def respond(request: ReceivedRequest) -> bytes | Endless:
+        if request.headers["request-id"].startswith("bad"):
+            return endless
+        return make_response(request, body=b"x" * (1 << 20))
+
+    return run_scenario(respond, scenario, slots=8)
+
+
 def quarantine(suspects: Suspects, caller: str) -> None:
     """Let `suspects` know the requests of this module as ones that have ended three endpoints."""
     fingerprint = make_request().compute_fingerprint(caller, b"")
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -401,6 +401,36 @@
     return run_scenario(scenario)
 
 
+@pytest.mark.parametrize("entry", ["n1", "n2"])
+def test_a_body_counts_as_held_until_a_slow_caller_has_read_it(entry: str) -> Deferred[None]:
+    """Guards against a node that fills up with whole responses that nobody reads."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def respond(request: ReceivedRequest) -> bytes:
+            return make_response(request, body=bytes(size))
+
+        size = 7 << 20
+        fleet.respond = respond
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        await fleet.add("n1")
+        await fleet.add("n2", service="other", announce=False)
+        await fleet.wait_until_synced()
+        memories = [host.node.response_memory for host in fleet.hosts.values()]
+        node = fleet.hosts[entry].node
+        port = node.settings.outbound.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET /r/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: q1\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        await fleet.wait_for(lambda: sum(memory.held for memory in memories) == size)
+        await asyncio.sleep(0.1)
+        assert node.response_memory.held == size
+        await reader.readexactly(size)
+        await fleet.wait_for(lambda: node.response_memory.held == 0)
+        writer.close()
+
+    return run_scenario(scenario)
+
+
 def make_team_snapshot(version: int, *keys: str, **fields: object) -> Snapshot:
     digests = tuple(sha256(key.encode()).hexdigest() for key in keys)
     routes = (make_route("r", "s", **fields), make_route("p", "s", public=True))
--- a/packages/mesh/tests/test_sending.py
+++ b/packages/mesh/tests/test_sending.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from corianderwall.httpflow.flow import BodySource, Headers
+from corianderwall.mesh.exchange import Response
 from corianderwall.mesh.sending import CHUNK_BYTES, LinkSender
 from corianderwall.mesh.uplink import BIG_RATE_FRACTION, Uplink
 
@@ -23,7 +24,7 @@
         self._name = name
         self._log = log
 
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+    def respond(self, status: int, headers: Headers, body: bytes, account: object = None) -> None:
         self.body = body
         self.ended = True
 
@@ -50,7 +51,7 @@
 
     def send(self, name: str, size: int) -> FakeCall:
         call = FakeCall(name, self.log)
-        self.sender.respond(call, 200, [], b"x" * size)  # type: ignore[arg-type]
+        self.sender.respond(call, Response(200, [], b"x" * size))  # type: ignore[arg-type]
         return call
 
     def upload(self, name: str, size: int) -> "FakeAttempt":
--- a/packages/node/src/corianderwall/node/metrics.py
+++ b/packages/node/src/corianderwall/node/metrics.py
@@ -104,6 +104,12 @@
         self.evacuated_zones = self._add_gauge(
             "evacuated_zones", "Zones whose endpoints get no calls, as this node knows."
         )
+        self.response_bytes = self._add_gauge(
+            "response_body_bytes", "Bytes of response bodies that the node holds"
+        )
+        self.oversized = self._add_counter(
+            "responses_given_up", "Responses given up as all bodies together were too large"
+        )
         self.withheld = self._add_counter(
             "withheld_responses",
             "Responses of the endpoint replaced by 502, as they promised that a call had not run",
--- a/packages/standins/src/corianderwall/standins/scripted.py
+++ b/packages/standins/src/corianderwall/standins/scripted.py
@@ -15,19 +15,30 @@
     INFORMATIONAL = "informational"
     CHUNKS = "chunks"
     UNTIL_CLOSE = "until close"
+    TINY_CHUNKS = "tiny chunks"
+    CHUNK_LINE = "chunk line"
+    CHUNK_LINES = "chunk lines"
+    TRAILERS = "trailers"
+    GARBAGE = "garbage"
 
 
 _PIECE_BYTES = 16 * 1024
 _OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _OK + b"transfer-encoding: chunked\r\n\r\n"
 _ENDLESS_PARTS = {
     Endless.HEADER: (_OK + b"a: ", b"x" * _PIECE_BYTES),
     Endless.HEADERS: (_OK, b"a: b\r\n" * 1000),
     Endless.INFORMATIONAL: (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
     Endless.CHUNKS: (
-        _OK + b"transfer-encoding: chunked\r\n\r\n",
+        _CHUNKED,
         b"%x\r\n%b\r\n" % (_PIECE_BYTES, b"x" * _PIECE_BYTES),
     ),
     Endless.UNTIL_CLOSE: (_OK + b"\r\n", b"x" * _PIECE_BYTES),
+    Endless.TINY_CHUNKS: (_CHUNKED, b"1\r\nx\r\n" * 1000),
+    Endless.CHUNK_LINE: (_CHUNKED + b"5;a=", b"x" * _PIECE_BYTES),
+    Endless.CHUNK_LINES: (_CHUNKED, b"1;a=%b\r\nx\r\n" % (b"x" * 8000)),
+    Endless.TRAILERS: (_CHUNKED + b"3\r\nabc\r\n0\r\n", b"a: b\r\n" * 1000),
+    Endless.GARBAGE: (b"", b"x" * _PIECE_BYTES),
 }
 
 
@@ -43,13 +54,15 @@
 class ScriptedUpstream:
     """Listens on loopback; `respond` returns the raw response, or None to send none.
 
+    It returns the part without end for a response that goes on until the caller closes.
+
     While `limit_per_s` is set, each response names it as the endpoint's rate limit; while `leaving`
     is set, each one says that the endpoint is about to stop. While `endless` is set, each one goes
     on until the caller closes the connection; `sent_bytes` counts the bytes of these. A connection
     that has rested for `forget_after_s` is reset when the next request arrives on it.
     """
 
-    respond: Callable[["ReceivedRequest"], Awaitable[bytes | None]]
+    respond: Callable[["ReceivedRequest"], Awaitable[bytes | Endless | None]]
     requests: list[ReceivedRequest] = field(default_factory=list)
     open_connections: int = 0
     accepted_connections: int = 0
@@ -124,9 +137,10 @@
                 self._running -= 1
                 if writer.transport.is_closing():
                     return
-                if self.endless is not None:
-                    await self._send_without_end(writer, self.endless)
-                if raw is None:
+                endless = raw if isinstance(raw, Endless) else self.endless
+                if endless is not None:
+                    await self._send_without_end(writer, endless)
+                if not isinstance(raw, bytes):
                     await reader.read()
                     return
                 writer.write(self._add_notices(raw))
