Send a late call only if it can end before a stopping node does

Callers saw: in a planned stop, a request that came 3 s after SIGTERM was sent to an endpoint and broken off by a 504 of the node while the endpoint was at work (LOST); a request read behind another one on its connection ended with the connection.

Causes: late requests, and bodies that end late, were sent whatever was left of the grace period; an owner took calls that outlast it; a server that drains closed a connection behind the last request that its handler had got, not behind the last one that it had read.

Change: StopPlan decides by the route's timeout and the deadline; what does not fit is refused at once and has not run. An owner that stops refuses calls that must not be repeated and may outlast it.

test_pipeline expected a drain to drop the fifth request, which had been read and waited: that is the fault. It expects five answers now, and as before one close, behind the last.

Tests: "read behind another" fails without the change in the connection; "late in the grace period" (2) and "might break it off" fail if StopPlan admits everything.

--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -171,8 +171,11 @@
         return self._running.first is call
 
     def must_close_after(self, call: IncomingCall) -> bool:
-        """Return whether the response to `call` must close the connection, as the server drains."""
-        return self._state.draining and self._running.is_last(call)
+        """Return whether the response to `call` must close the connection, as the server drains.
+
+        A request that has been read behind `call` gets its own response first.
+        """
+        return self._state.draining and self._running.is_last(call) and not self._waiting
 
     def close_after(self, call: IncomingCall) -> None:
         """Run no calls behind `call`, as the response to it closes the connection."""
--- a/packages/httpflow/tests/test_pipeline.py
+++ b/packages/httpflow/tests/test_pipeline.py
@@ -208,16 +208,19 @@
     assert len(harness.calls) == 2
 
 
-def test_a_drain_answers_what_runs_and_closes_behind_the_last(harness) -> None:
-    """Guards against a stop that loses calls that run behind the first."""
+def test_a_drain_answers_what_was_read_and_closes_behind_the_last(harness) -> None:
+    """Guards against a stop that loses calls that run or wait behind the first."""
     feed_gets(harness, 5)
     harness.state.draining = True
     for call in reversed(harness.calls):
         call.respond(200, [])
     assert list_statuses(harness) == [b"200"] * 4
+    assert len(harness.calls) == 5
+    harness.calls[4].respond(200, [])
+    assert list_statuses(harness) == [b"200"] * 5
     assert harness.written.count(b"connection: close") == 1
     assert harness.transport.closed
-    assert (len(harness.calls), harness.state.ended_calls, harness.state.running_calls) == (4, 4, 0)
+    assert (len(harness.calls), harness.state.ended_calls, harness.state.running_calls) == (5, 5, 0)
 
 
 def test_a_head_response_and_a_304_behind_others_have_no_body(harness) -> None:
--- a/packages/httpflow/tests/test_server.py
+++ b/packages/httpflow/tests/test_server.py
@@ -101,6 +101,29 @@
     assert all(each.recv(100).endswith(b"ok") for each in sockets)
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_request_read_behind_another_gets_its_response_before_a_drain_closes(
+    cleanups, tools
+) -> None:
+    """Guards against requests that were read whole and end with the connection."""
+    handler = HoldingHandler()
+    server, pool = await open_server(cleanups, handler)
+    caller = socket.create_connection((pool.address.host, pool.address.port))
+    cleanups.append(caller.close)
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 2)
+    await tools.wait_until(lambda: len(handler.calls) == 1)
+    drained = server.drain(now())
+    await tools.pause(0.05)
+    handler.calls[0].respond(200, [], b"first")
+    await tools.wait_until(lambda: len(handler.calls) == 2)
+    handler.calls[1].respond(200, [], b"second")
+    report = await drained
+    assert (report.completed, report.aborted) == (2, 0)
+    first, second = caller.recv(1000).split(b"first")
+    assert b"connection: close" not in first
+    assert b"connection: close" in second and second.endswith(b"second")
+
+
 class RespondingHandler:
     """A handler that responds to each call at once."""
 
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -45,6 +45,7 @@
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.sizes import ResponseSizes
 from corianderwall.mesh.splits import WeightedSplit
+from corianderwall.mesh.stopplan import NO_STOP, StopPlan
 from corianderwall.mesh.tasks import run_call
 from corianderwall.mesh.teams import identify_caller, make_wait_class
 from corianderwall.mesh.turns import wait_for_turn
@@ -85,7 +86,8 @@
 
     `identity` holds the team whose key the caller has sent; a nested call has none of its own.
 
-    `verdict` says whether an endpoint has run the call, in any attempt.
+    `ends_by` is when the caller and the route give the call up; `deadline` may be earlier, if this
+    node stops. `verdict` says whether an endpoint has run the call, in any attempt.
 
     A nested call has no latency objective before its deadline: refusing it would fail the running
     call that made it.
@@ -95,6 +97,7 @@
     service: str
     request: ForwardedRequest
     deadline: float
+    ends_by: float
     caller_deadline: float
     due: float
     began: float
@@ -115,6 +118,7 @@
     try_new: bool | None = None
     identity: Identity = ANONYMOUS
     key_withdrawn: bool = False
+    came_late: bool = False
     quota: CallQuota | None = None
 
     @property
@@ -208,18 +212,18 @@
         self.withheld: Counter[int] = Counter()
         self._sizes = ResponseSizes()
         self._probes = ProbePolicy()
-        self._latest_end = float("inf")
+        self._stop_plan = NO_STOP
         self._pending: set[Deferred[OwnerResponse | None]] = set()
 
-    def set_latest_end(self, latest_end: float) -> None:
-        """End all calls by the monotonic second `latest_end`, when this node stops.
+    def begin_stop(self, plan: StopPlan) -> None:
+        """End all calls as `plan` says, and send no late one that may not end by then.
 
         This includes calls in progress: a response is more useful to callers than a closed
         connection.
         """
-        self._latest_end = latest_end
+        self._stop_plan = plan
         for pending in self._pending:
-            self._loop.call_at(latest_end, pending.cancel)
+            self._loop.call_at(plan.latest_response, pending.cancel)
 
     def handle(self, call: IncomingCall) -> None:
         """Start handling `call`."""
@@ -246,8 +250,16 @@
             return
         state = self._make_state(call, request_id, route)
         state.identity = identity
+        if self._comes_late(state):
+            body.release()
+            self._respond_stopping(call, state)
+            return
         if self._quotas is not None and identity.team is not None:
             state.quota = CallQuota(self._quotas, identity.team.name)
+        await self._run_call(call, state, body)
+
+    async def _run_call(self, call: IncomingCall, state: _CallState, body: BodyReader) -> None:
+        """Read the body of a call, send it to owners and respond to it."""
         self._metrics.running += 1
         pending = Deferred.fromCoroutine(self._read_and_send(state, body))
         timer = self._loop.call_at(state.deadline, pending.cancel)
@@ -267,7 +279,7 @@
         if state.body_received:
             self._respond(call, state, response)
         else:
-            self._refuse_body(call, request_id, body)
+            self._refuse_body(call, state.request.request_id, body)
 
     def _find_route(self, call: IncomingCall, request_id: bytes) -> Route | None:
         """Return the route of `call`, or refuse it and return None."""
@@ -307,7 +319,7 @@
             self._refuse_early(call, request_id, 0, "caller left before its turn")
             raise
         now = self._loop.time()
-        if came and now <= max(call.received_at, min(deadline, self._latest_end)):
+        if came and now <= max(call.received_at, min(deadline, self._stop_plan.latest_response)):
             return True
         self._refuse_early(call, request_id, 503, "late behind calls of its connection")
         return False
@@ -316,7 +328,8 @@
         timeout_s = self._read_timeout_s(call)
         began = call.received_at
         now = self._loop.time()
-        deadline = min(began + timeout_s, now + route.timeout_ms / 1000, self._latest_end)
+        ends_by = min(began + timeout_s, now + route.timeout_ms / 1000)
+        deadline = min(ends_by, self._stop_plan.latest_response)
         parent = self._find_parent(request_id)
         due = deadline
         if parent is None:
@@ -329,6 +342,7 @@
                 request_id, call.method, call.target, self._strip_headers(call)
             ),
             deadline=deadline,
+            ends_by=ends_by,
             caller_deadline=began + timeout_s,
             due=due,
             began=began,
@@ -343,12 +357,19 @@
             self._budget.charge(state.service, began)
         return state
 
+    def _comes_late(self, state: _CallState) -> bool:
+        """Return whether the call may not end before this node does, and record it."""
+        state.came_late = not self._stop_plan.admits_call(self._loop.time(), state.ends_by)
+        return state.came_late
+
     async def _read_and_send(self, state: _CallState, body: BodyReader) -> OwnerResponse | None:
         """Return the response of an owner, or None if there is none or no complete body."""
         data = await body.read()
         if data is None:
             return None
         state.body_received = True
+        if self._comes_late(state):
+            return None
         state.body = data
         state.request = replace(state.request, body=ReceivedBody(data))
         return await self._find_response(state)
@@ -582,6 +603,8 @@
             self._respond_error(call, state, 401, Denial.WITHDRAWN_KEY.value)
         elif reply is None and state.quota is not None and state.quota.refusal is not None:
             self._respond_over_quota(call, state, state.quota.refusal)
+        elif reply is None and state.came_late:
+            self._respond_stopping(call, state)
         elif reply is None or reply.metadata.ran is False:
             waits = state.refused_wait_ms
             wait_s = min(waits) / 1000 if waits else self._estimate_unasked_wait(state)
@@ -605,6 +628,9 @@
         call.respond(status, [(self._headers.request_id, state.request.request_id)])
         self._log(state, status, "false promise", endpoint_status=response.status)
 
+    def _respond_stopping(self, call: IncomingCall, state: _CallState) -> None:
+        self._respond_error(call, state, 503, "stopping", DEFAULT_RETRY_AFTER_S)
+
     def _estimate_unasked_wait(self, state: _CallState) -> float:
         """Return the wait of a call that no owner was asked to queue."""
         views = self._directory.list_ready(state.service)
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -37,6 +37,7 @@
 from corianderwall.mesh.resending import log_drop, mark_resent, resend
 from corianderwall.mesh.responsememory import ResponseMemory
 from corianderwall.mesh.settings import PLACES_SECTION, HeaderNames, HostSettings
+from corianderwall.mesh.stopplan import NO_STOP, StopPlan
 from corianderwall.mesh.teams import NO_TEAMS, TeamTable, identify_caller
 from corianderwall.mesh.teamshares import TeamShares
 from corianderwall.mesh.uplink import Uplink
@@ -127,6 +128,7 @@
         self.shares = TeamShares(lambda team: read_teams().weigh(team))
         self.queue = AdmissionQueue(0, uplink, pace=self.warmup.pace, shares=self.shares)
         self.closing = False
+        self._stop_plan = NO_STOP
         self.synced = False
         self.crash_count = 0
         self.log_budget = LogBudget(CALL_LOG_LINES_PER_S)
@@ -199,7 +201,7 @@
         """Run a call at the endpoint or refuse it."""
         now = self._loop.time()
         deadline = now + metadata.left_ms / 1000
-        refusal = self._find_refusal(metadata)
+        refusal = self._find_refusal(metadata) or self._find_late(metadata, deadline)
         if refusal is not None:
             return self._refuse(request, refusal)
         if not self._has_responded and metadata.limit_per_s is not None:
@@ -237,6 +239,7 @@
             # The endpoint may have begun to leave, or the key may have been withdrawn, while the
             # call waited or its body was on its way.
             refusal = Refusal.BODY_LOST if body is None else self._find_refusal(metadata)
+            refusal = refusal or self._find_late(metadata, deadline)
             refusal = refusal or self._check_turn(queued, sent_at)
             if body is not None and refusal is None:
                 refusal = self._check_suspect(metadata, request, body)
@@ -280,6 +283,10 @@
         else:
             self.expect_cold()
 
+    def begin_stop(self, plan: StopPlan) -> None:
+        """Refuse calls of peers that must not be repeated and may not end before this node."""
+        self._stop_plan = plan
+
     def close(self) -> None:
         """Refuse waiting and new calls; running calls continue."""
         self.closing = True
@@ -340,6 +347,12 @@
             return Refusal.LEAVING
         return self.zone_guard.find_refusal()
 
+    def _find_late(self, metadata: CallMetadata, deadline: float) -> Refusal | None:
+        """Return the refusal of a call that may not end before this node does."""
+        if self._stop_plan.admits_peer_call(deadline, idempotent=metadata.idempotent):
+            return None
+        return Refusal.LEAVING
+
     async def _admit(self, queued: QueuedCall, metadata: CallMetadata) -> Refusal | None:
         queue = self.queue
         admission = queue.offer(queued, self._loop.time(), may_wait=metadata.may_wait)
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -61,6 +61,7 @@
 from corianderwall.mesh.sending import LinkSender
 from corianderwall.mesh.settings import HeaderNames, HostSettings
 from corianderwall.mesh.source import Source
+from corianderwall.mesh.stopplan import plan_stop
 from corianderwall.mesh.supervision import Supervisor, Work
 from corianderwall.mesh.suspectarchive import SuspectArchive
 from corianderwall.mesh.uplink import Uplink
@@ -70,14 +71,6 @@
 from corianderwall.node.metrics import CallMetrics
 from corianderwall.traffic.suspects import SuspectRecord, Suspects
 
-READINESS_DELAY_S = 2.6
-"""Time after SIGTERM for which new calls may still come in; two failed readiness probes."""
-SERVE_FRACTION = 0.4
-"""Fraction of the grace period for which the endpoint gets calls; they end in the rest of it."""
-STOP_MARGIN_S = 0.4
-"""Time reserved at the end of the grace period for the process to exit."""
-RESPONSE_MARGIN_S = 0.15
-"""Time for the last responses to reach their callers; ten times their usual network time."""
 RESERVED_DESCRIPTORS = 400
 """File descriptors reserved for connections to peers, the endpoint and the platform."""
 MAX_PIPELINED_CALLS = 8
@@ -94,32 +87,6 @@
 """Timeout of a health check of the endpoint."""
 
 
-@dataclass(frozen=True, slots=True)
-class StopPlan:
-    """The schedule of a shutdown, in monotonic seconds.
-
-    The endpoint gets calls until `serve_until`, new calls of callers are expected until
-    `no_new_calls_from`, and running calls end by `end`.
-    """
-
-    serve_until: float
-    no_new_calls_from: float
-    end: float
-
-
-def plan_stop(began: float, grace_s: float) -> StopPlan:
-    """Return the schedule of a shutdown that began with SIGTERM at `began`.
-
-    The endpoint goes on running, and its slots are idle from `serve_until` until the next process
-    here is ready, so the endpoint gets calls for as long as possible.
-    """
-    return StopPlan(
-        serve_until=began + min(READINESS_DELAY_S, grace_s * SERVE_FRACTION),
-        no_new_calls_from=began + READINESS_DELAY_S,
-        end=began + grace_s - STOP_MARGIN_S,
-    )
-
-
 class HostNode:
     """Owns all components of a node; uses the running event loop.
 
@@ -338,7 +305,8 @@
         plan = plan_stop(began, self.settings.bounds.grace_s)
         running = self._outbound.running_calls + self._inbound.running_calls
         log_info("stopping", running=running)
-        self.entry.set_latest_end(plan.end - RESPONSE_MARGIN_S)
+        self.entry.begin_stop(plan)
+        self.gate.begin_stop(plan)
         outbound_drained = self._outbound.drain(plan.no_new_calls_from).asFuture(self._loop)
         await asyncio.sleep(plan.serve_until - began)
         self.directory.own = msgspec.structs.replace(self.directory.own, leaving=True)
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -22,12 +22,19 @@
 from corianderwall.mesh.leaders import list_leaders
 from corianderwall.mesh.memorysource import MemorySource
 from corianderwall.mesh.messages import CallMetadata, EndpointState, MoveOrder
-from corianderwall.mesh.node import READINESS_DELAY_S, STOP_MARGIN_S, HostNode, plan_stop
+from corianderwall.mesh.node import HostNode
 from corianderwall.mesh.owner import ForwardedRequest, OwnerResponse
 from corianderwall.mesh.quota import SETTLE_S
 from corianderwall.mesh.quotaexchange import TICK_S
 from corianderwall.mesh.settings import Bounds, HeaderNames, HostSettings
 from corianderwall.mesh.source import ConflictError, SourceError
+from corianderwall.mesh.stopplan import (
+    READINESS_DELAY_S,
+    RESPONSE_MARGIN_S,
+    STOP_MARGIN_S,
+    StopPlan,
+    plan_stop,
+)
 from corianderwall.mesh.teams import identify_caller
 from corianderwall.model.endpoint import Address
 from corianderwall.model.resource import (
@@ -1029,6 +1036,67 @@
     return run_scenario(scenario)
 
 
+def begin_late_stop(fleet: Fleet, name: str, left_s: float) -> None:
+    """Put a node into the last `left_s` of its grace period."""
+    now = fleet.now()
+    node = fleet.hosts[name].node
+    plan = StopPlan(now - 1.0, now - 1.0, now + left_s + RESPONSE_MARGIN_S)
+    node.entry.begin_stop(plan)
+    node.gate.begin_stop(plan)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_call_that_comes_late_in_the_grace_period_is_sent_only_if_it_can_end(
+    idempotent: bool,
+) -> None:
+    """Guards against a planned stop that breaks off calls at which the endpoint is at work."""
+
+    async def scenario(fleet: Fleet) -> None:
+        route = make_route("r", "s", idempotent=idempotent, timeout_ms=1000)
+        fleet.source.put_config(make_snapshot(1, route))
+        host = await fleet.add("n1")
+        await fleet.wait_until_synced()
+        reader, writer = await fleet.open_upload("n1", 5)
+        await fleet.wait_for(lambda: host.node.metrics.running == 1)
+        begin_late_stop(fleet, "n1", 0.6)
+        late = await fleet.send_call("n1", request_id="q2")
+        assert late.status == 503
+        assert float(late.headers["retry-after"]) > 0
+        # Of this call, the head had come in time, but not the body.
+        writer.write(b"whole")
+        assert await read_status(reader) == 503
+        assert host.upstream.requests == []
+        assert (await fleet.send_call("n1", request_id="q3", deadline_ms="500")).status == 200
+
+    return run_scenario(scenario)
+
+
+def test_a_peer_takes_its_call_elsewhere_if_an_owner_that_stops_might_break_it_off() -> (
+    Deferred[None]
+):
+    """Guards against a planned stop that breaks off calls of other nodes."""
+
+    async def scenario(fleet: Fleet) -> None:
+        routes = (
+            make_route("r", "s", idempotent=False, timeout_ms=1000),
+            make_route("i", "s", timeout_ms=1000),
+        )
+        fleet.source.put_config(make_snapshot(1, *routes))
+        await fleet.add("n1")
+        await fleet.add("n2")
+        await fleet.add("n3", service="other", announce=False)
+        await fleet.wait_until_synced()
+        begin_late_stop(fleet, "n1", 0.6)
+        for number in range(10):
+            assert (await fleet.send_call("n3", request_id=f"q{number}")).status == 200
+        assert count_seen(fleet) == {"n1": 0, "n2": 10, "n3": 0}
+        for number in range(10):
+            assert (await fleet.send_call("n3", "/i/x", request_id=f"i{number}")).status == 200
+        assert count_seen(fleet)["n1"] > 0
+
+    return run_scenario(scenario)
+
+
 def test_a_restarted_node_gets_the_configuration_from_its_peers() -> Deferred[None]:
     async def scenario(fleet: Fleet) -> None:
         fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
