Wait for the leaves from when there is a configuration

Cause: the 6 s after which a node uses its endpoint without word of the leaves began at its start. They had passed when the platform came back, and the configuration was read before the leaves.

Change: they begin when the node has a configuration. Before that it serves nothing.

Test: "some time after there is a configuration" failed before. It takes the place of "at last if neither platform nor peers respond", which demanded use of the endpoint without a configuration; it still demands use after the time limit.

--- a/packages/mesh/src/corianderwall/mesh/gossip.py
+++ b/packages/mesh/src/corianderwall/mesh/gossip.py
@@ -42,8 +42,9 @@
 """Longest wait after a start for the records of peers, once the platform has told the leaves, or
 for the platform, once a peer has sent its records."""
 LEAVES_TIMEOUT_S = 6.0
-"""Longest wait after a start before the endpoint gets calls if neither is heard. Without the
-platform and peers there is no configuration either; calls must be served 15 s after a start."""
+"""Longest wait, once there is a configuration, before the endpoint gets calls if neither is heard.
+No call can be served without a configuration, and it may come shortly before the leaves; calls must
+be served 15 s after a start or the return of the platform."""
 LEAVE_READERS = 3
 """Nodes that read the leaves for all others when the fleet starts; two of them may be away."""
 PEERS_TIMEOUT_S = 0.6
@@ -139,6 +140,7 @@
         self._confirmation_count = 0
         self._pulled = False
         self._pulling_since = self._loop.time()
+        self._configured_at: float | None = None
         self._synced_peers: dict[str, bool] = {}
 
     async def join(self) -> None:
@@ -360,13 +362,19 @@
         """Let the endpoint get calls unless a leave that was acknowledged may be missing here.
 
         Either the platform or a peer that has records tells of it. If neither does, the endpoint
-        gets calls after `LEAVES_TIMEOUT_S`.
+        gets calls `LEAVES_TIMEOUT_S` after there is a configuration.
         """
         if self._gate.synced:
             return
-        waited_s = self._loop.time() - self._pulling_since
-        if not self._leaves.loaded:
-            is_due = waited_s >= (SYNC_TIMEOUT_S if self._pulled else LEAVES_TIMEOUT_S)
+        now = self._loop.time()
+        waited_s = now - self._pulling_since
+        if self._configured_at is None and self._holder.table is not None:
+            self._configured_at = now
+        if not self._leaves.loaded and self._pulled:
+            is_due = waited_s >= SYNC_TIMEOUT_S
+        elif not self._leaves.loaded:
+            since = self._configured_at
+            is_due = since is not None and now - since >= LEAVES_TIMEOUT_S
         else:
             is_due = self._pulled or waited_s >= SYNC_TIMEOUT_S or self._started_together()
         if not is_due:
