--- a/packages/mesh/src/corianderwall/mesh/endpoint.py
+++ b/packages/mesh/src/corianderwall/mesh/endpoint.py
@@ -104,6 +104,10 @@
         self._started: EndpointRecord | None = None
         self._reported: EndpointRecord | None = None
 
+    def use_settings(self, settings: HostSettings) -> None:
+        """Use changed settings, from the next announcement on."""
+        self._settings = settings
+
     def handle_announcement(self, announcement: Announcement) -> bool:
         """Handle an announcement; return whether it is acknowledged."""
         self._repeat_failed_report()
--- a/packages/mesh/src/corianderwall/mesh/entry.py
+++ b/packages/mesh/src/corianderwall/mesh/entry.py
@@ -215,6 +215,10 @@
         self._stop_plan = NO_STOP
         self._pending: set[Deferred[OwnerResponse | None]] = set()
 
+    def use_settings(self, settings: HostSettings) -> None:
+        """Use changed settings, from the next call on."""
+        self._settings = settings
+
     def begin_stop(self, plan: StopPlan) -> None:
         """End all calls as `plan` says, and send no late one that may not end by then.
 
--- a/packages/mesh/src/corianderwall/mesh/gate.py
+++ b/packages/mesh/src/corianderwall/mesh/gate.py
@@ -176,6 +176,11 @@
         self.limit_connections(service.max_connections)
         self.warmup.configure(service)
 
+    def use_settings(self, settings: HostSettings) -> None:
+        """Use changed settings, from the next call and the next announcement on."""
+        self._settings = settings
+        self.endpoint.use_settings(settings)
+
     def expect_cold(self) -> None:
         """Count the endpoint as cold until it says what it is, as after an evacuation."""
         self.warmup.expect_cold("expected")
--- a/packages/mesh/src/corianderwall/mesh/node.py
+++ b/packages/mesh/src/corianderwall/mesh/node.py
@@ -326,6 +326,16 @@
         for server in (self._outbound, self._inbound, *self._extra_servers):
             server.stop_now()
 
+    def change_service(self, service: str) -> None:
+        """Use `service` as the one that runs on this host, from the next call on."""
+        log_info(
+            "the service of this host has changed", former=self.settings.service, service=service
+        )
+        self.settings = replace(self.settings, service=service)
+        self.entry.use_settings(self.settings)
+        self.gate.use_settings(self.settings)
+        self._apply_configuration(self.holder.snapshot)
+
     def make_heartbeat(self) -> Heartbeat:
         """Return the heartbeat of this node."""
         record = self.gate.record
--- a/packages/mesh/tests/test_node.py
+++ b/packages/mesh/tests/test_node.py
@@ -438,6 +438,26 @@
     return run_scenario(scenario)
 
 
+def test_endpoints_get_the_name_of_the_service_that_runs_on_the_host_now() -> Deferred[None]:
+    """Guards against calls that bear the service of former settings."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.source.put_config(make_snapshot(1, make_route("r", "s")))
+        host = await fleet.add("n1")
+        await fleet.add("n2", service="former", announce=False)
+        await fleet.wait_until_synced()
+        assert (await fleet.send_call("n2")).status == 200
+        fleet.hosts["n2"].node.change_service("s")
+        assert (await fleet.send_call("n2", request_id="q2")).status == 200
+        callers = [request.headers["caller-service"] for request in host.upstream.requests]
+        assert callers == ["former", "s"]
+        # The endpoint that the host has now is not taken for a forged one.
+        fleet.hosts["n2"].announce()
+        assert fleet.hosts["n2"].node.gate.record is not None
+
+    return run_scenario(scenario)
+
+
 def make_team_snapshot(version: int, *keys: str, **fields: object) -> Snapshot:
     digests = tuple(sha256(key.encode()).hexdigest() for key in keys)
     routes = (make_route("r", "s", **fields), make_route("p", "s", public=True))
