--- a/packages/httpflow/src/corianderwall/httpflow/server_connection.py
+++ b/packages/httpflow/src/corianderwall/httpflow/server_connection.py
@@ -158,7 +158,10 @@
         self._running.write(call, buffers)
 
     def hold(self, account: object) -> None:
-        """Hold `account` until what has been written so far has been sent, but for a short rest."""
+        """Hold `account` until what has been written leaves the buffers of this process.
+
+        A rest below the limits of the write buffer does not count.
+        """
         if self.write_paused or self._running.has_buffered:
             self._accounts.append(account)
 
